Upgrade under load: the new process gets the old one's listening socket

Design: the old process listens on a Unix socket in $TMPDIR. A new one that finds it gets the clients' listening socket (SCM_RIGHTS) and the list as it is known, and accepts once it knows servers. From its "ready" on the old one accepts no more, ends connections with their next answer, and stays until SIGTERM; if the new one dies before that, the old one accepts again. A dead, silent or nonsensical peer means a plain start; SO_REUSEPORT is set so that one can come up beside the old.

Not taken: two listeners with SO_REUSEPORT alone. The kernel hashes connections to a queue for good, so those queued at the old listener are reset when it closes.

The operators' listener comes with it (health, quiesce, resume); cordons and figures are not there yet.

Cause before the change: the second process ended with "address in use" (exit code 1), and everything lost followed from that. Ruled out by the log: memory and descriptors (19 of 80 MB, 162 of 384). Found on the way: closing every idle kept connection at once crossed requests of busy clients (8 of some hundred in the test); now a connection must have been quiet for 0.1 s, busy ones end with an answer.

--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -128,6 +128,9 @@
     def monotonic_ms(self, unix_ms: float) -> float | None:
         return unix_ms + self._offset_ms if unix_ms > 0 else None
 
+    def unix_ms(self, monotonic_ms: float | None) -> float:
+        return monotonic_ms - self._offset_ms if monotonic_ms is not None else 0.0
+
 
 def read_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
@@ -159,6 +162,24 @@
         raise ValueError(f"not a list of hosts: {error!r}") from error
 
 
+def write_list(found: HostList, clock: UnixClock) -> Json:
+    """In discovery's form, for `read_list`."""
+    names = {state: name for name, state in STATES.items()}
+    servers = [
+        {
+            "id": entry.listed.name,
+            "addr": "{}:{}".format(*entry.address) if entry.address else "",
+            "zone": entry.listed.zone,
+            "cell": entry.listed.cell,
+            "weight": entry.listed.weight,
+            "state": names[entry.listed.state],
+            "started_ms": clock.unix_ms(entry.listed.started_ms),
+        }
+        for entry in found.entries
+    ]
+    return {"version": found.version, "full": found.full, "servers": servers}
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise ValueError(f"not a text: {value!r}")
@@ -182,6 +203,7 @@
     discovery: Address
     seed: int
     sockets: int
+    control: Address | None  # where operators call; older configurations have none
     conn_idle_ms: float
     settings: Settings
     known: HostList | None
@@ -209,12 +231,14 @@
     told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
     facts, clock = told["settings"], UnixClock()
     sockets = int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS))
+    control = environ.get("PROXY_CONTROL") or told.get("control")
     return Config(
         name=environ.get("PROXY_NAME") or told["name"],
         listen=read_address(environ.get("PROXY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
         seed=read_seed(told.get("seed", 0)),
         sockets=sockets,
+        control=read_address(control) if control else None,
         conn_idle_ms=facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS),
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_list(told["known"], clock) if told.get("known") else None,
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -39,6 +39,11 @@
 LINGER_S = 1.5
 UNREAD_S = 3.0  # for an answer that its client does not read
 SWEEP_S = 0.2
+# While clients are sent away: so long a new connection that has said nothing yet is waited for.
+FRESH_S = 0.7
+# And so long one must have been quiet. Danger: a close can cross a request; a busy connection ends with
+# its next answer anyhow, and on a quiet one that is unlikely.
+QUIET_S = 0.1
 MOST_IDLE_PART = 6  # so small a part of the connections may be idle; past it answers end theirs
 LONGEST_MS = 3_600_000
 METHODS = {Idempotency.SAFE: b"GET", Idempotency.KEYED: b"POST", Idempotency.UNSAFE: b"POST"}
@@ -305,7 +310,7 @@
             self._frontend.waiting_ids.discard(call.request_id)
             self._asked = True
             if call.target == b"/healthz":
-                self.answer(call, 200 if self._frontend.handler.ready() else 503, b"", b"")
+                self.answer(call, 200 if self._frontend.available() else 503, b"", b"")
             else:
                 self._frontend.handler.arrived(call)
 
@@ -316,7 +321,7 @@
         self.since_s = self._frontend.loop.time()
         # In a drain what waits has been taken, too: the connection ends with the last of it.
         close = not call.keep_alive or (
-            not self._waiting and (self._frontend.stopping or self._frontend.many_idle)
+            not self._waiting and (self._frontend.leaving or self._frontend.many_idle)
         )
         self._transport.write(encode(status, body, headers, close))
         if close:
@@ -379,6 +384,11 @@
         self.end()
         return True
 
+    def leave(self, now_s: float) -> None:
+        """Close it if nothing is on it. Danger: a client that has just connected is about to ask."""
+        if now_s - self.since_s >= (QUIET_S if self._asked else FRESH_S):
+            self.close_idle()
+
     def end(self) -> None:
         self._ended = True
         if self._transport is not None:
@@ -402,6 +412,17 @@
             self.close_idle()
 
 
+def bind(address: Address) -> socket.socket:
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # A new process that can't get this socket from the old one can still start beside it.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.setblocking(False)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    return listener
+
+
 class Frontend:
     """The listening socket and the connections that came by it."""
 
@@ -409,7 +430,8 @@
         self.loop = asyncio.get_running_loop()
         self.handler = handler
         self.classes = classes
-        self.stopping = False
+        self.leaving = False  # clients are sent away: answers end their connections, idle ones close
+        self.unavailable = False  # the front is told not to send new ones
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.waiting_ids: set[bytes] = set()
         self._most_open = most_open
@@ -418,19 +440,46 @@
         self._yielding: tuple[dict[ClientConnection, None], ...] = ({}, {}, {}, {})
         self._adopting: set[asyncio.Task[object]] = set()
         self._listener: socket.socket | None = None
+        self._accepting = False
 
-    async def listen(self, address: Address) -> Address:
-        listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
+    async def listen(self, address: Address, inherited: socket.socket | None = None) -> Address:
+        """Take connections at `address`, or those of a listening socket that is there already."""
+        listener = inherited or bind(address)
         self._listener = listener
-        self.loop.add_reader(listener, self._accept, listener)
+        self.accept_again()
         self.loop.call_later(SWEEP_S, self._sweep)
         host, port = listener.getsockname()[:2]
         return host, port
 
+    @property
+    def listener(self) -> socket.socket:
+        assert self._listener is not None
+        return self._listener
+
+    def available(self) -> bool:
+        """What the front is told."""
+        return not self.unavailable and self.handler.ready()
+
+    def send_away(self) -> None:
+        """Rid this process of its clients without losing a request: from here on every connection closes
+        once nothing is owed on it. New ones are served for as long as they come."""
+        self.leaving = True
+        self.close_idle()
+
+    def stay(self) -> None:
+        self.leaving = self.unavailable = False
+
+    def accept_no_more(self) -> None:
+        """Leave the queue of new connections to another process, for now or for good."""
+        self._accepting = False
+        if self._listener is not None:
+            self.loop.remove_reader(self._listener)
+
+    def accept_again(self) -> None:
+        self._accepting = True
+        if self._listener is not None:
+            self.loop.add_reader(self._listener, self._accept, self._listener)
+
     def _accept(self, listener: socket.socket) -> None:
         """Take connections in, a few at a time.
 
@@ -465,8 +514,8 @@
             sock.close()
 
     def _resume(self) -> None:
-        if self._listener is not None:
-            self.loop.add_reader(self._listener, self._accept, self._listener)
+        if self._accepting:
+            self.accept_again()
 
     def _make_room(self) -> bool:
         """Close the connection that is missed least."""
@@ -511,8 +560,9 @@
             yielding.pop(connection, None)
 
     def close_idle(self) -> None:
+        now_s = self.loop.time()
         for connection in list(self._connections):
-            connection.close_idle()
+            connection.leave(now_s)
 
     def close(self) -> None:
         """Take no more connections, and close those on which nothing is owed."""
@@ -531,4 +581,6 @@
         crowded = len(self._connections) > self._most_open // 2
         for connection in list(self._connections):
             connection.check(now_s, crowded)
+        if self.leaving:
+            self.close_idle()
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -34,7 +34,7 @@
     Subscribe,
     TimerFired,
 )
-from cloverrouter.proxy.config import Address, HostList
+from cloverrouter.proxy.config import Address, HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.upstream import Exchange, Host, Upstream
 
@@ -124,6 +124,7 @@
         self._subscribe = subscribe
         self._crash = crash
         self._addresses: dict[str, Address] = {}
+        self._entries: dict[str, HostEntry] = {}  # as discovery has told of them
         self._requests: dict[int, Request] = {}
         self._by_call: dict[Call, Request] = {}
         self._ids: set[bytes] = set()  # the clients' own, of the same requests
@@ -314,8 +315,12 @@
     def listed(self, kind: ListKind, found: HostList) -> None:
         if kind is not ListKind.DELTA:
             self._addresses.clear()
+            self._entries.clear()
         for entry in found.entries:
             name = entry.listed.name
+            self._entries[name] = entry
+            if entry.listed.state is EndpointState.GONE:
+                del self._entries[name]
             if entry.listed.state is EndpointState.READY and entry.address is not None:
                 self._addresses[name] = entry.address
             else:
@@ -330,5 +335,9 @@
                 if unsent and self._addresses.get(name) != address:
                     self._give_up(attempt, Outcome.NOT_SENT)
 
+    def known(self, version: int | None) -> HostList | None:
+        """The list as it stands, for a process that comes after; None before there is one."""
+        return HostList(version or 0, True, tuple(self._entries.values())) if self._entries else None
+
     def discovery_failed(self) -> None:
         self.tell(EndpointsListed(ListKind.FAILED))
--- /dev/null
+++ b/cloverrouter/proxy/program.py
@@ -0,0 +1,226 @@
+"""One client proxy, put together: its parts, what operators ask of it, and how it comes and goes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import resource
+import socket
+
+from cloverrouter.interface import ListKind
+from cloverrouter.proxy import config, handover
+from cloverrouter.proxy.admin import Admin
+from cloverrouter.proxy.config import Config, HostList, Json
+from cloverrouter.proxy.discovery import Watch
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.handover import Giver, Inheritance, Link
+from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.upstream import Upstream
+
+# After SIGTERM connections go on coming for a while: until then they are taken and served.
+STILL_ACCEPTING_S = 0.5
+# Standard streams, the loop's own, the listeners, discovery, operators' calls, the handover, and some air.
+RESERVED_SOCKETS = 48
+POLL_S = 0.02
+LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
+READY_S = 5.0  # for a new process to know servers; then it takes over as it is
+log = logging.getLogger("cloverrouter.proxy")
+
+
+class Program:
+    """Runs until it is told to stop, or until the module fails."""
+
+    def __init__(self, told: Config, inherited: Inheritance | None) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._told = told
+        self._inherited = inherited
+        self._stop = asyncio.Event()
+        self._crashes: list[BaseException] = []
+        self._links: list[Link] = []  # to the process before, and to those after
+        self._successor: Link | None = None  # has taken the clients over
+        self._predecessor: Link | None = None
+        self._draining = False
+        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        sockets = min(told.sockets, limit) - RESERVED_SOCKETS
+        pushed = not told.settings.subscribe
+        self._upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
+        self._watch = Watch(
+            told.discovery, told.clock, pushed, self._on_list, lambda: self._node.discovery_failed()
+        )
+        self._node = Node(told.settings, told.seed, self._upstream, self._watch.start, self._crash)
+        classes = {cls.name: cls.idempotency for cls in told.settings.classes}
+        self._frontend = Frontend(self._node, classes, sockets // 2)
+        self._admin = Admin(self)
+        self._giver: Giver | None = None
+
+    async def run(self) -> int:
+        """The exit code."""
+        told = self._told
+        state = self._inherited.state if self._inherited else {}
+        known = self._known(state) or told.known
+        if known is not None:
+            self._watch.version = known.version
+            self._node.listed(ListKind.RESTORED, known)
+        if not told.settings.subscribe or known is None:
+            self._watch.start()
+        if told.control is not None:
+            await self._admin.listen(told.control)
+        if self._inherited is not None:
+            await self._take_over(self._inherited)
+        else:
+            await self._frontend.listen(told.listen)
+        self._offer()
+        log.info("%s serves at %s:%d", told.name, *told.listen)
+
+        await self._stop.wait()
+        if not self._crashes:
+            await self._drain()
+        self._admin.close()
+        if self._giver is not None:
+            self._giver.stop()
+        for link in list(self._links):
+            link.close()
+        self._watch.stop()
+        if self._crashes:
+            log.critical("the decisions crashed", exc_info=self._crashes[0])
+            return 1
+        return 0
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    def _crash(self, error: BaseException) -> None:
+        self._crashes.append(error)
+        self._stop.set()
+
+    def _on_list(self, found: HostList) -> None:
+        self._node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
+
+    def reload(self) -> None:
+        """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
+        try:
+            address = config.reload_discovery(os.environ)
+        except Exception as error:
+            log.error("configuration not reread: %s: %s", type(error).__name__, error)
+            return
+        log.info("discovery is at %s:%d from now on", *address)
+        self._watch.move(address)
+
+    # What operators ask for
+
+    def healthy(self) -> bool:
+        return self._frontend.available() and not self._draining
+
+    def figures(self) -> str:
+        return ""
+
+    def cordon(self, endpoint: str, on: bool) -> bool:
+        return False
+
+    def quiesce(self, on: bool) -> None:
+        self._quiesce(on)
+        self._tell_others({"quiesce": on})
+
+    def _quiesce(self, on: bool) -> None:
+        log.info("clients are sent away" if on else "back to work")
+        self._frontend.unavailable = on
+        if on:
+            self._frontend.send_away()
+        elif not self._draining and self._successor is None:
+            self._frontend.stay()
+
+    def _tell_others(self, message: Json) -> None:
+        for link in self._links:
+            link.say(message)
+
+    # From process to process
+
+    def _offer(self) -> None:
+        """Let a later process take over from this one."""
+        path = handover.path_for(self._told.listen)
+        self._giver = Giver(path, self._frontend.listener, self._state, self._asked_for)
+        try:
+            self._giver.start()
+        except OSError as error:  # a new version then starts beside this one, with a queue of its own
+            log.warning("no handover from here: %s", error)
+
+    def _state(self) -> Json:
+        state: Json = {"quiesced": self._frontend.unavailable}
+        known = self._node.known(self._watch.version)
+        if known is not None:
+            state["known"] = config.write_list(known, self._told.clock)
+        return state
+
+    def _known(self, state: Json) -> HostList | None:
+        try:
+            return config.read_list(state["known"], self._told.clock) if "known" in state else None
+        except ValueError as error:
+            log.warning("the list of the process before is of no use: %s", error)
+            return None
+
+    def _link(self, sock: socket.socket) -> Link:
+        link = Link(sock, self._heard, self._lost)
+        self._links.append(link)
+        return link
+
+    def _asked_for(self, sock: socket.socket) -> None:
+        log.info("a new process takes over")
+        self._link(sock)
+
+    async def _take_over(self, inherited: Inheritance) -> None:
+        """Begin to accept once there are servers to send to; the old process serves until then."""
+        self._predecessor = self._link(inherited.peer)
+        until_s = self._loop.time() + READY_S
+        while not self._node.ready() and self._predecessor is not None and self._loop.time() < until_s:
+            if self._stop.is_set():
+                break
+            await asyncio.sleep(POLL_S)
+        if inherited.state.get("quiesced") is True:
+            self._quiesce(True)
+        await self._frontend.listen(self._told.listen, inherited.listener)
+        if self._predecessor is not None:
+            self._predecessor.say({"ready": True})
+
+    def _heard(self, link: Link, message: Json) -> None:
+        if message.get("ready") is True and link is not self._predecessor:
+            self._successor = link
+            self._frontend.accept_no_more()
+            self._frontend.send_away()
+        if isinstance(message.get("quiesce"), bool):
+            self._quiesce(message["quiesce"])
+
+    def _lost(self, link: Link) -> None:
+        """The other process has ended, or lost its way."""
+        if link in self._links:
+            self._links.remove(link)
+        if link is self._predecessor:
+            self._predecessor = None
+        elif link is self._successor:
+            self._successor = None
+            if not self._draining:
+                log.warning("the new process is gone: back to work")
+                self._frontend.accept_again()
+                if not self._frontend.unavailable:
+                    self._frontend.stay()
+
+    # Leaving
+
+    async def _drain(self) -> None:
+        """Leave without losing what was taken. Every call has a deadline, so this ends."""
+        self._draining = True
+        loop, frontend, node = self._loop, self._frontend, self._node
+        # The front asks this address whether to come; where another process serves it already, it may.
+        frontend.unavailable = frontend.unavailable or not self._links
+        frontend.send_away()
+        until_s = loop.time() + STILL_ACCEPTING_S
+        while self._successor is None and loop.time() < until_s:
+            await asyncio.sleep(POLL_S)
+        frontend.close()
+        owed_s = loop.time()
+        # Danger: a client that neither finishes its request nor reads would keep the program from ending.
+        while node.busy or (frontend.busy and loop.time() < owed_s + LAST_BYTES_S):
+            if node.busy:
+                owed_s = loop.time()
+            await asyncio.sleep(POLL_S)
+            frontend.close_idle()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 LONG_S = 30.0  # for what surely comes; a test that waits this long has failed
+Start = Callable[[dict[str, str]], subprocess.Popen[bytes]]
 Respond = Callable[["Seen", asyncio.StreamWriter], Awaitable[None]]
 
 SETTINGS: dict[str, Any] = {
@@ -217,15 +218,38 @@
 class Proxy:
     """The program, started as `run` says but with this interpreter."""
 
-    def __init__(self, address: str, process: subprocess.Popen[bytes], stderr: Path, config: Path) -> None:
-        self.address, self.process, self._stderr, self.config = address, process, stderr, config
+    def __init__(self, address: str, stderr: Path, config: Path, start: Start) -> None:
+        self.address, self._stderr, self.config, self._start = address, stderr, config, start
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.start()
+
+    def start(self, **environ: str) -> subprocess.Popen[bytes]:
+        """Start the program, or start it again beside itself; `process` is the latest."""
+        self.process = self._start(environ)
+        self.processes.append(self.process)
+        return self.process
+
+    @property
+    def control(self) -> str:
+        told = json.loads(self.config.read_text())
+        return str(told["control"])
+
+    async def call(self, method: str, path: str, body: str = "", control: str = "") -> Message:
+        """An operator's call."""
+        host, port = (control or self.control).split(":")
+        client = Client(*await asyncio.open_connection(host, int(port)))
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        client.writer.write((head + body).encode())
+        answer = await client.read()
+        client.writer.close()
+        return answer
 
     def log(self) -> str:
         return self._stderr.read_text()
 
-    async def logged(self, text: str) -> None:
+    async def logged(self, text: str, times: int = 1) -> None:
         end = time.monotonic() + LONG_S
-        while text not in self.log():
+        while self.log().count(text) < times:
             assert self.process.poll() is None and time.monotonic() < end, self.log()
             await asyncio.sleep(0.02)
 
@@ -250,8 +274,9 @@
             assert time.monotonic() < end
             await asyncio.sleep(0.02)
 
-    async def ended(self) -> int:
-        return await asyncio.get_running_loop().run_in_executor(None, self.process.wait, LONG_S)
+    async def ended(self, process: subprocess.Popen[bytes] | None = None) -> int:
+        wait = (process or self.process).wait
+        return await asyncio.get_running_loop().run_in_executor(None, wait, LONG_S)
 
 
 @asynccontextmanager
@@ -267,8 +292,10 @@
     """The program with these hosts, up and answering."""
     discovery.entries.update({host.name: host.entry() for host in hosts})
     # An address of its own: no other test, and no connection's own end, can hold the port.
-    address = "127." + ".".join(str(random.randrange(1, 255)) for _ in range(3)) + ":3000"
-    told = {"name": "n0", "listen": address, "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
+    host = "127." + ".".join(str(random.randrange(1, 255)) for _ in range(3))
+    address = f"{host}:3000"
+    told = {"name": "n0", "listen": address, "control": f"{host}:9901",
+            "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "settings": {**SETTINGS, **(settings or {})}}  # fmt: skip
     if known:
@@ -276,18 +303,23 @@
     with tempfile.TemporaryDirectory() as folder:
         path, stderr = Path(folder, "config.json"), Path(folder, "log")
         path.write_text(json.dumps(told))
-        with stderr.open("wb") as log:
-            process = subprocess.Popen(
-                command,
-                env={**os.environ, "PROXY_CONFIG": str(path), **(environ or {})},
-                stderr=log,
-                shell=isinstance(command, str),
-            )
-        proxy = Proxy(address, process, stderr, path)
+
+        def start(more: dict[str, str]) -> subprocess.Popen[bytes]:
+            own = {"PROXY_CONFIG": str(path), "TMPDIR": folder}
+            with stderr.open("ab") as log:
+                return subprocess.Popen(
+                    command,
+                    env={**os.environ, **own, **(environ or {}), **more},
+                    stderr=log,
+                    shell=isinstance(command, str),
+                )
+
+        proxy = Proxy(address, stderr, path, start)
         try:
             await proxy.wait_health(*ready)
             yield proxy
         finally:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
+            for process in proxy.processes:
+                if process.poll() is None:
+                    process.kill()
+                process.wait()
