Cordon: the module leaves out servers that operators ban, across lists and upgrades

Design: a new event, Cordon, tells the module; its action Cordoned is the yes or no. The ban is kept by name beside the list, so it outlives whatever the list says; one guard, which every send passes, and the list of ready servers leave it out. From the call back on the server counts as started just then, whatever the list says, and is owed one early request, since a cold one loses every draw against warm ones. Sends that have not gone out are called back. On an upgrade the module's memory goes along (bans, cold budgets, retry tokens, what it has learnt), and while two processes serve, each has half of budgets and sockets and tells the other of bans.

Not taken: filtering in the node. The module would go on drawing, holding work for and waiting on servers that it can never use, and a second front would have to filter again.

--- a/cloverrouter/benchlink.py
+++ b/cloverrouter/benchlink.py
@@ -19,6 +19,7 @@
     Action,
     AttemptEnded,
     Cancel,
+    Cordoned,
     EndpointsListed,
     EndpointState,
     Event,
@@ -161,6 +162,8 @@
             return {"track": {"active": True}}
         case Log():
             return {"remark": {"message": action.text}}
+        case Cordoned():  # the simulator has no operators, so none is answered
+            return {"remark": {"message": f"cordon: {action}"}}
 
 
 # Reading a batch
--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -22,6 +22,11 @@
 from cloverrouter.interface import (
     Action,
     AttemptEnded,
+    Census,
+    ClassMemory,
+    Cordon,
+    Cordoned,
+    EndpointMemory,
     EndpointsListed,
     EndpointState,
     Event,
@@ -30,7 +35,9 @@
     ListedEndpoint,
     ListKind,
     Log,
+    Memory,
     Outcome,
+    PartTaken,
     ProbeEnded,
     Refuse,
     RepeatScope,
@@ -89,6 +96,10 @@
 WINDOW_SPANS = 0.5
 # From this part of the requests that clients can have open on, those held are let go, the oldest first.
 FULL_SHARE = 0.85
+# Names of servers ever listed that are remembered, to tell an operator's slip from a server that has left.
+MOST_NAMES = 50_000
+# Two processes reckon a start on clocks that they have set apart from each other, by no more than this.
+SAME_START_MS = 1000.0
 # Of a class nothing is known of, when the request does not say either.
 DEFAULT_DEADLINE_MS = 1000.0
 
@@ -191,7 +202,11 @@
         self.judged_ms: float | None = None  # when an outcome last said something about it
         self.cold_credit = 0.0  # work that it may be sent while cold
         self.cold_credit_ms: float | None = None  # when that was reckoned
+        self.handed_credit: float | None = None  # to start with, where a balancer before this has spent some
         self.share = 1.0  # how readily it is drawn
+        self.cordoned = False  # an operator leaves it out
+        self.back_ms: float | None = None  # when the last cordon ended: it may have restarted until then
+        self.owed = False  # it has been sent nothing since then
 
     @property
     def weight(self) -> float:
@@ -215,6 +230,17 @@
             return False
         return now_ms - self.waiting_since_ms > SILENT_GAPS * self.latency_ms / min(self.in_flight, 4)
 
+    def avoided(self, now_ms: float) -> bool:
+        """Is it left out now for what it is, not just full?"""
+        paused = bool(self.failures) and now_ms < self.paused_until_ms
+        drains = self.listed.state is not EndpointState.READY
+        return self.cordoned or drains or paused or self.silent(now_ms)
+
+    def start_over(self, earned: float, slowness: float) -> None:
+        """It is a new process, or may be: the old one's record is void."""
+        self.earned, self.slowness = earned, slowness
+        self.cold_credit, self.cold_credit_ms, self.handed_credit = 0.0, None, None
+
     def answered(self, now_ms: float, latency_ms: float) -> None:
         self.waiting_since_ms = now_ms
         self.failures = 0
@@ -261,9 +287,10 @@
 
     def warmth(self, now_ms: float, safety: Safety) -> float:
         """The share of its full capacity that it surely has by now."""
-        if self.listed.started_ms is None or safety.cold_ms <= 0:
+        starts = [at_ms for at_ms in (self.listed.started_ms, self.back_ms) if at_ms is not None]
+        if not starts or safety.cold_ms <= 0:
             return 1.0
-        age = max(0.0, now_ms - self.listed.started_ms) / safety.cold_ms
+        age = max(0.0, now_ms - max(starts)) / safety.cold_ms
         return min(1.0, safety.cold_share + (1 - safety.cold_share) * age)
 
 
@@ -279,6 +306,10 @@
         ] = {}  # the ready ones of each zone, in the same order everywhere
         self.shares: dict[str, float] = {}  # each zone's part of this proxy's requests
         self.weight = 0.0  # of all that are ready
+        self.cordons: dict[str, None] = {}  # outlive lists: an id that leaves and returns is still banned
+        self.names: dict[str, None] = {}  # ever listed, the latest last
+        self.back_ms: dict[str, float] = {}  # when cordons ended
+        self.memories: dict[str, EndpointMemory] = {}  # of endpoints not listed yet
 
     def update(self, event: EndpointsListed) -> None:
         if event.kind is ListKind.FAILED:
@@ -289,16 +320,60 @@
         earned, slowness = self.means()
         for entry in event.endpoints:
             known = self.endpoints.get(entry.name)
+            self.names.pop(entry.name, None)
+            self.names[entry.name] = None
             if entry.state is EndpointState.GONE:
                 self.endpoints.pop(entry.name, None)
             elif known is None:
-                self.endpoints[entry.name] = Endpoint(entry, earned, slowness)
+                known = self.endpoints[entry.name] = Endpoint(entry, earned, slowness)
+                known.cordoned, known.back_ms = entry.name in self.cordons, self.back_ms.get(entry.name)
+                self._remember(known)
             else:
-                if known.listed.started_ms != entry.started_ms:  # a new process: the old one's record is void
-                    known.earned, known.slowness = earned, slowness
-                    known.cold_credit, known.cold_credit_ms = 0.0, None
+                if known.listed.started_ms != entry.started_ms:
+                    known.start_over(earned, slowness)
                 known.listed = entry
-        self.ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
+        while len(self.names) > MOST_NAMES:
+            self.names.pop(next(iter(self.names)))
+        self._choose()
+
+    def _remember(self, endpoint: Endpoint) -> None:
+        """What the balancer before knew of it, if it is still the same process."""
+        memory = self.memories.pop(endpoint.listed.name, None)
+        now, then = endpoint.listed.started_ms, memory.started_ms if memory else None
+        if memory is None or (now is None) != (then is None):
+            return
+        if now is not None and then is not None and abs(now - then) > SAME_START_MS:
+            return
+        endpoint.earned, endpoint.slowness = memory.earned, memory.slowness
+        endpoint.limit, endpoint.latency_ms = memory.limit, memory.latency_ms
+        endpoint.handed_credit = memory.cold_credit
+
+    def cordon(self, now_ms: float, name: str, on: bool) -> bool:
+        """False if no endpoint of that name was ever listed. Danger: between the two calls the server is
+        restarted, and the list tells so late or never; from the second on it is taken to be cold."""
+        if name not in self.names and name not in self.cordons:
+            return False
+        endpoint = self.endpoints.get(name)
+        if on:
+            self.cordons[name] = None
+        elif name in self.cordons:
+            del self.cordons[name]
+            cold_ms = self.settings.safety.cold_ms
+            self.back_ms = {n: at for n, at in self.back_ms.items() if now_ms - at < cold_ms}
+            self.back_ms[name] = now_ms
+            if endpoint is not None:
+                endpoint.start_over(*self.means())
+                endpoint.back_ms, endpoint.owed = now_ms, True
+                endpoint.failures, endpoint.paused_until_ms = 0, now_ms
+                endpoint.limit = max(endpoint.limit, FIRST_LIMIT)
+        if endpoint is not None:
+            endpoint.cordoned = on
+        self._choose()
+        return True
+
+    def _choose(self) -> None:
+        ready = EndpointState.READY
+        self.ready = [e for e in self.endpoints.values() if e.listed.state is ready and not e.cordoned]
         self._share_out()
 
     def _share_out(self) -> None:
@@ -500,7 +575,7 @@
 class Balancer:
     """The decisions of one client proxy."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, memory: Memory | None = None) -> None:
         self.settings = settings
         self.random = Random(seed)
         self.budget = RetryBudget()
@@ -515,6 +590,7 @@
         self.last_token = 0
         self.window_count = 0  # servers in the window last looked at
         self.window_warm = 0  # the warm ones of these
+        self.handed_peak = 0.0  # the peak rate that a balancer before this one has seen
         self.peak_rate = 0.0  # highest work rate of a warm server, fading
         self.peak_ms = 0.0
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
@@ -529,6 +605,9 @@
         self.now_ms = float("-inf")
         self.actions: list[Action] = []
         self.started = False
+        self.part = 1.0  # of what the proxy may do; another balancer has the rest
+        if memory is not None:
+            self._remember(memory)
 
     def handle(self, now_ms: float, events: Sequence[Event]) -> list[Action]:
         """Take in what happened by `now_ms`; returns what to do now, in that order."""
@@ -555,6 +634,10 @@
                         self._finish(self.requests[event.request_id])
                 case StreamStarted():
                     self._on_stream(event)
+                case Cordon():
+                    self._on_cordon(event)
+                case PartTaken():
+                    self._on_part(event)
                 case ProbeEnded():
                     pass
                 case _:
@@ -584,6 +667,68 @@
     def _subscribe(self) -> None:
         self.actions.append(Subscribe())
 
+    # Operators, and another balancer beside this one
+
+    def _on_cordon(self, event: Cordon) -> None:
+        known = self.membership.cordon(self.now_ms, event.endpoint, event.on)
+        self.flow.resize(self.membership.weight)
+        self.actions.append(Cordoned(event.endpoint, event.on, known))
+
+    def _on_part(self, event: PartTaken) -> None:
+        """Danger: two balancers that each spend the whole budget push a cold server over together."""
+        if event.part < self.part:
+            kept = event.part / self.part
+            self.budget.tokens *= kept
+            for endpoint in self.membership.endpoints.values():
+                endpoint.cold_credit *= kept
+        self.part = event.part
+
+    def census(self, now_ms: float) -> Census:
+        endpoints = self.membership.endpoints.values()
+        return Census(len(endpoints), sum(e.avoided(now_ms) for e in endpoints))
+
+    def memory(self) -> Memory:
+        """For a balancer that takes over, before either is told its part."""
+        members = self.membership
+        return Memory(
+            cordons=tuple(members.cordons),
+            listed=tuple(members.names),
+            back_ms=tuple(members.back_ms.items()),
+            tokens=self.budget.tokens,
+            peak_rate=self._warm_rate(),
+            flow_limit=self.flow.limit,
+            endpoints=tuple(
+                EndpointMemory(
+                    name,
+                    e.listed.started_ms,
+                    e.earned,
+                    e.slowness,
+                    e.limit,
+                    e.latency_ms,
+                    None if e.cold_credit_ms is None else e.cold_credit,
+                )
+                for name, e in members.endpoints.items()
+            ),
+            classes=tuple(
+                ClassMemory(name, usual.mean_ms, usual.base_ms, usual.slow_ratio, usual.seen)
+                for name, usual in self.latencies.items()
+            ),
+        )
+
+    def _remember(self, memory: Memory) -> None:
+        members = self.membership
+        members.cordons = dict.fromkeys(memory.cordons)
+        members.names = dict.fromkeys(memory.listed)
+        members.back_ms = dict(memory.back_ms)
+        members.memories = {e.name: e for e in memory.endpoints}
+        self.budget.tokens = min(BUDGET_CAPACITY, memory.tokens)
+        self.handed_peak, self.flow.limit = memory.peak_rate, memory.flow_limit
+        for then in memory.classes:
+            usual = self.latencies.get(then.name)
+            if usual is not None:
+                usual.mean_ms, usual.base_ms = max(0.01, then.mean_ms), max(0.01, then.base_ms)
+                usual.slow_ratio, usual.seen = max(1.0, then.slow_ratio), then.seen
+
     # Requests
 
     def _on_request(self, event: RequestArrived) -> None:
@@ -615,6 +760,8 @@
             return []
         window = self.membership.window(self.now_ms, self._window_size(), self.place)
         window = window or [e for e in self.membership.ready if e.has_room(self.now_ms)]
+        # Back from a cordon it is sent one request early, wherever the window lies.
+        window += [e for e in self.membership.ready if e.owed and e not in window and e.has_room(self.now_ms)]
         self.window_count = len(window)
         self.window_warm = sum(e.warmth(self.now_ms, self.settings.safety) >= 1 for e in window)
         return window
@@ -637,6 +784,8 @@
         if not self.crowded and self.settings.prices.cross_zone >= DEAR_CROSSING:
             # Danger: crossings that buy nothing. Limits that are informed tell when the local are full.
             allowed = [e for e in allowed if e.listed.zone == self.settings.zone] or allowed
+        # Danger: cold, it would lose every draw against the warm, and its operators see it get nothing.
+        allowed = [e for e in allowed if e.owed] or allowed
         endpoint = self.picker.pick(self.now_ms, allowed)
         if endpoint is not None:
             self._send(request, endpoint)
@@ -717,7 +866,7 @@
         if request.out and not limits.parallel_attempts:
             return False
         # Danger: new work on a server that drains or is gone.
-        if endpoint.listed.state is not EndpointState.READY:
+        if endpoint.listed.state is not EndpointState.READY or endpoint.cordoned:
             return False
         # Danger: an effect that happens twice.
         ran = request.first_possible_run()
@@ -739,9 +888,11 @@
         # proxies keep to theirs in the same way. Credit for half a window at most: no bursts. It starts
         # at a random part of one request: full, the proxies' first requests would add up to a push;
         # empty, a server in few proxies' traffic would get nothing until it is warm.
-        rate = COLD_MARGIN * safety.push_multiple * warmth * self._warm_rate()
+        rate = COLD_MARGIN * safety.push_multiple * warmth * self._warm_rate() * self.part
         if endpoint.cold_credit_ms is None:
-            endpoint.cold_credit, endpoint.cold_credit_ms = self.random.random() * request.work, self.now_ms
+            first = self.random.random() * request.work * self.part
+            first = first if endpoint.handed_credit is None else endpoint.handed_credit * self.part
+            endpoint.cold_credit, endpoint.cold_credit_ms = first, self.now_ms
         most = max(rate * safety.push_window_ms / 2, request.work)
         earned = rate * (self.now_ms - endpoint.cold_credit_ms)
         endpoint.cold_credit = min(most, endpoint.cold_credit + earned)
@@ -756,6 +907,8 @@
         Where none is warm and none was, all that arrives is taken to be what the servers are made for.
         """
         rate = self.work_rate.per_ms(self.now_ms)
+        if self.handed_peak:
+            self.peak_rate, self.peak_ms, self.handed_peak = self.handed_peak, self.now_ms, 0.0
         if not rate and not self.peak_rate:
             mean = sum(usual.mean_ms for usual in self.latencies.values()) / max(1, len(self.latencies))
             return self.arrivals.per_ms(self.now_ms) * mean / max(1, self.window_count)
@@ -769,6 +922,7 @@
             endpoint.cold_credit -= request.work
         else:
             self.work_rate.add(self.now_ms, request.work / max(1, self.window_warm))
+        endpoint.owed = False
         self._drop_timer(request)
         request.attempts.append(Attempt(endpoint, self.now_ms))
         request.out += 1
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -153,6 +153,51 @@
     started_ms: float | None = None  # None: a long time ago
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointMemory:
+    """What a balancer knows of one endpoint, for the one that takes over from it."""
+
+    name: str
+    started_ms: float | None
+    earned: float
+    slowness: float
+    limit: float
+    latency_ms: float
+    cold_credit: float | None  # work that it may be sent while cold; None: not reckoned yet
+
+
+@dataclass(frozen=True, slots=True)
+class ClassMemory:
+    name: str
+    mean_ms: float
+    base_ms: float
+    slow_ratio: float
+    seen: int
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a balancer hands on when another takes over on the same clock: what operators have said, what
+    the rules count over both, and what it has learnt."""
+
+    cordons: tuple[str, ...] = ()
+    listed: tuple[str, ...] = ()  # every endpoint that was ever listed
+    back_ms: tuple[tuple[str, float], ...] = ()  # when a cordon ended
+    tokens: float = 0.0
+    peak_rate: float = 0.0
+    flow_limit: float = 0.0
+    endpoints: tuple[EndpointMemory, ...] = ()
+    classes: tuple[ClassMemory, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Census:
+    """The list in figures."""
+
+    listed: int
+    avoided: int  # of these, those that get nothing now: by the balancer's choice, or an operator's
+
+
 # Events: what the proxy tells.
 
 
@@ -212,8 +257,32 @@
     report: tuple[float, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Cordon:
+    """An operator bans an endpoint, whatever the lists say, or ends the ban. Answered with `Cordoned`."""
+
+    endpoint: str
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PartTaken:
+    """From now on this part of what the proxy may do is this balancer's: another one has the rest, as one
+    takes over from the other. One alone has all of it."""
+
+    part: float
+
+
 Event = (
-    EndpointsListed | RequestArrived | StreamStarted | AttemptEnded | RequestGone | TimerFired | ProbeEnded
+    EndpointsListed
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | RequestGone
+    | TimerFired
+    | ProbeEnded
+    | Cordon
+    | PartTaken
 )
 
 
@@ -271,4 +340,13 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log
+@dataclass(frozen=True, slots=True)
+class Cordoned:
+    """The answer to `Cordon`."""
+
+    endpoint: str
+    on: bool
+    known: bool  # False: never listed, and nothing has changed
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log | Cordoned
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -434,7 +434,7 @@
         self.unavailable = False  # the front is told not to send new ones
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.waiting_ids: set[bytes] = set()
-        self._most_open = most_open
+        self._most_open = self._most_alone = most_open
         self._connections: set[ClientConnection] = set()
         # Those that can make room by `ClientConnection.stage`, the longest there first.
         self._yielding: tuple[dict[ClientConnection, None], ...] = ({}, {}, {}, {})
@@ -469,6 +469,11 @@
     def stay(self) -> None:
         self.leaving = self.unavailable = False
 
+    def take_part(self, part: float) -> None:
+        """Another process has the rest of the sockets. Danger: what a client has asked for is never given
+        up for room; only what comes later is turned away."""
+        self._most_open = max(1, int(self._most_alone * part))
+
     def accept_no_more(self) -> None:
         """Leave the queue of new connections to another process, for now or for good."""
         self._accepting = False
--- a/cloverrouter/proxy/handover.py
+++ b/cloverrouter/proxy/handover.py
@@ -19,10 +19,11 @@
 import tempfile
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
+from cloverrouter.interface import ClassMemory, EndpointMemory, Memory
 from cloverrouter.proxy.config import Address, Json
 
 VERSION = 1  # of the state; the listening socket is of use whatever the state's version
@@ -40,6 +41,64 @@
     return Path(os.environ.get("TMPDIR") or tempfile.gettempdir(), f"cypresswinch-{host}-{listen[1]}.sock")
 
 
+def write_memory(memory: Memory) -> Json:
+    return asdict(memory)
+
+
+def read_memory(found: Any, now_ms: float) -> Memory:
+    """Raises ValueError for anything but a memory: the module believes what it is handed."""
+
+    def number(value: Any) -> float:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e15:
+            raise ValueError(f"not a figure: {value!r}")
+        return float(value)
+
+    def text(value: Any) -> str:
+        if not isinstance(value, str):
+            raise ValueError(f"not a name: {value!r}")
+        return value
+
+    def names(value: Any) -> tuple[str, ...]:
+        if not isinstance(value, list):
+            raise ValueError(f"not names: {value!r}")
+        return tuple(map(text, value))
+
+    try:
+        return Memory(
+            cordons=names(found["cordons"]),
+            listed=names(found["listed"]),
+            back_ms=tuple((text(name), min(now_ms, number(at_ms))) for name, at_ms in found["back_ms"]),
+            tokens=number(found["tokens"]),
+            peak_rate=number(found["peak_rate"]),
+            flow_limit=number(found["flow_limit"]),
+            endpoints=tuple(
+                EndpointMemory(
+                    name=text(e["name"]),
+                    started_ms=None if e["started_ms"] is None else float(e["started_ms"]),
+                    earned=number(e["earned"]),
+                    slowness=max(0.01, number(e["slowness"])),
+                    limit=number(e["limit"]),
+                    latency_ms=number(e["latency_ms"]),
+                    # It can be overdrawn by a part of one request, which is then a little less than nothing.
+                    cold_credit=None if e["cold_credit"] is None else number(max(0, e["cold_credit"])),
+                )
+                for e in found["endpoints"]
+            ),
+            classes=tuple(
+                ClassMemory(
+                    name=text(c["name"]),
+                    mean_ms=number(c["mean_ms"]),
+                    base_ms=number(c["base_ms"]),
+                    slow_ratio=number(c["slow_ratio"]),
+                    seen=int(number(c["seen"])),
+                )
+                for c in found["classes"]
+            ),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a memory: {error!r}") from error
+
+
 class Link:
     """A line to the other process: JSON objects, one a line, either way."""
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -16,13 +16,18 @@
     Action,
     AttemptEnded,
     Cancel,
+    Census,
+    Cordon,
+    Cordoned,
     EndpointsListed,
     EndpointState,
     Event,
     Fail,
     ListKind,
     Log,
+    Memory,
     Outcome,
+    PartTaken,
     Probe,
     ProbeEnded,
     Refuse,
@@ -116,10 +121,11 @@
         upstream: Upstream,
         subscribe: Callable[[], None],
         crash: Callable[[BaseException], None],
+        memory: Memory | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings = settings
-        self._balancer = Balancer(settings, seed)
+        self._balancer = Balancer(settings, seed, memory)
         self._upstream = upstream
         self._subscribe = subscribe
         self._crash = crash
@@ -133,6 +139,7 @@
         self._handling = False
         self._now_ms = 0.0
         self._lag = LagMeter()
+        self._cordoned: Cordoned | None = None  # the latest answer to an operator
 
     # The module's clock, events and actions
 
@@ -182,6 +189,8 @@
                 self._subscribe()
             case Log():
                 log.info("%s", action.text)
+            case Cordoned():
+                self._cordoned = action
 
     def _set_timer(self, action: SetTimer) -> None:
         due_ms = self._now_ms + action.delay_ms
@@ -327,14 +336,40 @@
                 self._addresses.pop(name, None)
         self._upstream.keep_only(set(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
-        # Danger: a send to a host that drains, still connecting now, could go out after the grace.
+        self._call_back(lambda host: self._addresses.get(host[0]) != host[1])
+
+    def _call_back(self, unwanted: Callable[[Host], bool]) -> None:
+        """Danger: a send to a host that drains, still connecting now, could go out after the grace."""
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
                 unsent = attempt.exchange is not None and not attempt.exchange.written
-                name, address = attempt.host
-                if unsent and self._addresses.get(name) != address:
+                if unsent and unwanted(attempt.host):
                     self._give_up(attempt, Outcome.NOT_SENT)
 
+    # Operators, and a process beside this one
+
+    def cordon(self, endpoint: str, on: bool) -> bool:
+        """The module's yes or no."""
+        self._cordoned = None
+        self.tell(Cordon(endpoint, on))
+        answer: Cordoned | None = self._cordoned
+        if answer is None or not answer.known:
+            return False
+        if on:
+            self._call_back(lambda host: host[0] == endpoint)
+            self._upstream.drop_idle(endpoint)
+        return True
+
+    def census(self) -> Census:
+        return self._balancer.census(self.now_ms())
+
+    def memory(self) -> Memory:
+        return self._balancer.memory()
+
+    def take_part(self, part: float) -> None:
+        self.tell(PartTaken(part))
+        self._upstream.take_part(part)
+
     def known(self, version: int | None) -> HostList | None:
         """The list as it stands, for a process that comes after; None before there is one."""
         return HostList(version or 0, True, tuple(self._entries.values())) if self._entries else None
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -8,7 +8,7 @@
 import resource
 import socket
 
-from cloverrouter.interface import ListKind
+from cloverrouter.interface import ListKind, Memory
 from cloverrouter.proxy import config, handover
 from cloverrouter.proxy.admin import Admin
 from cloverrouter.proxy.config import Config, HostList, Json
@@ -24,6 +24,7 @@
 RESERVED_SOCKETS = 48
 POLL_S = 0.02
 LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
+PART = 0.5  # of the sockets and budgets is for each of two processes that serve beside each other
 READY_S = 5.0  # for a new process to know servers; then it takes over as it is
 log = logging.getLogger("cloverrouter.proxy")
 
@@ -48,7 +49,9 @@
         self._watch = Watch(
             told.discovery, told.clock, pushed, self._on_list, lambda: self._node.discovery_failed()
         )
-        self._node = Node(told.settings, told.seed, self._upstream, self._watch.start, self._crash)
+        self._state_before = inherited.state if inherited is not None else {}
+        memory = self._memory()
+        self._node = Node(told.settings, told.seed, self._upstream, self._watch.start, self._crash, memory)
         classes = {cls.name: cls.idempotency for cls in told.settings.classes}
         self._frontend = Frontend(self._node, classes, sockets // 2)
         self._admin = Admin(self)
@@ -57,8 +60,9 @@
     async def run(self) -> int:
         """The exit code."""
         told = self._told
-        state = self._inherited.state if self._inherited else {}
-        known = self._known(state) or told.known
+        known = self._known() or told.known
+        if self._inherited is not None:
+            self._take_part(PART)
         if known is not None:
             self._watch.version = known.version
             self._node.listed(ListKind.RESTORED, known)
@@ -116,7 +120,17 @@
         return ""
 
     def cordon(self, endpoint: str, on: bool) -> bool:
-        return False
+        known = self._cordon(endpoint, on)
+        if known:
+            # Danger: while two processes serve, a ban told to one binds the other as well.
+            self._tell_others({"cordon": endpoint, "on": on})
+        return known
+
+    def _cordon(self, endpoint: str, on: bool) -> bool:
+        known = self._node.cordon(endpoint, on)
+        if known:
+            log.info("%s is %s", endpoint, "cordoned" if on else "uncordoned")
+        return known
 
     def quiesce(self, on: bool) -> None:
         self._quiesce(on)
@@ -146,19 +160,35 @@
             log.warning("no handover from here: %s", error)
 
     def _state(self) -> Json:
-        state: Json = {"quiesced": self._frontend.unavailable}
+        state: Json = {
+            "quiesced": self._frontend.unavailable,
+            "memory": handover.write_memory(self._node.memory()),
+        }
         known = self._node.known(self._watch.version)
         if known is not None:
             state["known"] = config.write_list(known, self._told.clock)
         return state
 
-    def _known(self, state: Json) -> HostList | None:
+    def _known(self) -> HostList | None:
+        state = self._state_before
         try:
             return config.read_list(state["known"], self._told.clock) if "known" in state else None
         except ValueError as error:
             log.warning("the list of the process before is of no use: %s", error)
             return None
 
+    def _memory(self) -> Memory | None:
+        state = self._state_before
+        try:
+            return handover.read_memory(state["memory"], self._loop.time() * 1000) if state else None
+        except (KeyError, ValueError) as error:
+            log.warning("what the process before has learnt is of no use: %s", error)
+            return None
+
+    def _take_part(self, part: float) -> None:
+        self._node.take_part(part)
+        self._frontend.take_part(part)
+
     def _link(self, sock: socket.socket) -> Link:
         link = Link(sock, self._heard, self._lost)
         self._links.append(link)
@@ -167,6 +197,7 @@
     def _asked_for(self, sock: socket.socket) -> None:
         log.info("a new process takes over")
         self._link(sock)
+        self._node.take_part(PART)
 
     async def _take_over(self, inherited: Inheritance) -> None:
         """Begin to accept once there are servers to send to; the old process serves until then."""
@@ -187,6 +218,9 @@
             self._successor = link
             self._frontend.accept_no_more()
             self._frontend.send_away()
+            self._frontend.take_part(PART)
+        if isinstance(message.get("cordon"), str) and isinstance(message.get("on"), bool):
+            self._cordon(message["cordon"], message["on"])
         if isinstance(message.get("quiesce"), bool):
             self._quiesce(message["quiesce"])
 
@@ -203,6 +237,8 @@
                 self._frontend.accept_again()
                 if not self._frontend.unavailable:
                     self._frontend.stay()
+        if not self._links and not self._draining:
+            self._take_part(1.0)
 
     # Leaving
 
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -297,7 +297,7 @@
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[Connection] = set()  # that have a socket
         self._opening: set[asyncio.Task[None]] = set()
-        self._most_open = most_open
+        self._most_open = self._most_alone = most_open
         self._idle_s = idle_ms * IDLE_SHARE / 1000
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._pools: dict[Host, Pool] = {}
@@ -314,6 +314,16 @@
         for host in [h for h in self._pools if h not in wanted]:
             self._pools.pop(host).drop_idle()
 
+    def drop_idle(self, name: str) -> None:
+        for host in [h for h in self._pools if h[0] == name]:
+            self._pools[host].drop_idle()
+
+    def take_part(self, part: float) -> None:
+        """Another process has the rest of the sockets."""
+        self._most_open = max(1, int(self._most_alone * part))
+        while self.open > self._most_open and self._make_room():
+            pass
+
     def uses(self, pool: Pool) -> bool:
         return self._pools.get(pool.host) is pool
 
