Two processes share sockets and clients' connections by use, not by halves

Design: while an upgrade lasts each process tells the other every 30 ms what it has open; each leaves that much room, and requests open in the other count when the clients' connections run short. Both let go of half of what is too much, and hold fewer, as the other's count is a moment old.

Not taken: fixed halves (as before). The new process soon has all clients, and closed their connections at 84 of the 128 that they may hold.

Ruled out: a closed accept queue (0 refused), a slow start (0.5 s).

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -96,6 +96,7 @@
 WINDOW_SPANS = 0.5
 # From this part of the requests that clients can have open on, those held are let go, the oldest first.
 FULL_SHARE = 0.85
+FULL_SHARE_BESIDE = 0.7  # beside another balancer, whose count is a moment old
 # Names of servers ever listed that are remembered, to tell an operator's slip from a server that has left.
 MOST_NAMES = 50_000
 # Two processes reckon a start on clocks that they have set apart from each other, by no more than this.
@@ -606,6 +607,7 @@
         self.actions: list[Action] = []
         self.started = False
         self.part = 1.0  # of what the proxy may do; another balancer has the rest
+        self.others_open = 0  # requests that one holds
         if memory is not None:
             self._remember(memory)
 
@@ -681,7 +683,10 @@
             self.budget.tokens *= kept
             for endpoint in self.membership.endpoints.values():
                 endpoint.cold_credit *= kept
-        self.part = event.part
+        self.part, self.others_open = event.part, event.others_open
+        # The other sees the same excess, and lets go of its half.
+        for _ in range(ceil(self._over_full() / 2)):
+            self._let_go()
 
     def census(self, now_ms: float) -> Census:
         endpoints = self.membership.endpoints.values()
@@ -807,10 +812,15 @@
         self.held_count += 1
         insort(self.held, (-request.value, -self.held_count, request))
         request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up))
-        most = self.settings.limits.max_open
-        if most and len(self.requests) > FULL_SHARE * most:
+        if self._over_full() > 0:
             self._let_go()
 
+    def _over_full(self) -> float:
+        """How many requests too many hold connections of the clients'."""
+        most = self.settings.limits.max_open
+        share = FULL_SHARE if self.part >= 1 else FULL_SHARE_BESIDE
+        return len(self.requests) + self.others_open - share * most if most else 0.0
+
     def _let_go(self) -> None:
         """Danger: each held request takes up a connection of its client's. With none left, whatever comes
         next is lost unseen. What has waited longest is the least likely to be served in time still."""
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -271,6 +271,7 @@
     takes over from the other. One alone has all of it."""
 
     part: float
+    others_open: int = 0  # requests that the other one has open
 
 
 Event = (
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -45,6 +45,7 @@
 # And so long one must have been quiet. Danger: a close can cross a request; a busy connection ends with
 # its next answer anyhow, and on a quiet one that is unlikely.
 QUIET_S = 0.1
+LEAST_PART = 4  # of the sockets one is left to each of two processes, whatever the other holds
 MOST_IDLE_PART = 6  # so small a part of the connections may be idle; past it answers end theirs
 LONGEST_MS = 3_600_000
 METHODS = {Idempotency.SAFE: b"GET", Idempotency.KEYED: b"POST", Idempotency.UNSAFE: b"POST"}
@@ -481,10 +482,10 @@
     def stay(self) -> None:
         self.leaving = self.unavailable = False
 
-    def take_part(self, part: float) -> None:
-        """Another process has the rest of the sockets. Danger: what a client has asked for is never given
-        up for room; only what comes later is turned away."""
-        self._most_open = max(1, int(self._most_alone * part))
+    def leave_room(self, others: int) -> None:
+        """Another process has so many of the sockets that are for clients. Danger: what a client has asked
+        for is never given up for room; only what comes later is turned away."""
+        self._most_open = max(self._most_alone // LEAST_PART, self._most_alone - others)
 
     def accept_no_more(self) -> None:
         """Leave the queue of new connections to another process, for now or for good."""
@@ -514,7 +515,7 @@
                 self.loop.remove_reader(listener)
                 self.loop.call_later(SWEEP_S, self._resume)
                 return
-            if len(self._connections) + len(self._adopting) >= self._most_open and not self._make_room():
+            if self.open >= self._most_open and not self._make_room():
                 sock.close()  # it can't be served, and not reading it would keep it waiting
                 continue
             sock.setblocking(False)
@@ -557,6 +558,10 @@
         """Calls taken that wait for one before them on their connection."""
         return len(self.waiting_ids)
 
+    @property
+    def open(self) -> int:
+        return len(self._connections) + len(self._adopting)
+
     def knows(self, request_id: bytes) -> bool:
         return request_id in self.waiting_ids or self.handler.is_open(request_id)
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -371,9 +371,8 @@
     def memory(self) -> Memory:
         return self._balancer.memory()
 
-    def take_part(self, part: float) -> None:
-        self.tell(PartTaken(part))
-        self._upstream.take_part(part)
+    def take_part(self, part: float, others_open: int = 0) -> None:
+        self.tell(PartTaken(part, others_open))
 
     def known(self, version: int | None) -> HostList | None:
         """The list as it stands, for a process that comes after; None before there is one."""
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -25,7 +25,8 @@
 RESERVED_SOCKETS = 48
 POLL_S = 0.02
 LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
-PART = 0.5  # of the sockets and budgets is for each of two processes that serve beside each other
+SHARE_S = 0.03
+PART = 0.5  # of the module's budgets is for each of two processes that serve beside each other
 READY_S = 5.0  # for a new process to know servers; then it takes over as it is
 log = logging.getLogger("cloverrouter.proxy")
 
@@ -43,6 +44,7 @@
         self._successor: Link | None = None  # has taken the clients over
         self._predecessor: Link | None = None
         self._draining = False
+        self._sharing: asyncio.Task[None] | None = None
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = min(told.sockets, limit) - RESERVED_SOCKETS
         pushed = not told.settings.subscribe
@@ -66,8 +68,6 @@
         """The exit code."""
         told = self._told
         known = self._known() or told.known
-        if self._inherited is not None:
-            self._take_part(PART)
         if known is not None:
             self._watch.version = known.version
             self._node.listed(ListKind.RESTORED, known)
@@ -90,6 +90,8 @@
             self._giver.stop()
         for link in list(self._links):
             link.close()
+        if self._sharing is not None:
+            self._sharing.cancel()
         self._watch.stop()
         if self._crashes:
             log.critical("the decisions crashed", exc_info=self._crashes[0])
@@ -196,19 +198,31 @@
             log.warning("what the process before has learnt is of no use: %s", error)
             return None
 
-    def _take_part(self, part: float) -> None:
-        self._node.take_part(part)
-        self._frontend.take_part(part)
+    async def _share(self) -> None:
+        """While there are two processes: the limits count both as one, so each leaves the other the room
+        that it takes up, and has half of the module's budgets.
+
+        Danger: halves of the sockets are too few for the new one, which soon has all of the clients.
+        """
+        self._node.take_part(PART)
+        while self._links:
+            open_now = [self._frontend.open, self._upstream.open, self._node.owed]
+            self._tell_others({"open": open_now})
+            await asyncio.sleep(SHARE_S)
+        self._node.take_part(1.0)
+        self._frontend.leave_room(0)
+        self._upstream.leave_room(0)
 
     def _link(self, sock: socket.socket) -> Link:
         link = Link(sock, self._heard, self._lost)
         self._links.append(link)
+        if self._sharing is None or self._sharing.done():
+            self._sharing = self._loop.create_task(self._share())
         return link
 
     def _asked_for(self, sock: socket.socket) -> None:
         log.info("a new process takes over")
         self._link(sock)
-        self._node.take_part(PART)
 
     async def _take_over(self, inherited: Inheritance) -> None:
         """Begin to accept once there are servers to send to; the old process serves until then."""
@@ -229,9 +243,13 @@
             self._successor = link
             self._frontend.accept_no_more()
             self._frontend.send_away()
-            self._frontend.take_part(PART)
         if isinstance(message.get("cordon"), str) and isinstance(message.get("on"), bool):
             self._cordon(message["cordon"], message["on"])
+        match message.get("open"):
+            case [int(clients), int(servers), int(requests)]:
+                self._node.take_part(PART, requests)
+                self._frontend.leave_room(clients)
+                self._upstream.leave_room(servers)
         if isinstance(message.get("quiesce"), bool):
             self._quiesce(message["quiesce"])
 
@@ -248,8 +266,6 @@
                 self._frontend.accept_again()
                 if not self._frontend.unavailable:
                     self._frontend.stay()
-        if not self._links and not self._draining:
-            self._take_part(1.0)
 
     # Leaving
 
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -24,6 +24,7 @@
 READ_BYTES = 64 * 1024
 MOST_BYTES = 8 * MAX_BODY  # of one answer with its heads, chunk sizes and all
 SWEEP_S = 1.0
+LEAST_PART = 4  # of the sockets one is left to each of two processes, whatever the other holds
 # Idle connections are kept for this part of the time after which the host may close them: a request
 # written to one that the host is just closing ends as a reset, which may have run.
 IDLE_SHARE = 0.5
@@ -332,9 +333,9 @@
         for host in [h for h in self._pools if h[0] == name]:
             self._pools[host].drop_idle()
 
-    def take_part(self, part: float) -> None:
-        """Another process has the rest of the sockets."""
-        self._most_open = max(1, int(self._most_alone * part))
+    def leave_room(self, others: int) -> None:
+        """Another process has so many of the sockets that are for servers."""
+        self._most_open = max(self._most_alone // LEAST_PART, self._most_alone - others)
         while self.open > self._most_open and self._make_room():
             pass
 
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -6,6 +6,7 @@
 import json
 import random
 import signal
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -21,6 +22,7 @@
     ListKind,
     Outcome,
     PartTaken,
+    Refuse,
     RequestArrived,
     Send,
 )
@@ -244,6 +246,20 @@
     assert pushed([0.5, 0.5]) <= 1.25 * alone < pushed([1.0, 1.0])
 
 
+def test_requests_open_beside_it_count_against_the_clients_connections() -> None:
+    settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_open=100))
+    driver = Driver(settings, [endpoint("s1")])
+    for _ in range(60):
+        driver.request()
+    assert not [a for a in driver.log if isinstance(a, Refuse)]
+    let_go = driver.tell(PartTaken(0.5, others_open=40))
+    assert len(let_go) == 15  # half of what is too much; the other lets go of its half
+    assert all(isinstance(a, Refuse) for a in let_go)
+    driver.tell(PartTaken(1.0))
+    _, actions = driver.request()
+    assert actions == []
+
+
 # Over sockets
 
 
