Size: bodies and answers up to 32 MB stream, under one budget of bytes

Design: bodies over 64 KiB pass on while they come (streams.py): a source that outruns its taker pauses, and while the budget, a part of the memory limit, is used up each stream holds one piece. The module is told that a request is uploading, that it is complete (its time begins then), that an answer has begun (the attempt is the client's from there), and that a body is spent, which ends its attempts. Small ones are held whole as before, so they can be repeated. A cut answer resets the client's connection. Heads get 2.4 s, bodies a least rate. Answers that end with their connection are taken where the host says so.

Not taken: holding every body whole under a budget, which keeps all of them repeatable. A few half-come ones would use it up and wait for one another.

--- a/cloverrouter/benchlink.py
+++ b/cloverrouter/benchlink.py
@@ -34,6 +34,7 @@
     RequestArrived,
     RequestGone,
     Send,
+    SetTimeout,
     SetTimer,
     Settings,
     StreamStarted,
@@ -162,8 +163,8 @@
             return {"track": {"active": True}}
         case Log():
             return {"remark": {"message": action.text}}
-        case Cordoned():  # the simulator has no operators, so none is answered
-            return {"remark": {"message": f"cordon: {action}"}}
+        case Cordoned() | SetTimeout():  # the simulator has no operators, and no requests that upload
+            return {"remark": {"message": f"not of this wire: {action}"}}
 
 
 # Reading a batch
--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -43,9 +43,11 @@
     RepeatScope,
     RequestArrived,
     RequestClass,
+    RequestCompleted,
     RequestGone,
     Safety,
     Send,
+    SetTimeout,
     SetTimer,
     Settings,
     StreamStarted,
@@ -529,6 +531,7 @@
     endpoint: Endpoint
     sent_ms: float
     outcome: Outcome | None = None  # None: still out
+    working: bool = False  # the server has all of it, and owes an answer
 
     def may_have_run(self) -> bool:
         return self.outcome not in NEVER_RAN
@@ -550,6 +553,7 @@
     timer: int | None = None  # token of its one pending timer
     done: bool = False
     streaming: bool = False
+    uploading: bool = False
 
     def repeatable(self) -> bool:
         return self.cls is not None and self.cls.idempotency is not Idempotency.UNSAFE
@@ -638,6 +642,8 @@
                     self._on_stream(event)
                 case Cordon():
                     self._on_cordon(event)
+                case RequestCompleted():
+                    self._on_completed(event)
                 case PartTaken():
                     self._on_part(event)
                 case ProbeEnded():
@@ -749,10 +755,33 @@
             deadline_ms = self.now_ms + (cls.deadline_ms if cls else DEFAULT_DEADLINE_MS)
         self.arrivals.add(self.now_ms, 1.0)
         request = Request(event.request_id, cls, self.now_ms, deadline_ms, work, value)
-        request.repeat = event.repeat
+        request.repeat, request.uploading = event.repeat, event.uploading
         self.requests[request.id] = request
         self._dispatch(request)
 
+    def _on_completed(self, event: RequestCompleted) -> None:
+        """Danger: a slow upload is no slow server. What it was sent to counts as at work from here on."""
+        request = self.requests.get(event.request_id)
+        if request is None or request.done or not request.uploading:
+            return
+        request.uploading, request.arrived_ms = False, self.now_ms
+        longest = request.cls.deadline_ms if request.cls else DEFAULT_DEADLINE_MS
+        deadline_ms = event.deadline_ms
+        request.deadline_ms = self.now_ms + longest if deadline_ms is None else deadline_ms
+        for number, attempt in enumerate(request.attempts):
+            if attempt.outcome is None:
+                attempt.sent_ms = self.now_ms
+                self._count_in(attempt)
+                wait_ms = max(1.0, self._useless_ms(request) - self.now_ms)
+                self.actions.append(SetTimeout(request.id, number, wait_ms))
+
+    def _count_in(self, attempt: Attempt) -> None:
+        attempt.working = True
+        if not attempt.endpoint.in_flight:
+            attempt.endpoint.waiting_since_ms = self.now_ms
+        attempt.endpoint.in_flight += 1
+        self.flow.out += 1
+
     def _dispatch(self, request: Request) -> None:
         """Send the request's next attempt now, or hold it until a server may take it."""
         if self._useless_ms(request) <= self.now_ms:
@@ -934,13 +963,14 @@
             self.work_rate.add(self.now_ms, request.work / max(1, self.window_warm))
         endpoint.owed = False
         self._drop_timer(request)
-        request.attempts.append(Attempt(endpoint, self.now_ms))
+        attempt = Attempt(endpoint, self.now_ms)
+        request.attempts.append(attempt)
         request.out += 1
-        if not endpoint.in_flight:
-            endpoint.waiting_since_ms = self.now_ms
-        endpoint.in_flight += 1
-        self.flow.out += 1
-        self.actions.append(Send(request.id, endpoint.listed.name, self._useless_ms(request) - self.now_ms))
+        timeout_ms = 0.0
+        if not request.uploading:
+            self._count_in(attempt)
+            timeout_ms = self._useless_ms(request) - self.now_ms
+        self.actions.append(Send(request.id, endpoint.listed.name, timeout_ms))
 
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
         request = self.requests.get(event.request_id)
@@ -950,13 +980,16 @@
         if attempt.outcome is not None:
             return
         attempt.outcome = event.outcome
-        attempt.endpoint.in_flight -= 1
         request.out -= 1
-        self._learn(request, attempt, event.latency_ms, self._reported_slowness(event.report))
+        if event.outcome is Outcome.OK:
+            self.budget.earn()
+        self._learn(request, attempt, event.outcome, event.latency_ms, self._reported_slowness(event.report))
         if event.answered:
             self._finish(request)
         elif request.done:
             self._drop_if_over(request)
+        elif event.spent:
+            self._give_up(request)
         elif not request.out and not request.streaming:
             self._retry(request)
 
@@ -974,10 +1007,19 @@
         held, waiting = report[fields.index("inflight")], report[fields.index("queue")]
         return held / max(1.0, held - waiting) if waiting > 0 else 1.0
 
-    def _learn(self, request: Request, attempt: Attempt, latency_ms: float, reported: float) -> None:
-        outcome, cls = attempt.outcome, request.cls
-        if outcome is Outcome.OK:
-            self.budget.earn()
+    def _learn(
+        self, request: Request, attempt: Attempt, outcome: Outcome, latency_ms: float, reported: float
+    ) -> None:
+        """What an attempt's end, or its answer's beginning, says about its server."""
+        cls = request.cls
+        if not attempt.working:  # its answer had begun before, or the server never had the whole request
+            if outcome in (Outcome.REJECTED, *BROKEN) and not request.streaming and cls is not None:
+                base_ms = self.latencies[cls.name].base_ms
+                longest_ms = self.longest_deadline_ms / 2
+                attempt.endpoint.failed(self.now_ms, base_ms, longest_ms, outcome in BROKEN)
+            return
+        attempt.working = False
+        attempt.endpoint.in_flight -= 1
         if outcome in NO_EVIDENCE or cls is None:
             self.flow.ended(self.now_ms, latency_ms, None)
             return
@@ -1011,6 +1053,9 @@
         if request is not None and not request.done:
             request.streaming = True  # the attempt is the client's now; no deadline runs
             self._drop_timer(request)
+            if 0 <= event.attempt < len(request.attempts):
+                # Danger: the client's reading may take long; the server has done its work by now.
+                self._learn(request, request.attempts[event.attempt], Outcome.OK, event.latency_ms, 1.0)
 
     def _retry(self, request: Request) -> None:
         more = len(request.attempts) < self.settings.limits.max_attempts
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -216,6 +216,15 @@
     key: str | None = None
     work_hint_ms: float | None = None
     repeat: bool = False  # marked by its client as a repeat
+    uploading: bool = False  # its body is still coming: time counts from `RequestCompleted` on
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCompleted:
+    """The last byte of a request that arrived uploading has come, and its time begins."""
+
+    request_id: int
+    deadline_ms: float | None = None  # as in `RequestArrived`
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,6 +244,7 @@
     latency_ms: float
     answered: bool = False  # nothing more is owed to the client
     report: tuple[float, ...] | None = None
+    spent: bool = False  # the request can't be sent again: a part of its body is gone
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,6 +287,7 @@
 Event = (
     EndpointsListed
     | RequestArrived
+    | RequestCompleted
     | StreamStarted
     | AttemptEnded
     | RequestGone
@@ -296,6 +307,15 @@
 
     request_id: int
     endpoint: str
+    timeout_ms: float  # 0: none, while the request is uploading
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimeout:
+    """Give an attempt that is out this long from now."""
+
+    request_id: int
+    attempt: int
     timeout_ms: float
 
 
@@ -350,4 +370,4 @@
     known: bool  # False: never listed, and nothing has changed
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log | Cordoned
+Action = Send | SetTimeout | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log | Cordoned
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -40,6 +40,7 @@
 STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
 DEFAULT_IDLE_MS = 15_000.0
 DEFAULT_SOCKETS = 256
+DEFAULT_MEMORY_MB = 64.0
 CLIENTS_SHARE = 1 / 3  # of the descriptors at most are held by clients for requests
 
 
@@ -203,6 +204,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     control: Address | None  # where operators call; older configurations have none
     conn_idle_ms: float
     settings: Settings
@@ -238,6 +240,7 @@
         discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
         seed=read_seed(told.get("seed", 0)),
         sockets=sockets,
+        memory_mb=float(told.get("limits", {}).get("memory_mb", DEFAULT_MEMORY_MB)),
         control=read_address(control) if control else None,
         conn_idle_ms=facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS),
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -21,7 +21,8 @@
 from cloverrouter.interface import Idempotency
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.figures import Figures, State
-from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, Answer, Call, unread
+from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, SMALL, Answer, Call, unread
+from cloverrouter.proxy.streams import Budget, Sink, Source, StreamHead, Upload
 
 BACKLOG = 1024
 ACCEPTED_AT_ONCE = 16  # then those that are open have their turn
@@ -29,16 +30,21 @@
 # Calls that wait behind an open one on the same connection, and their bytes; a client that sends more
 # is not one of ours.
 MOST_WAITING = 16
-MOST_WAITING_BYTES = 2 * MAX_BODY
-# From connecting, or from a later request's first byte, to its last. The limit on a day is 3 s.
-UNFINISHED_S = 2.3
+MOST_WAITING_BYTES = 2 * SMALL
+# From connecting, or from a later request's first byte, to the end of its head. A client may take 2 s for
+# that; one that never ends it is owed an error within 3 s.
+HEAD_S = 2.4
+# A body may be behind by this much, at the least rate that is taken to be a client's.
+BODY_LAG_S = 1.8
+LEAST_RATE = 40_000  # bytes a second
 # A connection with nothing on it for so long may be closed; while there is room it is left for longer.
 IDLE_S = 2.1
 IDLE_WITH_ROOM_S = 10.0
 # What a client still sends after an error is read and dropped for this long, or the end of the
 # connection would overtake the error.
 LINGER_S = 1.5
-UNREAD_S = 3.0  # for an answer that its client does not read
+UNREAD_S = 3.0  # for an answer of which its client reads nothing
+SLOW_READER_S = 10.0  # and for one that is passed on while it comes
 SWEEP_S = 0.2
 # While clients are sent away: so long a new connection that has said nothing yet is waited for.
 FRESH_S = 0.7
@@ -74,6 +80,10 @@
 
     def arrived(self, call: Call) -> None: ...
 
+    def completed(self, call: Call) -> None:
+        """The last byte of a call that arrived with its body on its way has come."""
+        ...
+
     def gone(self, call: Call) -> None: ...
 
     def is_open(self, request_id: bytes) -> bool: ...
@@ -98,12 +108,21 @@
 
 
 class ClientCall(Call):
-    __slots__ = ("_client", "keep_alive")
+    __slots__ = ("_chunked", "_client", "chunks", "keep_alive")
 
     def __init__(
-        self, client: ClientConnection, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes
+        self,
+        client: ClientConnection,
+        method: bytes,
+        target: bytes,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        upload: Upload | None = None,
     ) -> None:
         self._client = client
+        self.upload = upload
+        self.chunks = True  # its client can read an answer in chunks
+        self._chunked = False  # and gets one
         self.arrived_ms = time.monotonic() * 1000
         self.keep_alive = True
         self.method, self.target, self.body = method, target, body
@@ -132,6 +151,31 @@
     def failed(self) -> None:
         self._client.answer(self, 502, b"", b"", State.ERRORED)
 
+    # An answer that is passed on while it comes
+
+    def begun(self, head: StreamHead, source: Source) -> Sink:
+        lines = [b"HTTP/1.1 200 OK\r\n"]
+        if head.content_type:
+            lines.append(b"Content-Type: %b\r\n" % head.content_type)
+        if head.length is not None:
+            lines.append(b"Content-Length: %d\r\n" % head.length)
+        elif self.chunks:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+            self._chunked = True
+        else:
+            self.keep_alive = False  # the connection's end is the answer's
+        self._client.begin(self, b"".join(lines), source)
+        return self
+
+    def piece(self, data: bytes) -> None:
+        self._client.go_on(self, b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def finish(self) -> None:
+        self._client.finish(self, b"0\r\n\r\n" if self._chunked else b"")
+
+    def cut(self) -> None:
+        self._client.cut(self)
+
 
 def fault_of(call: ClientCall, headers: dict[bytes, bytes], classes: Mapping[str, Idempotency]) -> int:
     """The status of the error that a request earns which can't be valid; 0 for one that may be."""
@@ -142,7 +186,7 @@
         return 404
     if call.method != METHODS[effect]:
         return 405
-    if effect is Idempotency.SAFE and call.body:
+    if effect is Idempotency.SAFE and (call.body or call.upload):
         return 400
     # Danger: with no key a keyed request would be repeated, and no host could drop the repeat.
     if (effect is Idempotency.KEYED) != bool(call.idempotency_key) and effect is not Idempotency.SAFE:
@@ -172,6 +216,14 @@
         self._begun = False  # bytes of an unfinished request have come
         self._completed = False  # a request ended in the bytes read just now
         self.since_s = frontend.loop.time()  # of its present state
+        self._body_since_s = 0.0  # when the head had ended; time for which reading stood still comes on top
+        self._body_size = 0
+        self._still_since_s: float | None = None  # nothing is read, as nobody takes it up
+        self._uploading: ClientCall | None = None  # whose body is coming and being passed on
+        self._completed_call: ClientCall | None = None  # in the bytes read just now, handed over before
+        self._source: Source | None = None  # of the answer that is being passed on
+        self._held = 0  # of that, by this connection
+        self._unread = 0  # when last looked at
         self._reset()
 
     def _reset(self) -> None:
@@ -208,27 +260,57 @@
             self._end_with(self._error)
         else:
             self._next()
+            self._pass_on()
         self._frontend.sort(self)
 
+    def _pass_on(self) -> None:
+        """What has come of a large body goes on its way, now that the parser is done with these bytes."""
+        call, self._completed_call = self._completed_call, None
+        uploading = call or self._uploading
+        if uploading is None or uploading.upload is None:
+            return
+        uploading.upload.told()
+        if call is not None and call is self._open:
+            self._frontend.handler.completed(call)
+        if self._uploading is not None and uploading.upload.full and self._still_since_s is None:
+            self._still_since_s = self._frontend.loop.time()
+            if self._transport is not None:
+                self._transport.pause_reading()
+
+    def _read_on(self) -> None:
+        if self._still_since_s is not None:
+            self._body_since_s += self._frontend.loop.time() - self._still_since_s
+            self._still_since_s = None
+            if self._transport is not None:
+                self._transport.resume_reading()
+
     def eof_received(self) -> None:
         """A client that closes its connection has gone away; the transport closes by itself."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=MAX_BODY)
+        self._transport.set_write_buffer_limits(high=SMALL)
         self._frontend.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._parser = None  # danger: the two hold each other, and would wait for the cycle collector
         self._frontend.remove(self)
+        self._hold(0)
         self._withdraw()
 
     def pause_writing(self) -> None:
         self._paused, self.since_s = True, self._frontend.loop.time()
+        if self._source is not None:
+            self._source.pause()
 
     def resume_writing(self) -> None:
         self._paused = False
+        if self._transport is not None:
+            self._hold(self._transport.get_write_buffer_size())
+            self._transport.set_write_buffer_limits(high=SMALL)
+        if self._source is not None:
+            self._source.resume()
         self._next()
 
     # httptools
@@ -253,7 +335,8 @@
             self._headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
-        self._in_head = False
+        self._in_head, self._body_size = False, 0
+        self._body_since_s = self._frontend.loop.time()
         parser, headers = self._parser, self._headers
         assert parser is not None
         length = headers.get(b"content-length")
@@ -270,23 +353,51 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        if len(self._body) + len(body) > MAX_BODY:
+        self._body_size += len(body)
+        if self._body_size > MAX_BODY:
             self._error = self._error or 413
-        elif not self._error:
-            self._body += body
+        if self._error:
+            return
+        if self._uploading is not None and self._uploading.upload is not None:
+            self._uploading.upload.feed(body)
+            return
+        self._body += body
+        if len(self._body) > SMALL:
+            self._upload()
+
+    def _upload(self) -> None:
+        """This body is too large to be held: from here on it is passed on while it comes."""
+        length = self._headers.get(b"content-length")
+        known = int(length) if length is not None else None
+        upload = Upload(self._frontend.budget, known, self._read_on)
+        upload.feed(bytes(self._body))
+        self._body.clear()
+        self._uploading = self._take(b"", upload)
 
     def on_message_complete(self) -> None:
         self._begun, self._in_head, self._completed = False, True, True
         if self._error:
             return
+        call, self._uploading = self._uploading, None
+        if call is None:
+            self._take(bytes(self._body), None)
+        elif call.upload is not None:
+            call.upload.ended = True
+            call.arrived_ms = time.monotonic() * 1000
+            if call is self._open:
+                self._completed_call = call
+        self._reset()
+
+    def _take(self, body: bytes, upload: Upload | None) -> ClientCall | None:
+        """The call whose head is here; None, with an error noted, if it can't be one."""
         if not self._target.startswith(b"/"):
             self._error = 400
-            return
+            return None
         assert self._parser is not None
         headers = self._headers
-        call = ClientCall(self, self._parser.get_method(), self._target, headers, bytes(self._body))
+        call = ClientCall(self, self._parser.get_method(), self._target, headers, body, upload)
         call.keep_alive = self._parser.should_keep_alive()
-        self._reset()
+        call.chunks = self._parser.get_http_version() == "1.1"
         if call.target != b"/healthz":
             self._error = fault_of(call, headers, self._frontend.classes)
             # Danger: sent on, it would be a second copy of a request that may be under way. The calls that
@@ -296,11 +407,15 @@
             waiting_bytes = sum(len(waiting.body) for waiting in self._waiting) + len(call.body)
             if len(self._waiting) >= MOST_WAITING or (self.busy and waiting_bytes > MOST_WAITING_BYTES):
                 self._error = self._error or 429
-        elif call.method != b"GET" or len(self._waiting) >= MOST_WAITING:
-            self._error = 405 if call.method != b"GET" else 429
-        if not self._error:
-            self._waiting.append(call)
-            self._frontend.waiting_ids.add(call.request_id)
+        elif call.method not in (b"GET", b"HEAD") or len(self._waiting) >= MOST_WAITING:
+            self._error = 429 if call.method in (b"GET", b"HEAD") else 405
+        if self._error:
+            if upload is not None:
+                upload.drop()
+            return None
+        self._waiting.append(call)
+        self._frontend.waiting_ids.add(call.request_id)
+        return call
 
     # Calls and answers
 
@@ -321,23 +436,87 @@
     ) -> None:
         if self._open is not call or self._transport is None:
             return  # the client has gone
+        close = self._ends_with(call)
+        self._transport.write(encode(status, body, headers, close))
+        self._answered(call, close, state)
+
+    def _ends_with(self, call: ClientCall) -> bool:
+        """Does the connection end with this call's answer? In a drain what waits has been taken, too: the
+        connection ends with the last of it."""
+        if call.upload is not None and not call.upload.ended:
+            return True  # what still comes of the body would be taken for the next request
+        leaving = self._frontend.leaving or self._frontend.many_idle
+        return not call.keep_alive or (not self._waiting and leaving)
+
+    def _answered(self, call: ClientCall, close: bool, state: State | None) -> None:
+        """The last byte of a final answer has been written."""
+        assert self._transport is not None
         if state is not None:
             self._frontend.figures.ended(call.class_name, state)
         self._open = None
         self.since_s = self._frontend.loop.time()
-        # In a drain what waits has been taken, too: the connection ends with the last of it.
-        close = not call.keep_alive or (
-            not self._waiting and (self._frontend.leaving or self._frontend.many_idle)
-        )
-        self._transport.write(encode(status, body, headers, close))
+        half_come = call.upload is not None and not call.upload.ended
+        if call.upload is not None:
+            call.upload.drop()
         if close:
             self._ended = True
             self._withdraw()
-            self._transport.close()
+            if half_come:
+                self._see_off()
+            else:
+                self._transport.close()
         elif self._waiting:
             self._frontend.loop.call_soon(self._next)
         self._frontend.sort(self)
 
+    def _see_off(self) -> None:
+        """Our end of the connection ends; what still comes is read and dropped for a while."""
+        self._uploading = None
+        self._read_on()
+        if self._transport is not None and self._transport.can_write_eof():
+            self._transport.write_eof()
+
+    # An answer that is passed on while it comes
+
+    def begin(self, call: ClientCall, head: bytes, source: Source) -> None:
+        if self._open is not call or self._transport is None:
+            return
+        call.keep_alive = not self._ends_with(call)
+        close = b"" if call.keep_alive else b"Connection: close\r\n"
+        self._transport.write(head + close + b"\r\n")
+        self._source = source
+        if self._paused:
+            source.pause()
+
+    def go_on(self, call: ClientCall, data: bytes) -> None:
+        if self._open is not call or self._transport is None or self._source is None:
+            return
+        self._transport.write(data)
+        self._hold(self._transport.get_write_buffer_size())
+        if not self._paused and self._frontend.budget.full_for(self._held):
+            self._transport.set_write_buffer_limits(high=0)  # pauses the source until all of it is out
+
+    def finish(self, call: ClientCall, data: bytes) -> None:
+        if self._open is not call or self._transport is None or self._source is None:
+            return
+        self._source = None
+        if data:
+            self._transport.write(data)
+        self._answered(call, not call.keep_alive, State.ANSWERED)
+
+    def cut(self, call: ClientCall) -> None:
+        """Danger: an orderly end could be taken for the answer's own."""
+        if self._open is not call or self._transport is None:
+            return
+        self._source = self._open = None
+        self._frontend.figures.ended(call.class_name, State.ERRORED)
+        self._withdraw()
+        self.end()
+
+    def _hold(self, size: int) -> None:
+        self._frontend.budget.held += size - self._held
+        self._held = size
+
     def _end_with(self, status: int) -> None:
         """An error, and the end of the connection: what can't be read leaves nothing on it to be trusted.
 
@@ -349,18 +528,26 @@
         self._ended, self.since_s = True, self._frontend.loop.time()
         self._withdraw()
         self._reset()
+        if self._source is not None:
+            # Danger: behind the beginning of an answer an error would be taken for a part of it.
+            self._source = None
+            self.end()
+            return
         transport.write(encode(status, b"", b"", True))
-        if transport.can_write_eof():
-            transport.write_eof()
+        self._see_off()
 
     def _withdraw(self) -> None:
         """Nothing is owed to this client any more."""
         for waiting in self._waiting:
             self._frontend.waiting_ids.discard(waiting.request_id)
+            if waiting.upload is not None:
+                waiting.upload.drop()
         self._waiting.clear()
         call, self._open = self._open, None
         if call is not None:
             self._frontend.handler.gone(call)
+            if call.upload is not None:
+                call.upload.drop()
 
     # Its state, for the frontend
 
@@ -403,8 +590,14 @@
     def check(self, now_s: float, crowded: bool) -> None:
         """Danger: whoever never ends a request, or its connection, holds descriptors and memory for good."""
         waited_s = now_s - self.since_s
-        if self._paused:
-            if waited_s > UNREAD_S:
+        if self._begun and not self._in_head and not self._ended and self._still_since_s is None:
+            if now_s - self._body_since_s > BODY_LAG_S + self._body_size / LEAST_RATE:
+                self._end_with(408)
+        elif self._paused and self._transport is not None:
+            unread_bytes = self._transport.get_write_buffer_size()
+            if unread_bytes != self._unread:  # it reads, if slowly
+                self._unread, self.since_s = unread_bytes, now_s
+            elif waited_s > (UNREAD_S if self._source is None else SLOW_READER_S):
                 self.end()
         elif self._ended:
             if waited_s > LINGER_S:
@@ -412,7 +605,7 @@
         elif self.busy:
             pass
         elif self._begun:
-            if waited_s > UNFINISHED_S:
+            if self._in_head and waited_s > HEAD_S:
                 self._end_with(408)
         elif waited_s > (IDLE_S if crowded or not self._asked else IDLE_WITH_ROOM_S):
             self.close_idle()
@@ -438,8 +631,10 @@
         classes: Mapping[str, Idempotency],
         most_open: int,
         figures: Figures | None = None,
+        budget: Budget | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.budget = budget or Budget(0)
         self.figures = figures or Figures(classes)
         self.handler = handler
         self.classes = classes
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -6,7 +6,10 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-MAX_BODY = 64 * 1024  # as the protocol has it, for either side
+from cloverrouter.proxy.streams import Sink, Source, StreamHead, Upload
+
+SMALL = 64 * 1024  # bodies up to this are held whole, so that they can be sent again
+MAX_BODY = 34 * 1024 * 1024  # of either side; what is larger is not one of ours
 MAX_HEAD = 16 * 1024
 
 
@@ -49,6 +52,7 @@
         "target",
         "tenant",
         "timeout_ms",
+        "upload",
     )
 
     arrived_ms: float  # when its last byte had come
@@ -58,6 +62,7 @@
     idempotency_key: bytes
     content_type: bytes
     body: bytes
+    upload: Upload | None  # the body, where it is too large to be held
     class_name: str
     tenant: str | None
     key: str | None
@@ -73,3 +78,7 @@
 
     @abstractmethod
     def failed(self) -> None: ...
+
+    @abstractmethod
+    def begun(self, head: StreamHead, source: Source) -> Sink:
+        """In place of the three: an answer that is passed on while it comes."""
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -32,15 +32,19 @@
     ProbeEnded,
     Refuse,
     RequestArrived,
+    RequestCompleted,
     RequestGone,
     Send,
+    SetTimeout,
     SetTimer,
     Settings,
+    StreamStarted,
     Subscribe,
     TimerFired,
 )
 from cloverrouter.proxy.config import Address, HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
+from cloverrouter.proxy.streams import Sink, Source, StreamHead
 from cloverrouter.proxy.upstream import Exchange, Host, Upstream
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
@@ -88,7 +92,7 @@
 class Try:
     """An attempt that is out."""
 
-    __slots__ = ("exchange", "host", "number", "request", "sent_ms", "timer")
+    __slots__ = ("exchange", "host", "number", "request", "sent_ms", "streamed", "timer")
 
     def __init__(self, request: Request, number: int, host: Host, sent_ms: float) -> None:
         self.request = request
@@ -97,6 +101,7 @@
         self.sent_ms = sent_ms
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.streamed = False  # its answer is passed on while it comes
 
 
 class Request:
@@ -171,6 +176,10 @@
                 self._send(action)
             case SetTimer():
                 self._set_timer(action)
+            case SetTimeout():
+                request = self._requests.get(action.request_id)
+                if request is not None and action.attempt in request.out:
+                    self._time(request.out[action.attempt], action.timeout_ms)
             case Refuse():
                 request = self._take_unanswered(action.request_id)
                 if request is not None:
@@ -222,11 +231,8 @@
 
     def arrived(self, call: Call) -> None:
         self._last_id += 1
-        deadline_ms = None
-        if call.timeout_ms is not None:
-            margin_ms = MARGIN_MS + self._lag.peak_ms
-            # Danger: a call that has waited behind another has less time left than it asked for.
-            deadline_ms = call.arrived_ms + call.timeout_ms - margin_ms
+        uploading = call.upload is not None and not call.upload.ended
+        deadline_ms = None if uploading else self._deadline_ms(call)
         request = Request(self._last_id, call, deadline_ms)
         self._requests[request.id] = self._by_call[call] = request
         self._ids.add(call.request_id)
@@ -239,9 +245,24 @@
                 key=call.key,
                 work_hint_ms=call.cost_ms,
                 repeat=call.repeat,
+                uploading=uploading,
             )
         )
 
+    def completed(self, call: Call) -> None:
+        """The last byte of a call that arrived before it has come."""
+        request = self._by_call.get(call)
+        if request is not None:
+            request.deadline_ms = self._deadline_ms(call)
+            self.tell(RequestCompleted(request.id, request.deadline_ms))
+
+    def _deadline_ms(self, call: Call) -> float | None:
+        if call.timeout_ms is None:
+            return None
+        margin_ms = MARGIN_MS + self._lag.peak_ms
+        # Danger: a call that has waited behind another has less time left than it asked for.
+        return call.arrived_ms + call.timeout_ms - margin_ms
+
     def gone(self, call: Call) -> None:
         """The client has left: nobody wants what its attempts would bring."""
         request = self._by_call.get(call)
@@ -282,6 +303,7 @@
             self.tell(AttemptEnded(action.request_id, 0, Outcome.NOT_SENT, 0.0, answered=True))
             return
         number, request.tries = request.tries, request.tries + 1
+        uploading = request.call.upload is not None and not request.call.upload.ended
         timeout_ms = action.timeout_ms or float("inf")
         if request.deadline_ms is not None:
             timeout_ms = min(timeout_ms, request.deadline_ms - self._now_ms)
@@ -291,11 +313,46 @@
         timeout_ms = min(timeout_ms, self._longest_ms())
         host = action.endpoint, address
         attempt = request.out[number] = Try(request, number, host, self._now_ms)
-        attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
+        if uploading:  # its time begins with its last byte
+            timeout_ms = request.call.timeout_ms or timeout_ms
+        else:
+            self._time(attempt, timeout_ms)
         attempt.exchange = self._upstream.send(
-            host, request.call, timeout_ms, lambda outcome, answer: self._ended(attempt, outcome, answer)
+            host,
+            request.call,
+            timeout_ms,
+            lambda outcome, answer: self._ended(attempt, outcome, answer),
+            lambda head, source: self._begun(attempt, head, source),
         )
 
+    def _time(self, attempt: Try, timeout_ms: float) -> None:
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if not attempt.streamed:
+            attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
+
+    def _begun(self, attempt: Try, head: StreamHead, source: Source) -> Sink | None:
+        """The answer has begun; None if nobody wants it. From here on the attempt is the client's."""
+        request = attempt.request
+        if request.answered or attempt.number not in request.out:
+            return None
+        attempt.streamed = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        for other in list(request.out.values()):
+            if other is not attempt:
+                self._give_up(other, Outcome.CANCELLED)
+        sink = request.call.begun(head, source)
+        self.tell(StreamStarted(request.id, attempt.number, self._latency_ms(attempt)))
+        return sink
+
+    def _latency_ms(self, attempt: Try) -> float:
+        """From its sending, or the last byte of an upload."""
+        exchange, now_ms = attempt.exchange, self.now_ms()
+        if attempt.request.call.upload is not None and exchange is not None and exchange.written:
+            return max(0.0, now_ms - exchange.written_s * 1000)
+        return now_ms - attempt.sent_ms
+
     def _longest_ms(self) -> float:
         return max((cls.deadline_ms for cls in self._settings.classes), default=60_000.0)
 
@@ -317,12 +374,17 @@
             return
         if attempt.timer is not None:
             attempt.timer.cancel()
-        latency_ms = self.now_ms() - attempt.sent_ms
-        if answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
+        latency_ms = self._latency_ms(attempt)
+        if attempt.streamed:
+            self._take_unanswered(request.id)  # what there is of the answer has been passed on
+        elif answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
             request.call.served(answer)
         self._drop_if_over(request)
         report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
-        self.tell(AttemptEnded(request.id, attempt.number, outcome, latency_ms, request.answered, report))
+        spent = request.call.upload is not None and request.call.upload.spent
+        self.tell(
+            AttemptEnded(request.id, attempt.number, outcome, latency_ms, request.answered, report, spent)
+        )
 
     # Discovery
 
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -17,6 +17,7 @@
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.handover import Giver, Inheritance, Link
 from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.streams import Budget
 from cloverrouter.proxy.upstream import Upstream
 
 # After SIGTERM connections go on coming for a while: until then they are taken and served.
@@ -60,7 +61,7 @@
         self._state_before = inherited.state if inherited is not None else {}
         memory = self._memory()
         self._node = Node(told.settings, told.seed, self._upstream, self._watch.start, self._crash, memory)
-        self._frontend = Frontend(self._node, classes, sockets // 2, self._figures)
+        self._frontend = Frontend(self._node, classes, sockets // 2, self._figures, Budget(told.memory_mb))
         self._admin = Admin(self)
         self._giver: Giver | None = None
 
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+import time
 from collections.abc import Callable
 from typing import cast
 
@@ -16,13 +17,21 @@
 
 from cloverrouter.interface import Outcome
 from cloverrouter.proxy.config import Address
-from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, Answer, Call, unread
+from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, SMALL, Answer, Call, unread
+from cloverrouter.proxy.streams import Sink, Source, StreamHead, Upload
 
 OnEnd = Callable[[Outcome, Answer | None], None]
+OnBegin = Callable[[StreamHead, Source], Sink | None]
 # Danger: a new host at an old address must not be sent requests on the old one's connections.
 Host = tuple[str, Address]
 READ_BYTES = 64 * 1024
-MOST_BYTES = 8 * MAX_BODY  # of one answer with its heads, chunk sizes and all
+MOST_BYTES = 8 * SMALL  # of one small answer with its heads, chunk sizes and all
+STREAM_OVERHEAD = 8  # bytes on the wire for each byte of a streamed body, at most
+# An answer of unknown length that is not whole by then is passed on while it comes. Sooner, a small one
+# that is spoilt could not be told in time from a good one.
+UNHURRIED_S = 0.05
+# A stream on which nothing moves for so long, with the client ready for more, is dead.
+STALL_S = 10.0
 SWEEP_S = 1.0
 LEAST_PART = 4  # of the sockets one is left to each of two processes, whatever the other holds
 # Idle connections are kept for this part of the time after which the host may close them: a request
@@ -51,7 +60,11 @@
         head.append(b"Idempotency-Key: %b\r\n" % call.idempotency_key)
     if call.content_type:
         head.append(b"Content-Type: %b\r\n" % call.content_type)
-    if call.body or call.method not in (b"GET", b"HEAD"):
+    if call.upload is not None:
+        known = call.upload.length
+        length = b"Transfer-Encoding: chunked\r\n" if known is None else b"Content-Length: %d\r\n" % known
+        head.append(length)
+    elif call.body or call.method not in (b"GET", b"HEAD"):
         head.append(b"Content-Length: %d\r\n" % len(call.body))
     return b"".join([*head, b"\r\n", call.body])
 
@@ -59,10 +72,30 @@
 class Exchange:
     """One attempt: a request on its way to a host. Ends once, by `on_end` or silently by `abandon`."""
 
-    __slots__ = ("connection", "message", "on_end", "on_written", "opening", "written")
+    __slots__ = (
+        "connection",
+        "message",
+        "on_begin",
+        "on_end",
+        "on_written",
+        "opening",
+        "upload",
+        "written",
+        "written_s",
+    )
 
-    def __init__(self, message: bytes, on_end: OnEnd, on_written: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        message: bytes,
+        upload: Upload | None,
+        on_end: OnEnd,
+        on_begin: OnBegin,
+        on_written: Callable[[], None],
+    ) -> None:
         self.message = message
+        self.upload = upload
+        self.on_begin = on_begin
+        self.written_s = 0.0
         self.on_written = on_written
         self.on_end: OnEnd | None = on_end
         self.connection: Connection | None = None
@@ -72,9 +105,11 @@
     def wrote(self) -> None:
         if not self.written:
             self.written = True
+            self.written_s = time.monotonic()
             self.on_written()
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        self._let_go()
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
             on_end(outcome, answer)
@@ -82,11 +117,16 @@
     def abandon(self) -> None:
         """Give it up: its connection closes, and if it has not gone out it never will."""
         self.on_end = None
+        self._let_go()
         if self.opening is not None:
             self.opening.cancel()
         if self.connection is not None:
             self.connection.abort()
 
+    def _let_go(self) -> None:
+        if self.upload is not None:
+            self.upload.on_more = None
+
 
 class Connection(asyncio.BufferedProtocol):
     """One connection to a host."""
@@ -98,11 +138,18 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._received = 0
+        self._moved_s = 0.0  # when something last went or came on it
+        self._paused = False
+        self._closed_chunks = False
+        self._sink: Sink | None = None
+        self._unhurried: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self._begin()
 
     def _begin(self) -> None:
         self._body = bytearray()
+        self._size = 0  # of the body so far
+        self._length: int | None = None
         self._in_head = True
         self._framed = False
         self._spoilt = ""  # why what comes can't become a good answer any more
@@ -110,6 +157,7 @@
         self._content_type = b""
         self._never_ran = self._complete = self._surplus = False
         self._keep = True
+        self._says_close = self._until_end = False
 
     def clean(self) -> bool:
         """May a request go out here? Danger: what came late would be taken for its answer."""
@@ -124,11 +172,58 @@
         self._exchange = exchange
         exchange.connection = self
         self._transport.write(exchange.message)
-        if not self._transport.get_write_buffer_size():
-            exchange.wrote()
+        if exchange.upload is not None:
+            self._closed_chunks = False
+            exchange.upload.on_more = self._pump
+        self._pump()
+
+    def _pump(self) -> None:
+        """Hand on what has come of the body, a piece at a time: no more is taken than the socket takes."""
+        exchange = self._exchange
+        self._moved_s = self._pool.upstream.loop.time()
+        while exchange is not None and self._transport is not None and exchange is self._exchange:
+            upload = exchange.upload
+            if self._transport.get_write_buffer_size():
+                return  # `resume_writing` goes on
+            if upload is None or (upload.drained and (upload.length is not None or self._closed_chunks)):
+                exchange.wrote()
+                return
+            data = upload.take()
+            if data is None and not upload.drained:
+                return  # `Upload.told` goes on
+            if upload.length is None:
+                self._closed_chunks = data is None
+                data = b"0\r\n\r\n" if data is None else b"%x\r\n%b\r\n" % (len(data), data)
+            if data:
+                self._transport.write(data)
+
+    def pause(self) -> None:
+        """The client does not take up what comes."""
+        self._paused = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        self._paused, self._moved_s = False, self._pool.upstream.loop.time()
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def check(self, now_s: float) -> None:
+        """Danger: a host that falls silent half-way through a stream would hold it for good."""
+        exchange = self._exchange
+        if exchange is None or self._transport is None or now_s - self._moved_s < STALL_S:
+            return
+        stuck_out = exchange.upload is not None and self._transport.get_write_buffer_size() > 0
+        if stuck_out or (self._sink is not None and not self._paused):
+            self._lose("stalled")
 
     def abort(self) -> None:
         self._exchange = None
+        if self._unhurried is not None:
+            self._unhurried.cancel()
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.cut()
         self._pool.forget(self)
         if self._transport is not None:
             self._transport.abort()
@@ -146,13 +241,14 @@
 
     def resume_writing(self) -> None:
         if self._exchange is not None:
-            self._exchange.wrote()
+            self._pump()
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._exchange is None or self._parser is None:
             self.abort()  # noise on an idle connection: the next answer could not be told from it
             return
         self._received += nbytes
+        self._moved_s = self._pool.upstream.loop.time()
         try:
             self._parser.feed_data(self._pool.upstream.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -160,7 +256,8 @@
                 self._surplus = True
             else:
                 self._spoilt = self._spoilt or str(error)
-        if not self._complete and self._received > (MAX_HEAD if self._in_head else MOST_BYTES):
+        most = MAX_HEAD if self._in_head else MOST_BYTES + STREAM_OVERHEAD * self._size
+        if not self._complete and self._received > most:
             self._spoilt = self._spoilt or "no end"
         if self._complete:
             self._finish()
@@ -168,7 +265,12 @@
             self._lose(self._spoilt)
 
     def eof_received(self) -> None:
-        self._lose("")
+        whole = self._until_end and not self._in_head and not self._spoilt and self._exchange is not None
+        if whole and self._exchange is not None and self._exchange.written:
+            self._complete, self._keep = True, False
+            self._finish()
+        else:
+            self._lose("")
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -193,6 +295,11 @@
     def _finish(self) -> None:
         exchange, self._exchange = self._exchange, None
         assert exchange is not None and self._parser is not None
+        if self._unhurried is not None:
+            self._unhurried.cancel()
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.finish()
         exchange.connection = None
         answer = Answer(
             self._parser.get_status_code(),
@@ -225,9 +332,11 @@
             case b"content-type":
                 self._content_type = value
             case b"content-length":
-                self._framed = True
+                self._framed, self._length = True, int(value)
                 if int(value) > MAX_BODY:  # danger: gigabytes would be read to no use
                     self._spoilt = self._spoilt or "too large"
+            case b"connection":
+                self._says_close = b"close" in value.lower()
             case b"transfer-encoding":
                 self._framed = value.strip().lower() == b"chunked"
 
@@ -238,17 +347,52 @@
         assert self._parser is not None
         if self._parser.get_http_version() not in ("1.1", "1.0"):
             self._spoilt = self._spoilt or "unknown version"
-        # Danger: framed by nothing but the connection's end, a part can't be told from the whole.
-        elif not self._framed and self._parser.get_status_code() >= 200:
-            self._spoilt = self._spoilt or "no length"
+            return
+        if not self._framed and self._parser.get_status_code() >= 200:
+            # Danger: framed by nothing but the connection's end, a part can be taken for the whole. So the
+            # host must have said that it will end it, and must end it in an orderly way.
+            if not self._says_close and self._parser.get_http_version() == "1.1":
+                self._spoilt = self._spoilt or "no length"
+            self._until_end = True
+        if self._parser.get_status_code() == 200 and not self._spoilt:
+            if self._length is not None and self._length > SMALL:
+                self._stream()
+            elif self._length is None:
+                loop = self._pool.upstream.loop
+                self._unhurried = loop.call_later(UNHURRIED_S, self._stream)
+
+    def _stream(self) -> None:
+        """From here on the answer is passed on while it comes."""
+        exchange = self._exchange
+        if exchange is None or self._sink is not None or self._complete or self._spoilt:
+            return
+        if not exchange.written:
+            self._spoilt = "an answer before the request"
+            return
+        self._sink = exchange.on_begin(StreamHead(self._length, self._content_type), self)
+        if self._sink is None:
+            self._spoilt = "not wanted"
+            return
+        held, self._body = bytes(self._body), bytearray()
+        if held:
+            self._sink.piece(held)
 
     def on_body(self, body: bytes) -> None:
         if self._complete or self._spoilt:
             return
-        if len(self._body) + len(body) > MAX_BODY:
+        self._size += len(body)
+        if self._size > MAX_BODY:
             self._spoilt = "too large"
+        elif self._sink is not None:
+            self._sink.piece(body)
         else:
             self._body += body
+            if len(self._body) > SMALL:
+                assert self._parser is not None
+                if self._parser.get_status_code() == 200:
+                    self._stream()
+                else:
+                    self._spoilt = "too large"
 
     def on_message_complete(self) -> None:
         if self._complete or self._spoilt:
@@ -342,9 +486,18 @@
     def uses(self, pool: Pool) -> bool:
         return self._pools.get(pool.host) is pool
 
-    def send(self, host: Host, call: Call, timeout_ms: float, on_end: OnEnd) -> Exchange:
-        """Start an attempt. `on_end` is called once, later or before this returns."""
-        exchange = Exchange(encode(call, timeout_ms), on_end, self._on_written)
+    def send(
+        self,
+        host: Host,
+        call: Call,
+        timeout_ms: float,
+        on_end: OnEnd,
+        on_begin: OnBegin = lambda head, source: None,
+    ) -> Exchange:
+        """Start an attempt. `on_end` is called once, later or before this returns, and before it
+        `on_begin`, for an answer that is passed on while it comes."""
+        message = encode(call, timeout_ms)
+        exchange = Exchange(message, call.upload, on_end, on_begin, self._on_written)
         pool = self._pools.get(host)
         if pool is None:
             pool = self._pools[host] = Pool(self, host)
@@ -410,4 +563,6 @@
         before = self.loop.time() - self._idle_s
         for pool in self._pools.values():
             pool.drop_idle(before)
+        for connection in list(self.connections):
+            connection.check(self.loop.time())
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,6 +24,7 @@
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node, read_report
+from cloverrouter.proxy.streams import Sink, Source, StreamHead
 from cloverrouter.proxy.upstream import Upstream
 from tests.sockets import LONG_S, Discovery, Host, never, ok
 
@@ -37,6 +38,7 @@
         self.idempotency_key = self.content_type = b""
         self.body, self.class_name, self.tenant, self.key = body, "unsafe", None, None
         self.timeout_ms, self.cost_ms, self.repeat = timeout_ms, None, False
+        self.upload = None
         self.given: list[object] = []
 
     def served(self, answer: Answer) -> None:
@@ -48,6 +50,9 @@
     def failed(self) -> None:
         self.given.append("failed")
 
+    def begun(self, head: StreamHead, source: Source) -> Sink:
+        raise AssertionError("no large answer is played here")
+
 
 def full_listener() -> tuple[socket.socket, list[socket.socket]]:
     """A listener whose queue is full: connecting to it never comes up, until `accept` makes room."""
