Herd: cold servers are sent a third more; first and repeated discovery calls are spread

Design: a proxy that has a list waits by chance, up to 0.3 s, before its first call to discovery, and repeats failed calls by decorrelated jitter, 0.1 to 2 s. A cold server may be sent 0.45 of the push that would topple it, in place of a third: warm ones are seldom sent all that they can do, and after a release half of the fleet is cold while requests are refused for want of room.

Cause, by what held requests waited for when given up: warm servers full, cold ones short of credit.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -65,9 +65,10 @@
 # Ours. Smoothing of what a server is seen to do: about the last ten answers count.
 GAIN = 0.2
 # A cold server is sent this part of the push it must not exceed, by the estimate of its capacity: with
-# the usual multiple of three just its warm share of what the others get. The rest is for machines
-# slower than their fleet's mean, and for bursts.
-COLD_MARGIN = 1 / 3
+# the usual multiple of three a third more than its warm share of what the others get, since those are
+# seldom sent all that they can do. The rest is for machines slower than their fleet's mean (by half, where
+# two kinds are mixed), and for bursts.
+COLD_MARGIN = 0.45
 RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
 # A server's answers may be slower than unhurried ones by this part of the room that the slow among
 # those leave up to the aim, and by these factors at least and at most.
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from random import Random
 
 import httptools
 
@@ -20,6 +21,9 @@
 HASTY_S = 0.05
 PAUSE_S = 0.1  # well within the 200 ms after which a watch has ended
 PUSHED_FIRST_S, PUSHED_MOST_S = 0.1, 2.0
+# Danger: in a release most proxies start at one moment, and discovery has no room for all of them at once.
+# One that has a list to work with lets its first call wait by chance, for up to this long.
+FIRST_CALL_S = 0.3
 log = logging.getLogger(__name__)
 
 
@@ -58,12 +62,14 @@
         pushed: bool,
         on_list: Callable[[HostList], None],
         on_failure: Callable[[], None],
+        random: Random | None = None,
     ) -> None:
         self._address = address
         self._clock = clock
         self._pushed = pushed
         self._on_list = on_list
         self._on_failure = on_failure
+        self._random = random or Random()
         self._task: asyncio.Task[None] | None = None
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.version: int | None = None
@@ -91,6 +97,8 @@
 
     async def _run(self) -> None:
         backoff_s = PUSHED_FIRST_S
+        if self.version is not None:
+            await asyncio.sleep(FIRST_CALL_S * self._random.random())
         while True:
             asked_s = asyncio.get_running_loop().time()
             try:
@@ -105,8 +113,12 @@
                 self._on_failure()
                 if not self._pushed:
                     return
+                # Decorrelated: proxies that failed as one do not come back as one.
+                backoff_s = min(
+                    PUSHED_MOST_S,
+                    PUSHED_FIRST_S + self._random.random() * (3 * backoff_s - PUSHED_FIRST_S),
+                )
                 await asyncio.sleep(backoff_s)
-                backoff_s = min(PUSHED_MOST_S, 2 * backoff_s)
                 continue
             backoff_s = PUSHED_FIRST_S
             self.version = found.version
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -192,7 +192,7 @@
                 request = self._requests.get(action.request_id)
                 if request is not None and action.attempt in request.out:
                     self._give_up(request.out[action.attempt], Outcome.CANCELLED)
-            case Probe():  # no site that we serve allows them
+            case Probe():  # the module asks for none
                 self.tell(ProbeEnded(action.endpoint, Outcome.NOT_SENT, 0.0))
             case Subscribe():
                 self._subscribe()
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import socket
+from random import Random
 
 from cloverrouter.interface import ListKind, Memory
 from cloverrouter.proxy import config, handover
@@ -56,7 +57,12 @@
         connect_ms = told.settings.limits.connect_timeout_ms
         self._upstream = Upstream(sockets // 2, told.conn_idle_ms, connect_ms, self._figures.sent)
         self._watch = Watch(
-            told.discovery, told.clock, pushed, self._on_list, lambda: self._node.discovery_failed()
+            told.discovery,
+            told.clock,
+            pushed,
+            self._on_list,
+            lambda: self._node.discovery_failed(),
+            Random(told.seed),
         )
         self._state_before = inherited.state if inherited is not None else {}
         memory = self._memory()
