An old process that goes back to work can be taken over from again

A new process that died after it had taken over left its own name in the folder: the next one found nobody behind it and started plainly. The old one now offers itself anew. Ruled out: the listening socket, which the old one still held and served. The test starts a third process after the second has died; it failed before the change.

--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -271,6 +271,10 @@
             if not self._draining:
                 log.warning("the new process is gone: back to work")
                 self._frontend.accept_again()
+                # Danger: the name in the folder was the new one's; the next would find nobody behind it.
+                if self._giver is not None:
+                    self._giver.stop()
+                self._offer()
                 if not self._frontend.unavailable:
                     self._frontend.stay()
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -132,6 +132,14 @@
             assert old.poll() is None
             client = await proxy.client()
             assert (await client.ask("/keyed")).status == 200
+            # The next new one finds it.
+            proxy.start(PROXY_CONTROL=f"127.0.0.1:{free_port()}")
+            await proxy.logged("serves at", 3)
+            assert "nothing usable" not in proxy.log()
+            assert proxy.log().count("no process before this one") == 1
+            old.send_signal(signal.SIGTERM)
+            assert await proxy.ended(old) == 0
+            assert (await (await proxy.client()).ask("/keyed")).status == 200
 
     asyncio.run(scene())
 
