--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -103,13 +103,16 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def read(self, reader: asyncio.StreamReader) -> Message:
+        return await read_message(reader)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         number = self.connections
         self.open[number] = writer
         try:
             while True:
-                seen = Seen(await read_message(reader), number)
+                seen = Seen(await self.read(reader), number)
                 self.seen.append(seen)
                 await self._tell()
                 await self.respond(seen, writer)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -26,9 +26,8 @@
 from cloverrouter.proxy.messages import SMALL
 from cloverrouter.proxy.streams import HIGH, LEAST_BUDGET, Budget, Upload
 from tests.driver import Driver, endpoint
-from tests.sockets import LONG_S, Client, Discovery, Proxy, Seen, answer_ok, running
+from tests.sockets import LONG_S, Client, Discovery, Message, Proxy, Seen, answer_ok, running
 from tests.sockets import Host as SmallHost
-from tests.sockets import Message as Head
 
 MB = 1024 * 1024
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -59,23 +58,9 @@
 class Host(SmallHost):
     """A host that reads bodies of any size and framing."""
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        number = self.connections
-        self.open[number] = writer
-        try:
-            while True:
-                start, headers = await read_head(reader)
-                seen = Seen(Head(start, headers, await read_body(reader, headers)), number)
-                self.seen.append(seen)
-                await self._tell()
-                await self.respond(seen, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-            del self.open[number]
-            await self._tell()
+    async def read(self, reader: asyncio.StreamReader) -> Message:
+        start, headers = await read_head(reader)
+        return Message(start, headers, await read_body(reader, headers))
 
 
 async def asked(proxy: Proxy, framing: str, body: bytes, pieces: int, target: str = "/keyed") -> Streams:
