Count a request as errored that turns out unreadable on its way

It was handed over while its body still came, then answered with a 4xx or a cut, and stood under no count. Counted where the error is written. Not taken: counting every 4xx; what never was a request has no class.

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -526,6 +526,8 @@
         if transport is None or self._ended:
             return
         self._ended, self.since_s = True, self._frontend.loop.time()
+        if self._open is not None:  # the error, or the cut, is its answer
+            self._frontend.figures.ended(self._open.class_name, State.ERRORED)
         self._withdraw()
         self._reset()
         if self._source is not None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -255,6 +255,28 @@
     asyncio.run(scene())
 
 
+def test_body_that_turns_out_unreadable_is_an_error_and_counted() -> None:
+    async def scene() -> None:
+        host, discovery = await Host("h").start(), await Discovery().start()
+        async with running(discovery, [host]) as proxy, asyncio.timeout(LONG_S):
+            address, port = proxy.address.split(":")
+            reader, writer = await asyncio.open_connection(address, int(port))
+            head = b"POST /unsafe HTTP/1.1\r\nX-Request-ID: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"30d40\r\n" + b"z" * 200_000 + b"\r\n")
+            while not host.open:  # it is on its way
+                await asyncio.sleep(0.01)
+            writer.write(b"no chunk\r\n")
+            start, _headers = await read_head(reader)
+            assert start.split()[1] == "400"
+            await host.wait(lambda: not host.open)
+            assert host.seen == []
+            text = (await proxy.call("GET", "/admin/stats")).body.decode()
+            assert 'proxy_transactions_total{group="unsafe",state="errored"} 1' in text
+            assert "proxy_current 0" in text
+
+    asyncio.run(scene())
+
+
 def test_body_that_is_whole_goes_to_another_host() -> None:
     async def scene() -> None:
         host, discovery = await Host("h").start(), await Discovery().start()
