Long answers are cut neither at their start nor at their end by the proxy's own timers

A second one, seen as well: an answer of unknown length is held for 50 ms after its first bytes, and was cut if its attempt's time ended in that moment.

Change: a connection with bytes on their way out is closed by no timer but the one for clients that read nothing; what came before an attempt's time is up makes it the client's and goes out then, a little earlier if the time is short.

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -223,6 +223,7 @@
         self._completed_call: ClientCall | None = None  # in the bytes read just now, handed over before
         self._source: Source | None = None  # of the answer that is being passed on
         self._held = 0  # of that, by this connection
+        self._long = False  # the last answer was passed on while it came
         self._unread = 0  # when last looked at
         self._reset()
 
@@ -436,7 +437,7 @@
     ) -> None:
         if self._open is not call or self._transport is None:
             return  # the client has gone
-        close = self._ends_with(call)
+        close, self._long = self._ends_with(call), False
         self._transport.write(encode(status, body, headers, close))
         self._answered(call, close, state)
 
@@ -453,7 +454,7 @@
         assert self._transport is not None
         if state is not None:
             self._frontend.figures.ended(call.class_name, state)
-        self._open = None
+        self._open, self._unread = None, 0
         self.since_s = self._frontend.loop.time()
         half_come = call.upload is not None and not call.upload.ended
         if call.upload is not None:
@@ -484,7 +485,8 @@
         call.keep_alive = not self._ends_with(call)
         close = b"" if call.keep_alive else b"Connection: close\r\n"
         self._transport.write(head + close + b"\r\n")
-        self._source = source
+        self._source, self._long, self._unread = source, True, 0
+        self.since_s = self._frontend.loop.time()
         if self._paused:
             source.pause()
 
@@ -557,6 +559,11 @@
     def busy(self) -> bool:
         return self._open is not None or bool(self._waiting)
 
+    @property
+    def sending(self) -> bool:
+        """Is a part of an answer still on its way out? Danger: a connection ended now would cut it off."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def half_sent(self) -> bool:
         return self._begun and not self._ended
@@ -564,7 +571,7 @@
     @property
     def stage(self) -> int:
         """0: busy; the others can make room, the higher the sooner."""
-        if self.busy or self._paused:
+        if self.busy or self.sending:
             return 0
         if self._ended:
             return 3
@@ -573,8 +580,11 @@
         return 0 if self._begun else 1
 
     def close_idle(self) -> bool:
-        """Close it if nothing is on it; False if a request is, which may not have been read yet."""
-        if self.busy or self._begun or self._ended or self._transport is None or unread(self._sock):
+        """Close it if nothing is on it; False if a request is, which may not have been read yet, or the
+        rest of an answer."""
+        if self.busy or self.sending or self._begun or self._ended:
+            return False
+        if self._transport is None or unread(self._sock):
             return False
         self.end()
         return True
@@ -595,13 +605,14 @@
         if self._begun and not self._in_head and not self._ended and self._still_since_s is None:
             if now_s - self._body_since_s > BODY_LAG_S + self._body_size / LEAST_RATE:
                 self._end_with(408)
-        elif self._paused and self._transport is not None:
+        elif self.sending and self._transport is not None:
             unread_bytes = self._transport.get_write_buffer_size()
             if unread_bytes != self._unread:  # it reads, if slowly
                 self._unread, self.since_s = unread_bytes, now_s
-            elif waited_s > (UNREAD_S if self._source is None else SLOW_READER_S):
+            elif waited_s > (SLOW_READER_S if self._long else UNREAD_S):
                 self.end()
         elif self._ended:
+            self._frontend.sort(self)  # all of its answer is out: from here on it can make room
             if waited_s > LINGER_S:
                 self.end()
         elif self.busy:
@@ -736,6 +747,8 @@
         """Close the connection that is missed least."""
         for stage in (3, 2, 1):
             for connection in self._yielding[stage]:
+                if connection.sending:
+                    continue
                 if stage == 3 or connection.half_sent:
                     connection.end()
                 elif not connection.close_idle():
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -324,12 +324,16 @@
             lambda outcome, answer: self._ended(attempt, outcome, answer),
             lambda head, source: self._begun(attempt, head, source),
         )
+        if attempt.timer is not None:
+            attempt.exchange.due_s = attempt.timer.when()
 
     def _time(self, attempt: Try, timeout_ms: float) -> None:
         if attempt.timer is not None:
             attempt.timer.cancel()
         if not attempt.streamed:
             attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
+            if attempt.exchange is not None:
+                attempt.exchange.due_s = attempt.timer.when()
 
     def _begun(self, attempt: Try, head: StreamHead, source: Source) -> Sink | None:
         """The answer has begun; None if nobody wants it. From here on the attempt is the client's."""
@@ -357,6 +361,8 @@
         return max((cls.deadline_ms for cls in self._settings.classes), default=60_000.0)
 
     def _timed_out(self, attempt: Try) -> None:
+        if attempt.exchange is not None and attempt.exchange.pass_on():
+            return  # first bytes in time have made it the client's
         self._give_up(attempt, Outcome.TIMEOUT)
 
     def _give_up(self, attempt: Try, outcome: Outcome) -> None:
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -30,6 +30,9 @@
 # An answer of unknown length that is not whole by then is passed on while it comes. Sooner, a small one
 # that is spoilt could not be told in time from a good one.
 UNHURRIED_S = 0.05
+# And at the latest so long before its attempt's time is up: first bytes that came in time must still be
+# in time when they reach the client.
+FIRST_BYTES_S = 0.005
 # A stream on which nothing moves for so long, with the client ready for more, is dead.
 STALL_S = 10.0
 SWEEP_S = 1.0
@@ -74,6 +77,7 @@
 
     __slots__ = (
         "connection",
+        "due_s",
         "message",
         "on_begin",
         "on_end",
@@ -96,6 +100,7 @@
         self.upload = upload
         self.on_begin = on_begin
         self.written_s = 0.0
+        self.due_s = float("inf")  # on the loop's clock: when whoever started it stops waiting
         self.on_written = on_written
         self.on_end: OnEnd | None = on_end
         self.connection: Connection | None = None
@@ -114,6 +119,14 @@
         if on_end is not None:
             on_end(outcome, answer)
 
+    def pass_on(self) -> bool:
+        """The time is up. Has its answer begun, so that it is the client's and goes on its way now?
+
+        Danger: an answer of unknown length is held for a moment after its first bytes. Given up in that
+        moment, it would be cut off although it came in time and its host still gives it.
+        """
+        return self.connection is not None and self.connection.pass_on(self)
+
     def abandon(self) -> None:
         """Give it up: its connection closes, and if it has not gone out it never will."""
         self.on_end = None
@@ -358,8 +371,19 @@
             if self._length is not None and self._length > SMALL:
                 self._stream()
             elif self._length is None:
-                loop = self._pool.upstream.loop
-                self._unhurried = loop.call_later(UNHURRIED_S, self._stream)
+                loop, exchange = self._pool.upstream.loop, self._exchange
+                due_s = exchange.due_s if exchange is not None else float("inf")
+                at_s = min(loop.time() + UNHURRIED_S, due_s - FIRST_BYTES_S)
+                self._unhurried = loop.call_at(at_s, self._stream)
+
+    def pass_on(self, exchange: Exchange) -> bool:
+        """See `Exchange.pass_on`."""
+        if exchange is not self._exchange or self._in_head or self._length is not None:
+            return False
+        if self._parser is None or self._parser.get_status_code() != 200:
+            return False
+        self._stream()
+        return self._sink is not None
 
     def _stream(self) -> None:
         """From here on the answer is passed on while it comes."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -15,19 +16,32 @@
 from cloverrouter.interface import (
     AttemptEnded,
     Fail,
+    Idempotency,
+    ListedEndpoint,
+    ListKind,
     Outcome,
     Refuse,
     RequestArrived,
+    RequestClass,
     RequestCompleted,
     Send,
     SetTimeout,
+    Settings,
     StreamStarted,
 )
-from cloverrouter.proxy.messages import SMALL
-from cloverrouter.proxy.streams import HIGH, LEAST_BUDGET, Budget, Upload
+from cloverrouter.proxy import frontend as frontend_module
+from cloverrouter.proxy import upstream as upstream_module
+from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.messages import SMALL, Call
+from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.streams import HIGH, LEAST_BUDGET, Budget, Sink, Source, StreamHead, Upload
+from cloverrouter.proxy.upstream import Upstream
 from tests.driver import Driver, endpoint
-from tests.sockets import LONG_S, Client, Discovery, Message, Proxy, Seen, answer_ok, running
+from tests.sockets import LONG_S, Client, Discovery, Message, Proxy, Respond, Seen, answer_ok, running
 from tests.sockets import Host as SmallHost
+from tests.test_clients import Patient
+from tests.test_upstream import FakeCall, until
 
 MB = 1024 * 1024
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -428,3 +442,167 @@
             assert (await (await proxy.client()).ask("/unsafe")).status == 200
 
     asyncio.run(scene())
+
+
+# An answer that begins just before its attempt's time is up. The hold of an answer of unknown length is ten
+# times the usual here, so that it spans the end of that time whatever the machine is busy with.
+
+HOLD_S = 0.5
+DEADLINE_S = 1.2
+DEADLINED = RequestClass("unsafe", DEADLINE_S * 1000, DEADLINE_S * 1000, idempotency=Idempotency.UNSAFE)
+
+
+class StreamedCall(FakeCall):
+    """A call whose answer may come whole or piece by piece."""
+
+    def __init__(self) -> None:
+        super().__init__(timeout_ms=DEADLINE_S * 1000)
+        self.begun_s = 0.0
+
+    def begun(self, head: StreamHead, source: Source) -> Sink:
+        self.begun_s = time.monotonic()
+        self.given.append("begun")
+        self.body = b""
+        return self
+
+    def piece(self, data: bytes) -> None:
+        self.body += data
+
+    def finish(self) -> None:
+        self.given.append("whole")
+
+    def cut(self) -> None:
+        self.given.append("cut")
+
+
+def late_answer(head_after_s: float, framing: bytes, body: bytes, ends: list[str]) -> Respond:
+    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(head_after_s)
+        step = len(body) // 8
+        parts = [body[i : i + step] for i in range(0, len(body), step)]
+        chunked = framing.startswith(b"Transfer")
+        try:
+            writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % framing)
+            for part in parts:
+                writer.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+                await writer.drain()
+                await asyncio.sleep(0.1)
+            writer.write(b"0\r\n\r\n" if chunked else b"")
+            await writer.drain()
+            ends.append("given")
+            if not chunked:
+                writer.close()
+        except ConnectionError:
+            ends.append("cut off")
+
+    return respond
+
+
+@pytest.mark.parametrize("before_s", [0.6, 0.3, 0.2])
+@pytest.mark.parametrize("framing", [b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"])
+def test_answer_that_begins_in_time_is_never_cut(
+    before_s: float, framing: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream_module, "UNHURRIED_S", HOLD_S)
+
+    async def scene() -> None:
+        ends: list[str] = []
+        body = made(160 * 1024)
+        host = await SmallHost("h", late_answer(DEADLINE_S - before_s, framing, body, ends)).start()
+        upstream = Upstream(8, 60_000, 1000)
+        node = Node(Settings((DEADLINED,)), 1, upstream, lambda: None, lambda error: pytest.fail(repr(error)))
+        address = "127.0.0.1", host.port
+        node.listed(ListKind.FULL, HostList(1, True, (HostEntry(ListedEndpoint("h"), address),)))
+        call, asked_s = StreamedCall(), time.monotonic()
+        node.arrived(call)
+        await until(lambda: ends and not node.owed)
+        assert (call.given, ends, call.body == body) == (["begun", "whole"], ["given"], True)
+        # The first bytes came in time, and were still in time when they were passed on.
+        assert call.begun_s - asked_s < DEADLINE_S + before_s
+
+    asyncio.run(scene())
+
+
+def test_answer_that_begins_too_late_has_failed() -> None:
+    async def scene() -> None:
+        ends: list[str] = []
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        body = made(160 * 1024)
+        host = await SmallHost("h", late_answer(DEADLINE_S + 0.4, chunked, body, ends)).start()
+        upstream = Upstream(8, 60_000, 1000)
+        node = Node(Settings((DEADLINED,)), 1, upstream, lambda: None, lambda error: pytest.fail(repr(error)))
+        address = "127.0.0.1", host.port
+        node.listed(ListKind.FULL, HostList(1, True, (HostEntry(ListedEndpoint("h"), address),)))
+        call = StreamedCall()
+        node.arrived(call)
+        await until(lambda: not node.owed)
+        assert call.given == ["failed"]
+
+    asyncio.run(scene())
+
+
+# The end of a long answer, on its way to a client that reads slowly
+
+
+class Streaming(Patient):
+    """A handler whose answers are passed on at once, whole, as pieces."""
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__()
+        self.body = body
+
+    def arrived(self, call: Call) -> None:
+        sink = call.begun(StreamHead(len(self.body), b""), NoSource())
+        for i in range(0, len(self.body), 10_000):
+            sink.piece(self.body[i : i + 10_000])
+        sink.finish()
+
+
+class NoSource:
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
+@pytest.mark.parametrize("ends", ["with its answer", "when idle", "to make room", "in a quiesce"])
+def test_end_of_a_long_answer_is_never_cut(ends: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The answer is all in the program, and its client takes up the last of it slowly: whatever would
+    close the connection has to wait. All times are nought here, so that each sweep would close it."""
+    for name in ("LINGER_S", "IDLE_S", "IDLE_WITH_ROOM_S", "QUIET_S"):
+        monkeypatch.setattr(frontend_module, name, 0.0)
+
+    async def scene() -> None:
+        body = made(200_000)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # little of it is in the kernel
+        listener.setblocking(False)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        frontend = Frontend(Streaming(body), {"unsafe": Idempotency.UNSAFE}, 1)
+        address = await frontend.listen(("127.0.0.1", 0), listener)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(address)
+        sock.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+        close = "Connection: close\r\n" if ends == "with its answer" else ""
+        writer.write(
+            f"POST /unsafe HTTP/1.1\r\nX-Request-ID: a\r\n{close}Content-Length: 1\r\n\r\nx".encode()
+        )
+        async with asyncio.timeout(LONG_S):
+            _, headers = await read_head(reader)
+            if ends == "in a quiesce":
+                frontend.send_away()
+            got = b""
+            while len(got) < int(headers["content-length"]):
+                data = await reader.read(2048)
+                assert data, f"cut after {len(got)} bytes"
+                got += data
+                if len(got) > len(body) - 40_000:
+                    await asyncio.sleep(0.02)
+                if ends == "to make room":
+                    (await asyncio.open_connection(*address))[1].close()
+            assert got == body
+        frontend.close()
+
+    asyncio.run(scene())
