The lifecycle of calls and attempts becomes a module without I/O, clock or HTTP

Need: the states of a call and its attempts were flags in three files, mixed with sockets and timers, so that no ordering of events could be played but by chance. Change: cloverrouter/core has the states, the automaton (happening or action to effects) and the loop to the decision module; proxy/node.py carries its effects out. The module's timers are data, so that it can be copied.

--- /dev/null
+++ b/cloverrouter/core/lifecycle.py
@@ -0,0 +1,380 @@
+"""The life of calls and attempts: each happening, and each action of the decision module, to effects.
+
+The rules that this automaton keeps, whatever the order in which things happen:
+
+1. A call gets one final answer. Once it is final, nothing that happens to its attempts reaches the client.
+2. An answer that has begun is the client's: its attempt is timed out by nobody, and what else is out for the
+   call is abandoned. First bytes in time make it begin, even if they are held for a moment.
+3. What is unsent when its call becomes final, or its endpoint may get nothing new, never goes out.
+4. An attempt that was abandoned, or ended, has no further say.
+5. What an abandoned attempt is told to be follows from how far it had come: with its last byte out it may
+   have run, before that it surely has not.
+
+Attempts move along these lines; each step to `ENDED` is told to the decision module once:
+
+    CONNECTING -> WRITING -> WRITTEN -> HELD -> STREAMING -> ENDED
+    (any state may be skipped, none is entered twice, and each may end)
+
+| state of the attempt | broke, spoilt, answered | time is up | abandoned |
+| --- | --- | --- | --- |
+| CONNECTING, WRITING | as told | could not connect | not sent |
+| WRITTEN | as told | timed out | cancelled |
+| HELD | as told | goes on: it is passed on | cancelled |
+| STREAMING | as told; the call is answered or cut | goes on | cancelled |
+
+and calls along these:
+
+    UPLOADING -> OPEN -> STREAMING -> ANSWERED | CUT
+    (from any of the first three) -> LEFT; UPLOADING, OPEN -> ANSWERED
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from cloverrouter.core.states import (
+    FINAL,
+    Abandon,
+    AnswerBegun,
+    AnswerHeld,
+    AskDiscovery,
+    AttemptState,
+    Begin,
+    BodyTaken,
+    CallState,
+    Effect,
+    Ended,
+    Forget,
+    GiveFailure,
+    GiveRefusal,
+    Happening,
+    Listed,
+    Note,
+    PassOn,
+    Serve,
+    SetDue,
+    Start,
+    Target,
+    Tell,
+    TimeUp,
+    Written,
+)
+from cloverrouter.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    Cordon,
+    Cordoned,
+    Fail,
+    Log,
+    Outcome,
+    PartTaken,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestCompleted,
+    RequestGone,
+    Send,
+    SetTimeout,
+    SetTimer,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+)
+
+
+class Attempt:
+    """One attempt that is out, or has ended."""
+
+    __slots__ = ("endpoint", "number", "sent_ms", "state", "target", "written_ms")
+
+    def __init__(self, number: int, endpoint: str, target: Target, sent_ms: float) -> None:
+        self.number = number
+        self.endpoint = endpoint
+        self.target = target
+        self.sent_ms = sent_ms
+        self.written_ms: float | None = None
+        self.state = AttemptState.CONNECTING
+
+
+class Call:
+    """One call until it is final and nothing of it is out."""
+
+    __slots__ = ("deadline_ms", "id", "out", "spent", "state", "tries", "uploaded")
+
+    def __init__(self, call_id: int, deadline_ms: float | None, uploading: bool) -> None:
+        self.id = call_id
+        self.deadline_ms = deadline_ms
+        self.state = CallState.UPLOADING if uploading else CallState.OPEN
+        self.uploaded = uploading  # its time counts from its last byte
+        self.spent = False
+        self.tries = 0
+        self.out: dict[int, Attempt] = {}
+
+
+class Lifecycle:
+    """All calls of one proxy. Pure: time is handed in, and what is to be done is handed back.
+
+    The state has changed in full when a method returns; the effects may be carried out one after the
+    other, and happenings that they cause at once may be taken in between.
+    """
+
+    def __init__(self, longest_ms: float) -> None:
+        """No attempt is given more than `longest_ms`, whatever the module says."""
+        self._longest_ms = longest_ms
+        self._targets: dict[str, Target] = {}
+        self.calls: dict[int, Call] = {}
+        self.owed = 0  # calls that are not final
+
+    # What happens
+
+    def on(self, now_ms: float, happening: Happening) -> list[Effect]:
+        """What is to be done about `happening`, in that order.
+
+        Raises ValueError for a call's number that is in use, and for what is no happening.
+        """
+        match happening:
+            case Written(call_id, number):
+                self._written(now_ms, call_id, number)
+                return []
+            case Ended():
+                return self._ended(now_ms, happening)
+            case RequestArrived():
+                return self._arrived(happening)
+            case TimerFired() | PartTaken() | Cordon():
+                return [Tell(happening)]
+            case TimeUp(call_id, number):
+                return self._time_up(now_ms, call_id, number)
+            case RequestGone(call_id):
+                return self._left(now_ms, call_id)
+            case AnswerBegun(call_id, number):
+                return self._begun(now_ms, call_id, number)
+            case AnswerHeld(call_id, number):
+                attempt = self._find(call_id, number)
+                if attempt is not None and attempt.state is AttemptState.WRITTEN:
+                    attempt.state = AttemptState.HELD
+                return []
+            case RequestCompleted(call_id):
+                return self._completed(happening)
+            case BodyTaken(call_id):
+                return self._body_taken(call_id)
+            case Listed():
+                return self._listed(now_ms, happening)
+            case _:
+                raise ValueError(f"not a happening: {happening!r}")
+
+    def _find(self, call_id: int, number: int) -> Attempt | None:
+        call = self.calls.get(call_id)
+        return call.out.get(number) if call is not None else None
+
+    def _arrived(self, event: RequestArrived) -> list[Effect]:
+        if event.request_id in self.calls:
+            raise ValueError(f"call {event.request_id} arrived twice")
+        self.calls[event.request_id] = Call(event.request_id, event.deadline_ms, event.uploading)
+        self.owed += 1
+        return [Tell(event)]
+
+    def _completed(self, event: RequestCompleted) -> list[Effect]:
+        call = self.calls.get(event.request_id)
+        if call is None or call.state.final:
+            return []
+        call.deadline_ms = event.deadline_ms
+        if call.state is CallState.UPLOADING:
+            call.state = CallState.OPEN
+        return [Tell(event)]
+
+    def _body_taken(self, call_id: int) -> list[Effect]:
+        call = self.calls.get(call_id)
+        if call is not None:
+            call.spent = True
+            for attempt in call.out.values():
+                if attempt.state is AttemptState.CONNECTING:
+                    attempt.state = AttemptState.WRITING
+        return []
+
+    def _written(self, now_ms: float, call_id: int, number: int) -> None:
+        attempt = self._find(call_id, number)
+        if attempt is not None and attempt.state.unsent:
+            attempt.state, attempt.written_ms = AttemptState.WRITTEN, now_ms
+
+    def _left(self, now_ms: float, call_id: int) -> list[Effect]:
+        """The client has gone: nobody wants what its attempts would bring."""
+        call = self.calls.get(call_id)
+        if call is None or call.state.final:
+            return []
+        effects = self._settle(now_ms, call, CallState.LEFT)
+        effects.append(Tell(RequestGone(call_id)))
+        for attempt in list(call.out.values()):
+            effects += self._abandon(now_ms, call, attempt, Outcome.CANCELLED)
+        return effects + self._forget_if_over(call)
+
+    def _begun(self, now_ms: float, call_id: int, number: int) -> list[Effect]:
+        call, attempt = self.calls.get(call_id), self._find(call_id, number)
+        if call is None or attempt is None or call.state.final or attempt.state is AttemptState.STREAMING:
+            return []
+        if attempt.state.unsent or call.state is CallState.STREAMING:
+            return []
+        attempt.state, call.state = AttemptState.STREAMING, CallState.STREAMING
+        effects: list[Effect] = [Begin(call_id, number)]
+        for other in list(call.out.values()):
+            if other is not attempt:
+                effects += self._abandon(now_ms, call, other, Outcome.CANCELLED)
+        latency_ms = self._latency_ms(now_ms, call, attempt)
+        return [*effects, Tell(StreamStarted(call_id, number, latency_ms))]
+
+    def _time_up(self, now_ms: float, call_id: int, number: int) -> list[Effect]:
+        call, attempt = self.calls.get(call_id), self._find(call_id, number)
+        if call is None or attempt is None or attempt.state is AttemptState.STREAMING:
+            return []
+        if attempt.state is AttemptState.HELD and not call.state.final:
+            return [PassOn(call_id, number)]  # its first bytes came in time
+        effects = self._abandon(now_ms, call, attempt, Outcome.TIMEOUT)
+        return effects + self._forget_if_over(call)
+
+    def _ended(self, now_ms: float, event: Ended) -> list[Effect]:
+        call, attempt = self.calls.get(event.call), self._find(event.call, event.attempt)
+        if call is None or attempt is None:
+            return []
+        latency_ms = self._latency_ms(now_ms, call, attempt)
+        streamed = attempt.state is AttemptState.STREAMING
+        self._take_out(call, attempt)
+        effects: list[Effect] = []
+        served = event.outcome is Outcome.OK
+        if streamed:  # what there is of the answer has been passed on
+            effects = self._settle(now_ms, call, CallState.ANSWERED if served else CallState.CUT)
+        elif served and event.answer is not None and not call.state.final:
+            effects = self._settle(now_ms, call, CallState.ANSWERED)
+            effects.append(Serve(call.id, event.answer))
+        effects += self._forget_if_over(call)
+        effects.append(self._told(call, attempt, event.outcome, latency_ms, event.report))
+        return effects
+
+    def _listed(self, now_ms: float, event: Listed) -> list[Effect]:
+        self._targets = dict(event.targets)
+        effects: list[Effect] = [Tell(event.event)]
+        return effects + self._call_back(now_ms, lambda a: self._targets.get(a.endpoint) != a.target)
+
+    # What the decision module says
+
+    def act(self, now_ms: float, action: Action) -> list[Effect]:
+        """What is to be done about `action`, in that order. Raises ValueError for what is no action."""
+        match action:
+            case Send():
+                return self._send(now_ms, action)
+            case SetTimer():
+                return [action]
+            case SetTimeout(call_id, number, timeout_ms):
+                attempt = self._find(call_id, number)
+                if attempt is None or attempt.state is AttemptState.STREAMING:
+                    return []
+                return [SetDue(call_id, number, timeout_ms)]
+            case Refuse(call_id, retry_after_ms):
+                return self._give(now_ms, call_id, GiveRefusal(call_id, retry_after_ms))
+            case Fail(call_id):
+                return self._give(now_ms, call_id, GiveFailure(call_id))
+            case Cancel(call_id, number):
+                call, attempt = self.calls.get(call_id), self._find(call_id, number)
+                if call is None or attempt is None or attempt.state is AttemptState.STREAMING:
+                    return []
+                effects = self._abandon(now_ms, call, attempt, Outcome.CANCELLED)
+                return effects + self._forget_if_over(call)
+            case Probe(endpoint):  # no driver sends any
+                return [Tell(ProbeEnded(endpoint, Outcome.NOT_SENT, 0.0))]
+            case Subscribe():
+                return [AskDiscovery()]
+            case Log(text):
+                return [Note(text)]
+            case Cordoned(endpoint, on, known):
+                effects = [action]
+                if on and known:
+                    effects += self._call_back(now_ms, lambda a: a.endpoint == endpoint)
+                return effects
+            case _:
+                raise ValueError(f"not an action: {action!r}")
+
+    def _send(self, now_ms: float, action: Send) -> list[Effect]:
+        call, target = self.calls.get(action.request_id), self._targets.get(action.endpoint)
+        if call is None:
+            return [Tell(AttemptEnded(action.request_id, 0, Outcome.NOT_SENT, 0.0, answered=True))]
+        number, call.tries = call.tries, call.tries + 1
+        timeout_ms = action.timeout_ms or float("inf")
+        if call.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, call.deadline_ms - now_ms)
+        if call.state.final or target is None or timeout_ms <= 0:
+            return [Tell(AttemptEnded(call.id, number, Outcome.NOT_SENT, 0.0, call.state.final))]
+        call.out[number] = Attempt(number, action.endpoint, target, now_ms)
+        uploading = call.state is CallState.UPLOADING
+        due_ms = None if uploading else min(timeout_ms, self._longest_ms)
+        return [Start(call.id, number, action.endpoint, target, due_ms)]
+
+    def _give(self, now_ms: float, call_id: int, answer: GiveRefusal | GiveFailure) -> list[Effect]:
+        call = self.calls.get(call_id)
+        if call is None or call.state.final or call.state is CallState.STREAMING:
+            return []
+        effects = self._settle(now_ms, call, CallState.ANSWERED)
+        return [*effects, answer, *self._forget_if_over(call)]
+
+    # The steps that several of them share
+
+    def _settle(self, now_ms: float, call: Call, state: CallState) -> list[Effect]:
+        """The call is final. What is still on its way to a server must not go out after that."""
+        assert state in FINAL
+        if call.state.final:
+            return []
+        call.state = state
+        self.owed -= 1
+        effects: list[Effect] = []
+        for attempt in list(call.out.values()):
+            if attempt.state.unsent:
+                effects += self._abandon(now_ms, call, attempt, Outcome.NOT_SENT)
+        return effects
+
+    def _abandon(self, now_ms: float, call: Call, attempt: Attempt, outcome: Outcome) -> list[Effect]:
+        """Stop an attempt from this side. One whose last byte has not gone out has never run."""
+        if attempt.state.unsent:
+            outcome = Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
+        latency_ms = self._latency_ms(now_ms, call, attempt)
+        self._take_out(call, attempt)
+        told = self._told(call, attempt, outcome, latency_ms, None)
+        return [Abandon(call.id, attempt.number), told]
+
+    @staticmethod
+    def _take_out(call: Call, attempt: Attempt) -> None:
+        attempt.state = AttemptState.ENDED
+        del call.out[attempt.number]
+
+    @staticmethod
+    def _told(
+        call: Call, attempt: Attempt, outcome: Outcome, latency_ms: float, report: tuple[float, ...] | None
+    ) -> Effect:
+        return Tell(
+            AttemptEnded(call.id, attempt.number, outcome, latency_ms, call.state.final, report, call.spent)
+        )
+
+    @staticmethod
+    def _latency_ms(now_ms: float, call: Call, attempt: Attempt) -> float:
+        """From its sending, or the last byte of an upload."""
+        uploaded = call.uploaded and attempt.written_ms is not None
+        since_ms = attempt.written_ms if uploaded and attempt.written_ms is not None else attempt.sent_ms
+        return max(0.0, now_ms - since_ms)
+
+    def _forget_if_over(self, call: Call) -> list[Effect]:
+        if call.state.final and not call.out and self.calls.pop(call.id, None) is not None:
+            return [Forget(call.id)]
+        return []
+
+    def _call_back(self, now_ms: float, unwanted: Callable[[Attempt], bool]) -> list[Effect]:
+        """Danger: a send to an endpoint that drains, still connecting now, could go out after the grace."""
+        effects: list[Effect] = []
+        for call in list(self.calls.values()):
+            for attempt in list(call.out.values()):
+                if attempt.state.unsent and unwanted(attempt):
+                    effects += self._abandon(now_ms, call, attempt, Outcome.NOT_SENT)
+            effects += self._forget_if_over(call)
+        return effects
+
+    @property
+    def targets(self) -> Mapping[str, Target]:
+        """Where requests may go now, by endpoint."""
+        return self._targets
--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -14,6 +14,7 @@
 from bisect import bisect, insort
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import accumulate
 from math import ceil
 from random import Random
@@ -592,7 +593,7 @@
         self.requests: dict[int, Request] = {}
         self.held: list[tuple[float, int, Request]] = []  # the most valuable first, the newest of equals
         self.held_count = 0
-        self.timers: dict[int, Callable[[], None]] = {}
+        self.timers: dict[int, Callable[[], None]] = {}  # no lambdas: a balancer can be pickled
         self.last_token = 0
         self.window_count = 0  # servers in the window last looked at
         self.window_warm = 0  # the warm ones of these
@@ -676,6 +677,9 @@
     def _subscribe(self) -> None:
         self.actions.append(Subscribe())
 
+    def _look(self) -> None:
+        """Held requests are looked at after every round of events."""
+
     # Operators, and another balancer beside this one
 
     def _on_cordon(self, event: Cordon) -> None:
@@ -841,7 +845,7 @@
             wait_ms = min(wait_ms, request.in_aim_until_ms - self.now_ms)
         self.held_count += 1
         insort(self.held, (-request.value, -self.held_count, request))
-        request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up))
+        request.timer = self._set_timer(wait_ms, partial(self._wake, request, self._give_up))
         if self._over_full() > 0:
             self._let_go()
 
@@ -863,7 +867,7 @@
         roomy = self._roomy() if self.held else []
         if self.held and self.now_ms < self.flow.closed_until_ms != self.flow_timer_ms:
             self.flow_timer_ms = self.flow.closed_until_ms
-            self._set_timer(self.flow_timer_ms - self.now_ms, lambda: None)
+            self._set_timer(self.flow_timer_ms - self.now_ms, self._look)
         if not roomy:
             return
         still: list[tuple[float, int, Request]] = []
@@ -1072,7 +1076,7 @@
         if sleep <= 0 or not self.budget.spend():
             return False
         request.prev_wait_ms = wait
-        request.timer = self._set_timer(sleep, lambda: self._wake(request, self._dispatch))
+        request.timer = self._set_timer(sleep, partial(self._wake, request, self._dispatch))
         return True
 
     def _wake(self, request: Request, then: Callable[[Request], None]) -> None:
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -1,6 +1,7 @@
-"""The loop round `Balancer.handle`: what happened goes in as events, its actions are carried out.
+"""The lifecycle's driver: carries its effects out on sockets and timers, and tells it what happens there.
 
-It decides nothing and knows no bytes: calls come from the frontend, attempts go to the upstream.
+It decides nothing and knows no bytes: calls come from the frontend, attempts go to the upstream, and what
+follows from what is said in `cloverrouter.core` and by the decision module.
 """
 
 from __future__ import annotations
@@ -8,44 +9,55 @@
 import asyncio
 import logging
 import time
-from collections import deque
-from collections.abc import Callable
-
+from collections.abc import Callable, Hashable
+from typing import cast
+
+from cloverrouter.core.engine import Engine
+from cloverrouter.core.lifecycle import Lifecycle
+from cloverrouter.core.states import (
+    Abandon,
+    AnswerBegun,
+    AnswerHeld,
+    AskDiscovery,
+    Begin,
+    BodyTaken,
+    Effect,
+    Ended,
+    Forget,
+    GiveFailure,
+    GiveRefusal,
+    Happening,
+    Listed,
+    Note,
+    PassOn,
+    Serve,
+    SetDue,
+    Start,
+    TimeUp,
+    Written,
+)
 from cloverrouter.decide import Balancer
 from cloverrouter.interface import (
-    Action,
-    AttemptEnded,
-    Cancel,
     Census,
     Cordon,
     Cordoned,
     EndpointsListed,
     EndpointState,
-    Event,
-    Fail,
     ListKind,
-    Log,
     Memory,
     Outcome,
     PartTaken,
-    Probe,
-    ProbeEnded,
-    Refuse,
     RequestArrived,
     RequestCompleted,
     RequestGone,
-    Send,
-    SetTimeout,
     SetTimer,
     Settings,
-    StreamStarted,
-    Subscribe,
     TimerFired,
 )
 from cloverrouter.proxy.config import Address, HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.streams import Sink, Source, StreamHead
-from cloverrouter.proxy.upstream import Exchange, Host, Upstream
+from cloverrouter.proxy.upstream import Exchange, Upstream
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
 # this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
@@ -89,33 +101,46 @@
         self._again()
 
 
-class Try:
-    """An attempt that is out."""
+class Out:
+    """An attempt that is out: where it is on the wire, its timer, and what the wire tells of it."""
 
-    __slots__ = ("exchange", "host", "number", "request", "sent_ms", "streamed", "timer")
+    __slots__ = ("attempt", "call_id", "exchange", "head", "node", "sink", "source", "timer")
 
-    def __init__(self, request: Request, number: int, host: Host, sent_ms: float) -> None:
-        self.request = request
-        self.number = number
-        self.host = host
-        self.sent_ms = sent_ms
+    def __init__(self, node: Node, call_id: int, attempt: int) -> None:
+        self.node = node
+        self.call_id = call_id
+        self.attempt = attempt
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.streamed = False  # its answer is passed on while it comes
+        self.head: StreamHead | None = None
+        self.source: Source | None = None
+        self.sink: Sink | None = None
+
+    def watch(self, timer: asyncio.TimerHandle | None) -> None:
+        """Its time is up when `timer` fires; None: it is not watched any more."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = timer
+        if self.exchange is not None and timer is not None:
+            self.exchange.due_s = timer.when()
 
+    def time_up(self) -> None:
+        self.node.take(TimeUp(self.call_id, self.attempt))
 
-class Request:
-    """A call until its answer is given and its attempts have ended."""
+    def written(self) -> None:
+        self.node.take(Written(self.call_id, self.attempt))
 
-    __slots__ = ("answered", "call", "deadline_ms", "id", "out", "tries")
+    def held(self) -> None:
+        self.node.take(AnswerHeld(self.call_id, self.attempt))
 
-    def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
-        self.id = request_id
-        self.call = call
-        self.deadline_ms = deadline_ms
-        self.tries = 0
-        self.out: dict[int, Try] = {}
-        self.answered = False  # or nothing is owed any more
+    def begun(self, head: StreamHead, source: Source) -> Sink | None:
+        """Where the answer goes; None if nobody wants it."""
+        self.head, self.source = head, source
+        self.node.take(AnswerBegun(self.call_id, self.attempt))
+        return self.sink
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        self.node.ended(self, outcome, answer)
 
 
 class Node:
@@ -134,72 +159,71 @@
         self._upstream = upstream
         self._subscribe = subscribe
         self._crash = crash
+        self._longest_ms = max((cls.deadline_ms for cls in settings.classes), default=60_000.0)
+        self._lifecycle = Lifecycle(self._longest_ms)
+        self._engine = Engine(
+            self._lifecycle,
+            lambda now_ms, events: self._balancer.handle(now_ms, events),
+            self.now_ms,
+            self._carry_out,
+        )
         self._addresses: dict[str, Address] = {}
         self._entries: dict[str, HostEntry] = {}  # as discovery has told of them
-        self._requests: dict[int, Request] = {}
-        self._by_call: dict[Call, Request] = {}
-        self._ids: set[bytes] = set()  # the clients' own, of the same requests
+        self._calls: dict[int, Call] = {}
+        self._numbers: dict[Call, int] = {}
+        self._ids: set[bytes] = set()  # the clients' own, of the same calls
+        self._out: dict[tuple[int, int], Out] = {}
         self._last_id = 0
-        self._events: deque[Event] = deque()
-        self._handling = False
         self._now_ms = 0.0
         self._lag = LagMeter()
         self._cordoned: Cordoned | None = None  # the latest answer to an operator
 
-    # The module's clock, events and actions
-
     def now_ms(self) -> float:
         self._now_ms = max(self._now_ms, time.monotonic() * 1000)
         return self._now_ms
 
-    def tell(self, event: Event) -> None:
-        """Hand an event to the module and carry out what it says; what that raises comes after it."""
-        self._events.append(event)
-        if self._handling:
-            return
-        self._handling = True
+    def take(self, happening: Happening) -> None:
+        """Something has happened: all that follows from it is done before this returns."""
         try:
-            while self._events:
-                events = list(self._events)
-                self._events.clear()
-                for action in self._balancer.handle(self.now_ms(), events):
-                    self._carry_out(action)
+            self._engine.take(happening)
         except Exception as error:
             # A module that has lost its way would go on with wrong decisions for every request.
             self._crash(error)
-        finally:
-            self._handling = False
 
-    def _carry_out(self, action: Action) -> None:
-        match action:
-            case Send():
-                self._send(action)
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Start():
+                self._start(effect)
+            case Serve(call_id, answer):
+                self._calls[call_id].served(cast(Answer, answer))
+            case Forget(call_id):
+                call = self._calls.pop(call_id)
+                del self._numbers[call]
+                self._ids.discard(call.request_id)
             case SetTimer():
-                self._set_timer(action)
-            case SetTimeout():
-                request = self._requests.get(action.request_id)
-                if request is not None and action.attempt in request.out:
-                    self._time(request.out[action.attempt], action.timeout_ms)
-            case Refuse():
-                request = self._take_unanswered(action.request_id)
-                if request is not None:
-                    request.call.refused(action.retry_after_ms)
-            case Fail():
-                request = self._take_unanswered(action.request_id)
-                if request is not None:
-                    request.call.failed()
-            case Cancel():
-                request = self._requests.get(action.request_id)
-                if request is not None and action.attempt in request.out:
-                    self._give_up(request.out[action.attempt], Outcome.CANCELLED)
-            case Probe():  # the module asks for none
-                self.tell(ProbeEnded(action.endpoint, Outcome.NOT_SENT, 0.0))
-            case Subscribe():
+                self._set_timer(effect)
+            case Abandon(call_id, number):
+                self._abandon(self._out.pop((call_id, number)))
+            case GiveRefusal(call_id, retry_after_ms):
+                self._calls[call_id].refused(retry_after_ms)
+            case GiveFailure(call_id):
+                self._calls[call_id].failed()
+            case Begin(call_id, number):
+                out = self._out[call_id, number]
+                out.watch(None)
+                assert out.head is not None and out.source is not None
+                out.sink = self._calls[call_id].begun(out.head, out.source)
+            case SetDue(call_id, number, timeout_ms):
+                out = self._out[call_id, number]
+                out.watch(self._loop.call_later(timeout_ms / 1000, out.time_up))
+            case PassOn(call_id, number):
+                self._pass_on(self._out[call_id, number])
+            case AskDiscovery():
                 self._subscribe()
-            case Log():
-                log.info("%s", action.text)
+            case Note(text):
+                log.info("%s", text)
             case Cordoned():
-                self._cordoned = action
+                self._cordoned = effect
 
     def _set_timer(self, action: SetTimer) -> None:
         due_ms = self._now_ms + action.delay_ms
@@ -207,7 +231,7 @@
         def fire() -> None:
             # The loop's clock is coarser than ours: a timer is never seen to come early.
             self._now_ms = max(self._now_ms, due_ms)
-            self.tell(TimerFired(action.token))
+            self.take(TimerFired(action.token))
 
         self._loop.call_later(max(0.0, action.delay_ms) / 1000, fire)
 
@@ -218,12 +242,12 @@
 
     @property
     def busy(self) -> bool:
-        return bool(self._by_call)
+        return self._lifecycle.owed > 0
 
     @property
     def owed(self) -> int:
         """Calls whose final answer has not been given."""
-        return len(self._by_call)
+        return self._lifecycle.owed
 
     def is_open(self, request_id: bytes) -> bool:
         """Is an answer owed under this id, or an attempt still out?"""
@@ -231,16 +255,17 @@
 
     def arrived(self, call: Call) -> None:
         self._last_id += 1
-        uploading = call.upload is not None and not call.upload.ended
-        deadline_ms = None if uploading else self._deadline_ms(call)
-        request = Request(self._last_id, call, deadline_ms)
-        self._requests[request.id] = self._by_call[call] = request
+        call_id, upload = self._last_id, call.upload
+        uploading = upload is not None and not upload.ended
+        self._calls[call_id], self._numbers[call] = call, call_id
         self._ids.add(call.request_id)
-        self.tell(
+        if upload is not None:
+            upload.on_spent = lambda: self.take(BodyTaken(call_id))
+        self.take(
             RequestArrived(
-                request_id=request.id,
+                request_id=call_id,
                 class_name=call.class_name,
-                deadline_ms=deadline_ms,
+                deadline_ms=None if uploading else self._deadline_ms(call),
                 tenant=call.tenant,
                 key=call.key,
                 work_hint_ms=call.cost_ms,
@@ -251,10 +276,9 @@
 
     def completed(self, call: Call) -> None:
         """The last byte of a call that arrived before it has come."""
-        request = self._by_call.get(call)
-        if request is not None:
-            request.deadline_ms = self._deadline_ms(call)
-            self.tell(RequestCompleted(request.id, request.deadline_ms))
+        call_id = self._numbers.get(call)
+        if call_id is not None:
+            self.take(RequestCompleted(call_id, self._deadline_ms(call)))
 
     def _deadline_ms(self, call: Call) -> float | None:
         if call.timeout_ms is None:
@@ -265,132 +289,45 @@
 
     def gone(self, call: Call) -> None:
         """The client has left: nobody wants what its attempts would bring."""
-        request = self._by_call.get(call)
-        if request is None:
-            return
-        self._take_unanswered(request.id)
-        self.tell(RequestGone(request.id))
-        for attempt in list(request.out.values()):
-            self._give_up(attempt, Outcome.CANCELLED)
-        self._drop_if_over(request)
-
-    def _take_unanswered(self, request_id: int) -> Request | None:
-        """The request, if its final answer is still owed; from here on it is not.
-
-        What is still on its way to a host must not go out after the answer.
-        """
-        request = self._requests.get(request_id)
-        if request is None or request.answered:
-            return None
-        request.answered = True
-        del self._by_call[request.call]
-        for attempt in list(request.out.values()):
-            if attempt.exchange is not None and not attempt.exchange.written:
-                self._give_up(attempt, Outcome.NOT_SENT)
-        self._drop_if_over(request)
-        return request
-
-    def _drop_if_over(self, request: Request) -> None:
-        if request.answered and not request.out and self._requests.pop(request.id, None) is not None:
-            self._ids.discard(request.call.request_id)
+        call_id = self._numbers.get(call)
+        if call_id is not None:
+            self.take(RequestGone(call_id))
 
     # Attempts
 
-    def _send(self, action: Send) -> None:
-        request = self._requests.get(action.request_id)
-        address = self._addresses.get(action.endpoint)
-        if request is None:
-            self.tell(AttemptEnded(action.request_id, 0, Outcome.NOT_SENT, 0.0, answered=True))
-            return
-        number, request.tries = request.tries, request.tries + 1
-        uploading = request.call.upload is not None and not request.call.upload.ended
-        timeout_ms = action.timeout_ms or float("inf")
-        if request.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, request.deadline_ms - self._now_ms)
-        if request.answered or address is None or timeout_ms <= 0:
-            self.tell(AttemptEnded(request.id, number, Outcome.NOT_SENT, 0.0, request.answered))
-            return
-        timeout_ms = min(timeout_ms, self._longest_ms())
-        host = action.endpoint, address
-        attempt = request.out[number] = Try(request, number, host, self._now_ms)
-        if uploading:  # its time begins with its last byte
-            timeout_ms = request.call.timeout_ms or timeout_ms
+    def _start(self, start: Start) -> None:
+        call, key = self._calls[start.call], (start.call, start.attempt)
+        out = self._out[key] = Out(self, start.call, start.attempt)
+        timeout_ms = start.timeout_ms
+        if timeout_ms is None:  # its time begins with its last byte
+            timeout_ms = call.timeout_ms or self._longest_ms
         else:
-            self._time(attempt, timeout_ms)
-        attempt.exchange = self._upstream.send(
-            host,
-            request.call,
-            timeout_ms,
-            lambda outcome, answer: self._ended(attempt, outcome, answer),
-            lambda head, source: self._begun(attempt, head, source),
-        )
-        if attempt.timer is not None:
-            attempt.exchange.due_s = attempt.timer.when()
-
-    def _time(self, attempt: Try, timeout_ms: float) -> None:
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        if not attempt.streamed:
-            attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
-            if attempt.exchange is not None:
-                attempt.exchange.due_s = attempt.timer.when()
-
-    def _begun(self, attempt: Try, head: StreamHead, source: Source) -> Sink | None:
-        """The answer has begun; None if nobody wants it. From here on the attempt is the client's."""
-        request = attempt.request
-        if request.answered or attempt.number not in request.out:
-            return None
-        attempt.streamed = True
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        for other in list(request.out.values()):
-            if other is not attempt:
-                self._give_up(other, Outcome.CANCELLED)
-        sink = request.call.begun(head, source)
-        self.tell(StreamStarted(request.id, attempt.number, self._latency_ms(attempt)))
-        return sink
-
-    def _latency_ms(self, attempt: Try) -> float:
-        """From its sending, or the last byte of an upload."""
-        exchange, now_ms = attempt.exchange, self.now_ms()
-        if attempt.request.call.upload is not None and exchange is not None and exchange.written:
-            return max(0.0, now_ms - exchange.written_s * 1000)
-        return now_ms - attempt.sent_ms
-
-    def _longest_ms(self) -> float:
-        return max((cls.deadline_ms for cls in self._settings.classes), default=60_000.0)
-
-    def _timed_out(self, attempt: Try) -> None:
-        if attempt.exchange is not None and attempt.exchange.pass_on():
-            return  # first bytes in time have made it the client's
-        self._give_up(attempt, Outcome.TIMEOUT)
-
-    def _give_up(self, attempt: Try, outcome: Outcome) -> None:
-        """Stop an attempt from this side. One whose last byte has not been written has never run."""
-        exchange = attempt.exchange
-        if exchange is not None:
-            if not exchange.written:
-                outcome = Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
+            out.watch(self._loop.call_later(timeout_ms / 1000, out.time_up))
+        host = start.endpoint, cast(Address, start.target)
+        exchange = self._upstream.send(host, call, timeout_ms, out.ended, out.begun, out.written, out.held)
+        out.exchange = exchange
+        if out.timer is not None:
+            exchange.due_s = out.timer.when()
+        if self._out.get(key) is not out:  # ended or called off before there was an exchange to give up
             exchange.abandon()
-        self._ended(attempt, outcome, None)
 
-    def _ended(self, attempt: Try, outcome: Outcome, answer: Answer | None) -> None:
-        request = attempt.request
-        if request.out.pop(attempt.number, None) is None:
+    def _abandon(self, out: Out) -> None:
+        out.watch(None)
+        if out.exchange is not None:
+            out.exchange.abandon()
+
+    def _pass_on(self, out: Out) -> None:
+        if out.exchange is None or not out.exchange.pass_on():
+            self._abandon(out)  # there is nothing of it that could be passed on
+            self.ended(out, Outcome.TIMEOUT, None)
+
+    def ended(self, out: Out, outcome: Outcome, answer: Answer | None) -> None:
+        """An attempt has ended by itself."""
+        if self._out.pop((out.call_id, out.attempt), None) is None:
             return
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        latency_ms = self._latency_ms(attempt)
-        if attempt.streamed:
-            self._take_unanswered(request.id)  # what there is of the answer has been passed on
-        elif answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
-            request.call.served(answer)
-        self._drop_if_over(request)
+        out.watch(None)
         report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
-        spent = request.call.upload is not None and request.call.upload.spent
-        self.tell(
-            AttemptEnded(request.id, attempt.number, outcome, latency_ms, request.answered, report, spent)
-        )
+        self.take(Ended(out.call_id, out.attempt, outcome, answer, report))
 
     # Discovery
 
@@ -408,28 +345,20 @@
             else:
                 self._addresses.pop(name, None)
         self._upstream.keep_only(set(self._addresses.items()))
-        self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
-        self._call_back(lambda host: self._addresses.get(host[0]) != host[1])
-
-    def _call_back(self, unwanted: Callable[[Host], bool]) -> None:
-        """Danger: a send to a host that drains, still connecting now, could go out after the grace."""
-        for request in list(self._requests.values()):
-            for attempt in list(request.out.values()):
-                unsent = attempt.exchange is not None and not attempt.exchange.written
-                if unsent and unwanted(attempt.host):
-                    self._give_up(attempt, Outcome.NOT_SENT)
+        event = EndpointsListed(kind, tuple(entry.listed for entry in found.entries))
+        targets: dict[str, Hashable] = {**self._addresses}
+        self.take(Listed(event, targets))
 
     # Operators, and a process beside this one
 
     def cordon(self, endpoint: str, on: bool) -> bool:
         """The module's yes or no."""
         self._cordoned = None
-        self.tell(Cordon(endpoint, on))
+        self.take(Cordon(endpoint, on))
         answer: Cordoned | None = self._cordoned
         if answer is None or not answer.known:
             return False
         if on:
-            self._call_back(lambda host: host[0] == endpoint)
             self._upstream.drop_idle(endpoint)
         return True
 
@@ -440,11 +369,11 @@
         return self._balancer.memory()
 
     def take_part(self, part: float, others_open: int = 0) -> None:
-        self.tell(PartTaken(part, others_open))
+        self.take(PartTaken(part, others_open))
 
     def known(self, version: int | None) -> HostList | None:
         """The list as it stands, for a process that comes after; None before there is one."""
         return HostList(version or 0, True, tuple(self._entries.values())) if self._entries else None
 
     def discovery_failed(self) -> None:
-        self.tell(EndpointsListed(ListKind.FAILED))
+        self.take(Listed(EndpointsListed(ListKind.FAILED), self._lifecycle.targets))
--- a/cloverrouter/proxy/streams.py
+++ b/cloverrouter/proxy/streams.py
@@ -42,6 +42,7 @@
         self.ended = False
         self.spent = False  # a piece has been passed on: it can't be sent to another host any more
         self.on_more: Callable[[], None] | None = None  # the attempt that takes from it
+        self.on_spent: Callable[[], None] | None = None  # told once, before the first piece goes out
         self._budget = budget
         self._resume = resume
         self._pieces: deque[bytes] = deque()
@@ -70,7 +71,10 @@
         if not self._pieces:
             return None
         data = self._pieces.popleft()
-        self.spent = True
+        if not self.spent:
+            self.spent = True
+            if self.on_spent is not None:
+                self.on_spent()
         self._hold(-len(data))
         if not self.ended and not self.full:
             self._resume()
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -81,6 +81,7 @@
         "message",
         "on_begin",
         "on_end",
+        "on_held",
         "on_written",
         "opening",
         "upload",
@@ -95,6 +96,7 @@
         on_end: OnEnd,
         on_begin: OnBegin,
         on_written: Callable[[], None],
+        on_held: Callable[[], None],
     ) -> None:
         self.message = message
         self.upload = upload
@@ -102,6 +104,7 @@
         self.written_s = 0.0
         self.due_s = float("inf")  # on the loop's clock: when whoever started it stops waiting
         self.on_written = on_written
+        self.on_held = on_held  # an answer has begun, of which it is not known yet whether it is short
         self.on_end: OnEnd | None = on_end
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
@@ -372,7 +375,9 @@
                 self._stream()
             elif self._length is None:
                 loop, exchange = self._pool.upstream.loop, self._exchange
-                due_s = exchange.due_s if exchange is not None else float("inf")
+                assert exchange is not None
+                exchange.on_held()
+                due_s = exchange.due_s
                 at_s = min(loop.time() + UNHURRIED_S, due_s - FIRST_BYTES_S)
                 self._unhurried = loop.call_at(at_s, self._stream)
 
@@ -517,11 +522,19 @@
         timeout_ms: float,
         on_end: OnEnd,
         on_begin: OnBegin = lambda head, source: None,
+        on_written: Callable[[], None] = lambda: None,
+        on_held: Callable[[], None] = lambda: None,
     ) -> Exchange:
-        """Start an attempt. `on_end` is called once, later or before this returns, and before it
+        """Start an attempt. `on_end` is called once, later or before this returns. Before it may come, in
+        this order: `on_written`, with the last byte; `on_held`, when an answer of unknown length begins;
         `on_begin`, for an answer that is passed on while it comes."""
         message = encode(call, timeout_ms)
-        exchange = Exchange(message, call.upload, on_end, on_begin, self._on_written)
+
+        def wrote() -> None:
+            self._on_written()
+            on_written()
+
+        exchange = Exchange(message, call.upload, on_end, on_begin, wrote, on_held)
         pool = self._pools.get(host)
         if pool is None:
             pool = self._pools[host] = Pool(self, host)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -294,13 +294,13 @@
                 if i % 5 == 0:
                     node.gone(call)
                 await asyncio.sleep(0.002)
-            await until(lambda: not node.busy and not node._requests)
+            await until(lambda: not node.busy and not node._calls)
             # One answer each, but for those that left before there was one.
             assert all(
                 len(call.given) == 1 or (i % 5 == 0 and not call.given) for i, call in enumerate(calls)
             )
             module = node._balancer
-            assert not module.requests and not node._ids and not node._by_call
+            assert not module.requests and not node._ids and not node._numbers and not node._out
             assert [e.in_flight for e in module.membership.endpoints.values()] == [0, 0]
             assert module.flow.out == 0
             await asyncio.sleep(0.3)  # timers of the last requests
