Explorer: every ordering of events, played against the real lifecycle and decisions

Need: faults of orderings (a drain, a time-out and a late answer at once) are reached by no example test. Change: cloverrouter/explore plays a small world round the real engine, lifecycle and balancer: breadth first with a digest of each state (server symmetry, relative times), both outcomes of each draw, then seeded walks; counterexamples are cut down, told as a timeline, saved and replayed. Twenty seeded faults are classes that override what they spoil.

--- /dev/null
+++ b/cloverrouter/explore/canon.py
@@ -0,0 +1,102 @@
+"""When two worlds are the same: a digest of all that can make a difference to what comes after.
+
+Times count from now, figures are rounded to three digits, servers of one bay stand in an order of their own
+state instead of their names (symmetry), and what only serves the record is left out. Rounding can make two
+worlds one that are not quite the same: the search may then miss something, and never reports what is not.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+
+import xxhash
+
+from cloverrouter.explore.world import World
+
+
+def _round(value: float) -> float:
+    return float(f"{value:.3g}")
+
+
+def _ago(world: World, at_ms: float) -> float:
+    """How long ago, or in how long; what is long past makes no difference."""
+    return round(max(-10_000.0, at_ms - world.now_ms), 1)
+
+
+def _call_of(timer: Any) -> Any:
+    """What a timer of the module will do, and for which request."""
+    if isinstance(timer, partial):
+        return tuple(getattr(part, "id", None) or getattr(part, "__name__", "") for part in timer.args)
+    return getattr(timer, "__name__", "")
+
+
+def _server(world: World, name: str) -> tuple[Any, ...]:
+    told, known = world.servers[name], world.balancer.membership.endpoints.get(name)
+    wires = tuple(
+        (key, wire.phase.value, _ago(world, wire.started_ms))
+        for key, wire in sorted(world.wires.items())
+        if wire.endpoint == name
+    )
+    runs = tuple(
+        (call, run.attempt, _ago(world, run.at_ms), run.never_ran)
+        for call, client in world.clients.items()
+        for run in client.runs
+        if run.endpoint == name
+    )
+    tried = tuple(
+        (request.id, number, a.outcome and a.outcome.value, _ago(world, a.sent_ms), a.working)
+        for request in world.balancer.requests.values()
+        for number, a in enumerate(request.attempts)
+        if a.endpoint.listed.name == name
+    )
+    module: tuple[Any, ...] = ()
+    if known is not None:
+        e = known
+        module = (
+            _round(e.earned), _round(e.slowness), _round(e.strain), e.in_flight, _round(e.limit),
+            _round(e.latency_ms), e.failures, max(0.0, _ago(world, e.paused_until_ms)),
+            _ago(world, e.waiting_since_ms) if e.in_flight else 0, e.judged_ms is None, e.cordoned, e.owed,
+            _round(e.cold_credit), e.listed.state.value, e.back_ms is None,
+        )  # fmt: skip
+    grace = _ago(world, told.told_ms) if told.banned else 0
+    return (told.cell, told.state.value, told.cordoned, grace, module, wires, runs, tried)
+
+
+def digest(world: World) -> int:
+    """128 bits that stand for this state."""
+    balancer, lifecycle = world.balancer, world.lifecycle
+    servers = tuple(sorted((_server(world, name) for name in world.servers), key=repr))
+    clients = tuple(
+        (
+            client.class_name, client.deadline_ms and _ago(world, client.deadline_ms), client.body_left,
+            client.body_kept_by, client.left, client.streaming, tuple(client.given), client.starts,
+        )
+        for client in world.clients.values()
+    )  # fmt: skip
+    timers = tuple((_ago(world, t.due_ms), t.key if t.token is None else
+                    _call_of(balancer.timers[t.token])) for t in world.live())  # fmt: skip
+    requests = tuple(
+        (
+            r.id, _ago(world, r.arrived_ms), _ago(world, r.deadline_ms), r.out, _round(r.prev_wait_ms),
+            r.timer is not None, r.done, r.streaming, r.uploading, len(r.attempts),
+            _ago(world, r.in_aim_until_ms), _round(r.work),
+        )
+        for r in balancer.requests.values()
+    )  # fmt: skip
+    calls = tuple(
+        (c.id, c.state.value, c.spent, c.tries, tuple((n, a.state.value) for n, a in c.out.items()))
+        for c in lifecycle.calls.values()
+    )
+    usual = tuple(
+        (u.seen, _round(u.mean_ms), _round(u.base_ms), _round(u.slow_ratio))
+        for u in balancer.latencies.values()
+    )
+    held = tuple(entry[2].id for entry in balancer.held if not entry[2].done)
+    rest = (
+        balancer.budget.tokens, balancer.part, _round(balancer.flow.limit), balancer.flow.out,
+        len(balancer.membership.ready), world.oks, world.retries, tuple(world.over[-1:]),
+        tuple(sorted((kind, n) for kind, n in world.used.items() if kind in world.scope.most)),
+    )  # fmt: skip
+    whole = (servers, clients, timers, requests, calls, usual, held, rest)
+    return xxhash.xxh3_128_intdigest(repr(whole).encode())
--- /dev/null
+++ b/cloverrouter/explore/faults.py
@@ -0,0 +1,330 @@
+"""Seeded faults: the shipped code with one mistake in it, which the search must find.
+
+Each is a class that overrides what it spoils, and lives here only: the shipped modules have no switch.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from cloverrouter.core.lifecycle import Attempt, Call, Lifecycle
+from cloverrouter.core.states import (
+    Abandon,
+    AttemptState,
+    BodyTaken,
+    CallState,
+    Effect,
+    Ended,
+    Forget,
+    GiveFailure,
+    Happening,
+    PassOn,
+    Serve,
+    Tell,
+    TimeUp,
+)
+from cloverrouter.decide import Attempt as Sent
+from cloverrouter.decide import Endpoint, Request
+from cloverrouter.explore.world import HedgingBalancer, World
+from cloverrouter.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    Outcome,
+    RequestGone,
+)
+
+# In the decision module
+
+
+class RepeatsDialOut(HedgingBalancer):
+    """Takes a reset connection for one on which nothing has run, and tries again."""
+
+    def _may_send(self, request: Request, endpoint: Endpoint) -> bool:
+        reset = [a for a in request.attempts if a.outcome is Outcome.RESET]
+        for attempt in reset:
+            attempt.outcome = Outcome.CONNECT_FAILED
+        try:
+            return super()._may_send(request, endpoint)
+        finally:
+            for attempt in reset:
+                attempt.outcome = Outcome.RESET
+
+    def _retry(self, request: Request) -> None:
+        if not self._sleep(request):
+            self._give_up(request)
+
+
+class HeldIgnoreDrains(HedgingBalancer):
+    """While requests are held, servers that are told to drain stay in use."""
+
+    def _on_list(self, event: EndpointsListed) -> None:
+        if self.held:
+            entries = tuple(
+                replace(e, state=EndpointState.READY) if e.state is EndpointState.DRAINING else e
+                for e in event.endpoints
+            )
+            event = replace(event, endpoints=entries)
+        super()._on_list(event)
+
+
+class ForgetsCordons(HedgingBalancer):
+    """A new list lifts what operators have banned."""
+
+    def _on_list(self, event: EndpointsListed) -> None:
+        self.membership.cordons.clear()
+        for endpoint in self.membership.endpoints.values():
+            endpoint.cordoned = False
+        super()._on_list(event)
+
+
+class LeavesItsBay(HedgingBalancer):
+    """Repeats a keyed request wherever there is room."""
+
+    def _may_send(self, request: Request, endpoint: Endpoint) -> bool:
+        attempts = request.attempts
+        request.attempts = [] if request.repeatable() and len(attempts) < 3 and not request.out else attempts
+        try:
+            return super()._may_send(request, endpoint)
+        finally:
+            request.attempts = attempts
+
+
+class NeverStops(HedgingBalancer):
+    """Counts attempts only up to the limit, and goes on past it."""
+
+    def _may_send(self, request: Request, endpoint: Endpoint) -> bool:
+        attempts = request.attempts
+        request.attempts = attempts[:2]
+        try:
+            return super()._may_send(request, endpoint)
+        finally:
+            request.attempts = attempts
+
+    def _retry(self, request: Request) -> None:
+        if not (request.repeatable() and self._sleep(request)):
+            self._give_up(request)
+
+
+class LeaksInFlight(HedgingBalancer):
+    """Does not count down what it has called off itself."""
+
+    def _learn(
+        self, request: Request, attempt: Sent, outcome: Outcome, latency_ms: float, reported: float
+    ) -> None:
+        if outcome is not Outcome.CANCELLED:
+            super()._learn(request, attempt, outcome, latency_ms, reported)
+
+
+class RetriesForFree(HedgingBalancer):
+    """Does not pay for the second retry of a request."""
+
+    def _sleep(self, request: Request) -> bool:
+        tokens = self.budget.tokens
+        slept = super()._sleep(request)
+        if slept:
+            self.budget.tokens = tokens
+        return slept
+
+
+class HoldsTooLong(HedgingBalancer):
+    """Gives held requests their answer some time after they could use it."""
+
+    def _useless_ms(self, request: Request) -> float:
+        return super()._useless_ms(request) + (200.0 if not request.attempts else 0.0)
+
+
+class HoldsForEver(HedgingBalancer):
+    """Sets no timer for a request that it holds."""
+
+    def _hold(self, request: Request) -> None:
+        super()._hold(request)
+        self.actions = [a for a in self.actions if getattr(a, "token", None) != request.timer]
+
+
+# In the lifecycle
+
+
+class AnswersLeft(Lifecycle):
+    """A success that crosses the client's leaving is given all the same."""
+
+    def _ended(self, now_ms: float, event: Ended) -> list[Effect]:
+        call = self.calls.get(event.call)
+        effects = super()._ended(now_ms, event)
+        late = call is not None and call.state is CallState.LEFT and event.outcome is Outcome.OK
+        return [Serve(event.call, event.answer), *effects] if late else effects
+
+    def _left(self, now_ms: float, call_id: int) -> list[Effect]:
+        call = self.calls.get(call_id)
+        if call is None or call.state.final:
+            return []
+        effects = [*self._settle(now_ms, call, CallState.LEFT), Tell(RequestGone(call_id))]
+        return effects + self._forget_if_over(call)
+
+
+class AnswersCopies(Lifecycle):
+    """The answer of a second copy is given as well."""
+
+    def _ended(self, now_ms: float, event: Ended) -> list[Effect]:
+        call = self.calls.get(event.call)
+        was_final = call is not None and call.state is CallState.ANSWERED and event.attempt in call.out
+        effects = super()._ended(now_ms, event)
+        again = was_final and event.outcome is Outcome.OK and event.answer is not None
+        return [Serve(event.call, event.answer), *effects] if again else effects
+
+
+class StaleTimers(Lifecycle):
+    """The timer of an attempt that has ended still acts."""
+
+    def _time_up(self, now_ms: float, call_id: int, number: int) -> list[Effect]:
+        call = self.calls.get(call_id)
+        if call is not None and number not in call.out and not call.state.final:
+            effects = self._settle(now_ms, call, CallState.ANSWERED)
+            return [*effects, GiveFailure(call_id), *self._forget_if_over(call)]
+        return super()._time_up(now_ms, call_id, number)
+
+
+class CutsHeld(Lifecycle):
+    """An answer that is held for a moment is given up when its attempt's time ends in that moment."""
+
+    def _time_up(self, now_ms: float, call_id: int, number: int) -> list[Effect]:
+        attempt = self._find(call_id, number)
+        if attempt is not None and attempt.state is AttemptState.HELD:
+            attempt.state = AttemptState.WRITTEN
+        return super()._time_up(now_ms, call_id, number)
+
+
+class CallsNothingBack(Lifecycle):
+    """What is still connecting when its server drains goes out."""
+
+    def _call_back(self, now_ms: float, unwanted: Callable[[Attempt], bool]) -> list[Effect]:
+        return []
+
+
+class SendsAfterAnswers(Lifecycle):
+    """What is still connecting when its call is over goes out."""
+
+    def _settle(self, now_ms: float, call: Call, state: CallState) -> list[Effect]:
+        if not call.state.final:
+            call.state = state
+            self.owed -= 1
+        return []
+
+    def _left(self, now_ms: float, call_id: int) -> list[Effect]:
+        call = self.calls.get(call_id)
+        if call is None or call.state.final:
+            return []
+        return [*self._settle(now_ms, call, CallState.LEFT), Tell(RequestGone(call_id))]
+
+
+class ForgetsSpentBodies(Lifecycle):
+    """Does not tell that a part of the body is gone."""
+
+    def on(self, now_ms: float, happening: Happening) -> list[Effect]:
+        return [] if isinstance(happening, BodyTaken) else super().on(now_ms, happening)
+
+
+class TakesWrittenForUnsent(Lifecycle):
+    """Says of every attempt it abandons that it never ran."""
+
+    def _abandon(self, now_ms: float, call: Call, attempt: Attempt, outcome: Outcome) -> list[Effect]:
+        self._take_out(call, attempt)
+        ended = AttemptEnded(call.id, attempt.number, Outcome.CONNECT_FAILED, 0.0, call.state.final)
+        return [Abandon(call.id, attempt.number), Tell(ended)]
+
+
+class ForgetsEarly(Lifecycle):
+    """A call is forgotten with its answer, whatever is still out of it."""
+
+    def _forget_if_over(self, call: Call) -> list[Effect]:
+        if call.state.final and self.calls.pop(call.id, None) is not None:
+            return [Forget(call.id)]
+        return []
+
+
+class PassesOnAnything(Lifecycle):
+    """Passes answers on at the end of an attempt's time, whether or not any has begun."""
+
+    def on(self, now_ms: float, happening: Happening) -> list[Effect]:
+        if isinstance(happening, TimeUp):
+            attempt = self._find(happening.call, happening.attempt)
+            if attempt is not None and attempt.state is AttemptState.WRITTEN:
+                return [PassOn(happening.call, happening.attempt)]
+        return super().on(now_ms, happening)
+
+
+class BeginsTwice(Lifecycle):
+    """A second copy's answer begins although the first one's is being passed on."""
+
+    def _begun(self, now_ms: float, call_id: int, number: int) -> list[Effect]:
+        call = self.calls.get(call_id)
+        kept = dict(call.out) if call is not None else {}
+        effects = super()._begun(now_ms, call_id, number)
+        if call is not None and effects:
+            call.out.update({n: a for n, a in kept.items() if n != number})
+            for attempt in call.out.values():
+                if attempt.state is AttemptState.ENDED:
+                    attempt.state = AttemptState.WRITTEN
+            return [e for e in effects if not isinstance(e, Abandon) and not _cancelled(e)]
+        return effects
+
+
+def _cancelled(effect: Effect) -> bool:
+    return isinstance(effect, Tell) and isinstance(effect.event, AttemptEnded)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One mistake, and the properties under which it can show."""
+
+    shows: tuple[str, ...]
+    scope: str  # the smallest in which it shows
+    lifecycle: type[Lifecycle] = Lifecycle
+    balancer: type[HedgingBalancer] = HedgingBalancer
+
+    @property
+    def text(self) -> str:
+        kind = self.lifecycle if self.lifecycle is not Lifecycle else self.balancer
+        return (kind.__doc__ or "").strip()
+
+
+FAULTS: dict[str, Fault] = {
+    "repeats-dial-out": Fault(("repeat",), "dial-out", balancer=RepeatsDialOut),
+    "held-ignore-drains": Fault(("drain",), "queue", balancer=HeldIgnoreDrains),
+    "forgets-cordons": Fault(("drain",), "join", balancer=ForgetsCordons),
+    "leaves-its-bay": Fault(("repeat",), "bays", balancer=LeavesItsBay),
+    "never-stops": Fault(("attempts",), "join", balancer=NeverStops),
+    "leaks-in-flight": Fault(("rest",), "join", balancer=LeaksInFlight),
+    "retries-for-free": Fault(("tokens",), "join", balancer=RetriesForFree),
+    "holds-too-long": Fault(("late",), "queue", balancer=HoldsTooLong),
+    "holds-for-ever": Fault(("stuck", "late"), "queue", balancer=HoldsForEver),
+    "answers-left": Fault(("answer",), "join", lifecycle=AnswersLeft),
+    "answers-copies": Fault(("answer",), "join", lifecycle=AnswersCopies),
+    "stale-timers": Fault(("answer", "rest"), "join", lifecycle=StaleTimers),
+    "cuts-held": Fault(("cut",), "join", lifecycle=CutsHeld),
+    "calls-nothing-back": Fault(("drain",), "slow", lifecycle=CallsNothingBack),
+    "sends-after-answers": Fault(("answer",), "join", lifecycle=SendsAfterAnswers),
+    "forgets-spent-bodies": Fault(("body",), "uploads", lifecycle=ForgetsSpentBodies),
+    "takes-written-for-unsent": Fault(("refusal",), "dial-out", lifecycle=TakesWrittenForUnsent),
+    "forgets-early": Fault(("rest", "answer"), "join", lifecycle=ForgetsEarly),
+    "passes-on-anything": Fault(("held",), "join", lifecycle=PassesOnAnything),
+    "begins-twice": Fault(("answer", "rest", "cut"), "join", lifecycle=BeginsTwice),
+}
+
+
+_worlds: dict[str, type[World]] = {}
+
+
+def world_type(fault: str | None) -> type[World]:
+    """The world, with this fault in its code. Raises KeyError for a fault that is not known."""
+    if fault is None:
+        return World
+    if fault not in _worlds:
+        seeded = FAULTS[fault]
+        name = f"World_{fault.replace('-', '_')}"
+        kind = type(name, (World,), {"lifecycle_type": seeded.lifecycle, "balancer_type": seeded.balancer})
+        kind.__module__ = __name__
+        globals()[name] = kind  # where pickle looks for it
+        _worlds[fault] = kind
+    return _worlds[fault]
--- /dev/null
+++ b/cloverrouter/explore/scope.py
@@ -0,0 +1,83 @@
+"""How large a world is explored, and how often each kind of thing may happen in it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cloverrouter.interface import Idempotency, Limits, RepeatScope, RequestClass, Safety, Settings
+
+DEADLINE_MS = 400.0
+AIM_MS = 300.0
+WINDOW_MS = 250.0
+
+
+def settings(deadline_ms: float = DEADLINE_MS, aim_ms: float = AIM_MS) -> Settings:
+    join = RequestClass(
+        "join",
+        aim_ms,
+        deadline_ms,
+        worth=5.0,
+        late_worth=0.1,
+        idempotency=Idempotency.KEYED,
+        repeat_scope=RepeatScope.CELL,
+        repeat_window_ms=WINDOW_MS,
+    )
+    dial_out = RequestClass("dial-out", aim_ms, deadline_ms, worth=8.0, idempotency=Idempotency.UNSAFE)
+    return Settings(
+        classes=(join, dial_out),
+        proxies=1,
+        number=0,
+        limits=Limits(max_attempts=3, parallel_attempts=True, cancel=True),
+        safety=Safety(cold_share=0.5, cold_ms=0.0),
+    )
+
+
+SETTINGS = settings()
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that may come."""
+
+    class_name: str
+    uploading: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """What is explored, up to `depth` steps exhaustively and `walk` steps on random walks."""
+
+    name: str
+    cells: tuple[int, ...]  # of each server
+    arrivals: tuple[Arrival, ...]
+    depth: int
+    walk: int
+    outcomes: tuple[str, ...] = ("ok", "error", "rejected", "reset")
+    # How often each kind of event may happen in one history; what is not named here is not bounded.
+    most: dict[str, int] = field(default_factory=dict)
+    settings: Settings = SETTINGS
+    wait_ms: float = 60.0  # that pass in a `wait`
+
+
+JOIN, DIAL, UPLOAD = Arrival("join"), Arrival("dial-out"), Arrival("join", uploading=True)
+RARE = {"gone": 1, "drain": 1, "back": 1, "cordon": 1, "uncordon": 1, "hedge": 1, "late": 1, "stale": 1,
+        "leave": 1, "wait": 1, "part": 1, "whole": 1, "spoilt": 1}  # fmt: skip
+
+SCOPES = {
+    scope.name: scope
+    for scope in (
+        Scope("small", (0, 0), (JOIN, DIAL), depth=5, walk=30, most=RARE),
+        # One matter each, for what can be found in little.
+        Scope("join", (0, 0), (JOIN,), depth=6, walk=30, most=RARE),
+        Scope("dial-out", (0, 0), (DIAL,), depth=7, walk=30, most=RARE),
+        Scope("bays", (0, 1), (JOIN,), depth=6, walk=30, most=RARE),
+        Scope("uploads", (0, 0), (UPLOAD,), depth=6, walk=30, most=RARE),
+        Scope("queue", (0,), (DIAL, JOIN), depth=7, walk=30, most=RARE),
+        Scope("slow", (0, 0), (JOIN,), depth=6, walk=30, most=RARE,
+              settings=settings(1500.0, 1200.0), wait_ms=600.0),
+        Scope("medium", (0, 0), (JOIN, DIAL, UPLOAD), depth=6, walk=45, most=RARE),
+        Scope("deep", (0, 0, 1), (JOIN, DIAL, UPLOAD), depth=6, walk=80,
+              outcomes=("ok", "error", "rejected", "reset", "spoilt"),
+              most={kind: 2 * most for kind, most in RARE.items()}),
+    )
+}  # fmt: skip
--- /dev/null
+++ b/cloverrouter/explore/search.py
@@ -0,0 +1,191 @@
+"""The search: breadth first over all histories up to a depth, then seeded walks beyond it.
+
+Two histories that lead to the same state (`canon`) are one. A state is kept as the history that led to it
+and made again by playing it; from there each event, with each way for its draws to fall, is played on a
+copy. So memory is what the digests take, and a counterexample found breadth first has no shorter one.
+"""
+
+from __future__ import annotations
+
+import pickle
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from cloverrouter.explore import trace
+from cloverrouter.explore.canon import digest
+from cloverrouter.explore.choices import next_script
+from cloverrouter.explore.faults import world_type
+from cloverrouter.explore.scope import Scope
+from cloverrouter.explore.trace import Counterexample, Step
+from cloverrouter.explore.world import World
+
+Progress = Callable[["Report"], None]
+ROOT = -1
+EXHAUSTIVE = 0.6  # of the time
+
+
+@dataclass
+class Report:
+    """What has been explored, and what was found."""
+
+    scope: str
+    states: int = 0  # that differ
+    transitions: int = 0
+    depth: int = 0  # explored whole
+    left: int = 0  # states at the next depth that were not opened
+    walks: int = 0
+    walked: int = 0  # steps of these
+    seconds: float = 0.0
+    exhausted: bool = False  # all states up to the bound were opened
+    found: Counterexample | None = None
+
+    @property
+    def rate(self) -> float:
+        """States a second."""
+        return self.states / self.seconds if self.seconds else 0.0
+
+
+@dataclass(slots=True)
+class _Node:
+    parent: int
+    step: Step
+
+
+@dataclass
+class Search:
+    """One search. `run` does it all; it ends at the first breach, or when time is up.
+
+    `depth` is explored whole, None: the scope's. `walks` bounds the walks after that, None: by time alone.
+    With both bounds and time enough, two runs do the same and say the same.
+    """
+
+    scope: Scope
+    fault: str | None = None
+    seed: int = 1
+    seconds: float = 60.0
+    depth: int | None = None
+    walks: int | None = None
+    progress: Progress = lambda report: None
+    clock: Callable[[], float] = time.monotonic
+    _nodes: list[_Node] = field(default_factory=list)
+    _seen: set[int] = field(default_factory=set)
+
+    def run(self) -> Report:
+        """Three fifths of the time at most are for the exhaustive part, the rest for walks."""
+        report, begun = Report(self.scope.name), self.clock()
+        self._breadth(report, begun, begun + self.seconds * EXHAUSTIVE)
+        if report.found is None:
+            self._walks(report, begun, begun + self.seconds)
+        report.seconds = self.clock() - begun
+        if report.found is not None:
+            steps = trace.shrink(self.scope, self.fault, report.found.steps)
+            report.found = _by(report.found, steps)
+        return report
+
+    def _fresh(self) -> World:
+        return world_type(self.fault)(self.scope)
+
+    def _path(self, node: int) -> list[Step]:
+        steps: list[Step] = []
+        while node != ROOT:
+            steps.append(self._nodes[node].step)
+            node = self._nodes[node].parent
+        return steps[::-1]
+
+    def _copies(self, world: World) -> Callable[[], World]:
+        kept, scope = pickle.dumps(world, pickle.HIGHEST_PROTOCOL), self.scope
+
+        def copy() -> World:
+            again: World = pickle.loads(kept)
+            again.scope = scope
+            again._use_choices()
+            return again
+
+        return copy
+
+    def _breadth(self, report: Report, begun: float, until: float) -> None:
+        bound = self.depth if self.depth is not None else self.scope.depth
+        self._seen.add(digest(self._fresh()))
+        level = [ROOT]
+        report.states = 1
+        for depth in range(bound):
+            following: list[int] = []
+            for at, node in enumerate(level):
+                if self.clock() > until:
+                    report.left = len(level) - at + len(following)
+                    return
+                path = self._path(node)
+                if not self._open(report, node, path, following):
+                    return
+                if at % 200 == 0:
+                    report.seconds = self.clock() - begun
+                    self.progress(report)
+            report.depth = depth + 1
+            level = following
+        report.left = len(level)
+        report.exhausted = True
+
+    def _open(self, report: Report, node: int, path: list[Step], following: list[int]) -> bool:
+        """Play every event that can follow; False at a breach."""
+        world = self._fresh()
+        for one in path:
+            world.apply(one.event, one.draws)
+        names = world.enabled()
+        copy = self._copies(world)
+        for name in names:
+            script: tuple[int, ...] | None = ()
+            while script is not None:
+                world = copy()
+                drawn, wrong = trace.step(world, name, script)
+                report.transitions += 1
+                taken = Step(name, tuple(drawn))
+                if wrong:
+                    report.found = self._found(wrong[0], [*path, taken])
+                    return False
+                key = digest(world)
+                if key not in self._seen:
+                    self._seen.add(key)
+                    self._nodes.append(_Node(node, taken))
+                    following.append(len(self._nodes) - 1)
+                    report.states += 1
+                script = next_script(drawn)
+        return True
+
+    def _walks(self, report: Report, begun: float, until: float) -> None:
+        number = 0
+        while self.clock() < until and number != self.walks:
+            number += 1
+            # A walk can be played again from its own number, whatever came before it.
+            chance = Random(f"{self.seed}/{number}")
+            if not self._walk(report, chance):
+                return
+            report.walks = number
+            if number % 20 == 0:
+                report.seconds = self.clock() - begun
+                self.progress(report)
+
+    def _walk(self, report: Report, chance: Random) -> bool:
+        world, steps = self._fresh(), []
+        for _ in range(self.scope.walk):
+            names = world.enabled()
+            if not names:
+                break
+            name = chance.choice(names)
+            script = tuple(chance.randrange(2) for _ in range(8))
+            drawn, wrong = trace.step(world, name, script)
+            report.walked += 1
+            steps.append(Step(name, tuple(drawn)))
+            if wrong:
+                report.found = self._found(wrong[0], steps)
+                return False
+        return True
+
+    def _found(self, breach: str, steps: list[Step]) -> Counterexample:
+        return Counterexample(trace.FORM, self.scope.name, self.fault, breach, tuple(steps))
+
+
+def _by(found: Counterexample, steps: tuple[Step, ...]) -> Counterexample:
+    """The same breach, by a shorter way."""
+    return Counterexample(found.form, found.scope, found.fault, found.breach, steps)
