--- a/cloverrouter/core/lifecycle.py
+++ b/cloverrouter/core/lifecycle.py
@@ -7,7 +7,9 @@
    call is abandoned. First bytes in time make it begin, even if they are held for a moment.
 3. What is unsent when its call becomes final, or its endpoint may get nothing new, never goes out.
 4. An attempt that was abandoned, or ended, has no further say.
-5. What an abandoned attempt is told to be follows from how far it had come: with its last byte out it may
+5. A body that is not kept goes out by one attempt: while that is out, and once a piece is gone, no other
+   starts.
+6. What an abandoned attempt is told to be follows from how far it had come: with its last byte out it may
    have run, before that it surely has not.
 
 Attempts move along these lines; each step to `ENDED` is told to the decision module once:
@@ -301,7 +303,9 @@
         timeout_ms = action.timeout_ms or float("inf")
         if call.deadline_ms is not None:
             timeout_ms = min(timeout_ms, call.deadline_ms - now_ms)
-        if call.state.final or target is None or timeout_ms <= 0:
+        # Danger: of a body that is not kept, one attempt alone can take; another would send a part of it.
+        taken = call.spent or (call.uploaded and call.out)
+        if call.state.final or taken or target is None or timeout_ms <= 0:
             return [Tell(AttemptEnded(call.id, number, Outcome.NOT_SENT, 0.0, call.state.final))]
         call.out[number] = Attempt(number, action.endpoint, target, now_ms)
         uploading = call.state is CallState.UPLOADING
--- a/cloverrouter/explore/search.py
+++ b/cloverrouter/explore/search.py
@@ -38,13 +38,14 @@
     walks: int = 0
     walked: int = 0  # steps of these
     seconds: float = 0.0
+    searched_s: float = 0.0  # of these, breadth first
     exhausted: bool = False  # all states up to the bound were opened
     found: Counterexample | None = None
 
     @property
     def rate(self) -> float:
-        """States a second."""
-        return self.states / self.seconds if self.seconds else 0.0
+        """States a second, breadth first."""
+        return self.states / self.searched_s if self.searched_s else 0.0
 
 
 @dataclass(slots=True)
@@ -76,6 +77,7 @@
         """Three fifths of the time at most are for the exhaustive part, the rest for walks."""
         report, begun = Report(self.scope.name), self.clock()
         self._breadth(report, begun, begun + self.seconds * EXHAUSTIVE)
+        report.searched_s = self.clock() - begun
         if report.found is None:
             self._walks(report, begun, begun + self.seconds)
         report.seconds = self.clock() - begun
@@ -120,7 +122,7 @@
                 if not self._open(report, node, path, following):
                     return
                 if at % 200 == 0:
-                    report.seconds = self.clock() - begun
+                    report.seconds = report.searched_s = self.clock() - begun
                     self.progress(report)
             report.depth = depth + 1
             level = following
--- a/cloverrouter/explore/world.py
+++ b/cloverrouter/explore/world.py
@@ -343,11 +343,13 @@
         match wire.phase:
             case Phase.CONNECTING | Phase.WRITING:
                 names = ["refused"]
-                if client.body_left:
-                    if client.body_kept_by is None:
-                        names.append("piece")
-                else:
+                late = self.now_ms - wire.started_ms > self.scope.connect_ms
+                if wire.phase is Phase.CONNECTING and late:
+                    return names
+                if not client.body_left:
                     names.append("written")
+                elif client.body_kept_by is None:
+                    names.append("piece")
                 return names
             case Phase.SENT:
                 return [*self.scope.outcomes, "held", "begun"]
@@ -416,6 +418,8 @@
         server, settings = self.servers[wire.endpoint], self.scope.settings
         if server.banned and self.now_ms > server.told_ms + GRACE_MS:
             self.breach("drain", f"call {key[0]} goes out to {wire.endpoint} after its grace")
+        if client.body_kept_by not in (None, key[1]):
+            self.breach("body", f"call {key[0]} goes out to {wire.endpoint} without a part of its body")
         if not client.owed:
             self.breach("answer", f"call {key[0]} goes out to {wire.endpoint} after its final answer")
         before = [run for run in client.runs if not run.never_ran]
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,76 @@
+"""Which package may import which: the boundaries that the design rests on, read from the sources."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "cloverrouter"
+# A package may import itself, the vocabulary, and what stands here; and of the standard library, where it
+# is pure, nothing that knows a socket, a clock or a loop.
+ALLOWED = {
+    "core": {"interface"},
+    "decide": {"interface"},
+    "interface": set(),
+    "explore": {"interface", "core", "decide"},
+    "proxy": {"interface", "core", "decide"},
+    "cli": {"explore"},
+}
+PURE = ("core", "decide", "interface")
+IMPURE = {
+    "asyncio",
+    "socket",
+    "time",
+    "threading",
+    "selectors",
+    "ssl",
+    "os",
+    "random",
+    "httptools",
+    "logging",
+}
+
+
+def imported(path: Path) -> set[str]:
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+    return found
+
+
+def files(part: str) -> list[Path]:
+    path = ROOT / part
+    return sorted(path.rglob("*.py")) if path.is_dir() else [path.with_suffix(".py")]
+
+
+@pytest.mark.parametrize("part", ALLOWED)
+def test_package_imports_only_what_lies_below_it(part: str) -> None:
+    assert files(part)
+    for path in files(part):
+        own = {name.split(".")[1] for name in imported(path) if name.startswith("cloverrouter.")}
+        assert own <= ALLOWED[part] | {part}, f"{path.name} imports {own - ALLOWED[part] - {part}}"
+
+
+@pytest.mark.parametrize("part", PURE)
+def test_pure_modules_know_no_socket_clock_or_loop(part: str) -> None:
+    for path in files(part):
+        top = {name.split(".")[0] for name in imported(path)}
+        # The decision module draws from a source that it seeds itself.
+        assert not top & (IMPURE - ({"random"} if part == "decide" else set())), path.name
+
+
+def test_the_proxy_loads_no_tools() -> None:
+    """What `run` starts is not to pay for the explorer or the command line."""
+    code = "import sys, cloverrouter.proxy.program; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    loaded = set(done.stdout.split())
+    assert not {"click", "msgspec", "xxhash", "cloverrouter.explore", "cloverrouter.cli"} & loaded
+    assert "cloverrouter.core.engine" in loaded
