A connection's states become a table in the core; the upstream reads bytes as its events

Need: whether a connection is idle, busy, held or closing stood in five flags of the upstream's connection. Change: core/connection.py has the table, with its theory told before it; proxy/upstream.py drives it.

--- a/cloverrouter/core/states.py
+++ b/cloverrouter/core/states.py
@@ -46,7 +46,7 @@
         return self in FINAL
 
 
-FINAL = frozenset((CallState.ANSWERED, CallState.CUT, CallState.LEFT))
+FINAL = (CallState.ANSWERED, CallState.CUT, CallState.LEFT)
 
 
 class AttemptState(Enum):
@@ -65,7 +65,7 @@
         return self in UNSENT
 
 
-UNSENT = frozenset((AttemptState.CONNECTING, AttemptState.WRITING))
+UNSENT = (AttemptState.CONNECTING, AttemptState.WRITING)
 
 
 # What happens, beside what clients and sources tell in the vocabulary of the interface.
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from cloverrouter.core.connection import Do, Event, Machine, State
 from cloverrouter.interface import Outcome
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, SMALL, Answer, Call, unread
@@ -145,13 +146,14 @@
 
 
 class Connection(asyncio.BufferedProtocol):
-    """One connection to a host."""
+    """One connection to a host: reads its bytes as the events of `core.connection`, and does what follows."""
 
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self._pool = pool
         self._sock = sock
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._machine = Machine()
         self._exchange: Exchange | None = None
         self._received = 0
         self._moved_s = 0.0  # when something last went or came on it
@@ -184,6 +186,7 @@
         if self._transport is None:  # the host has closed it before anything could be written
             exchange.end(Outcome.CONNECT_FAILED)
             return
+        self._machine.on(Event.ASSIGNED)
         self._received = 0
         self._exchange = exchange
         exchange.connection = self
@@ -231,9 +234,11 @@
             return
         stuck_out = exchange.upload is not None and self._transport.get_write_buffer_size() > 0
         if stuck_out or (self._sink is not None and not self._paused):
-            self._lose("stalled")
+            self._lose("stalled", Event.SPOILT)
 
     def abort(self) -> None:
+        """Close it, whatever is on it: nothing is told of that."""
+        self._machine.on(Event.GIVEN_UP)
         self._exchange = None
         if self._unhurried is not None:
             self._unhurried.cancel()
@@ -253,6 +258,7 @@
         self._transport = cast(asyncio.Transport, transport)
         # With no high-water mark, `resume_writing` tells when the last byte has gone to the socket.
         self._transport.set_write_buffer_limits(high=0)
+        self._machine.on(Event.OPENED)
         self._pool.upstream.connections.add(self)
 
     def resume_writing(self) -> None:
@@ -260,8 +266,8 @@
             self._pump()
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._exchange is None or self._parser is None:
-            self.abort()  # noise on an idle connection: the next answer could not be told from it
+        if not self._machine.state.busy or self._parser is None:
+            self._lose("", Event.STRAY)
             return
         self._received += nbytes
         self._moved_s = self._pool.upstream.loop.time()
@@ -278,7 +284,7 @@
         if self._complete:
             self._finish()
         elif self._spoilt:
-            self._lose(self._spoilt)
+            self._lose(self._spoilt, Event.SPOILT)
 
     def eof_received(self) -> None:
         whole = self._until_end and not self._in_head and not self._spoilt and self._exchange is not None
@@ -286,19 +292,19 @@
             self._complete, self._keep = True, False
             self._finish()
         else:
-            self._lose("")
+            self._lose("", Event.BROKE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._parser = None  # danger: the two hold each other, and would wait for the cycle collector
         self._pool.upstream.connections.discard(self)
-        self._lose("")
+        self._lose("", Event.BROKE)
 
-    def _lose(self, spoilt: str) -> None:
+    def _lose(self, spoilt: str, event: Event) -> None:
         """The connection is of no further use, nor is what came on it."""
-        exchange = self._exchange
+        exchange, do = self._exchange, self._machine.on(event)
         self.abort()
-        if exchange is None:
+        if do is not Do.FAIL_AND_CLOSE or exchange is None:
             return
         if not exchange.written:
             exchange.end(Outcome.CONNECT_FAILED)
@@ -324,10 +330,11 @@
             self._never_ran,
             self._report,
         )
-        if self._surplus or not self._keep or not exchange.written:
-            self.abort()
-        else:
+        last = self._surplus or not self._keep or not exchange.written
+        if self._machine.on(Event.LAST if last else Event.WHOLE) is Do.REST:
             self._pool.put(self)
+        else:
+            self.abort()
         self._begin()  # an idle connection holds no answer
         exchange.end(outcome_of(answer), answer)
 
@@ -372,28 +379,32 @@
             self._until_end = True
         if self._parser.get_status_code() == 200 and not self._spoilt:
             if self._length is not None and self._length > SMALL:
-                self._stream()
-            elif self._length is None:
+                self._stream(Event.LONG)
+            elif self._length is None and self._machine.on(Event.OPEN_ENDED) is Do.HOLD:
                 loop, exchange = self._pool.upstream.loop, self._exchange
                 assert exchange is not None
                 exchange.on_held()
                 due_s = exchange.due_s
                 at_s = min(loop.time() + UNHURRIED_S, due_s - FIRST_BYTES_S)
-                self._unhurried = loop.call_at(at_s, self._stream)
+                self._unhurried = loop.call_at(at_s, self._held_enough)
 
     def pass_on(self, exchange: Exchange) -> bool:
         """See `Exchange.pass_on`."""
-        if exchange is not self._exchange or self._in_head or self._length is not None:
-            return False
-        if self._parser is None or self._parser.get_status_code() != 200:
+        if exchange is not self._exchange or self._machine.state is not State.HOLDING:
             return False
-        self._stream()
+        self._stream(Event.HELD_ENOUGH)
         return self._sink is not None
 
-    def _stream(self) -> None:
-        """From here on the answer is passed on while it comes."""
+    def _held_enough(self) -> None:
+        if self._machine.state is State.HOLDING:
+            self._stream(Event.HELD_ENOUGH)
+            if self._sink is None:
+                self._lose(self._spoilt, Event.UNWANTED)
+
+    def _stream(self, event: Event) -> None:
+        """From here on the answer is passed on while it comes, if somebody takes it."""
         exchange = self._exchange
-        if exchange is None or self._sink is not None or self._complete or self._spoilt:
+        if self._spoilt or self._machine.on(event) is not Do.PASS_ON or exchange is None:
             return
         if not exchange.written:
             self._spoilt = "an answer before the request"
@@ -419,7 +430,7 @@
             if len(self._body) > SMALL:
                 assert self._parser is not None
                 if self._parser.get_status_code() == 200:
-                    self._stream()
+                    self._stream(Event.LONG)
                 else:
                     self._spoilt = "too large"
 
