--- a/cloverrouter/core/engine.py
+++ b/cloverrouter/core/engine.py
@@ -37,7 +37,9 @@
 
     def take(self, happening: Happening) -> None:
         """Something has happened: do all that follows from it."""
-        self._run(self.lifecycle.on(self._clock(), happening))
+        effects = self.lifecycle.on(self._clock(), happening)
+        if effects:
+            self._run(effects)
         if self._events and not self._deciding:
             self._settle()
 
--- a/cloverrouter/core/lifecycle.py
+++ b/cloverrouter/core/lifecycle.py
@@ -36,6 +36,7 @@
 
 from cloverrouter.core.states import (
     FINAL,
+    UNSENT,
     Abandon,
     AnswerBegun,
     AnswerHeld,
@@ -136,14 +137,15 @@
 
         Raises ValueError for a call's number that is in use, and for what is no happening.
         """
+        # The three that every request has come first, and are looked for in the cheapest way.
+        if type(happening) is Written:
+            self._written(now_ms, happening.call, happening.attempt)
+            return []
+        if type(happening) is Ended:
+            return self._ended(now_ms, happening)
+        if type(happening) is RequestArrived:
+            return self._arrived(happening)
         match happening:
-            case Written(call_id, number):
-                self._written(now_ms, call_id, number)
-                return []
-            case Ended():
-                return self._ended(now_ms, happening)
-            case RequestArrived():
-                return self._arrived(happening)
             case TimerFired() | PartTaken() | Cordon():
                 return [Tell(happening)]
             case TimeUp(call_id, number):
@@ -196,8 +198,9 @@
         return []
 
     def _written(self, now_ms: float, call_id: int, number: int) -> None:
-        attempt = self._find(call_id, number)
-        if attempt is not None and attempt.state.unsent:
+        call = self.calls.get(call_id)
+        attempt = call.out.get(number) if call is not None else None
+        if attempt is not None and attempt.state in UNSENT:
             attempt.state, attempt.written_ms = AttemptState.WRITTEN, now_ms
 
     def _left(self, now_ms: float, call_id: int) -> list[Effect]:
@@ -235,7 +238,8 @@
         return effects + self._forget_if_over(call)
 
     def _ended(self, now_ms: float, event: Ended) -> list[Effect]:
-        call, attempt = self.calls.get(event.call), self._find(event.call, event.attempt)
+        call = self.calls.get(event.call)
+        attempt = call.out.get(event.attempt) if call is not None else None
         if call is None or attempt is None:
             return []
         latency_ms = self._latency_ms(now_ms, call, attempt)
@@ -245,10 +249,11 @@
         served = event.outcome is Outcome.OK
         if streamed:  # what there is of the answer has been passed on
             effects = self._settle(now_ms, call, CallState.ANSWERED if served else CallState.CUT)
-        elif served and event.answer is not None and not call.state.final:
+        elif served and event.answer is not None and call.state not in FINAL:
             effects = self._settle(now_ms, call, CallState.ANSWERED)
             effects.append(Serve(call.id, event.answer))
-        effects += self._forget_if_over(call)
+        if not call.out:
+            effects += self._forget_if_over(call)
         effects.append(self._told(call, attempt, event.outcome, latency_ms, event.report))
         return effects
 
@@ -324,11 +329,11 @@
     def _settle(self, now_ms: float, call: Call, state: CallState) -> list[Effect]:
         """The call is final. What is still on its way to a server must not go out after that."""
         assert state in FINAL
-        if call.state.final:
-            return []
+        effects: list[Effect] = []
+        if call.state in FINAL:
+            return effects
         call.state = state
         self.owed -= 1
-        effects: list[Effect] = []
         for attempt in list(call.out.values()):
             if attempt.state.unsent:
                 effects += self._abandon(now_ms, call, attempt, Outcome.NOT_SENT)
@@ -353,18 +358,20 @@
         call: Call, attempt: Attempt, outcome: Outcome, latency_ms: float, report: tuple[float, ...] | None
     ) -> Effect:
         return Tell(
-            AttemptEnded(call.id, attempt.number, outcome, latency_ms, call.state.final, report, call.spent)
+            AttemptEnded(
+                call.id, attempt.number, outcome, latency_ms, call.state in FINAL, report, call.spent
+            )
         )
 
     @staticmethod
     def _latency_ms(now_ms: float, call: Call, attempt: Attempt) -> float:
         """From its sending, or the last byte of an upload."""
-        uploaded = call.uploaded and attempt.written_ms is not None
-        since_ms = attempt.written_ms if uploaded and attempt.written_ms is not None else attempt.sent_ms
-        return max(0.0, now_ms - since_ms)
+        if call.uploaded and attempt.written_ms is not None:
+            return max(0.0, now_ms - attempt.written_ms)
+        return now_ms - attempt.sent_ms
 
     def _forget_if_over(self, call: Call) -> list[Effect]:
-        if call.state.final and not call.out and self.calls.pop(call.id, None) is not None:
+        if call.state in FINAL and not call.out and self.calls.pop(call.id, None) is not None:
             return [Forget(call.id)]
         return []
 
--- a/cloverrouter/core/states.py
+++ b/cloverrouter/core/states.py
@@ -4,6 +4,9 @@
 comes from clients and from sources of servers is told in the vocabulary of `cloverrouter.interface`
 (`RequestArrived`, `RequestCompleted`, `RequestGone`, `TimerFired`, `Cordon`, `PartTaken`); here stand the
 happenings that the decision module never sees in this form.
+
+None of these is changed once it is made. They are not frozen, since several are made for each request and a
+frozen one takes three times as long to make.
 """
 
 from __future__ import annotations
@@ -71,7 +74,7 @@
 # What happens, beside what clients and sources tell in the vocabulary of the interface.
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Listed:
     """A list came; `targets` is where requests may go from now on, by endpoint."""
 
@@ -79,14 +82,14 @@
     targets: Mapping[str, Target]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class BodyTaken:
     """A piece of a call's body has gone out and is not kept: it can't be sent to another server."""
 
     call: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Written:
     """The last byte of an attempt has been handed over: from here on it may have run."""
 
@@ -94,7 +97,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AnswerHeld:
     """A good answer of unknown length has begun, and is held for a moment."""
 
@@ -102,7 +105,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AnswerBegun:
     """An answer is ready to be passed on while it comes. Wanted only if `Begin` follows."""
 
@@ -110,7 +113,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     """An attempt has ended by itself. `answer` goes to the client as it is, if it is wanted."""
 
@@ -121,7 +124,7 @@
     report: tuple[float, ...] | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TimeUp:
     """The time given to an attempt is over."""
 
@@ -149,14 +152,14 @@
 # What is to be done.
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Tell:
     """Hand this to the decision module."""
 
     event: Event
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Start:
     """Send a call to an endpoint; `TimeUp` is due after `timeout_ms`, None: not yet, while it uploads."""
 
@@ -167,7 +170,7 @@
     timeout_ms: float | None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SetDue:
     """`TimeUp` is due so long from now, in place of what was said before."""
 
@@ -176,7 +179,7 @@
     timeout_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PassOn:
     """Pass the held answer of this attempt on from now; `AnswerBegun` is the reply."""
 
@@ -184,7 +187,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Abandon:
     """Stop this attempt from our side: what has not gone out never will, and no `Ended` follows."""
 
@@ -192,7 +195,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Begin:
     """The answer of this attempt goes to the client while it comes; its time is no longer watched."""
 
@@ -200,7 +203,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Serve:
     """Final: this answer, whole."""
 
@@ -208,7 +211,7 @@
     answer: object
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class GiveRefusal:
     """Final: refused; coming again is harmless, best after this long."""
 
@@ -216,26 +219,26 @@
     retry_after_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class GiveFailure:
     """Final: failed."""
 
     call: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Forget:
     """Nothing is owed to the call and nothing of it is out: its number means nothing any more."""
 
     call: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AskDiscovery:
     """The list, and what changes from now on, is to be asked for."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Note:
     """A line for the log."""
 
--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -292,10 +292,12 @@
 
     def warmth(self, now_ms: float, safety: Safety) -> float:
         """The share of its full capacity that it surely has by now."""
-        starts = [at_ms for at_ms in (self.listed.started_ms, self.back_ms) if at_ms is not None]
-        if not starts or safety.cold_ms <= 0:
+        started_ms = self.listed.started_ms
+        if started_ms is None or (self.back_ms is not None and self.back_ms > started_ms):
+            started_ms = self.back_ms
+        if started_ms is None or safety.cold_ms <= 0:
             return 1.0
-        age = max(0.0, now_ms - max(starts)) / safety.cold_ms
+        age = max(0.0, now_ms - started_ms) / safety.cold_ms
         return min(1.0, safety.cold_share + (1 - safety.cold_share) * age)
 
 
@@ -913,13 +915,12 @@
         if endpoint.listed.state is not EndpointState.READY or endpoint.cordoned:
             return False
         # Danger: an effect that happens twice.
-        ran = request.first_possible_run()
-        if ran is not None and not request.repeatable():
-            return False
-        if self.now_ms >= request.repeats_end_ms():
-            return False
-        if ran is not None and not drops_repeats(request.cls, ran.endpoint.listed, endpoint.listed):
-            return False
+        ran = request.first_possible_run() if request.attempts else None
+        if ran is not None:
+            if not request.repeatable() or self.now_ms >= request.repeats_end_ms():
+                return False
+            if not drops_repeats(request.cls, ran.endpoint.listed, endpoint.listed):
+                return False
         return self._cold_room(request, endpoint)
 
     def _cold_room(self, request: Request, endpoint: Endpoint) -> bool:
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -207,7 +207,7 @@
     endpoints: tuple[ListedEndpoint, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: made for each request
 class RequestArrived:
     request_id: int
     class_name: str
@@ -236,7 +236,7 @@
     latency_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: made for each request
 class AttemptEnded:
     request_id: int
     attempt: int
@@ -301,7 +301,7 @@
 # Actions: what the balancer answers.
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: made for each request
 class Send:
     """Start the next attempt of a request; attempts count from 0 in the order of their sends."""
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -191,15 +191,19 @@
             self._crash(error)
 
     def _carry_out(self, effect: Effect) -> None:
+        # What every request has comes first, and is looked for in the cheapest way.
+        if type(effect) is Start:
+            self._start(effect)
+            return
+        if type(effect) is Serve:
+            self._calls[effect.call].served(cast(Answer, effect.answer))
+            return
+        if type(effect) is Forget:
+            call = self._calls.pop(effect.call)
+            del self._numbers[call]
+            self._ids.discard(call.request_id)
+            return
         match effect:
-            case Start():
-                self._start(effect)
-            case Serve(call_id, answer):
-                self._calls[call_id].served(cast(Answer, answer))
-            case Forget(call_id):
-                call = self._calls.pop(call_id)
-                del self._numbers[call]
-                self._ids.discard(call.request_id)
             case SetTimer():
                 self._set_timer(effect)
             case Abandon(call_id, number):
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -205,7 +205,9 @@
             if self._transport.get_write_buffer_size():
                 return  # `resume_writing` goes on
             if upload is None or (upload.drained and (upload.length is not None or self._closed_chunks)):
-                exchange.wrote()
+                if not exchange.written:
+                    self._pool.upstream.on_written()
+                    exchange.wrote()
                 return
             data = upload.take()
             if data is None and not upload.drained:
@@ -492,7 +494,7 @@
         on_written: Callable[[], None] = lambda: None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
-        self._on_written = on_written  # an attempt's last byte has gone out
+        self.on_written = on_written  # an attempt's last byte has gone out
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[Connection] = set()  # that have a socket
         self._opening: set[asyncio.Task[None]] = set()
@@ -540,12 +542,7 @@
         this order: `on_written`, with the last byte; `on_held`, when an answer of unknown length begins;
         `on_begin`, for an answer that is passed on while it comes."""
         message = encode(call, timeout_ms)
-
-        def wrote() -> None:
-            self._on_written()
-            on_written()
-
-        exchange = Exchange(message, call.upload, on_end, on_begin, wrote, on_held)
+        exchange = Exchange(message, call.upload, on_end, on_begin, on_written, on_held)
         pool = self._pools.get(host)
         if pool is None:
             pool = self._pools[host] = Pool(self, host)
