Lab, first part: a fleet, its clients and its judge in simulated time, beside two baselines

Change: cloverrouter/lab has a pure model of a bridge server (processor sharing, cold start, crowding, bays, keys met lately, connection cap), open-loop load from named streams, a judge that sees only what clients and servers saw, the real core and decision module in simulated time, and a runner that keeps results in SQLite and goes on after an interruption. lab run, lab check, lab list; six scenarios in deploy/lab. A misbehaving proxy for each rule is caught.

--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -12,6 +12,7 @@
 
 COMMANDS = {
     "explore": ("cloverrouter.cli.explore", "explore"),
+    "lab": ("cloverrouter.cli.lab", "lab"),
 }
 
 
--- /dev/null
+++ b/cloverrouter/lab/scenario.py
@@ -0,0 +1,236 @@
+"""What is played: fleet, proxies, load and what goes wrong, read from TOML and checked."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from cloverrouter.interface import Idempotency, Limits, RepeatScope, RequestClass, Safety, Settings, Tenant
+from cloverrouter.lab.bridge import Shape
+
+
+class ScenarioError(Exception):
+    """A scenario that can't be played; the text names file, key, what was found and what is allowed."""
+
+
+class Kind(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One kind of machine."""
+
+    share: float = 1.0  # of the servers that are such
+    cores: int = 4
+    speed: tuple[float, float] = (1.0, 1.0)  # drawn from this range, the yardstick being 1
+    slots: int = 64
+    room: int = 128
+
+
+class Fleet(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The bridge servers."""
+
+    servers: int = 12
+    zones: tuple[str, ...] = ("a",)
+    kinds: tuple[Kind, ...] = (Kind(),)
+    cold_share: float = 0.12
+    cold_ms: float = 15_000.0
+    fall_multiple: float = 3.0
+    fall_ms: float = 2000.0
+    choke_waiting: float = 0.0
+    choke_after_ms: float = 2000.0
+    choke_factor: float = 2.5
+    choke_rest_ms: float = 3500.0
+    memory_keys: int = 200
+    memory_ms: float = 5000.0
+    memory_saves: float = 0.0
+    connections: int = 450
+    handshake: float = 2.0
+    bay_window_ms: float = 10_000.0
+    drops_waiting: bool = False
+
+
+class Network(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Ways between clients' zones and servers, one way."""
+
+    near_ms: float = 0.3
+    far_ms: float = 1.0
+
+
+class Class(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One class of requests."""
+
+    name: str
+    share: float
+    mean_work: float
+    spread: float = 0.3
+    aim_ms: float = 600.0
+    deadline_ms: float = 2000.0
+    worth: float = 1.0
+    repeats: Literal["never", "keyed", "always"] = "never"
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One of those who share the fleet."""
+
+    name: str
+    share: float
+
+
+class Clients(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How clients behave."""
+
+    retries: int = 1
+    wait_ms: tuple[float, float] = (100.0, 400.0)
+    patience: tuple[float, float] = (0.7, 1.0)  # of the class's deadline
+    leave_share: float = 0.0  # that go away before they are answered
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Who asks for what, and how often."""
+
+    rate: float | None = None  # requests a second; or
+    level: float | None = None  # the part of what the fleet can do
+    wander: float = 0.0  # how far the rate wanders about that, as a part of it
+    classes: tuple[Class, ...]
+    members: tuple[Member, ...] = (Member(name="all", share=1.0),)
+    keys: int = 1000
+    skew: float = 0.8
+    clients: Clients = Clients()
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Something that goes wrong, from `at_s` on for `len_s`."""
+
+    kind: Literal["burst", "fast-errors", "neighbour", "release", "drain", "death", "partition"]
+    at_s: float
+    len_s: float = 5.0
+    part: float = 0.2  # of the servers that it meets
+    size: float = 0.5  # of a burst: the rate's multiple; else a share
+    gap_s: float = 1.0  # between one server and the next, in a release or a drain
+    on_s: float = 2.0  # a neighbour is on and off in turn for so long
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One scenario, whole."""
+
+    name: str
+    seconds: float = 30.0
+    warm_s: float = 2.0  # that don't count
+    proxies: int = 4
+    discovery_ms: tuple[float, float] = (300.0, 2500.0)  # how late the list tells
+    fleet: Fleet = Fleet()
+    network: Network = Network()
+    load: Load
+    faults: tuple[Fault, ...] = ()
+    max_attempts: int = 3
+    policies: tuple[str, ...] = ("ours", "least-in-flight", "random")
+    seeds: tuple[int, ...] = (1, 2, 3)
+
+
+POLICIES = ("ours", "least-in-flight", "random")
+
+
+def read(path: Path) -> Scenario:
+    """The scenario in a file. Raises ScenarioError."""
+    try:
+        table = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise ScenarioError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{path}: no TOML: {error}") from error
+    try:
+        scenario = msgspec.convert(table, Scenario)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(f"{path}: {error}") from error
+    for key, found, allowed, good in _checks(scenario):
+        if not good:
+            raise ScenarioError(f"{path}: {key}: found {found}, allowed {allowed}")
+    return scenario
+
+
+def _checks(s: Scenario) -> list[tuple[str, object, str, bool]]:
+    load, fleet = s.load, s.fleet
+    rows: list[tuple[str, object, str, bool]] = [
+        ("seconds", s.seconds, "more than warm_s", s.seconds > s.warm_s >= 0),
+        ("proxies", s.proxies, "1 to 10,000", 1 <= s.proxies <= 10_000),
+        ("max_attempts", s.max_attempts, "1 to 5", 1 <= s.max_attempts <= 5),
+        ("policies", ", ".join(s.policies), ", ".join(POLICIES), set() < set(s.policies) <= set(POLICIES)),
+        ("seeds", s.seeds, "one or more, each once", 0 < len(s.seeds) == len(set(s.seeds))),
+        ("discovery_ms", s.discovery_ms, "0 <= least <= most", 0 <= s.discovery_ms[0] <= s.discovery_ms[1]),
+        ("fleet.servers", fleet.servers, "1 to 10,000", 1 <= fleet.servers <= 10_000),
+        ("fleet.zones", fleet.zones, "one or more, each once", 0 < len(fleet.zones) == len(set(fleet.zones))),
+        ("fleet.kinds", len(fleet.kinds), "one or more", bool(fleet.kinds)),
+        ("fleet.cold_share", fleet.cold_share, "above 0, at most 1", 0 < fleet.cold_share <= 1),
+        ("load", "both, or neither", "one of rate and level", (load.rate is None) != (load.level is None)),
+        ("load.rate", load.rate, "more than 0", load.rate is None or load.rate > 0),
+        ("load.level", load.level, "more than 0", load.level is None or load.level > 0),
+        ("load.wander", load.wander, "0 to below 1", 0 <= load.wander < 1),
+        ("load.classes", len(load.classes), "one or more, each name once",
+         0 < len(load.classes) == len({c.name for c in load.classes})),
+        ("load.members", len(load.members), "one or more, each name once",
+         0 < len(load.members) == len({m.name for m in load.members})),
+        ("load.keys", load.keys, "1 or more", load.keys >= 1),
+        ("load.clients.retries", load.clients.retries, "0 to 5", 0 <= load.clients.retries <= 5),
+    ]  # fmt: skip
+    for i, kind in enumerate(fleet.kinds):
+        good = kind.cores >= 1 and 0 < kind.speed[0] <= kind.speed[1] and kind.slots >= 1 and kind.room >= 0
+        rows.append((f"fleet.kinds[{i}]", kind, "cores, slots and speeds above 0, room 0 or more", good))
+        rows.append((f"fleet.kinds[{i}].share", kind.share, "more than 0", kind.share > 0))
+    for cls in load.classes:
+        name = f"load.classes[{cls.name}]"
+        rows.append((f"{name}.share", cls.share, "more than 0", cls.share > 0))
+        rows.append((f"{name}.mean_work", cls.mean_work, "more than 0", cls.mean_work > 0))
+        good = 0 < cls.aim_ms <= cls.deadline_ms
+        rows.append((f"{name}.aim_ms", cls.aim_ms, f"above 0, at most deadline_ms ({cls.deadline_ms})", good))
+    for i, fault in enumerate(s.faults):
+        name = f"faults[{i}] ({fault.kind})"
+        rows.append((f"{name}.at_s", fault.at_s, f"0 to {s.seconds}", 0 <= fault.at_s < s.seconds))
+        rows.append((f"{name}.part", fault.part, "above 0, at most 1", 0 < fault.part <= 1))
+        share = fault.size > 0 and (fault.kind == "burst" or fault.size <= 1)
+        rows.append((f"{name}.size", fault.size, "above 0; a share is at most 1", share))
+        rows.append(
+            (f"{name}.on_s", min(fault.on_s, fault.len_s), "above 0", min(fault.on_s, fault.len_s) > 0)
+        )
+    return rows
+
+
+def shape(fleet: Fleet, kind: Kind, speed: float) -> Shape:
+    """A machine of this kind."""
+    return Shape(
+        cores=kind.cores, speed=speed, slots=kind.slots, room=kind.room,
+        cold_share=fleet.cold_share, cold_ms=fleet.cold_ms,
+        fall_multiple=fleet.fall_multiple, fall_ms=fleet.fall_ms,
+        choke_waiting=fleet.choke_waiting, choke_after_ms=fleet.choke_after_ms,
+        choke_factor=fleet.choke_factor, choke_rest_ms=fleet.choke_rest_ms,
+        memory_keys=fleet.memory_keys, memory_ms=fleet.memory_ms, memory_saves=fleet.memory_saves,
+        connections=fleet.connections, handshake=fleet.handshake,
+    )  # fmt: skip
+
+
+REPEATS = {"never": Idempotency.UNSAFE, "keyed": Idempotency.KEYED, "always": Idempotency.SAFE}
+
+
+def settings(s: Scenario, number: int, zone: str) -> Settings:
+    """What proxy `number` is told."""
+    classes = tuple(
+        RequestClass(
+            c.name, c.aim_ms, c.deadline_ms, worth=c.worth, idempotency=REPEATS[c.repeats],
+            repeat_scope=RepeatScope.CELL, repeat_window_ms=s.fleet.bay_window_ms,
+        )
+        for c in s.load.classes
+    )  # fmt: skip
+    total = sum(m.share for m in s.load.members)
+    return Settings(
+        classes=classes,
+        zone=zone,
+        proxies=s.proxies,
+        number=number,
+        limits=Limits(max_attempts=s.max_attempts),
+        safety=Safety(
+            cold_share=s.fleet.cold_share,
+            cold_ms=s.fleet.cold_ms,
+            push_multiple=s.fleet.fall_multiple,
+            push_window_ms=s.fleet.fall_ms,
+        ),
+        tenants=tuple(Tenant(m.name, (s.load.rate or 0.0) * m.share / total) for m in s.load.members),
+    )
--- /dev/null
+++ b/cloverrouter/lab/simulate.py
@@ -0,0 +1,593 @@
+"""A scenario in simulated time: the real core and a policy in each proxy, models of everything round them.
+
+The world is a heap of events. Each proxy is driven as the real one is: its engine's effects become messages
+that take their time over the network, and what comes of them is told to the engine.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Any
+
+from cloverrouter.core.engine import Engine
+from cloverrouter.core.lifecycle import Lifecycle
+from cloverrouter.core.states import (
+    Abandon,
+    Effect,
+    Ended,
+    GiveFailure,
+    GiveRefusal,
+    Listed,
+    Serve,
+    SetDue,
+    Start,
+    TimeUp,
+    Written,
+)
+from cloverrouter.interface import (
+    EndpointsListed,
+    EndpointState,
+    ListedEndpoint,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    RequestGone,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from cloverrouter.lab import load, scenario
+from cloverrouter.lab.bridge import Bay, Bridge, Job, Verdict
+from cloverrouter.lab.draws import Draws, Weighted
+from cloverrouter.lab.judge import Asked, Judge
+from cloverrouter.lab.judge import Verdict as Judged
+from cloverrouter.lab.policies import Policy, make
+from cloverrouter.lab.scenario import Fault, Scenario
+
+MARGIN_MS = 3.0  # proxies take deadlines to be so much earlier
+CONNECT_MS = 250.0  # a connection that has not come up by then never does
+TAIL_MS = 6000.0  # played on after the last arrival
+START_MS = 1000.0  # proxies know the list by then
+Key = tuple[int, int]
+
+
+class Clock:
+    """Simulated time, and what is due."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = 0
+        self.events = 0
+
+    def at(self, at_ms: float, call: Callable[..., None], *args: Any) -> None:
+        """Do it then, after what is due at the same time already."""
+        self._order += 1
+        heappush(self._due, (max(self.now_ms, at_ms), self._order, call, args))
+
+    def after(self, span_ms: float, call: Callable[..., None], *args: Any) -> None:
+        self.at(self.now_ms + span_ms, call, *args)
+
+    def run(self, until_ms: float) -> None:
+        while self._due and self._due[0][0] <= until_ms:
+            self.now_ms, _, call, args = heappop(self._due)
+            self.events += 1
+            call(*args)
+        self.now_ms = until_ms
+
+
+@dataclass(slots=True)
+class Server:
+    """A bridge server and what the world knows of it beside its work."""
+
+    bridge: Bridge
+    zone: str
+    cell: int
+    state: EndpointState = EndpointState.READY  # as the list has it, or will
+    cut_off: bool = False  # nothing gets through to it, nor from it
+    connections_of: dict[int, int] = field(default_factory=dict)
+    wake: int = 0  # the number of the latest look at it: earlier ones are void
+
+    @property
+    def bay(self) -> str:
+        return f"{self.zone}/{self.cell}"
+
+
+@dataclass(slots=True)
+class Sent:
+    """An attempt on its way."""
+
+    key: Key
+    proxy: Proxy
+    server: Server
+    job: Job
+    connected: bool = False
+    written: bool = False
+    over: bool = False  # nobody waits for it any more
+    process: float | None = None  # of the server that it reached
+
+
+class Proxy:
+    """One client proxy: the core and a policy, and the connections it holds."""
+
+    def __init__(self, world: Simulation, number: int, zone: str, policy: str) -> None:
+        self.world = world
+        self.number = number
+        self.zone = zone
+        settings = scenario.settings(world.scenario, number, zone)
+        seed = world.draws.stream(f"proxy {number}").getrandbits(32)
+        self.policy = world.make_policy(policy, settings, seed)
+        longest_ms = max(c.deadline_ms for c in settings.classes)
+        clock = world.clock
+        self.engine = Engine(
+            Lifecycle(longest_ms),
+            lambda now_ms, events: self._decide(now_ms, events),
+            lambda: clock.now_ms,
+            self._carry_out,
+        )
+        self.targets: dict[str, Hashable] = {}
+        self.idle: dict[str, int] = {}
+        self.sent: dict[Key, Sent] = {}
+        self.due: dict[Key, int] = {}  # the number of the latest timer of an attempt
+        self.decided_s = 0.0
+
+    def _decide(self, now_ms: float, events: Any) -> Any:
+        begun = time.perf_counter()
+        actions = self.policy.handle(now_ms, events)
+        self.decided_s += time.perf_counter() - begun
+        return actions
+
+    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...]) -> None:
+        world = self.world
+        for entry in entries:
+            ready = entry.state is EndpointState.READY
+            world.judge.told(self.number, entry.name, not ready, world.clock.now_ms)
+            if ready:
+                self.targets[entry.name] = (entry.name, entry.started_ms)
+            else:
+                self.targets.pop(entry.name, None)
+                world.close(self, entry.name, self.idle.pop(entry.name, 0))
+        self.engine.take(Listed(EndpointsListed(kind, entries), dict(self.targets)))
+
+    def _carry_out(self, effect: Effect) -> None:
+        world = self.world
+        match effect:
+            case Start():
+                self._start(effect)
+            case Serve():
+                world.answered(effect.call, "served")
+            case SetTimer():
+                world.clock.after(max(0.0, effect.delay_ms), self._fire, effect.token)
+            case GiveRefusal():
+                world.answered(effect.call, "refused")
+            case GiveFailure():
+                world.answered(effect.call, "failed")
+            case Abandon():
+                world.abandon(self.sent.pop((effect.call, effect.attempt)))
+            case SetDue():
+                self._watch((effect.call, effect.attempt), effect.timeout_ms)
+            case _:
+                pass  # the lists come by themselves here
+
+    def _fire(self, token: int) -> None:
+        self.engine.take(TimerFired(token))
+
+    def _watch(self, key: Key, timeout_ms: float) -> None:
+        self.due[key] = self.due.get(key, 0) + 1
+        self.world.clock.after(timeout_ms, self._time_up, key, self.due[key])
+
+    def _time_up(self, key: Key, number: int) -> None:
+        if key in self.sent and self.due.get(key) == number:
+            self.engine.take(TimeUp(*key))
+
+    def _start(self, start: Start) -> None:
+        key, world = (start.call, start.attempt), self.world
+        ask = world.ask_of[start.call]
+        job = Job(world.next_job(), ask.work, ask.key, 0.0)
+        sent = self.sent[key] = Sent(key, self, world.servers[start.endpoint], job)
+        if start.timeout_ms is not None:
+            self._watch(key, start.timeout_ms)
+        if self.idle.get(start.endpoint, 0):
+            self.idle[start.endpoint] -= 1
+            sent.connected = True
+            world.write(sent)
+        else:
+            world.connect(sent)
+
+    def ended(self, sent: Sent, outcome: Outcome) -> None:
+        """Tell the core, if it still waits for it."""
+        if self.sent.pop(sent.key, None) is not None:
+            self.due.pop(sent.key, None)
+            answer = "answer" if outcome is Outcome.OK else None
+            self.engine.take(Ended(*sent.key, outcome, answer))
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """One run: the verdict, what each server did, and what it cost to play."""
+
+    policy: str
+    seed: int
+    verdict: Judged
+    simulated_s: float
+    took_s: float
+    decided_s: float  # of that, in the policy
+    events: int
+    work: float  # that servers did, as a share of what they could have done
+    wasted: float  # of that work, for requests that nobody waited for any more
+    turned_away: int  # by servers, full
+    connections: float  # the most that a server held at once
+    told: tuple[tuple[float, str], ...]  # what went wrong, and when
+
+    @property
+    def speed(self) -> float:
+        """Simulated seconds a second."""
+        return self.simulated_s / self.took_s if self.took_s else 0.0
+
+
+class Simulation:
+    """One scenario, one policy, one seed."""
+
+    def __init__(
+        self,
+        told: Scenario,
+        policy: str,
+        seed: int,
+        make_policy: Callable[[str, Settings, int], Policy] = make,
+        proxy_type: type[Proxy] = Proxy,
+    ) -> None:
+        """Raises KeyError for a policy that is not known. The last two let tests play other ones."""
+        self.make_policy = make_policy
+        self.scenario = told
+        self.policy = policy
+        self.draws = Draws(seed)
+        self.clock = Clock()
+        repeats = {c.name: str(c.repeats) for c in told.load.classes}
+        self.judge = Judge(repeats, told.fleet.bay_window_ms, told.max_attempts)
+        self.servers = self._fleet()
+        zones = told.fleet.zones
+        self.proxies = [proxy_type(self, i, zones[i % len(zones)], policy) for i in range(told.proxies)]
+        self.ask_of: dict[int, load.Ask] = {}  # by request
+        self.proxy_of: dict[int, int] = {}
+        self.retries_left: dict[int, int] = {}
+        self._last_request = self._last_job = 0
+        self._on_server: dict[int, Sent] = {}  # by job
+        self._errors = self.draws.stream("errors")
+        self._clients = self.draws.stream("clients")
+        self._lists = self.draws.stream("lists")
+        self._classes = {c.name: c for c in told.load.classes}
+        self.log: list[tuple[float, str]] = []
+        self.most_connections = 0
+
+    def _fleet(self) -> dict[str, Server]:
+        fleet, draws = self.scenario.fleet, self.draws.stream("fleet")
+        kinds = {str(i): kind for i, kind in enumerate(fleet.kinds)}
+        weighted = Weighted({name: kind.share for name, kind in kinds.items()})
+        bays: dict[str, Bay] = {}
+        servers: dict[str, Server] = {}
+        for i in range(fleet.servers):
+            zone = fleet.zones[i % len(fleet.zones)]
+            kind = kinds[weighted.draw(draws)]
+            made = scenario.shape(fleet, kind, draws.uniform(*kind.speed))
+            bay = bays.setdefault(zone, Bay(fleet.bay_window_ms))
+            servers[f"b{i}"] = Server(Bridge(f"b{i}", made, bay, drops_waiting=fleet.drops_waiting), zone, 0)
+        return servers
+
+    def capacity(self) -> float:
+        """Work a millisecond that the fleet can do."""
+        return sum(s.bridge.shape.cores * s.bridge.shape.speed for s in self.servers.values())
+
+    def run(self) -> Result:
+        """Play it all."""
+        begun, told, clock = time.perf_counter(), self.scenario, self.clock
+        per_ms = (told.load.rate or 0.0) / 1000
+        if told.load.level is not None:
+            per_ms = told.load.level * self.capacity() / load.mean_work(told)
+        for proxy in self.proxies:
+            clock.at(0.0, proxy.listed, ListKind.FULL, tuple(self._entry(name) for name in self.servers))
+        for number, fault in enumerate(told.faults):
+            clock.at(
+                START_MS + fault.at_s * 1000, self._go_wrong, fault, self.draws.stream(f"fault {number}")
+            )
+        coming = load.asks(told, self.draws, per_ms)
+        self._next_ask(coming)
+        end_ms = START_MS + told.seconds * 1000 + TAIL_MS
+        clock.run(end_ms)
+        for server in self.servers.values():
+            server.bridge.advance(end_ms)
+        verdict = self.judge.verdict(START_MS + told.warm_s * 1000, end_ms)
+        totals = [server.bridge.totals for server in self.servers.values()]
+        did = sum(t.work for t in totals)
+        return Result(
+            policy=self.policy,
+            seed=self.draws.seed,
+            verdict=verdict,
+            simulated_s=end_ms / 1000,
+            took_s=time.perf_counter() - begun,
+            decided_s=sum(proxy.decided_s for proxy in self.proxies),
+            events=clock.events,
+            work=did / (self.capacity() * told.seconds * 1000),
+            wasted=sum(t.wasted for t in totals) / did if did else 0.0,
+            turned_away=sum(t.full for t in totals),
+            connections=float(self.most_connections),
+            told=tuple(self.log),
+        )
+
+    def next_job(self) -> int:
+        self._last_job += 1
+        return self._last_job
+
+    # Clients
+
+    def _next_ask(self, coming: Any) -> None:
+        ask = next(coming, None)
+        if ask is not None:
+            self.clock.at(START_MS + ask.at_ms, self._ask, ask, coming)
+
+    def _ask(self, ask: load.Ask, coming: Any) -> None:
+        self._next_ask(coming)
+        cls = self._classes[ask.cls]
+        asked = Asked(START_MS + ask.at_ms, ask.cls, ask.member, cls.worth, cls.aim_ms)
+        self.judge.ask(ask.number, asked)
+        self.retries_left[ask.number] = self.scenario.load.clients.retries
+        self._send(ask)
+        if ask.leaves_ms is not None:
+            self.clock.after(ask.leaves_ms, self._leave, self._last_request)
+
+    def _send(self, ask: load.Ask) -> None:
+        self._last_request += 1
+        request, now_ms = self._last_request, self.clock.now_ms
+        self.ask_of[request], self.proxy_of[request] = ask, ask.proxy
+        self.judge.sent(request, ask.number, now_ms, ask.patience_ms)
+        self.clock.after(ask.patience_ms, self._leave, request)
+        deadline_ms = now_ms + ask.patience_ms - MARGIN_MS
+        first = self.retries_left[ask.number] == self.scenario.load.clients.retries
+        self.proxies[ask.proxy].engine.take(
+            RequestArrived(request, ask.cls, deadline_ms, ask.member, ask.key, repeat=not first)
+        )
+
+    def answered(self, request: int, what: str) -> None:
+        """A final answer, to a client on the proxy's own machine."""
+        self.judge.answered(request, what, self.clock.now_ms)
+        ask = self.ask_of[request]
+        if what != "served" and self.judge.tries[request].left_ms is None:
+            self._retry(ask)
+
+    def _leave(self, request: int) -> None:
+        one = self.judge.tries[request]
+        if one.answers or one.left_ms is not None:
+            return
+        if self.clock.now_ms < one.until_ms - 1e-6:  # before its time: its client has gone for good
+            self.retries_left[one.ask] = 0
+            self.judge.left(request, self.clock.now_ms)
+        self.proxies[self.proxy_of[request]].engine.take(RequestGone(request))
+        self._retry(self.ask_of[request])
+
+    def _retry(self, ask: load.Ask) -> None:
+        """A client tries again by itself, after a wait. Not if it may have been served twice for it."""
+        if self.retries_left[ask.number] > 0:
+            self.retries_left[ask.number] -= 1
+            self.clock.after(self._clients.uniform(*self.scenario.load.clients.wait_ms), self._send, ask)
+
+    # The network
+
+    def _way_ms(self, proxy: Proxy, server: Server) -> float:
+        network = self.scenario.network
+        return network.near_ms if proxy.zone == server.zone else network.far_ms
+
+    def connect(self, sent: Sent) -> None:
+        way_ms = self._way_ms(sent.proxy, sent.server)
+        if sent.server.cut_off:
+            self.clock.after(CONNECT_MS, self._unconnected, sent)
+        else:
+            self.clock.after(way_ms, self._knock, sent, way_ms)
+
+    def _knock(self, sent: Sent, way_ms: float) -> None:
+        bridge = sent.server.bridge
+        self._look(sent.server)
+        if not bridge.connect(self.clock.now_ms):
+            self.clock.after(way_ms, self._unconnected, sent)
+            return
+        self._schedule(sent.server)
+        self.most_connections = max(self.most_connections, bridge.connections)
+        sent.connected, sent.process = True, bridge.started_ms
+        self.clock.after(way_ms, self._connected, sent)
+
+    def _unconnected(self, sent: Sent) -> None:
+        sent.proxy.ended(sent, Outcome.CONNECT_FAILED)
+
+    def _connected(self, sent: Sent) -> None:
+        if sent.over:
+            self._rest(sent)  # called off in the meantime: it must not go out any more
+        else:
+            self.write(sent)
+
+    def write(self, sent: Sent) -> None:
+        """The request goes out whole."""
+        sent.written = True
+        sent.proxy.engine.take(Written(*sent.key))
+        self.clock.after(self._way_ms(sent.proxy, sent.server), self._reach, sent)
+
+    def close(self, proxy: Proxy, server: str, count: int) -> None:
+        bridge = self.servers[server].bridge
+        bridge.connections = max(0, bridge.connections - count)
+
+    def _rest(self, sent: Sent) -> None:
+        """Its connection may be used again."""
+        name = sent.server.bridge.name
+        if name in sent.proxy.targets and sent.server.bridge.up:
+            sent.proxy.idle[name] = sent.proxy.idle.get(name, 0) + 1
+        else:
+            self.close(sent.proxy, name, 1)
+
+    def abandon(self, sent: Sent) -> None:
+        sent.over = True
+        if sent.written:
+            self.close(sent.proxy, sent.server.bridge.name, 1)
+            self.clock.after(self._way_ms(sent.proxy, sent.server), self._cancel, sent)
+
+    def _cancel(self, sent: Sent) -> None:
+        if not sent.server.cut_off:
+            self._look(sent.server)
+            sent.server.bridge.cancel(sent.job.id)
+
+    # Servers
+
+    def _reach(self, sent: Sent) -> None:
+        server, now_ms, bridge = sent.server, self.clock.now_ms, sent.server.bridge
+        if server.cut_off:
+            return  # silence
+        self._look(server)
+        if not bridge.up:
+            self._reply(sent, Outcome.RESET)
+            return
+        request = sent.key[0]
+        if sent.over:
+            return  # its connection was closed before it came
+        self.judge.reached(request, sent.proxy.number, bridge.name, server.bay, now_ms)
+        sent.job.came_ms, sent.process = now_ms, bridge.started_ms
+        keyed = self._classes[self.ask_of[request].cls].repeats == "keyed"
+        fell = bridge.totals.fell
+        verdict = bridge.offer(now_ms, sent.job, self._errors.random(), f"r{request}" if keyed else None)
+        if verdict is Verdict.TAKEN:
+            self._on_server[sent.job.id] = sent
+            self._schedule(server)
+            return
+        if bridge.totals.fell > fell:
+            self.judge.fell(bridge.name, now_ms)
+            self._note(f"{bridge.name} falls over")
+            self._lost(server)
+        if verdict is Verdict.FULL:
+            self.judge.never_ran(request)
+        outcomes = {
+            Verdict.FULL: Outcome.REJECTED,
+            Verdict.ERROR: Outcome.ERROR,
+            Verdict.DROPPED: Outcome.OK,
+            Verdict.DOWN: Outcome.RESET,
+        }
+        self._reply(sent, outcomes[verdict])
+
+    def _reply(self, sent: Sent, outcome: Outcome) -> None:
+        self.clock.after(self._way_ms(sent.proxy, sent.server), self._replied, sent, outcome)
+
+    def _replied(self, sent: Sent, outcome: Outcome) -> None:
+        if sent.over or sent.server.cut_off:
+            return
+        if outcome is not Outcome.RESET:
+            self._rest(sent)
+        sent.proxy.ended(sent, outcome)
+
+    def _look(self, server: Server) -> None:
+        """Let its time pass up to now, and send what has ended."""
+        for job in server.bridge.advance(self.clock.now_ms):
+            sent = self._on_server.pop(job.id, None)
+            if sent is not None and not sent.over and not server.cut_off:
+                self._reply(sent, Outcome.OK)
+
+    def _schedule(self, server: Server) -> None:
+        """Look at it again when its next request ends."""
+        due_ms = server.bridge.next_ms()
+        server.wake += 1
+        if due_ms is not None:
+            self.clock.at(due_ms, self._wake, server, server.wake)
+
+    def _wake(self, server: Server, number: int) -> None:
+        if number == server.wake:
+            self._look(server)
+            self._schedule(server)
+
+    def _lost(self, server: Server) -> None:
+        """Its process has ended: all that was on it is reset."""
+        server.bridge.stop()
+        server.wake += 1
+        for proxy in self.proxies:
+            proxy.idle.pop(server.bridge.name, None)
+        for job_id, sent in list(self._on_server.items()):
+            if sent.server is server:
+                del self._on_server[job_id]
+                if not sent.over:
+                    self._reply(sent, Outcome.RESET)
+
+    # The list
+
+    def _entry(self, name: str) -> ListedEndpoint:
+        server = self.servers[name]
+        started_ms = server.bridge.started_ms
+        return ListedEndpoint(name, server.zone, server.cell, state=server.state, started_ms=started_ms)
+
+    def _change(self, name: str, state: EndpointState) -> None:
+        """The list changes, and tells each proxy late."""
+        self.servers[name].state = state
+        entry = self._entry(name)
+        for proxy in self.proxies:
+            late_ms = self._lists.uniform(*self.scenario.discovery_ms)
+            self.clock.after(late_ms, proxy.listed, ListKind.DELTA, (entry,))
+
+    def _note(self, text: str) -> None:
+        self.log.append(((self.clock.now_ms - START_MS) / 1000, text))
+
+    # What goes wrong
+
+    def _go_wrong(self, fault: Fault, draws: Any) -> None:
+        names = list(self.servers)
+        draws.shuffle(names)
+        met = names[: max(1, round(fault.part * len(names)))]
+        len_ms = fault.len_s * 1000
+        self._note(f"{fault.kind} begins" + ("" if fault.kind == "burst" else f" on {len(met)} servers"))
+        match fault.kind:
+            case "fast-errors":
+                for name in met:
+                    self.servers[name].bridge.error_share = fault.size
+                    self.clock.after(len_ms, self._errors_end, name)
+            case "neighbour":
+                for name in met:
+                    self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
+            case "release" | "drain":
+                order = names if fault.kind == "release" else met
+                for i, name in enumerate(order):
+                    self.clock.after(i * fault.gap_s * 1000, self._restart, name, len_ms)
+            case "death":
+                for name in met:
+                    self._lost(self.servers[name])
+                    self._change(name, EndpointState.GONE)
+                    self.clock.after(len_ms, self._come_back, name)
+            case "partition":
+                for name in met:
+                    self.servers[name].cut_off = True
+                    self.clock.after(len_ms, self._mend, name)
+            case "burst":
+                pass  # the load's
+
+    def _errors_end(self, name: str) -> None:
+        self.servers[name].bridge.error_share = 0.0
+
+    def _neighbour(self, name: str, fault: Fault, until_ms: float, on: bool) -> None:
+        server = self.servers[name]
+        self._look(server)
+        over = self.clock.now_ms >= until_ms
+        server.bridge.taken_share = fault.size if on and not over else 0.0
+        self._schedule(server)
+        if not over:
+            self.clock.after(fault.on_s * 1000, self._neighbour, name, fault, until_ms, not on)
+
+    def _restart(self, name: str, len_ms: float) -> None:
+        """It drains, ends, and comes back cold."""
+        self._note(f"{name} drains")
+        self._change(name, EndpointState.DRAINING)
+        self.clock.after(len_ms, self._stop_drained, name)
+
+    def _stop_drained(self, name: str) -> None:
+        self._look(self.servers[name])
+        self._lost(self.servers[name])
+        self._come_back(name)
+
+    def _come_back(self, name: str) -> None:
+        self._note(f"{name} is back, cold")
+        self.servers[name].bridge.start(self.clock.now_ms)
+        self._change(name, EndpointState.READY)
+
+    def _mend(self, name: str) -> None:
+        self.servers[name].cut_off = False
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,416 @@
+"""The laboratory: the server's model, the judge and what it catches, scenarios, and runs that repeat."""
+
+from __future__ import annotations
+
+import json
+import os
+import sqlite3
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverrouter.cli.main import main
+from cloverrouter.core.states import Effect, GiveFailure, GiveRefusal, Serve
+from cloverrouter.interface import Action, EndpointState, Event, Fail, ListedEndpoint, ListKind, Refuse
+from cloverrouter.lab import load, runner, scenario
+from cloverrouter.lab.bridge import Bay, Bridge, Job, Shape, Verdict
+from cloverrouter.lab.draws import Draws, Zipf, lognormal
+from cloverrouter.lab.judge import RULES, Asked, Judge
+from cloverrouter.lab.policies import Plain
+from cloverrouter.lab.runner import Store, StoreError
+from cloverrouter.lab.scenario import Class, Clients, Fault, Fleet, Load, Scenario, ScenarioError
+from cloverrouter.lab.simulate import Proxy, Simulation
+
+FOLDER = Path(__file__).parent.parent / "deploy" / "lab"
+SCENARIOS = sorted(FOLDER.glob("*.toml"))
+
+# One server
+
+
+def offered(bridge: Bridge, now_ms: float, *works: float, first: int = 1) -> list[Verdict]:
+    return [bridge.offer(now_ms, Job(first + i, work, None, now_ms), 1.0) for i, work in enumerate(works)]
+
+
+def test_requests_share_the_cores() -> None:
+    bridge = Bridge("b", Shape(cores=2, speed=2.0))
+    assert offered(bridge, 0.0, 100.0) == [Verdict.TAKEN]
+    assert bridge.next_ms() == pytest.approx(50.0)  # one core, twice the yardstick
+    offered(bridge, 0.0, 100.0, 100.0, 100.0, first=2)
+    assert bridge.next_ms() == pytest.approx(100.0)  # four on two cores
+    assert [job.id for job in bridge.advance(100.0)] == [1, 2, 3, 4]
+    assert bridge.totals.work == pytest.approx(400.0)
+
+
+@given(
+    st.lists(st.tuples(st.floats(0, 200), st.floats(0.1, 300)), min_size=1, max_size=30), st.integers(1, 8)
+)
+def test_no_work_is_lost_or_made(jobs: list[tuple[float, float]], cores: int) -> None:
+    bridge, now_ms, ended = Bridge("b", Shape(cores=cores, slots=5, room=100)), 0.0, 0
+    for i, (gap_ms, work) in enumerate(jobs):
+        now_ms += gap_ms
+        ended += len(bridge.advance(now_ms))
+        bridge.offer(now_ms, Job(i, work, None, now_ms), 1.0)
+    total = sum(work for _, work in jobs)
+    ended += len(bridge.advance(now_ms + total + 1))  # one core alone would be done by then
+    assert ended == len(jobs) and bridge.held == 0
+    assert bridge.totals.work == pytest.approx(total)
+
+
+def test_beyond_its_room_it_turns_away() -> None:
+    bridge = Bridge("b", Shape(slots=2, room=1))
+    assert offered(bridge, 0.0, 10, 10, 10, 10) == [Verdict.TAKEN] * 3 + [Verdict.FULL]
+    assert bridge.report()[0] == 3
+    bridge.stop()
+    assert offered(bridge, 1.0, 10) == [Verdict.DOWN]
+
+
+def test_cancelled_work_goes_on_and_waiting_work_is_dropped_on_some_days() -> None:
+    for drops, wasted in ((False, 20.0), (True, 10.0)):
+        bridge = Bridge("b", Shape(slots=1, cores=1), drops_waiting=drops)
+        offered(bridge, 0.0, 10.0, 10.0)
+        assert bridge.cancel(1) is False and bridge.cancel(2) is drops
+        bridge.advance(100.0)
+        assert bridge.totals.wasted == pytest.approx(wasted)
+
+
+def test_cold_it_does_less_and_falls_over_if_pushed() -> None:
+    shape = Shape(cores=4, cold_share=0.25, cold_ms=10_000.0, fall_ms=2000.0, slots=1000)
+    bridge = Bridge("b", shape, started_ms=0.0)
+    assert [bridge.capacity(at) for at in (0.0, 5000.0, 10_000.0)] == [1.0, 2.5, 4.0]
+    assert offered(bridge, 0.0, *[100.0] * 60) == [Verdict.TAKEN] * 60  # three times 2 s of one core
+    assert offered(bridge, 0.0, 100.0, first=100) == [Verdict.DOWN]
+    assert bridge.totals.fell == 1 and not bridge.up
+    bridge.start(5.0)
+    assert bridge.up and bridge.warmth(5.0) == 0.25
+
+
+def test_crowded_for_long_it_is_slow_until_it_has_rested() -> None:
+    shape = Shape(cores=1, choke_waiting=5, choke_after_ms=100, choke_factor=2, choke_rest_ms=300, slots=100)
+    bridge = Bridge("b", shape)
+    offered(bridge, 0.0, *[100.0] * 10)
+    bridge.advance(100.0)
+    bridge.advance(200.0)
+    assert bridge.capacity(200.0) == 0.5
+    bridge.advance(3000.0)
+    bridge.advance(3010.0)
+    assert bridge.held == 0 and bridge.capacity(3010.0) == 0.5
+    bridge.advance(3400.0)
+    assert bridge.capacity(3400.0) == 1.0
+
+
+def test_a_key_met_lately_is_less_work_and_a_bay_drops_repeats() -> None:
+    bay = Bay(10_000.0)
+    one, other = (Bridge(n, Shape(cores=1, memory_saves=0.5, memory_ms=1000.0), bay) for n in "ab")
+    for at_ms, work in ((0.0, 100.0), (200.0, 50.0), (2000.0, 100.0)):
+        job = Job(int(at_ms), 100.0, "k", at_ms)
+        one.advance(at_ms)
+        one.offer(at_ms, job, 1.0)
+        assert job.work == work
+    assert one.offer(2000.0, Job(7, 1.0, None, 0), 1.0, "r1") is Verdict.TAKEN
+    assert other.offer(2001.0, Job(8, 1.0, None, 0), 1.0, "r1") is Verdict.DROPPED
+    assert other.offer(20_000.0, Job(9, 1.0, None, 0), 1.0, "r1") is Verdict.TAKEN
+
+
+def test_errors_connections_and_probes_cost() -> None:
+    bridge = Bridge("b", Shape(connections=1, handshake=10, probe=5, cores=1), error_share=0.5)
+    assert bridge.offer(0.0, Job(1, 1, None, 0), 0.4) is Verdict.ERROR
+    assert bridge.connect(0.0) and not bridge.connect(0.0)
+    assert bridge.probed(0.0) is not None
+    assert bridge.advance(20.0) == []  # its own work is nobody's answer
+    assert bridge.totals.work == 15
+    with pytest.raises(ValueError, match="ran backwards"):
+        bridge.advance(1.0)
+
+
+# Draws and load
+
+
+def test_streams_are_their_own() -> None:
+    assert Draws(1).stream("a").random() == Draws(1).stream("a").random() != Draws(2).stream("a").random()
+    assert Draws(1).stream("a").random() != Draws(1).stream("b").random()
+    chance = Random(1)
+    assert sum(lognormal(chance, 100.0, 0.5) for _ in range(20_000)) / 20_000 == pytest.approx(
+        100.0, rel=0.03
+    )
+    ranks = [Zipf(100, 1.0).draw(chance) for _ in range(5000)]
+    assert ranks.count(0) > 3 * ranks.count(9) > 0
+
+
+CLASSES = (
+    Class(name="join", share=0.6, mean_work=50, repeats="keyed"),
+    Class(name="dial-out", share=0.4, mean_work=80, worth=2),
+)
+SMALL = Scenario(
+    name="small", seconds=6.0, warm_s=1.0, proxies=2, fleet=Fleet(servers=4, zones=("a", "b")),
+    load=Load(level=0.5, classes=CLASSES), seeds=(1,),
+)  # fmt: skip
+
+
+def test_load_comes_as_it_is_asked_for() -> None:
+    burst = Fault(kind="burst", at_s=2, len_s=2, size=2.0)
+    told = msgspec.structs.replace(SMALL, seconds=60.0, faults=(msgspec.structs.replace(burst, len_s=20.0),))
+    asks = list(load.asks(told, Draws(1), 0.2))
+    before = [a for a in asks if a.at_ms < 2000]
+    during = [a for a in asks if 4000 <= a.at_ms < 20_000]
+    assert len(before) == pytest.approx(400, rel=0.2)
+    assert len(during) == pytest.approx(6400, rel=0.1)
+    assert sum(a.cls == "join" for a in asks) / len(asks) == pytest.approx(0.6, abs=0.05)
+    other = msgspec.structs.replace(told.load, keys=3)
+    again = list(load.asks(msgspec.structs.replace(told, load=other), Draws(1), 0.2))
+    assert [a.at_ms for a in again] == [a.at_ms for a in asks]  # other keys shift no arrival
+
+
+# The judge, and a proxy for each rule that breaks it
+
+
+def test_worth_is_what_is_served_in_time() -> None:
+    judge = Judge({"x": "never"}, 10_000.0, 3)
+    for number, served_ms in ((1, 50.0), (2, 400.0), (3, None)):
+        judge.ask(number, Asked(0.0, "x", "m", 1.0 if number < 3 else 2.0, 100.0))
+        judge.sent(number, number, 0.0, 500.0)
+        judge.answered(number, "served" if served_ms else "refused", served_ms or 20.0)
+    verdict = judge.verdict(0.0, 1000.0)
+    assert verdict.worth == 0.25 == verdict.worst == verdict.by_member["m"]
+    assert verdict.answers == {"served": 2, "refused": 1} and not verdict.broken
+
+
+class Forgetful(Plain):
+    """Never says no."""
+
+    def handle(self, now_ms: float, events: Sequence[Event]) -> list[Action]:
+        return [a for a in super().handle(now_ms, events) if not isinstance(a, Refuse | Fail)]
+
+
+class Reckless(Plain):
+    """Repeats whatever failed, wherever."""
+
+    def _allowed(self, now_ms: float, request: Any) -> list[ListedEndpoint]:
+        request.first_run = None
+        return super()._allowed(now_ms, request)
+
+
+class Stubborn(Plain):
+    """Counts no attempts."""
+
+    def _allowed(self, now_ms: float, request: Any) -> list[ListedEndpoint]:
+        return list(self._ready.values()) if now_ms < request.until_ms and request.first_run is None else []
+
+
+class Crowding(Plain):
+    """Sends all to the server that came last."""
+
+    def pick(self, allowed: list[ListedEndpoint]) -> ListedEndpoint:
+        return max(allowed, key=lambda e: e.started_ms or 0.0)
+
+
+class Deaf(Proxy):
+    """Hears of no drain."""
+
+    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...]) -> None:
+        super().listed(kind, entries)
+        still = tuple(replace(e, state=EndpointState.READY) for e in entries)
+        self.targets.update({e.name: (e.name, e.started_ms) for e in still})
+        broken = [e for e in entries if e.state is not EndpointState.READY]
+        told = dict(self.world.judge._told)
+        if broken:
+            super().listed(kind, still)
+            self.world.judge._told = told  # what it was told stays told
+
+
+class Doubling(Proxy):
+    """Says everything twice."""
+
+    def _carry_out(self, effect: Effect) -> None:
+        super()._carry_out(effect)
+        if isinstance(effect, Serve | GiveRefusal | GiveFailure):
+            self.world.judge.answered(effect.call, "served", self.world.clock.now_ms)
+
+
+ERRORS = Fault(kind="fast-errors", at_s=1, len_s=4, part=1.0, size=0.9)
+RELEASE = Fault(kind="release", at_s=1, len_s=2.0, gap_s=0.3)
+ROOMLESS = Fleet(servers=4, zones=("a", "b"), kinds=(scenario.Kind(slots=1, room=0),))
+
+
+@pytest.mark.parametrize(
+    ("rule", "policy", "proxy", "change"),
+    [
+        ("lost", Forgetful, Proxy, {"faults": (ERRORS,)}),
+        ("repeat", Reckless, Proxy, {"faults": (ERRORS,)}),
+        ("attempts", Stubborn, Proxy, {"fleet": ROOMLESS}),
+        ("push", Crowding, Proxy, {"faults": (RELEASE,), "proxies": 4}),
+        ("drain", Plain, Deaf, {"faults": (RELEASE,), "discovery_ms": (100.0, 200.0)}),
+        ("twice", Plain, Doubling, {}),
+    ],
+)
+def test_each_rule_is_missed_by_nobody_who_breaks_it(
+    rule: str, policy: type[Plain], proxy: type[Proxy], change: dict[str, Any]
+) -> None:
+    told = msgspec.structs.replace(SMALL, **change)
+    broken = (
+        Simulation(told, "bad", 1, lambda _, settings, seed: policy(settings, seed), proxy)
+        .run()
+        .verdict.broken
+    )
+    assert rule in {text.partition(":")[0] for text in broken}
+    honest = Simulation(told, "ours", 1).run().verdict
+    assert honest.broken == [] and honest.asked > 300
+    assert rule in RULES
+
+
+def test_outside_of_the_bay_and_after_the_window() -> None:
+    for bay, at_ms, said in (("b", 100.0, "outside of its bay"), ("a", 20_000.0, "after its window")):
+        judge = Judge({"join": "keyed"}, 10_000.0, 3)
+        judge.ask(1, Asked(0.0, "join", "m", 1.0, 100.0))
+        judge.sent(1, 1, 0.0, 30_000.0)
+        judge.reached(1, 0, "s0", "a", 0.0)
+        judge.reached(1, 0, "s1", bay, at_ms)
+        assert said in judge.broken[0]
+
+
+# Runs
+
+
+def test_a_run_repeats_and_seeds_differ() -> None:
+    one, again, other = (Simulation(SMALL, "ours", seed).run() for seed in (1, 1, 2))
+    assert one.verdict == again.verdict != other.verdict
+    assert (one.events, one.work) == (again.events, again.work)
+
+
+@pytest.mark.parametrize("kind", ["neighbour", "death", "partition", "drain"])
+def test_ours_keeps_the_rules_whatever_goes_wrong(kind: Any) -> None:
+    fault = Fault(kind=kind, at_s=1, len_s=2, part=0.5)
+    clients = Clients(leave_share=0.1)
+    told = msgspec.structs.replace(
+        SMALL, faults=(fault,), load=msgspec.structs.replace(SMALL.load, clients=clients)
+    )
+    result = Simulation(told, "ours", 3).run()
+    assert result.verdict.broken == []
+    assert result.told and 0 < result.verdict.worth < 1
+
+
+def test_ours_is_worth_more_than_chance_where_it_matters() -> None:
+    told = scenario.read(FOLDER / "herd.toml")
+    ours, chance = (Simulation(told, policy, 1).run().verdict for policy in ("ours", "random"))
+    assert ours.broken == [] and any(text.startswith("push") for text in chance.broken)
+    assert ours.worth > chance.worth + 0.2
+
+
+# Files and commands
+
+
+def run(*args: str) -> tuple[int, str]:
+    done = CliRunner().invoke(main, ["lab", *args])
+    return done.exit_code, done.output
+
+
+def test_shipped_scenarios_are_good() -> None:
+    assert {p.stem for p in SCENARIOS} >= {
+        "quiet",
+        "fast-errors",
+        "neighbour",
+        "burst",
+        "herd",
+        "rolling-drain",
+    }
+    code, text = run("check", *map(str, SCENARIOS))
+    assert code == 0 and text.count(": good") == len(SCENARIOS)
+    code, text = run("list", str(FOLDER))
+    assert code == 0 and "cold at once" in text
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        (
+            "level = 0.6",
+            "level = 0.6\nrate = 3",
+            "load: found both, or neither, allowed one of rate and level",
+        ),
+        ("proxies = 5", "proxies = 0", "proxies: found 0, allowed 1 to 10,000"),
+        ("proxies = 5", "proxy = 5", "unknown field `proxy`"),
+        ("servers = 12", 'servers = "many"', r"Expected `int`, got `str` - at `\$.fleet.servers`"),
+        ("aim_ms = 600.0", "aim_ms = 6000.0", r"load.classes\[join\].aim_ms: found 6000.0"),
+        ('"ours", ', '"theirs", ', "policies: found theirs, least-in-flight, random, allowed ours"),
+        ("seconds = 30.0", "seconds = ", "no TOML"),
+    ],
+)
+def test_bad_scenarios_are_told(tmp_path: Path, old: str, new: str, said: str) -> None:
+    path = tmp_path / "bad.toml"
+    text = (FOLDER / "quiet.toml").read_text()
+    assert old in text
+    path.write_text(text.replace(old, new, 1))
+    with pytest.raises(ScenarioError, match=said) as error:
+        scenario.read(path)
+    assert "bad.toml" in str(error.value)
+    assert run("check", str(path))[0] == 2 == run("run", str(tmp_path / "none.toml"))[0]
+
+
+def write_small(path: Path, **change: Any) -> Path:
+    text = (FOLDER / "quiet.toml").read_text()
+    for old, new in {
+        "seconds = 30.0": "seconds = 4.0",
+        "seeds = [1, 2, 3]": "seeds = [1, 2]",
+        **change,
+    }.items():
+        assert old in text
+        text = text.replace(old, new)
+    path.write_text(text)
+    return path
+
+
+def test_results_are_kept_and_a_run_goes_on(tmp_path: Path) -> None:
+    path, out = write_small(tmp_path / "s.toml"), tmp_path / "out"
+    code, text = run("run", str(path), "--out", str(out), "--processes", "2", "--json")
+    told = json.loads(text)
+    assert code == 0 and [row["runs"] for row in told["rows"]] == [2, 2, 2]
+    with sqlite3.connect(out / runner.STORE) as db:
+        db.execute("DELETE FROM runs WHERE policy = 'random'")  # as though it had been interrupted
+    code, again = run("run", str(path), "--out", str(out), "--json")
+    assert code == 0
+    for one, other in zip(told["runs"], json.loads(again)["runs"], strict=True):
+        assert one["verdict"] == other["verdict"]
+    code, text = run(
+        "run", str(write_small(tmp_path / "t.toml", **{"proxies = 5": "proxies = 3"})), "--out", str(out)
+    )
+    assert code == 2 and "another scenario" in text
+    with sqlite3.connect(out / runner.STORE) as db:
+        db.execute("UPDATE about SET value = '0' WHERE key = 'form'")
+    code, text = run("run", str(path), "--out", str(out))
+    assert code == 2 and "form: found 0, this version writes 1" in text
+    (tmp_path / "file").write_text("")
+    with pytest.raises(StoreError, match="no run folder"):
+        Store(tmp_path / "file", SMALL)
+
+
+def dying(told: Scenario, policy: str, seed: int) -> Any:
+    if policy == "random" and seed == 2:
+        os._exit(9)
+    if policy == "random":
+        raise RuntimeError("lost its way")
+    return Simulation(told, policy, seed).run()
+
+
+def test_a_process_that_dies_is_told_and_the_others_go_on(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    monkeypatch.setattr(runner, "play", dying)
+    told = msgspec.structs.replace(SMALL, seeds=(1, 2), policies=("ours", "random"))
+    store = Store(tmp_path / "out", told)
+    outcomes = list(runner.run(told, 2, store))
+    errors = sorted(o for o in outcomes if isinstance(o, str))
+    assert errors == ["random, seed 1: RuntimeError: lost its way", "random, seed 2: its process died"]
+    assert store.done() == {("ours", 1), ("ours", 2)}
+
+
+def test_table(tmp_path: Path) -> None:
+    path = write_small(tmp_path / "s.toml")
+    code, text = run("run", str(path), "--seeds", "1", "--policy", "ours", "--processes", "1")
+    assert code == 0 and "least-in-flight" not in text and "himal-tel 1.000" in text
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,9 +18,10 @@
     "interface": set(),
     "explore": {"interface", "core", "decide"},
     "proxy": {"interface", "core", "decide"},
-    "cli": {"explore"},
+    "lab": {"interface", "core", "decide"},
+    "cli": {"explore", "lab"},
 }
-PURE = ("core", "decide", "interface")
+PURE = ("core", "decide", "interface", "lab/bridge", "lab/judge", "lab/scenario")
 IMPURE = {
     "asyncio",
     "socket",
@@ -72,5 +73,8 @@
     code = "import sys, cloverrouter.proxy.program; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     loaded = set(done.stdout.split())
-    assert not {"click", "msgspec", "xxhash", "cloverrouter.explore", "cloverrouter.cli"} & loaded
+    assert (
+        not {"click", "msgspec", "xxhash", "cloverrouter.explore", "cloverrouter.lab", "cloverrouter.cli"}
+        & loaded
+    )
     assert "cloverrouter.core.engine" in loaded
