Lab: the fleet, its list and its faults stand apart from simulated time

Need: the same scenario is to be played on sockets in real time, with the same faults. Change: lab/world.py holds the fleet and what goes wrong; the simulation is one way to play it.

--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -8,7 +8,7 @@
 
 import time
 from collections.abc import Callable, Hashable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from heapq import heappop, heappush
 from typing import Any
 
@@ -40,21 +40,20 @@
     TimerFired,
 )
 from cloverrouter.lab import load, scenario
-from cloverrouter.lab.bridge import Bay, Bridge, Job, Verdict
-from cloverrouter.lab.draws import Draws, Weighted
-from cloverrouter.lab.judge import Asked, Judge
+from cloverrouter.lab.bridge import Job, Verdict
+from cloverrouter.lab.judge import Asked
 from cloverrouter.lab.judge import Verdict as Judged
 from cloverrouter.lab.policies import Policy, make
-from cloverrouter.lab.scenario import Fault, Scenario
+from cloverrouter.lab.scenario import Scenario
+from cloverrouter.lab.world import START_MS, Server, World
 
 MARGIN_MS = 3.0  # proxies take deadlines to be so much earlier
 CONNECT_MS = 250.0  # a connection that has not come up by then never does
 TAIL_MS = 6000.0  # played on after the last arrival
-START_MS = 1000.0  # proxies know the list by then
 Key = tuple[int, int]
 
 
-class Clock:
+class SimulatedClock:
     """Simulated time, and what is due."""
 
     def __init__(self) -> None:
@@ -79,23 +78,6 @@
         self.now_ms = until_ms
 
 
-@dataclass(slots=True)
-class Server:
-    """A bridge server and what the world knows of it beside its work."""
-
-    bridge: Bridge
-    zone: str
-    cell: int
-    state: EndpointState = EndpointState.READY  # as the list has it, or will
-    cut_off: bool = False  # nothing gets through to it, nor from it
-    connections_of: dict[int, int] = field(default_factory=dict)
-    wake: int = 0  # the number of the latest look at it: earlier ones are void
-
-    @property
-    def bay(self) -> str:
-        return f"{self.zone}/{self.cell}"
-
-
 @dataclass(slots=True)
 class Sent:
     """An attempt on its way."""
@@ -228,7 +210,7 @@
         return self.simulated_s / self.took_s if self.took_s else 0.0
 
 
-class Simulation:
+class Simulation(World):
     """One scenario, one policy, one seed."""
 
     def __init__(
@@ -240,14 +222,10 @@
         proxy_type: type[Proxy] = Proxy,
     ) -> None:
         """Raises KeyError for a policy that is not known. The last two let tests play other ones."""
+        super().__init__(told, seed)
         self.make_policy = make_policy
-        self.scenario = told
         self.policy = policy
-        self.draws = Draws(seed)
-        self.clock = Clock()
-        repeats = {c.name: str(c.repeats) for c in told.load.classes}
-        self.judge = Judge(repeats, told.fleet.bay_window_ms, told.max_attempts)
-        self.servers = self._fleet()
+        self.clock: SimulatedClock = SimulatedClock()
         zones = told.fleet.zones
         self.proxies = [proxy_type(self, i, zones[i % len(zones)], policy) for i in range(told.proxies)]
         self.ask_of: dict[int, load.Ask] = {}  # by request
@@ -257,29 +235,9 @@
         self._on_server: dict[int, Sent] = {}  # by job
         self._errors = self.draws.stream("errors")
         self._clients = self.draws.stream("clients")
-        self._lists = self.draws.stream("lists")
         self._classes = {c.name: c for c in told.load.classes}
-        self.log: list[tuple[float, str]] = []
         self.most_connections = 0
 
-    def _fleet(self) -> dict[str, Server]:
-        fleet, draws = self.scenario.fleet, self.draws.stream("fleet")
-        kinds = {str(i): kind for i, kind in enumerate(fleet.kinds)}
-        weighted = Weighted({name: kind.share for name, kind in kinds.items()})
-        bays: dict[str, Bay] = {}
-        servers: dict[str, Server] = {}
-        for i in range(fleet.servers):
-            zone = fleet.zones[i % len(fleet.zones)]
-            kind = kinds[weighted.draw(draws)]
-            made = scenario.shape(fleet, kind, draws.uniform(*kind.speed))
-            bay = bays.setdefault(zone, Bay(fleet.bay_window_ms))
-            servers[f"b{i}"] = Server(Bridge(f"b{i}", made, bay, drops_waiting=fleet.drops_waiting), zone, 0)
-        return servers
-
-    def capacity(self) -> float:
-        """Work a millisecond that the fleet can do."""
-        return sum(s.bridge.shape.cores * s.bridge.shape.speed for s in self.servers.values())
-
     def run(self) -> Result:
         """Play it all."""
         begun, told, clock = time.perf_counter(), self.scenario, self.clock
@@ -288,10 +246,7 @@
             per_ms = told.load.level * self.capacity() / load.mean_work(told)
         for proxy in self.proxies:
             clock.at(0.0, proxy.listed, ListKind.FULL, tuple(self._entry(name) for name in self.servers))
-        for number, fault in enumerate(told.faults):
-            clock.at(
-                START_MS + fault.at_s * 1000, self._go_wrong, fault, self.draws.stream(f"fault {number}")
-            )
+        self.plan_faults()
         coming = load.asks(told, self.draws, per_ms)
         self._next_ask(coming)
         end_ms = START_MS + told.seconds * 1000 + TAIL_MS
@@ -511,83 +466,5 @@
                 if not sent.over:
                     self._reply(sent, Outcome.RESET)
 
-    # The list
-
-    def _entry(self, name: str) -> ListedEndpoint:
-        server = self.servers[name]
-        started_ms = server.bridge.started_ms
-        return ListedEndpoint(name, server.zone, server.cell, state=server.state, started_ms=started_ms)
-
-    def _change(self, name: str, state: EndpointState) -> None:
-        """The list changes, and tells each proxy late."""
-        self.servers[name].state = state
-        entry = self._entry(name)
-        for proxy in self.proxies:
-            late_ms = self._lists.uniform(*self.scenario.discovery_ms)
-            self.clock.after(late_ms, proxy.listed, ListKind.DELTA, (entry,))
-
-    def _note(self, text: str) -> None:
-        self.log.append(((self.clock.now_ms - START_MS) / 1000, text))
-
-    # What goes wrong
-
-    def _go_wrong(self, fault: Fault, draws: Any) -> None:
-        names = list(self.servers)
-        draws.shuffle(names)
-        met = names[: max(1, round(fault.part * len(names)))]
-        len_ms = fault.len_s * 1000
-        self._note(f"{fault.kind} begins" + ("" if fault.kind == "burst" else f" on {len(met)} servers"))
-        match fault.kind:
-            case "fast-errors":
-                for name in met:
-                    self.servers[name].bridge.error_share = fault.size
-                    self.clock.after(len_ms, self._errors_end, name)
-            case "neighbour":
-                for name in met:
-                    self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
-            case "release" | "drain":
-                order = names if fault.kind == "release" else met
-                for i, name in enumerate(order):
-                    self.clock.after(i * fault.gap_s * 1000, self._restart, name, len_ms)
-            case "death":
-                for name in met:
-                    self._lost(self.servers[name])
-                    self._change(name, EndpointState.GONE)
-                    self.clock.after(len_ms, self._come_back, name)
-            case "partition":
-                for name in met:
-                    self.servers[name].cut_off = True
-                    self.clock.after(len_ms, self._mend, name)
-            case "burst":
-                pass  # the load's
-
-    def _errors_end(self, name: str) -> None:
-        self.servers[name].bridge.error_share = 0.0
-
-    def _neighbour(self, name: str, fault: Fault, until_ms: float, on: bool) -> None:
-        server = self.servers[name]
-        self._look(server)
-        over = self.clock.now_ms >= until_ms
-        server.bridge.taken_share = fault.size if on and not over else 0.0
-        self._schedule(server)
-        if not over:
-            self.clock.after(fault.on_s * 1000, self._neighbour, name, fault, until_ms, not on)
-
-    def _restart(self, name: str, len_ms: float) -> None:
-        """It drains, ends, and comes back cold."""
-        self._note(f"{name} drains")
-        self._change(name, EndpointState.DRAINING)
-        self.clock.after(len_ms, self._stop_drained, name)
-
-    def _stop_drained(self, name: str) -> None:
-        self._look(self.servers[name])
-        self._lost(self.servers[name])
-        self._come_back(name)
-
-    def _come_back(self, name: str) -> None:
-        self._note(f"{name} is back, cold")
-        self.servers[name].bridge.start(self.clock.now_ms)
-        self._change(name, EndpointState.READY)
-
-    def _mend(self, name: str) -> None:
-        self.servers[name].cut_off = False
+    def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
+        self.proxies[proxy].listed(ListKind.DELTA, (entry,))
--- /dev/null
+++ b/cloverrouter/lab/world.py
@@ -0,0 +1,187 @@
+"""The fleet that a scenario describes, its list, and what goes wrong with it: in simulated or in real time.
+
+Whoever plays it brings the clock, and says what it means that time passes on a server, that its process ends
+and that a proxy is told of a change.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from cloverrouter.interface import EndpointState, ListedEndpoint
+from cloverrouter.lab import scenario
+from cloverrouter.lab.bridge import Bay, Bridge
+from cloverrouter.lab.draws import Draws, Weighted
+from cloverrouter.lab.judge import Judge
+from cloverrouter.lab.scenario import Fault, Scenario
+
+START_MS = 1000.0  # proxies know the list by then
+
+
+class Clock(Protocol):
+    """What is due, and when."""
+
+    @property
+    def now_ms(self) -> float: ...
+
+    def at(self, at_ms: float, call: Callable[..., None], *args: Any) -> None:
+        """Do it then."""
+        ...
+
+    def after(self, span_ms: float, call: Callable[..., None], *args: Any) -> None: ...
+
+
+@dataclass(slots=True)
+class Server:
+    """A bridge server and what the world knows of it beside its work."""
+
+    bridge: Bridge
+    zone: str
+    cell: int
+    state: EndpointState = EndpointState.READY  # as the list has it, or will
+    cut_off: bool = False  # nothing gets through to it, nor from it
+    wake: int = 0  # the number of the latest look at it: earlier ones are void
+
+    @property
+    def bay(self) -> str:
+        return f"{self.zone}/{self.cell}"
+
+
+class World(ABC):
+    """A fleet, the ledger of what is seen of it, and the faults that it meets."""
+
+    clock: Clock
+
+    def __init__(self, told: Scenario, seed: int) -> None:
+        self.scenario = told
+        self.draws = Draws(seed)
+        repeats = {c.name: str(c.repeats) for c in told.load.classes}
+        self.judge = Judge(repeats, told.fleet.bay_window_ms, told.max_attempts)
+        self.servers = self._fleet()
+        self.log: list[tuple[float, str]] = []
+        self._lists = self.draws.stream("lists")
+
+    def _fleet(self) -> dict[str, Server]:
+        fleet, draws = self.scenario.fleet, self.draws.stream("fleet")
+        kinds = {str(i): kind for i, kind in enumerate(fleet.kinds)}
+        weighted = Weighted({name: kind.share for name, kind in kinds.items()})
+        bays: dict[str, Bay] = {}
+        servers: dict[str, Server] = {}
+        for i in range(fleet.servers):
+            zone = fleet.zones[i % len(fleet.zones)]
+            kind = kinds[weighted.draw(draws)]
+            made = scenario.shape(fleet, kind, draws.uniform(*kind.speed))
+            bay = bays.setdefault(zone, Bay(fleet.bay_window_ms))
+            servers[f"b{i}"] = Server(Bridge(f"b{i}", made, bay, drops_waiting=fleet.drops_waiting), zone, 0)
+        return servers
+
+    def capacity(self) -> float:
+        """Work a millisecond that the fleet can do."""
+        return sum(s.bridge.shape.cores * s.bridge.shape.speed for s in self.servers.values())
+
+    def plan_faults(self) -> None:
+        """Have everything go wrong that the scenario names, when it says."""
+        for number, fault in enumerate(self.scenario.faults):
+            draws = self.draws.stream(f"fault {number}")
+            self.clock.at(START_MS + fault.at_s * 1000, self._go_wrong, fault, draws)
+
+    @abstractmethod
+    def _look(self, server: Server) -> None:
+        """Let its time pass up to now, and send what has ended."""
+
+    @abstractmethod
+    def _schedule(self, server: Server) -> None:
+        """Look at it again when its next request ends."""
+
+    @abstractmethod
+    def _lost(self, server: Server) -> None:
+        """Its process has ended: all that was on it is reset."""
+
+    @abstractmethod
+    def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
+        """The list tells this proxy."""
+
+    # The list
+
+    def _entry(self, name: str) -> ListedEndpoint:
+        server = self.servers[name]
+        started_ms = server.bridge.started_ms
+        return ListedEndpoint(name, server.zone, server.cell, state=server.state, started_ms=started_ms)
+
+    def _change(self, name: str, state: EndpointState) -> None:
+        """The list changes, and tells each proxy late."""
+        self.servers[name].state = state
+        entry = self._entry(name)
+        for proxy in range(self.scenario.proxies):
+            late_ms = self._lists.uniform(*self.scenario.discovery_ms)
+            self.clock.after(late_ms, self._tell, proxy, entry)
+
+    def _note(self, text: str) -> None:
+        self.log.append(((self.clock.now_ms - START_MS) / 1000, text))
+
+    # What goes wrong
+
+    def _go_wrong(self, fault: Fault, draws: Random) -> None:
+        names = list(self.servers)
+        draws.shuffle(names)
+        met = names[: max(1, round(fault.part * len(names)))]
+        len_ms = fault.len_s * 1000
+        self._note(f"{fault.kind} begins" + ("" if fault.kind == "burst" else f" on {len(met)} servers"))
+        match fault.kind:
+            case "fast-errors":
+                for name in met:
+                    self.servers[name].bridge.error_share = fault.size
+                    self.clock.after(len_ms, self._errors_end, name)
+            case "neighbour":
+                for name in met:
+                    self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
+            case "release" | "drain":
+                order = names if fault.kind == "release" else met
+                for i, name in enumerate(order):
+                    self.clock.after(i * fault.gap_s * 1000, self._restart, name, len_ms)
+            case "death":
+                for name in met:
+                    self._lost(self.servers[name])
+                    self._change(name, EndpointState.GONE)
+                    self.clock.after(len_ms, self._come_back, name)
+            case "partition":
+                for name in met:
+                    self.servers[name].cut_off = True
+                    self.clock.after(len_ms, self._mend, name)
+            case "burst":
+                pass  # the load's
+
+    def _errors_end(self, name: str) -> None:
+        self.servers[name].bridge.error_share = 0.0
+
+    def _neighbour(self, name: str, fault: Fault, until_ms: float, on: bool) -> None:
+        server = self.servers[name]
+        self._look(server)
+        over = self.clock.now_ms >= until_ms
+        server.bridge.taken_share = fault.size if on and not over else 0.0
+        self._schedule(server)
+        if not over:
+            self.clock.after(fault.on_s * 1000, self._neighbour, name, fault, until_ms, not on)
+
+    def _restart(self, name: str, len_ms: float) -> None:
+        """It drains, ends, and comes back cold."""
+        self._note(f"{name} drains")
+        self._change(name, EndpointState.DRAINING)
+        self.clock.after(len_ms, self._stop_drained, name)
+
+    def _stop_drained(self, name: str) -> None:
+        self._look(self.servers[name])
+        self._lost(self.servers[name])
+        self._come_back(name)
+
+    def _come_back(self, name: str) -> None:
+        self._note(f"{name} is back, cold")
+        self.servers[name].bridge.start(self.clock.now_ms)
+        self._change(name, EndpointState.READY)
+
+    def _mend(self, name: str) -> None:
+        self.servers[name].cut_off = False
