--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
 import click
 import msgspec
 
+from cloverrouter.lab import real as playing
 from cloverrouter.lab import runner, scenario
 from cloverrouter.lab.runner import Row, Store, StoreError
 from cloverrouter.lab.scenario import Scenario, ScenarioError
@@ -59,6 +62,7 @@
 @click.option(
     "--out", type=click.Path(path_type=Path), help="Keep results here, and go on with what is there."
 )
+@click.option("--real", is_flag=True, help="In real time, with the real proxy over loopback sockets.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 def run(
     file: Path,
@@ -66,13 +70,21 @@
     seeds: int | None,
     policies: tuple[str, ...],
     out: Path | None,
+    real: bool,
     as_json: bool,
 ) -> None:
     """Play a scenario with every policy and seed that it names.
 
-    Exits 0 if the project's own policy broke no rule, 1 if it did or a run failed, 2 if the file is wrong.
+    In real time it is the real proxy that is played, a seed at a time. Exits 0 if the project's own policy
+    broke no rule, 1 if it did, a run failed or is void, 2 if the file is wrong.
     """
     told = _read(file)
+    if real:
+        if out is not None or policies not in ((), ("ours",)):
+            raise click.UsageError(
+                "--real plays the proxy alone, and keeps no results: no --out, no --policy"
+            )
+        _run_real(told, told.seeds[: seeds or len(told.seeds)], as_json)
     told = msgspec.structs.replace(
         told, seeds=told.seeds[: seeds or len(told.seeds)], policies=policies or told.policies
     )
@@ -107,6 +119,63 @@
     sys.exit(1 if errors or any(row.broken for row in ours) else 0)
 
 
+def _run_real(told: Scenario, seeds: tuple[int, ...], as_json: bool) -> None:
+    bad = False
+    runs = []
+    if not as_json:
+        click.echo(f"{told.name}, in real time: {told.fleet.servers} servers, {told.proxies} proxies")
+        click.echo(
+            f"{'seed':>6}{'worth':>9}{'worst10':>9}{'p50 ms':>9}{'p99 ms':>9}{'us/ask':>9}{'lab CPU':>9}"
+        )
+    for seed in seeds:
+        try:
+            played = asyncio.run(playing.play(told, seed))
+        except RuntimeError as error:
+            click.echo(f"seed {seed}: {error}", err=True)
+            sys.exit(1)
+        runs.append({"seed": seed, **msgspec.to_builtins(played)})
+        verdict = played.verdict
+        bad = bad or bool(verdict.broken or played.void or played.died)
+        if as_json:
+            continue
+        lat = verdict.latency_ms
+        click.echo(
+            f"{seed:6}{verdict.worth:9.3f}{verdict.worst:9.3f}{lat.get('50', 0):9.0f}{lat.get('99', 0):9.0f}"
+            f"{played.proxy_cpu_us:9.0f}{played.lab_cpu:9.2f}  "
+            + "; ".join(
+                [*verdict.broken[:3], *played.died, *([f"void: {played.void}"] if played.void else [])]
+            )
+        )
+    if as_json:
+        click.echo(msgspec.json.encode({"scenario": told, "runs": runs}))
+    sys.exit(1 if bad else 0)
+
+
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def servers(file: Path) -> None:
+    """Only the stand-ins, in real time: bridge servers and a discovery for each proxy, until interrupted.
+
+    The first line is a JSON object with the configuration of each proxy; point real ones at them. What the
+    scenario says goes wrong does so, counted from the start.
+    """
+    told = _read(file)
+
+    async def stand() -> None:
+        world = playing.RealWorld(told, told.seeds[0])
+        await world.listen()
+        configs = [playing.config_of(told, world, i, f"127.0.0.1:{3000 + i}") for i in range(told.proxies)]
+        click.echo(msgspec.json.encode({"servers": world.table(), "proxies": configs}))
+        world.plan_faults()
+        done = asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, done.set)
+        await done.wait()
+        world.close()
+
+    asyncio.run(stand())
+
+
 def _table(told: Scenario, rows: list[Row]) -> None:
     click.echo(f"{told.name}: {told.fleet.servers} servers, {told.proxies} proxies, {told.seconds:g} s")
     head = ("policy", "runs", "worth", "least", "worst10", "p50 ms", "p99 ms", "att/ask", "refused", "wasted",
--- a/cloverrouter/lab/bridge.py
+++ b/cloverrouter/lab/bridge.py
@@ -177,6 +177,17 @@
         left = max(0.0, self._work[0][0] - self._virtual)
         return self._at_ms + left / pace if pace > 0 else None
 
+    @property
+    def at_ms(self) -> float:
+        """The time up to which it has been advanced."""
+        return self._at_ms
+
+    def restart_clock(self) -> None:
+        """The clock begins anew at 0. Only for a server on which nothing is."""
+        if self._jobs:
+            raise ValueError(f"{self.name}: there is work on it")
+        self._at_ms = 0.0
+
     def _pass(self, now_ms: float) -> None:
         span_ms = now_ms - self._at_ms
         if span_ms <= 0:
--- a/cloverrouter/lab/judge.py
+++ b/cloverrouter/lab/judge.py
@@ -99,6 +99,10 @@
     def left(self, request: int, now_ms: float) -> None:
         self.tries[request].left_ms = now_ms
 
+    def cut(self, request: int) -> None:
+        """Its connection ended without a whole answer."""
+        self._breach("lost", f"request {request} is cut off without an answer")
+
     # What servers saw
 
     def told(self, proxy: int, server: str, banned: bool, now_ms: float) -> None:
--- a/cloverrouter/lab/load.py
+++ b/cloverrouter/lab/load.py
@@ -33,6 +33,13 @@
     return sum(c.share * c.mean_work for c in classes) / sum(c.share for c in classes)
 
 
+def per_ms(scenario: Scenario, capacity: float) -> float:
+    """The usual number of requests a millisecond, for a fleet that does so much work in one."""
+    if scenario.load.level is not None:
+        return scenario.load.level * capacity / mean_work(scenario)
+    return (scenario.load.rate or 0.0) / 1000
+
+
 def rate_at(scenario: Scenario, base: float, at_ms: float) -> float:
     """Requests a millisecond at this time, `base` being the usual."""
     # Two waves that never meet again: it wanders, and is the same for each seed.
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -241,9 +241,7 @@
     def run(self) -> Result:
         """Play it all."""
         begun, told, clock = time.perf_counter(), self.scenario, self.clock
-        per_ms = (told.load.rate or 0.0) / 1000
-        if told.load.level is not None:
-            per_ms = told.load.level * self.capacity() / load.mean_work(told)
+        per_ms = load.per_ms(told, self.capacity())
         for proxy in self.proxies:
             clock.at(0.0, proxy.listed, ListKind.FULL, tuple(self._entry(name) for name in self.servers))
         self.plan_faults()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
+import signal
+import socket
 import sqlite3
+import subprocess
+import sys
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -20,7 +25,7 @@
 from cloverrouter.cli.main import main
 from cloverrouter.core.states import Effect, GiveFailure, GiveRefusal, Serve
 from cloverrouter.interface import Action, EndpointState, Event, Fail, ListedEndpoint, ListKind, Refuse
-from cloverrouter.lab import load, runner, scenario
+from cloverrouter.lab import load, real, runner, scenario
 from cloverrouter.lab.bridge import Bay, Bridge, Job, Shape, Verdict
 from cloverrouter.lab.draws import Draws, Zipf, lognormal
 from cloverrouter.lab.judge import RULES, Asked, Judge
@@ -303,6 +308,63 @@
     assert ours.worth > chance.worth + 0.2
 
 
+# In real time, on sockets
+
+
+def test_real_time_and_simulated_time_agree(tmp_path: Path) -> None:
+    """With a release under load, the real proxy is worth what the simulated one is."""
+    told = msgspec.structs.replace(SMALL, seconds=5.0, faults=(msgspec.structs.replace(RELEASE, gap_s=1.0),))
+    simulated = Simulation(told, "ours", 1).run().verdict
+    played = asyncio.run(real.play(told, 1))
+    assert played.died == [] and played.told
+    if played.void:
+        pytest.skip(played.void)  # the machine was too busy to say anything
+    assert played.verdict.broken == []
+    assert played.verdict.asked == simulated.asked
+    assert played.verdict.worth == pytest.approx(simulated.worth, abs=0.1)
+
+
+def test_a_late_lab_voids_its_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(real, "LATE_MS", -1000.0)  # every send counts as late
+    played = asyncio.run(real.play(msgspec.structs.replace(SMALL, seconds=1.5), 1))
+    assert "sent late" in played.void and played.late_share == 1
+
+
+def test_a_proxy_that_does_not_come_up_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(real, "config_of", lambda *_: {"name": "n0"})
+    with pytest.raises(RuntimeError, match="n0 does not come up"):
+        asyncio.run(real.play(msgspec.structs.replace(SMALL, proxies=1), 1))
+
+
+def test_a_proxy_that_dies_is_noted_and_the_run_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    ready = real.Proxies.ready
+
+    async def and_die(self: real.Proxies) -> None:
+        await ready(self)
+        self.processes[0].kill()
+
+    monkeypatch.setattr(real.Proxies, "ready", and_die)
+    played = asyncio.run(real.play(msgspec.structs.replace(SMALL, seconds=2.0), 1))
+    assert played.died == ["n0 ended with -9"]
+    assert played.verdict.answers["unreachable"] > 0 and played.verdict.answers["served"] > 0
+
+
+def test_stand_ins_alone(tmp_path: Path) -> None:
+    """Their first line says where they are; a real proxy can be pointed at them."""
+    path = write_small(tmp_path / "s.toml")
+    command = [sys.executable, "-m", "cloverrouter", "lab", "servers", str(path)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        told = json.loads(process.stdout.readline())
+        host, port = told["servers"]["b0"][0].split(":")
+        with socket.create_connection((host, int(port)), 10) as sock:
+            sock.sendall(b"GET /join HTTP/1.1\r\nHost: x\r\nX-Request-ID: mine\r\n\r\n")
+            assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        assert len(told["proxies"]) == 5 and told["proxies"][0]["settings"]["categories"][0]["name"] == "join"
+        process.send_signal(signal.SIGINT)
+        assert process.wait(30) == 0
+
+
 # Files and commands
 
 
