--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -13,10 +14,20 @@
 
 from cloverrouter.lab import real as playing
 from cloverrouter.lab import runner, scenario
+from cloverrouter.lab.compare import Difference, paired
 from cloverrouter.lab.runner import Row, Store, StoreError
 from cloverrouter.lab.scenario import Scenario, ScenarioError
 from cloverrouter.lab.simulate import Result
 
+FIGURES: dict[str, Callable[[Result], float]] = {
+    "worth": lambda r: r.verdict.worth,
+    "worst 10 s": lambda r: r.verdict.worst,
+    "p50 ms": lambda r: r.verdict.latency_ms.get("50", 0.0),
+    "p99 ms": lambda r: r.verdict.latency_ms.get("99", 0.0),
+    "wasted": lambda r: r.wasted,
+    "broken": lambda r: float(len(r.verdict.broken)),
+}
+
 
 def _read(path: Path) -> Scenario:
     try:
@@ -119,6 +130,39 @@
     sys.exit(1 if errors or any(row.broken for row in ours) else 0)
 
 
+@lab.command()
+@click.argument("first", type=click.Path(path_type=Path))
+@click.argument("second", type=click.Path(path_type=Path))
+@click.option("--policy", default="ours", show_default=True, help="Of the first folder.")
+@click.option("--against", help="The second folder's policy; default the same.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
+def compare(first: Path, second: Path, policy: str, against: str | None, as_json: bool) -> None:
+    """Compare two run folders seed by seed: the second less the first, with intervals of 95 %.
+
+    Both may be the same folder, with two policies. Exits 0, or 2 if there is nothing to compare.
+    """
+    figures: dict[str, Difference] = {}
+    try:
+        sides = [runner.read(first), runner.read(second)]
+        for name, figure in FIGURES.items():
+            one, other = (
+                {r.seed: figure(r) for r in results if r.policy == of}
+                for results, of in zip(sides, (policy, against or policy), strict=True)
+            )
+            figures[name] = paired(one, other)
+    except (StoreError, ValueError) as error:
+        raise click.UsageError(f"{first}, {second}: {error}") from error
+    if as_json:
+        click.echo(msgspec.json.encode(figures))
+        return
+    click.echo(f"{'':12}{'first':>10}{'second':>10}{'change':>10}  95 %")
+    for name, d in figures.items():
+        mark = "" if d.sure else "  (may be chance)"
+        click.echo(
+            f"{name:12}{d.first:10.3f}{d.second:10.3f}{d.mean:+10.3f}  {d.low:+.3f} to {d.high:+.3f}{mark}"
+        )
+
+
 def _run_real(told: Scenario, seeds: tuple[int, ...], as_json: bool) -> None:
     bad = False
     runs = []
--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -11,6 +11,7 @@
 import click
 
 COMMANDS = {
+    "demo": ("cloverrouter.cli.demo", "lab"),
     "explore": ("cloverrouter.cli.explore", "explore"),
     "lab": ("cloverrouter.cli.lab", "lab"),
 }
@@ -27,7 +28,7 @@
             return None
         module, extra = COMMANDS[cmd_name]
         try:
-            command = getattr(importlib.import_module(module), cmd_name)
+            command = getattr(importlib.import_module(module), module.rpartition(".")[2])
         except ModuleNotFoundError as error:
             if error.name is None or error.name.startswith("cloverrouter"):
                 raise
--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -527,8 +527,14 @@
         return False
 
 
-async def play(told: Scenario, seed: int) -> Played:
-    """One run. Raises RuntimeError if a proxy does not come up."""
+async def _watched(world: RealWorld, watch: Callable[[RealWorld], None]) -> None:
+    while True:
+        await asyncio.sleep(1.0)
+        watch(world)
+
+
+async def play(told: Scenario, seed: int, watch: Callable[[RealWorld], None] = lambda world: None) -> Played:
+    """One run; `watch` is called each second. Raises RuntimeError if a proxy does not come up."""
     world = RealWorld(told, seed)
     await world.listen()
     with tempfile.TemporaryDirectory(prefix="cypresswinch-lab-") as folder:
@@ -541,7 +547,9 @@
                 server.bridge.restart_clock()
             world.plan_faults()
             own_s, proxies_s, begun_s = time.process_time(), proxies.cpu_s(), time.monotonic()
+            watching = asyncio.create_task(_watched(world, watch))
             await world.ask_all(proxies.addresses, load.per_ms(told, world.capacity()))
+            watching.cancel()
             took_s = time.monotonic() - begun_s
             died = proxies.died()
             cpu_s = proxies.cpu_s() - proxies_s
--- a/cloverrouter/lab/runner.py
+++ b/cloverrouter/lab/runner.py
@@ -71,6 +71,22 @@
         self._db.close()
 
 
+def read(folder: Path) -> list[Result]:
+    """The results in a run folder that is there. Raises StoreError."""
+    path = folder / STORE
+    if not path.is_file():
+        raise StoreError(f"{folder}: no run folder: it has no {STORE}")
+    try:
+        db = sqlite3.connect(path)
+        about = dict(db.execute("SELECT key, value FROM about"))
+        if about.get("form") != str(FORM):
+            raise StoreError(f"{folder}: form: found {about.get('form')}, this version reads {FORM}")
+        rows = db.execute("SELECT result FROM runs WHERE result IS NOT NULL ORDER BY policy, seed")
+        return [msgspec.json.decode(text, type=Result) for (text,) in rows]
+    except (sqlite3.Error, msgspec.MsgspecError) as error:
+        raise StoreError(f"{folder}: can't be read: {error}") from error
+
+
 def revision() -> str:
     """The checkout's, or nothing where there is none."""
     command = ["git", "describe", "--always", "--dirty"]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -27,6 +27,7 @@
 from cloverrouter.interface import Action, EndpointState, Event, Fail, ListedEndpoint, ListKind, Refuse
 from cloverrouter.lab import load, real, runner, scenario
 from cloverrouter.lab.bridge import Bay, Bridge, Job, Shape, Verdict
+from cloverrouter.lab.compare import paired
 from cloverrouter.lab.draws import Draws, Zipf, lognormal
 from cloverrouter.lab.judge import RULES, Asked, Judge
 from cloverrouter.lab.policies import Plain
@@ -472,6 +473,28 @@
     assert store.done() == {("ours", 1), ("ours", 2)}
 
 
+def test_runs_are_compared_pair_by_pair(tmp_path: Path) -> None:
+    same = paired({1: 0.5, 2: 0.7}, {1: 0.5, 2: 0.7, 3: 0.9})
+    assert (same.pairs, same.mean, same.sure) == (2, 0.0, False)
+    better = paired({s: 0.5 + s / 100 for s in range(8)}, {s: 0.6 + s / 90 for s in range(8)})
+    assert better.sure and 0 < better.low <= better.mean <= better.high
+    with pytest.raises(ValueError, match="no seed in common"):
+        paired({1: 0.5}, {2: 0.5})
+    out = tmp_path / "out"
+    assert run("run", str(write_small(tmp_path / "s.toml")), "--out", str(out), "--processes", "2")[0] == 0
+    code, text = run("compare", str(out), str(out), "--against", "random")
+    assert code == 0 and "worth" in text and "p99 ms" in text
+    code, text = run("compare", str(out), str(tmp_path / "none"))
+    assert code == 2 and "no run folder" in text
+    code, text = run("compare", str(out), str(out), "--policy", "theirs")
+    assert code == 2 and "no seed in common" in text
+
+
+def test_demo() -> None:
+    done = CliRunner().invoke(main, ["demo", "--seconds", "4"])
+    assert "rules broken: 0" in done.output and "drain begins on 3 servers" in done.output
+
+
 def test_table(tmp_path: Path) -> None:
     path = write_small(tmp_path / "s.toml")
     code, text = run("run", str(path), "--seeds", "1", "--policy", "ours", "--processes", "1")
