lab report: a run folder as one page, with plots over time and what went wrong marked

Change: results carry worth and answers by second and what each server held; lab report writes report.html, which loads nothing, and report.json (extra report, matplotlib).

--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -130,6 +130,28 @@
     sys.exit(1 if errors or any(row.broken for row in ours) else 0)
 
 
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+def report(folder: Path) -> None:
+    """Write report.html, one file that needs nothing else, and report.json into a run folder."""
+    try:
+        from cloverrouter.lab import report as reporting
+    except ModuleNotFoundError as error:
+        raise click.UsageError(
+            f"{error.name} is not installed; pip install 'cloverrouter[report]'"
+        ) from error
+    try:
+        told, revision, results = runner.read(folder)
+        if not results:
+            raise click.UsageError(f"{folder}: no run in it has a result")
+        text, data = reporting.page(told, revision, results)
+        (folder / "report.html").write_text(text)
+        (folder / "report.json").write_bytes(data)
+    except (StoreError, OSError) as error:
+        raise click.UsageError(f"{folder}: {error}") from error
+    click.echo(f"{folder / 'report.html'}")
+
+
 @lab.command()
 @click.argument("first", type=click.Path(path_type=Path))
 @click.argument("second", type=click.Path(path_type=Path))
@@ -143,7 +165,7 @@
     """
     figures: dict[str, Difference] = {}
     try:
-        sides = [runner.read(first), runner.read(second)]
+        sides = [runner.read(first)[2], runner.read(second)[2]]
         for name, figure in FIGURES.items():
             one, other = (
                 {r.seed: figure(r) for r in results if r.policy == of}
--- a/cloverrouter/lab/judge.py
+++ b/cloverrouter/lab/judge.py
@@ -59,6 +59,7 @@
     asked: int = 0
     attempts: int = 0
     latency_ms: dict[str, float] = field(default_factory=dict)  # of what was served, by percentile
+    by_second: dict[str, list[float]] = field(default_factory=dict)  # worth, and answers of each kind
     broken: list[str] = field(default_factory=list)
 
 
@@ -167,6 +168,7 @@
         found.answers = dict(
             Counter(one.answers[0][0] if one.answers else "none" for one in self.tries.values())
         )
+        found.by_second = self._by_second(until_ms)
         took = sorted(at_ms - self.asked[n].at_ms for n, at_ms in self._served_ms.items() if n in counted)
         if took:
             marks = {"50": 0.5, "90": 0.9, "99": 0.99, "99.9": 0.999}
@@ -175,6 +177,22 @@
             }
         return found
 
+    def _by_second(self, until_ms: float) -> dict[str, list[float]]:
+        """From the clock's 0 on: the share of worth earned, by when it was asked for; answers, by when they
+        were given."""
+        seconds = int(until_ms // 1000) + 1
+        wanted, earned = [0.0] * seconds, [0.0] * seconds
+        for number, asked in self.asked.items():
+            at = min(seconds - 1, int(asked.at_ms // 1000))
+            wanted[at] += asked.worth
+            earned[at] += asked.worth if self._in_aim(number, asked) else 0.0
+        series = {"worth": [e / w if w else 1.0 for e, w in zip(earned, wanted, strict=True)]}
+        for one in self.tries.values():
+            for what, at_ms in one.answers:
+                line = series.setdefault(what, [0.0] * seconds)
+                line[min(seconds - 1, int(at_ms // 1000))] += 1
+        return series
+
     def _in_aim(self, number: int, asked: Asked) -> bool:
         served_ms = self._served_ms.get(number)
         return served_ms is not None and served_ms <= asked.at_ms + asked.aim_ms
--- a/cloverrouter/lab/runner.py
+++ b/cloverrouter/lab/runner.py
@@ -15,7 +15,7 @@
 from cloverrouter.lab.scenario import Scenario
 from cloverrouter.lab.simulate import Result, Simulation
 
-FORM = 1
+FORM = 2
 STORE = "results.sqlite"
 
 
@@ -71,8 +71,8 @@
         self._db.close()
 
 
-def read(folder: Path) -> list[Result]:
-    """The results in a run folder that is there. Raises StoreError."""
+def read(folder: Path) -> tuple[Scenario, str, list[Result]]:
+    """What a run folder holds: scenario, revision of the code, results. Raises StoreError."""
     path = folder / STORE
     if not path.is_file():
         raise StoreError(f"{folder}: no run folder: it has no {STORE}")
@@ -82,8 +82,9 @@
         if about.get("form") != str(FORM):
             raise StoreError(f"{folder}: form: found {about.get('form')}, this version reads {FORM}")
         rows = db.execute("SELECT result FROM runs WHERE result IS NOT NULL ORDER BY policy, seed")
-        return [msgspec.json.decode(text, type=Result) for (text,) in rows]
-    except (sqlite3.Error, msgspec.MsgspecError) as error:
+        results = [msgspec.json.decode(text, type=Result) for (text,) in rows]
+        return msgspec.json.decode(about["scenario"], type=Scenario), about["revision"], results
+    except (sqlite3.Error, KeyError, msgspec.MsgspecError) as error:
         raise StoreError(f"{folder}: can't be read: {error}") from error
 
 
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -203,6 +203,7 @@
     turned_away: int  # by servers, full
     connections: float  # the most that a server held at once
     told: tuple[tuple[float, str], ...]  # what went wrong, and when
+    held: dict[str, list[int]]  # by each server, each second
 
     @property
     def speed(self) -> float:
@@ -237,6 +238,7 @@
         self._clients = self.draws.stream("clients")
         self._classes = {c.name: c for c in told.load.classes}
         self.most_connections = 0
+        self._held: dict[str, list[int]] = {name: [] for name in self.servers}
 
     def run(self) -> Result:
         """Play it all."""
@@ -245,6 +247,7 @@
         for proxy in self.proxies:
             clock.at(0.0, proxy.listed, ListKind.FULL, tuple(self._entry(name) for name in self.servers))
         self.plan_faults()
+        clock.at(0.0, self._sample)
         coming = load.asks(told, self.draws, per_ms)
         self._next_ask(coming)
         end_ms = START_MS + told.seconds * 1000 + TAIL_MS
@@ -267,8 +270,14 @@
             turned_away=sum(t.full for t in totals),
             connections=float(self.most_connections),
             told=tuple(self.log),
+            held=self._held,
         )
 
+    def _sample(self) -> None:
+        for name, server in self.servers.items():
+            self._held[name].append(server.bridge.held)
+        self.clock.after(1000.0, self._sample)
+
     def next_job(self) -> int:
         self._last_job += 1
         return self._last_job
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -447,7 +447,7 @@
     with sqlite3.connect(out / runner.STORE) as db:
         db.execute("UPDATE about SET value = '0' WHERE key = 'form'")
     code, text = run("run", str(path), "--out", str(out))
-    assert code == 2 and "form: found 0, this version writes 1" in text
+    assert code == 2 and "form: found 0, this version writes 2" in text
     (tmp_path / "file").write_text("")
     with pytest.raises(StoreError, match="no run folder"):
         Store(tmp_path / "file", SMALL)
@@ -484,6 +484,13 @@
     assert run("run", str(write_small(tmp_path / "s.toml")), "--out", str(out), "--processes", "2")[0] == 0
     code, text = run("compare", str(out), str(out), "--against", "random")
     assert code == 0 and "worth" in text and "p99 ms" in text
+    code, text = run("report", str(out))
+    page = (out / "report.html").read_text()
+    assert code == 0 and page.count("<svg") >= 4 and "least-in-flight" in page
+    assert "src=" not in page and 'href="http' not in page  # it loads nothing
+    told = json.loads((out / "report.json").read_text())
+    assert [row["policy"] for row in told["rows"]] == ["ours", "least-in-flight", "random"]
+    assert run("report", str(tmp_path))[0] == 2
     code, text = run("compare", str(out), str(tmp_path / "none"))
     assert code == 2 and "no run folder" in text
     code, text = run("compare", str(out), str(out), "--policy", "theirs")
