--- /dev/null
+++ b/cloverrouter/cli/check.py
@@ -0,0 +1,128 @@
+"""`check`: any of the project's configuration files, by what is in it."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+import msgspec
+
+from cloverrouter.proxy import config
+
+
+class Deploy(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/balancer.toml."""
+
+    build: str
+    run: str
+    sim: str
+    policy: list[str]
+    node: list[str]
+    packages: list[str]
+
+
+class Wrong(Exception):
+    """What is wrong with a file, and where."""
+
+
+def _deploy(path: Path) -> str:
+    try:
+        told = msgspec.toml.decode(path.read_bytes(), type=Deploy)
+    except msgspec.MsgspecError as error:
+        raise Wrong(str(error)) from error
+    root = path.resolve().parent.parent
+    for key in ("policy", "node"):
+        for name in getattr(told, key):
+            if not (root / name).exists():
+                raise Wrong(f"{key}: found {name}, which is not in {root}")
+    lines = sum(
+        bool(line.strip())
+        for name in told.policy
+        for file in ([root / name] if (root / name).is_file() else sorted((root / name).rglob("*.py")))
+        for line in file.read_text().splitlines()
+    )
+    if lines > MOST_LINES:
+        raise Wrong(f"policy: found {lines} lines that are not blank, allowed {MOST_LINES}")
+    return f"deploy file, {lines} lines of policy"
+
+
+def _scenario(path: Path) -> str:
+    from cloverrouter.lab import scenario
+
+    try:
+        return f"scenario, {len(scenario.read_all(path))} variants"
+    except scenario.ScenarioError as error:
+        raise Wrong(str(error).removeprefix(f"{path}: ")) from error
+
+
+def _history(path: Path) -> str:
+    from cloverrouter.explore import trace
+
+    try:
+        return f"history of {len(trace.read(path).steps)} events"
+    except trace.TraceError as error:
+        raise Wrong(str(error).removeprefix(f"{path}: ")) from error
+
+
+def _proxy(path: Path) -> str:
+    try:
+        told = config.load({"PROXY_CONFIG": str(path)})
+    except KeyError as error:
+        raise Wrong(f"{error.args[0]}: missing") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise Wrong(f"{type(error).__name__}: {error}") from error
+    return f"proxy configuration of {told.name}, {len(told.settings.classes)} classes"
+
+
+MOST_LINES = 1200
+# Which key tells what a file is.
+KINDS: dict[str, Callable[[Path], str]] = {
+    "policy": _deploy,
+    "load": _scenario,
+    "steps": _history,
+    "listen": _proxy,
+}
+
+
+def examine(path: Path) -> str:
+    """What a good file is. Raises Wrong, which says what was found and what is allowed."""
+    try:
+        text = path.read_text()
+        table = tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
+    except OSError as error:
+        raise Wrong(error.strerror or str(error)) from error
+    except (tomllib.TOMLDecodeError, json.JSONDecodeError, UnicodeDecodeError) as error:
+        raise Wrong(f"no {'TOML' if path.suffix == '.toml' else 'JSON'}: {error}") from error
+    keys = table if isinstance(table, dict) else {}
+    for key, check_it in KINDS.items():
+        if key in keys:
+            return check_it(path)
+    raise Wrong(f"found keys {', '.join(keys) or 'none'}; allowed is a file with one of {', '.join(KINDS)}")
+
+
+@click.command()
+@click.argument("files", type=click.Path(path_type=Path), nargs=-1, required=True)
+@click.option(
+    "--json", "as_json", is_flag=True, help="One JSON object: by file, what it is or what is wrong."
+)
+def check(files: tuple[Path, ...], as_json: bool) -> None:
+    """Check configuration files of any kind; nothing is started. Exits 2 if one is wrong."""
+    found: dict[str, dict[str, str]] = {}
+    for path in files:
+        try:
+            found[str(path)] = {"good": examine(path)}
+        except Wrong as error:
+            found[str(path)] = {"wrong": str(error)}
+        except ModuleNotFoundError as error:
+            found[str(path)] = {"wrong": f"{error.name} is not installed"}
+    if as_json:
+        click.echo(msgspec.json.encode(found))
+    else:
+        for name, said in found.items():
+            for word, text in said.items():
+                click.echo(f"{name}: {word}: {text}", err=word == "wrong")
+    if any("wrong" in said for said in found.values()):
+        raise SystemExit(2)
--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -29,13 +29,18 @@
 }
 
 
-def _read(path: Path) -> Scenario:
+def _read_all(path: Path) -> dict[str, Scenario]:
     try:
-        return scenario.read(path)
+        return scenario.read_all(path)
     except ScenarioError as error:
         raise click.UsageError(str(error)) from error
 
 
+def _read(path: Path) -> Scenario:
+    """The only variant, or the first."""
+    return next(iter(_read_all(path).values()))
+
+
 @click.group()
 def lab() -> None:
     """Emulated bridge servers, lists and clients: try a configuration before a busy season."""
@@ -61,8 +66,8 @@
 def check(files: tuple[Path, ...]) -> None:
     """Check scenarios; nothing is played. Exits 2 at the first that is wrong."""
     for path in files:
-        _read(path)
-        click.echo(f"{path}: good")
+        count = len(_read_all(path))
+        click.echo(f"{path}: good" + (f", {count} variants" if count > 1 else ""))
 
 
 @lab.command()
@@ -89,23 +94,44 @@
     In real time it is the real proxy that is played, a seed at a time. Exits 0 if the project's own policy
     broke no rule, 1 if it did, a run failed or is void, 2 if the file is wrong.
     """
-    told = _read(file)
+    variants = _read_all(file)
     if real:
-        if out is not None or policies not in ((), ("ours",)):
+        if out is not None or policies not in ((), ("ours",)) or len(variants) > 1:
             raise click.UsageError(
-                "--real plays the proxy alone, and keeps no results: no --out, no --policy"
+                "--real plays the proxy alone, one variant, and keeps no results: no --out, --policy or vary"
             )
+        told = next(iter(variants.values()))
         _run_real(told, told.seeds[: seeds or len(told.seeds)], as_json)
-    told = msgspec.structs.replace(
-        told, seeds=told.seeds[: seeds or len(told.seeds)], policies=policies or told.policies
-    )
+    bad, tables = False, []
+    for label, told in variants.items():
+        told = msgspec.structs.replace(
+            told, seeds=told.seeds[: seeds or len(told.seeds)], policies=policies or told.policies
+        )
+        folder = out / label.replace("/", "_") if out is not None and label else out
+        results, errors = _play(told, processes, folder, as_json)
+        rows = runner.rows(results)
+        tables.append({"variant": label, "scenario": told, "rows": rows, "runs": results, "errors": errors})
+        if not as_json:
+            _table(told, label, rows)
+            for text in errors:
+                click.echo(f"failed: {text}", err=True)
+        bad = bad or bool(errors) or any(row.broken for row in rows if row.policy == "ours")
+    if as_json:
+        click.echo(msgspec.json.encode(tables if len(tables) > 1 else tables[0]))
+    sys.exit(1 if bad else 0)
+
+
+def _play(
+    told: Scenario, processes: int | None, folder: Path | None, quiet: bool
+) -> tuple[list[Result], list[str]]:
+    """All results of a scenario, kept ones too, and what failed."""
     try:
-        store = Store(out, told) if out is not None else None
+        store = Store(folder, told) if folder is not None else None
     except StoreError as error:
         raise click.UsageError(str(error)) from error
     results: list[Result] = []
     errors: list[str] = []
-    total, quiet = len(told.seeds) * len(told.policies), as_json or not sys.stderr.isatty()
+    total, quiet = len(told.seeds) * len(told.policies), quiet or not sys.stderr.isatty()
     for outcome in runner.run(told, processes or max(1, (os.cpu_count() or 3) - 2), store):
         if isinstance(outcome, Result):
             results.append(outcome)
@@ -118,16 +144,7 @@
     if store is not None:
         results = store.results()
         store.close()
-    results.sort(key=lambda r: (told.policies.index(r.policy), r.seed))
-    rows = runner.rows(results)
-    if as_json:
-        click.echo(msgspec.json.encode({"scenario": told, "rows": rows, "runs": results, "errors": errors}))
-    else:
-        _table(told, rows)
-        for text in errors:
-            click.echo(f"failed: {text}", err=True)
-    ours = [row for row in rows if row.policy == "ours"]
-    sys.exit(1 if errors or any(row.broken for row in ours) else 0)
+    return sorted(results, key=lambda r: (told.policies.index(r.policy), r.seed)), errors
 
 
 @lab.command()
@@ -242,8 +259,9 @@
     asyncio.run(stand())
 
 
-def _table(told: Scenario, rows: list[Row]) -> None:
-    click.echo(f"{told.name}: {told.fleet.servers} servers, {told.proxies} proxies, {told.seconds:g} s")
+def _table(told: Scenario, label: str, rows: list[Row]) -> None:
+    name = f"{told.name}, {label}" if label else told.name
+    click.echo(f"{name}: {told.fleet.servers} servers, {told.proxies} proxies, {told.seconds:g} s")
     head = ("policy", "runs", "worth", "least", "worst10", "p50 ms", "p99 ms", "att/ask", "refused", "wasted",
             "conns", "us/ask", "speed", "broken")  # fmt: skip
     click.echo(f"{head[0]:16}" + "".join(f"{name:>9}" for name in head[1:-1]) + f"  {head[-1]}")
--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -11,6 +11,7 @@
 import click
 
 COMMANDS = {
+    "check": ("cloverrouter.cli.check", "lab"),
     "demo": ("cloverrouter.cli.demo", "lab"),
     "explore": ("cloverrouter.cli.explore", "explore"),
     "lab": ("cloverrouter.cli.lab", "lab"),
--- a/cloverrouter/lab/report.py
+++ b/cloverrouter/lab/report.py
@@ -42,9 +42,9 @@
         f"code {escape(revision or 'unknown')}</p>",
         _table(rows),
         "<h2>Worth answered in time, by second</h2>",
-        _lines(by_policy, "worth", "share of worth"),
+        _lines(by_policy, "worth", "share of worth", told.seconds),
         "<h2>Refused, by second</h2>",
-        _lines(by_policy, "refused", "answers a second"),
+        _lines(by_policy, "refused", "answers a second", told.seconds),
         "<h2>Latency</h2>",
         _latency(rows, results),
         *(part for policy, of in by_policy.items() for part in _held(policy, of[0])),
@@ -97,12 +97,12 @@
             axes.text(at_s, 1.0, f" {text}", transform=axes.get_xaxis_transform(), fontsize=7, va="bottom")
 
 
-def _lines(by_policy: dict[str, list[Result]], name: str, label: str) -> str:
+def _lines(by_policy: dict[str, list[Result]], name: str, label: str, seconds: float) -> str:
     figure, axes = _figure()
     first_s = int(START_MS // 1000)
     for policy, of in by_policy.items():
         series = [r.verdict.by_second.get(name, []) for r in of]
-        length = max(map(len, series), default=0)
+        length = min(first_s + int(seconds), max(map(len, series), default=0))
         means = [mean(s[i] if i < len(s) else 0.0 for s in series) for i in range(first_s, length)]
         axes.plot(range(len(means)), means, label=policy, linewidth=1.4)
     _mark(axes, next(iter(by_policy.values()))[0])
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import tomllib
+from copy import deepcopy
+from itertools import product
+from math import prod
 from pathlib import Path
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 
@@ -127,24 +130,61 @@
     seeds: tuple[int, ...] = (1, 2, 3)
 
 
+MOST_VARIANTS = 200
 POLICIES = ("ours", "least-in-flight", "random")
 
 
 def read(path: Path) -> Scenario:
-    """The scenario in a file. Raises ScenarioError."""
+    """The scenario in a file; of one that varies something, the first variant. Raises ScenarioError."""
+    return next(iter(read_all(path).values()))
+
+
+def read_all(path: Path) -> dict[str, Scenario]:
+    """A scenario's variants by label: one without a label, unless its table `vary` names keys with lists of
+    values, which are all combined. Raises ScenarioError."""
     try:
         table = tomllib.loads(path.read_text())
     except OSError as error:
         raise ScenarioError(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ScenarioError(f"{path}: no TOML: {error}") from error
+    vary = table.pop("vary", {})
+    if not isinstance(vary, dict) or not all(isinstance(values, list) and values for values in vary.values()):
+        raise ScenarioError(f"{path}: vary: found {vary!r}, allowed a list of values for each key")
+    if prod(len(values) for values in vary.values()) > MOST_VARIANTS:
+        raise ScenarioError(f"{path}: vary: found more than the {MOST_VARIANTS} variants that are allowed")
+    found: dict[str, Scenario] = {}
+    for values in product(*vary.values()):
+        chosen = dict(zip(vary, values, strict=True))
+        label = ", ".join(f"{key}={value}" for key, value in chosen.items())
+        found[label] = _convert(path, label, _with(path, table, chosen))
+    return found
+
+
+def _with(path: Path, table: dict[str, Any], chosen: dict[str, Any]) -> dict[str, Any]:
+    made = deepcopy(table)
+    for key, value in chosen.items():
+        *way, last = key.split(".")
+        at = made
+        for part in way:
+            at = at.setdefault(part, {})
+            if not isinstance(at, dict):
+                raise ScenarioError(
+                    f"{path}: vary: found {key}, but {part} is no table; lists can't be varied"
+                )
+        at[last] = value
+    return made
+
+
+def _convert(path: Path, label: str, table: dict[str, Any]) -> Scenario:
+    where = f"{path}: {label}: " if label else f"{path}: "
     try:
         scenario = msgspec.convert(table, Scenario)
     except msgspec.ValidationError as error:
-        raise ScenarioError(f"{path}: {error}") from error
+        raise ScenarioError(f"{where}{error}") from error
     for key, found, allowed, good in _checks(scenario):
         if not good:
-            raise ScenarioError(f"{path}: {key}: found {found}, allowed {allowed}")
+            raise ScenarioError(f"{where}{key}: found {found}, allowed {allowed}")
     return scenario
 
 
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -128,7 +128,7 @@
     def _go_wrong(self, fault: Fault, draws: Random) -> None:
         names = list(self.servers)
         draws.shuffle(names)
-        met = names[: max(1, round(fault.part * len(names)))]
+        met = names if fault.kind == "release" else names[: max(1, round(fault.part * len(names)))]
         len_ms = fault.len_s * 1000
         self._note(f"{fault.kind} begins" + ("" if fault.kind == "burst" else f" on {len(met)} servers"))
         match fault.kind:
@@ -140,8 +140,7 @@
                 for name in met:
                     self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
             case "release" | "drain":
-                order = names if fault.kind == "release" else met
-                for i, name in enumerate(order):
+                for i, name in enumerate(met):
                     self.clock.after(i * fault.gap_s * 1000, self._restart, name, len_ms)
             case "death":
                 for name in met:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,92 @@
+"""The command line: every configuration file is checked, and commands say what they lack."""
+
+from __future__ import annotations
+
+import importlib
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from cloverrouter.cli import main as commands
+from cloverrouter.explore import trace
+from tests.sockets import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+
+
+def run(*args: str) -> tuple[int, str]:
+    done = CliRunner().invoke(commands.main, list(args))
+    return done.exit_code, done.output
+
+
+def test_shipped_files_are_good() -> None:
+    files = [str(path) for path in sorted((ROOT / "deploy").rglob("*.toml"))]
+    code, text = run("check", *files)
+    assert code == 0 and text.count(": good: ") == len(files) >= 7
+    assert "lines of policy" in text
+
+
+CONFIG = {"name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+          "limits": {"sockets": 256}, "settings": SETTINGS}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "said"),
+    [
+        ("a.toml", "load = 3", "wrong: Expected `object`, got `int` - at `$.load`"),
+        ("a.toml", "policy = 3", "wrong: Expected `array`, got `int` - at `$.policy`"),
+        ("a.toml", "policy = []", "wrong: Object missing required field `build`"),
+        ("a.toml", "x = ", "wrong: no TOML"),
+        ("a.toml", "x = 1", "found keys x; allowed is a file with one of policy, load, steps, listen"),
+        ("a.json", "{", "wrong: no JSON"),
+        ("a.json", '{"steps": 1}', "wrong: no counterexample"),
+        ("a.json", json.dumps({**CONFIG, "settings": {}}), "bounds: missing"),
+        ("a.json", json.dumps({**CONFIG, "listen": "nowhere"}), "wrong: ValueError"),
+        ("a.json", json.dumps(CONFIG), "good: proxy configuration of n0, 3 classes"),
+    ],
+)
+def test_each_kind_of_file(tmp_path: Path, name: str, text: str, said: str) -> None:
+    path = tmp_path / name
+    path.write_text(text)
+    code, printed = run("check", str(path))
+    assert said in printed and "a." in printed
+    assert code == (0 if "good" in said else 2)
+    code, printed = run("check", "--json", str(path))
+    assert list(json.loads(printed)[str(path)]) == ["good" if "good" in said else "wrong"]
+
+
+def test_history_is_checked(tmp_path: Path) -> None:
+    path = tmp_path / "found.json"
+    trace.write(trace.Counterexample(1, "join", None, "cut: x", (trace.Step("arrive 0"),)), path)
+    assert "good: history of 1 events" in run("check", str(path))[1]
+
+
+def test_policy_over_its_lines_is_told(tmp_path: Path) -> None:
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "rules.py").write_text("x = 1\n" * 1201 + "\n" * 50)
+    path = tmp_path / "deploy" / "balancer.toml"
+    told = 'build = ""\nrun = ""\nsim = ""\npolicy = ["{}"]\nnode = []\npackages = []\n'
+    path.write_text(told.format("rules.py"))
+    assert "found 1201 lines that are not blank, allowed 1200" in run("check", str(path))[1]
+    path.write_text(told.format("none.py"))
+    assert "policy: found none.py, which is not in" in run("check", str(path))[1]
+
+
+def test_a_missing_extra_is_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    def missing(name: str) -> None:
+        raise ModuleNotFoundError("no xxhash", name="xxhash")
+
+    monkeypatch.setattr(importlib, "import_module", missing)
+    code, text = run("explore")
+    assert code == 2 and "xxhash is not installed; pip install 'cloverrouter[explore]'" in text
+
+
+def test_as_a_module() -> None:
+    done = subprocess.run([sys.executable, "-m", "cloverrouter", "--help"], capture_output=True, text=True)
+    assert done.returncode == 0
+    assert all(name in done.stdout for name in commands.COMMANDS)
+    assert subprocess.run([sys.executable, "-m", "cloverrouter", "nope"], capture_output=True).returncode == 2
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -473,6 +473,30 @@
     assert store.done() == {("ours", 1), ("ours", 2)}
 
 
+def test_what_varies_is_combined(tmp_path: Path) -> None:
+    path = write_small(tmp_path / "s.toml", **{"seconds = 4.0": "seconds = 3.0"})
+    text = path.read_text()
+    path.write_text(text + '\n[vary]\n"load.level" = [0.3, 0.5]\nproxies = [1, 2]\n')
+    variants = scenario.read_all(path)
+    assert list(variants)[:2] == ["load.level=0.3, proxies=1", "load.level=0.3, proxies=2"]
+    assert [v.proxies for v in variants.values()] == [1, 2, 1, 2]
+    out = tmp_path / "out"
+    code, printed = run("run", str(path), "--policy", "ours", "--seeds", "1", "--out", str(out), "--json")
+    told = json.loads(printed)
+    assert code == 0 and [t["variant"] for t in told] == list(variants)
+    assert told[0]["rows"][0]["attempts"] > 0 and len(list(out.iterdir())) == 4
+    assert run("run", str(path), "--real")[0] == 2
+    for bad, said in (
+        ("proxies = 3", "a list of values"),
+        ('"load.classes.worth" = [1]', "lists can't be varied"),
+        ("proxies = [1, 0]", "proxies=0: proxies: found 0"),
+        ("seconds = [" + "9.0, " * 300 + "]", "more than the 200"),
+    ):
+        path.write_text(f"{text}\n[vary]\n{bad}\n")
+        with pytest.raises(ScenarioError, match=said):
+            scenario.read_all(path)
+
+
 def test_runs_are_compared_pair_by_pair(tmp_path: Path) -> None:
     same = paired({1: 0.5, 2: 0.7}, {1: 0.5, 2: 0.7, 3: 0.9})
     assert (same.pairs, same.mean, same.sure) == (2, 0.0, False)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,7 @@
     "explore": {"interface", "core", "decide"},
     "proxy": {"interface", "core", "decide"},
     "lab": {"interface", "core", "decide"},
-    "cli": {"explore", "lab"},
+    "cli": {"explore", "lab", "proxy"},
 }
 PURE = ("core", "decide", "interface", "lab/bridge", "lab/judge", "lab/scenario")
 IMPURE = {
