The explorer plays the real uploads and their byte budget

Need: that the budget of bytes returns to rest is one of the properties, and the world had no bodies. Change: uploading calls take from a real Upload under a real Budget; rest and never under nought are checked.

--- a/cloverrouter/explore/properties.py
+++ b/cloverrouter/explore/properties.py
@@ -26,7 +26,8 @@
     "cut": "An answer that has begun is finished, or visibly cut; it is never cut while its server gives it.",
     "held": "Nothing is passed on of which nothing was held.",
     "tokens": "The retry budget is never under nought, nor over what was there, was earned and not spent.",
-    "rest": "When all is over, nothing is left: no call, no attempt in flight, no held request, no timer.",
+    "rest": "When all is over, nothing is left: no call, no attempt in flight, no held request, no timer, "
+    "and no byte in the budget of streams, which is never under nought.",
     "stuck": "No call is held for ever: while one is owed, something is due that will end it.",
     "crash": "The module and the lifecycle take every order of events.",
 }
@@ -53,6 +54,8 @@
     owed = sum(client.owed for client in world.clients.values())
     if world.lifecycle.owed != owed:
         yield f"rest: the lifecycle owes {world.lifecycle.owed} answers, the clients wait for {owed}"
+    if world.budget.held < 0:
+        yield f"rest: the budget of streams stands at {world.budget.held} bytes"
     flying = sum(e.in_flight for e in world.balancer.membership.endpoints.values())
     if flying > len(world.wires) or any(
         e.in_flight < 0 for e in world.balancer.membership.endpoints.values()
@@ -73,6 +76,8 @@
     if world.wires or any(client.owed for client in world.clients.values()):
         return
     balancer = world.balancer
+    if world.budget.held:
+        yield f"rest: {world.budget.held} bytes are left in the budget of streams"
     if world.lifecycle.calls:
         yield f"rest: calls are left: {sorted(world.lifecycle.calls)}"
     if balancer.requests:
--- a/cloverrouter/explore/world.py
+++ b/cloverrouter/explore/world.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 
 from cloverrouter.core.engine import Engine
 from cloverrouter.core.lifecycle import Lifecycle
@@ -58,9 +59,11 @@
     Settings,
     TimerFired,
 )
+from cloverrouter.proxy.streams import Budget, Upload
 
 GRACE_MS = 500.0
 START_MS = 1000.0
+PIECE = b"x" * 1000  # of a body that is not kept
 HEDGE = -1_000_000  # tokens from here down ask for a second copy
 Key = tuple[int, int]
 OUTCOMES = {
@@ -109,7 +112,7 @@
     deadline_ms: float | None
     body_left: bool  # its body is still coming
     starts: int = 0
-    body_gone: bool = False
+    upload: Upload | None = None  # a body that is not kept
     body_kept_by: int | None = None  # the attempt that has taken a part of it
     left: bool = False
     streaming: int | None = None  # the attempt whose answer it is getting
@@ -175,6 +178,7 @@
         self.oks = self.retries = 0
         self.hedging = False  # a second copy is being asked for
         self.servers = {f"s{i}": Server(cell) for i, cell in enumerate(scope.cells)}
+        self.budget = Budget(0)
         self.choices = Choices()
         self.balancer = self.balancer_type(scope.settings, 1)
         self._use_choices()
@@ -284,6 +288,13 @@
             late_ms = self.now_ms - client.deadline_ms
             self.breach("late", f"call {call} is {what} {late_ms:.0f} ms after its time")
         client.given.append(what)
+        self._drop_body(client)
+
+    @staticmethod
+    def _drop_body(client: Client) -> None:
+        """What the front does once a call is over."""
+        if client.upload is not None:
+            client.upload.drop()
 
     # Timers
 
@@ -399,7 +410,8 @@
                 self._written(key, wire, client)
             case "piece":
                 wire.phase, client.body_kept_by = Phase.WRITING, key[1]
-                self.engine.take(BodyTaken(key[0]))
+                assert client.upload is not None
+                client.upload.take()
             case "refused":
                 self._end(key, Outcome.CONNECT_FAILED)
             case "held":
@@ -415,6 +427,8 @@
 
     def _written(self, key: Key, wire: Wire, client: Client) -> None:
         wire.phase = Phase.SENT
+        while client.upload is not None and client.upload.take() is not None:
+            client.body_kept_by = key[1]
         server, settings = self.servers[wire.endpoint], self.scope.settings
         if server.banned and self.now_ms > server.told_ms + GRACE_MS:
             self.breach("drain", f"call {key[0]} goes out to {wire.endpoint} after its grace")
@@ -450,6 +464,7 @@
             self.oks += 1
         if client.streaming == key[1] and client.owed:
             client.given.append("streamed" if outcome is Outcome.OK else "cut")
+            self._drop_body(client)
         early = outcome in (Outcome.RESET, Outcome.SPOILT) and wire.phase in (
             Phase.CONNECTING,
             Phase.WRITING,
@@ -462,7 +477,11 @@
             arrival = self.scope.arrivals[call]
             cls = class_of(self.scope.settings, arrival.class_name)
             deadline_ms = None if arrival.uploading else self.now_ms + cls.deadline_ms
-            self.clients[call] = Client(arrival.class_name, deadline_ms, arrival.uploading)
+            client = self.clients[call] = Client(arrival.class_name, deadline_ms, arrival.uploading)
+            if arrival.uploading:
+                client.upload = Upload(self.budget, None, self._read_on)
+                client.upload.on_spent = partial(self._body_taken, call)
+                client.upload.feed(PIECE)
             self.engine.take(
                 RequestArrived(call, arrival.class_name, deadline_ms, uploading=arrival.uploading)
             )
@@ -471,6 +490,7 @@
         if kind == "leave":
             client.left = True
             self.engine.take(RequestGone(call))
+            self._drop_body(client)
         elif kind == "hedge":
             self.hedging = True
             self.engine.take(TimerFired(HEDGE - call))
@@ -478,8 +498,17 @@
         else:
             cls = class_of(self.scope.settings, client.class_name)
             client.body_left, client.deadline_ms = False, self.now_ms + cls.deadline_ms
+            if client.upload is not None:
+                client.upload.feed(PIECE)
+                client.upload.ended = True
             self.engine.take(RequestCompleted(call, client.deadline_ms))
 
+    def _body_taken(self, call: int) -> None:
+        self.engine.take(BodyTaken(call))
+
+    def _read_on(self) -> None:
+        """The client's connection may be read again; here it always is."""
+
     def _by_operator(self, kind: str, name: str) -> None:
         server = self.servers[name]
         was = server.banned
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     "core": {"interface"},
     "decide": {"interface"},
     "interface": set(),
-    "explore": {"interface", "core", "decide"},
+    "explore": {"interface", "core", "decide", "proxy"},
     "proxy": {"interface", "core", "decide"},
     "lab": {"interface", "core", "decide"},
     "cli": {"explore", "lab", "proxy"},
