Lab: slow and spoilt answers, and a list that is silent, in both times

Need: three of the troubles that the project must bear could not be played. Change: faults slow-answers, spoilt-answers and discovery-outage in the world, simulated and on sockets. Result: no rule broken under any; with the list silent for 4 s in a release, refusals begin after it is back.

--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -46,6 +46,9 @@
 }
 
 
+SPOILT = b"HTTP/1.1 200 OK\r\nContent-Length: \x00\r\n\r\nnonsense"
+
+
 class WallClock:
     """Milliseconds of the loop's clock since it was made."""
 
@@ -111,8 +114,17 @@
 
     def answer(self, verdict: Verdict) -> None:
         self.job = None
+        data = ANSWERS[verdict]
+        if verdict is Verdict.TAKEN and self.world.spoils_answer(self.server):
+            data = SPOILT
+        if self.server.delay_ms:
+            self.world.clock.after(self.server.delay_ms, self._write, data)
+        else:
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
         if self.transport is not None and not self.server.cut_off:
-            self.transport.write(ANSWERS[verdict])
+            self.transport.write(data)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -127,6 +139,13 @@
         self._entries: dict[str, dict[str, Any]] = {}
         self._changed: dict[str, int] = {}
         self._news = asyncio.Condition()
+        self._watches: set[asyncio.StreamWriter] = set()
+        self.out = False  # nobody gets an answer
+
+    def cut(self) -> None:
+        """Close what watches."""
+        for writer in list(self._watches):
+            writer.transport.abort()
 
     def put(self, entry: dict[str, Any]) -> None:
         """Say this from now on."""
@@ -138,8 +157,9 @@
             self._news.notify_all()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._watches.add(writer)
         try:
-            while True:
+            while not self.out:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 query = head.split()[1].partition("?")[2]
                 asked = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
@@ -148,6 +168,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the proxy has gone, or the run is over
         finally:
+            self._watches.discard(writer)
             writer.close()
 
     async def _answer(self, asked: dict[str, str]) -> dict[str, Any]:
@@ -320,6 +341,16 @@
         self._open.add(task)
         task.add_done_callback(self._open.discard)
 
+    def _silence_lists(self) -> None:
+        for discovery in self.discoveries:
+            discovery.out = True
+            discovery.cut()
+        self.clock.at(self.outage_until_ms, self._lists_are_back)
+
+    def _lists_are_back(self) -> None:
+        for discovery in self.discoveries:
+            discovery.out = False
+
     # Clients
 
     async def ask_all(self, addresses: list[tuple[str, int]], per_ms: float) -> None:
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -104,11 +104,23 @@
 class Fault(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Something that goes wrong, from `at_s` on for `len_s`."""
 
-    kind: Literal["burst", "fast-errors", "neighbour", "release", "drain", "death", "partition"]
+    kind: Literal[
+        "burst",
+        "fast-errors",
+        "slow-answers",
+        "spoilt-answers",
+        "neighbour",
+        "release",
+        "drain",
+        "death",
+        "partition",
+        "discovery-outage",
+    ]
     at_s: float
     len_s: float = 5.0
     part: float = 0.2  # of the servers that it meets
     size: float = 0.5  # of a burst: the rate's multiple; else a share
+    delay_ms: float = 300.0  # by which slow answers are held back
     gap_s: float = 1.0  # between one server and the next, in a release or a drain
     on_s: float = 2.0  # a neighbour is on and off in turn for so long
 
@@ -228,6 +240,7 @@
         rows.append((f"{name}.part", fault.part, "above 0, at most 1", 0 < fault.part <= 1))
         share = fault.size > 0 and (fault.kind == "burst" or fault.size <= 1)
         rows.append((f"{name}.size", fault.size, "above 0; a share is at most 1", share))
+        rows.append((f"{name}.delay_ms", fault.delay_ms, "above 0", fault.delay_ms > 0))
         rows.append(
             (f"{name}.on_s", min(fault.on_s, fault.len_s), "above 0", min(fault.on_s, fault.len_s) > 0)
         )
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -433,12 +433,18 @@
         self._reply(sent, outcomes[verdict])
 
     def _reply(self, sent: Sent, outcome: Outcome) -> None:
-        self.clock.after(self._way_ms(sent.proxy, sent.server), self._replied, sent, outcome)
+        way_ms = self._way_ms(sent.proxy, sent.server)
+        if outcome is Outcome.OK and self.spoils_answer(sent.server):
+            outcome = Outcome.SPOILT
+        delay_ms = 0.0 if outcome is Outcome.RESET else sent.server.delay_ms
+        self.clock.after(way_ms + delay_ms, self._replied, sent, outcome)
 
     def _replied(self, sent: Sent, outcome: Outcome) -> None:
         if sent.over or sent.server.cut_off:
             return
-        if outcome is not Outcome.RESET:
+        if outcome is Outcome.SPOILT:
+            self.close(sent.proxy, sent.server.bridge.name, 1)
+        elif outcome is not Outcome.RESET:
             self._rest(sent)
         sent.proxy.ended(sent, outcome)
 
@@ -475,3 +481,7 @@
 
     def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
         self.proxies[proxy].listed(ListKind.DELTA, (entry,))
+
+    def _silence_lists(self) -> None:
+        for proxy in self.proxies:
+            proxy.engine.take(Listed(EndpointsListed(ListKind.FAILED), dict(proxy.targets)))
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -44,6 +44,8 @@
     cell: int
     state: EndpointState = EndpointState.READY  # as the list has it, or will
     cut_off: bool = False  # nothing gets through to it, nor from it
+    spoilt_share: float = 0.0  # of its answers, which can't be read; their requests have run
+    delay_ms: float = 0.0  # by which its answers are held back
     wake: int = 0  # the number of the latest look at it: earlier ones are void
 
     @property
@@ -64,6 +66,8 @@
         self.servers = self._fleet()
         self.log: list[tuple[float, str]] = []
         self._lists = self.draws.stream("lists")
+        self._spoils = self.draws.stream("spoils")
+        self.outage_until_ms = 0.0  # of discovery: nothing is told before
 
     def _fleet(self) -> dict[str, Server]:
         fleet, draws = self.scenario.fleet, self.draws.stream("fleet")
@@ -101,6 +105,10 @@
     def _lost(self, server: Server) -> None:
         """Its process has ended: all that was on it is reset."""
 
+    @abstractmethod
+    def _silence_lists(self) -> None:
+        """Discovery is out: what watches it is cut off."""
+
     @abstractmethod
     def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
         """The list tells this proxy."""
@@ -118,7 +126,19 @@
         entry = self._entry(name)
         for proxy in range(self.scenario.proxies):
             late_ms = self._lists.uniform(*self.scenario.discovery_ms)
-            self.clock.after(late_ms, self._tell, proxy, entry)
+            at_ms = max(self.clock.now_ms, self.outage_until_ms) + late_ms
+            self.clock.at(at_ms, self._tell_in_time, proxy, entry)
+
+    def _tell_in_time(self, proxy: int, entry: ListedEndpoint) -> None:
+        """Tell it now, or once discovery is back."""
+        if self.clock.now_ms < self.outage_until_ms:
+            self.clock.at(self.outage_until_ms, self._tell_in_time, proxy, entry)
+        else:
+            self._tell(proxy, entry)
+
+    def spoils_answer(self, server: Server) -> bool:
+        """Does this answer come spoilt? A draw, if the server spoils any."""
+        return bool(server.spoilt_share) and self._spoils.random() < server.spoilt_share
 
     def _note(self, text: str) -> None:
         self.log.append(((self.clock.now_ms - START_MS) / 1000, text))
@@ -130,12 +150,24 @@
         draws.shuffle(names)
         met = names if fault.kind == "release" else names[: max(1, round(fault.part * len(names)))]
         len_ms = fault.len_s * 1000
-        self._note(f"{fault.kind} begins" + ("" if fault.kind == "burst" else f" on {len(met)} servers"))
+        everywhere = fault.kind in ("burst", "discovery-outage")
+        self._note(f"{fault.kind} begins" + ("" if everywhere else f" on {len(met)} servers"))
         match fault.kind:
             case "fast-errors":
                 for name in met:
                     self.servers[name].bridge.error_share = fault.size
                     self.clock.after(len_ms, self._errors_end, name)
+            case "slow-answers" | "spoilt-answers":
+                for name in met:
+                    server = self.servers[name]
+                    if fault.kind == "slow-answers":
+                        server.delay_ms = fault.delay_ms
+                    else:
+                        server.spoilt_share = fault.size
+                    self.clock.after(len_ms, self._answers_mend, name)
+            case "discovery-outage":
+                self.outage_until_ms = self.clock.now_ms + len_ms
+                self._silence_lists()
             case "neighbour":
                 for name in met:
                     self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
@@ -157,6 +189,9 @@
     def _errors_end(self, name: str) -> None:
         self.servers[name].bridge.error_share = 0.0
 
+    def _answers_mend(self, name: str) -> None:
+        self.servers[name].delay_ms = self.servers[name].spoilt_share = 0.0
+
     def _neighbour(self, name: str, fault: Fault, until_ms: float, on: bool) -> None:
         server = self.servers[name]
         self._look(server)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -290,7 +290,9 @@
     assert (one.events, one.work) == (again.events, again.work)
 
 
-@pytest.mark.parametrize("kind", ["neighbour", "death", "partition", "drain"])
+@pytest.mark.parametrize(
+    "kind", ["neighbour", "death", "partition", "drain", "slow-answers", "spoilt-answers"]
+)
 def test_ours_keeps_the_rules_whatever_goes_wrong(kind: Any) -> None:
     fault = Fault(kind=kind, at_s=1, len_s=2, part=0.5)
     clients = Clients(leave_share=0.1)
@@ -302,6 +304,36 @@
     assert result.told and 0 < result.verdict.worth < 1
 
 
+def test_a_silent_list_tells_later_and_nothing_is_lost() -> None:
+    outage = Fault(kind="discovery-outage", at_s=0.5, len_s=4.0)
+    told = msgspec.structs.replace(SMALL, faults=(RELEASE, outage), discovery_ms=(50.0, 100.0))
+    run = Simulation(told, "ours", 1).run()
+    usual = Simulation(msgspec.structs.replace(told, faults=(RELEASE,)), "ours", 1).run()
+    assert run.verdict.broken == [] == usual.verdict.broken
+
+    def first_refused(result: Any) -> int:
+        """The second in which the proxies, told that all servers drain, begin to refuse."""
+        return next(i for i, n in enumerate(result.verdict.by_second["refused"]) if n)
+
+    assert first_refused(run) >= 5 > first_refused(usual)  # the list is silent from 1.5 s to 5.5 s
+    assert "discovery-outage begins" in [text for _, text in run.told]
+
+
+def test_trouble_on_sockets() -> None:
+    """Slow and spoilt answers, and a list that is silent, in real time: no rule breaks."""
+    faults = (
+        Fault(kind="slow-answers", at_s=0.5, len_s=2.0, part=0.5, delay_ms=100.0),
+        Fault(kind="spoilt-answers", at_s=1.0, len_s=1.5, part=0.5, size=0.3),
+        Fault(kind="discovery-outage", at_s=1.0, len_s=1.0),
+        Fault(kind="death", at_s=1.5, len_s=1.0, part=0.3),
+    )
+    played = asyncio.run(real.play(msgspec.structs.replace(SMALL, seconds=4.0, faults=faults), 1))
+    if played.void:
+        pytest.skip(played.void)
+    assert played.verdict.broken == [] and played.died == []
+    assert played.verdict.answers["failed"] > 0 and played.verdict.worth > 0.5
+
+
 def test_ours_is_worth_more_than_chance_where_it_matters() -> None:
     told = scenario.read(FOLDER / "herd.toml")
     ours, chance = (Simulation(told, policy, 1).run().verdict for policy in ("ours", "random"))
