Lab: load reports on answers, and lists that can't be read

Need: the module reads reports, and lists come spoilt; neither could be played. Change: fleet.reports with noise and refresh, in both times; the fault spoilt-lists.

--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -115,8 +115,14 @@
     def answer(self, verdict: Verdict) -> None:
         self.job = None
         data = ANSWERS[verdict]
+        report = self.world.report_of(self.server)
         if verdict is Verdict.TAKEN and self.world.spoils_answer(self.server):
             data = SPOILT
+        elif report is not None:
+            pairs = zip(self.world.scenario.fleet.reports, report, strict=True)
+            line = ",".join(f"{name}={value:.3f}" for name, value in pairs)
+            status, _, rest = data.partition(b"\r\n")
+            data = b"%b\r\nX-Server-Load: %b\r\n%b" % (status, line.encode(), rest)
         if self.server.delay_ms:
             self.world.clock.after(self.server.delay_ms, self._write, data)
         else:
@@ -141,6 +147,7 @@
         self._news = asyncio.Condition()
         self._watches: set[asyncio.StreamWriter] = set()
         self.out = False  # nobody gets an answer
+        self.spoilt = False  # or one that can't be read
 
     def cut(self) -> None:
         """Close what watches."""
@@ -159,11 +166,12 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._watches.add(writer)
         try:
-            while not self.out:
+            while not self.out or self.spoilt:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 query = head.split()[1].partition("?")[2]
                 asked = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
-                body = json.dumps(await self._answer(asked)).encode()
+                body = b'{"version": "new", "servers": [' if self.out else b""
+                body = body or json.dumps(await self._answer(asked)).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the proxy has gone, or the run is over
@@ -341,9 +349,9 @@
         self._open.add(task)
         task.add_done_callback(self._open.discard)
 
-    def _silence_lists(self) -> None:
+    def _silence_lists(self, spoilt: bool) -> None:
         for discovery in self.discoveries:
-            discovery.out = True
+            discovery.out, discovery.spoilt = True, spoilt
             discovery.cut()
         self.clock.at(self.outage_until_ms, self._lists_are_back)
 
@@ -472,6 +480,7 @@
             "balancers": told.proxies,
             "ordinal": proxy,
             "zone": fleet.zones[proxy % len(fleet.zones)],
+            "reporting": {"fields": list(fleet.reports), "how": "inline"},
             "bounds": {
                 "max_attempts": told.max_attempts, "connect_timeout_ms": 250.0, "conn_idle_ms": 60000.0,
             },
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -50,6 +50,9 @@
     handshake: float = 2.0
     bay_window_ms: float = 10_000.0
     drops_waiting: bool = False
+    reports: tuple[Literal["inflight", "util", "latency_ms"], ...] = ()  # on each answer, in this order
+    report_every_ms: float = 3.0  # so often they are made anew
+    report_noise: float = 0.05  # standard deviation, as a share of the figure
 
 
 class Network(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -115,6 +118,7 @@
         "death",
         "partition",
         "discovery-outage",
+        "spoilt-lists",
     ]
     at_s: float
     len_s: float = 5.0
@@ -212,6 +216,8 @@
         ("fleet.servers", fleet.servers, "1 to 10,000", 1 <= fleet.servers <= 10_000),
         ("fleet.zones", fleet.zones, "one or more, each once", 0 < len(fleet.zones) == len(set(fleet.zones))),
         ("fleet.kinds", len(fleet.kinds), "one or more", bool(fleet.kinds)),
+        ("fleet.reports", fleet.reports, "each once", len(set(fleet.reports)) == len(fleet.reports)),
+        ("fleet.report_noise", fleet.report_noise, "0 to 1", 0 <= fleet.report_noise <= 1),
         ("fleet.cold_share", fleet.cold_share, "above 0, at most 1", 0 < fleet.cold_share <= 1),
         ("load", "both, or neither", "one of rate and level", (load.rate is None) != (load.level is None)),
         ("load.rate", load.rate, "more than 0", load.rate is None or load.rate > 0),
@@ -278,6 +284,7 @@
         zone=zone,
         proxies=s.proxies,
         number=number,
+        report_fields=s.fleet.reports,
         limits=Limits(max_attempts=s.max_attempts),
         safety=Safety(
             cold_share=s.fleet.cold_share,
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -179,12 +179,12 @@
         else:
             world.connect(sent)
 
-    def ended(self, sent: Sent, outcome: Outcome) -> None:
+    def ended(self, sent: Sent, outcome: Outcome, report: tuple[float, ...] | None = None) -> None:
         """Tell the core, if it still waits for it."""
         if self.sent.pop(sent.key, None) is not None:
             self.due.pop(sent.key, None)
             answer = "answer" if outcome is Outcome.OK else None
-            self.engine.take(Ended(*sent.key, outcome, answer))
+            self.engine.take(Ended(*sent.key, outcome, answer, report))
 
 
 @dataclass(frozen=True, slots=True)
@@ -437,16 +437,18 @@
         if outcome is Outcome.OK and self.spoils_answer(sent.server):
             outcome = Outcome.SPOILT
         delay_ms = 0.0 if outcome is Outcome.RESET else sent.server.delay_ms
-        self.clock.after(way_ms + delay_ms, self._replied, sent, outcome)
+        answered = outcome not in (Outcome.RESET, Outcome.SPOILT)
+        report = self.report_of(sent.server) if answered else None
+        self.clock.after(way_ms + delay_ms, self._replied, sent, outcome, report)
 
-    def _replied(self, sent: Sent, outcome: Outcome) -> None:
+    def _replied(self, sent: Sent, outcome: Outcome, report: tuple[float, ...] | None) -> None:
         if sent.over or sent.server.cut_off:
             return
         if outcome is Outcome.SPOILT:
             self.close(sent.proxy, sent.server.bridge.name, 1)
         elif outcome is not Outcome.RESET:
             self._rest(sent)
-        sent.proxy.ended(sent, outcome)
+        sent.proxy.ended(sent, outcome, report)
 
     def _look(self, server: Server) -> None:
         """Let its time pass up to now, and send what has ended."""
@@ -482,6 +484,7 @@
     def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
         self.proxies[proxy].listed(ListKind.DELTA, (entry,))
 
-    def _silence_lists(self) -> None:
+    def _silence_lists(self, spoilt: bool) -> None:
+        """A list that can't be read is a call that failed, as one that does not come."""
         for proxy in self.proxies:
             proxy.engine.take(Listed(EndpointsListed(ListKind.FAILED), dict(proxy.targets)))
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -46,6 +46,8 @@
     cut_off: bool = False  # nothing gets through to it, nor from it
     spoilt_share: float = 0.0  # of its answers, which can't be read; their requests have run
     delay_ms: float = 0.0  # by which its answers are held back
+    report: tuple[float, ...] = ()  # the latest, in the scenario's order
+    reported_ms: float = float("-inf")
     wake: int = 0  # the number of the latest look at it: earlier ones are void
 
     @property
@@ -67,6 +69,7 @@
         self.log: list[tuple[float, str]] = []
         self._lists = self.draws.stream("lists")
         self._spoils = self.draws.stream("spoils")
+        self._noise = self.draws.stream("reports")
         self.outage_until_ms = 0.0  # of discovery: nothing is told before
 
     def _fleet(self) -> dict[str, Server]:
@@ -106,8 +109,8 @@
         """Its process has ended: all that was on it is reset."""
 
     @abstractmethod
-    def _silence_lists(self) -> None:
-        """Discovery is out: what watches it is cut off."""
+    def _silence_lists(self, spoilt: bool) -> None:
+        """Discovery is out: what watches it is cut off, or gets what can't be read."""
 
     @abstractmethod
     def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
@@ -136,6 +139,19 @@
         else:
             self._tell(proxy, entry)
 
+    def report_of(self, server: Server) -> tuple[float, ...] | None:
+        """What it says of its load now, a little old and a little wrong; None: it says nothing."""
+        fleet, now_ms = self.scenario.fleet, self.clock.now_ms
+        if not fleet.reports:
+            return None
+        if now_ms - server.reported_ms >= fleet.report_every_ms:
+            true = dict(zip(("inflight", "util", "latency_ms"), server.bridge.report(), strict=True))
+            server.report = tuple(
+                max(0.0, true[name] * self._noise.gauss(1.0, fleet.report_noise)) for name in fleet.reports
+            )
+            server.reported_ms = now_ms
+        return server.report
+
     def spoils_answer(self, server: Server) -> bool:
         """Does this answer come spoilt? A draw, if the server spoils any."""
         return bool(server.spoilt_share) and self._spoils.random() < server.spoilt_share
@@ -150,7 +166,7 @@
         draws.shuffle(names)
         met = names if fault.kind == "release" else names[: max(1, round(fault.part * len(names)))]
         len_ms = fault.len_s * 1000
-        everywhere = fault.kind in ("burst", "discovery-outage")
+        everywhere = fault.kind in ("burst", "discovery-outage", "spoilt-lists")
         self._note(f"{fault.kind} begins" + ("" if everywhere else f" on {len(met)} servers"))
         match fault.kind:
             case "fast-errors":
@@ -165,9 +181,9 @@
                     else:
                         server.spoilt_share = fault.size
                     self.clock.after(len_ms, self._answers_mend, name)
-            case "discovery-outage":
+            case "discovery-outage" | "spoilt-lists":
                 self.outage_until_ms = self.clock.now_ms + len_ms
-                self._silence_lists()
+                self._silence_lists(fault.kind == "spoilt-lists")
             case "neighbour":
                 for name in met:
                     self._neighbour(name, fault, self.clock.now_ms + len_ms, True)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -319,15 +319,36 @@
     assert "discovery-outage begins" in [text for _, text in run.told]
 
 
+def test_reports_are_a_little_old_and_a_little_wrong() -> None:
+    fleet = msgspec.structs.replace(SMALL.fleet, reports=("util", "inflight"), report_every_ms=10.0)
+    told = msgspec.structs.replace(SMALL, seconds=3.0, fleet=fleet)
+    world = Simulation(told, "ours", 1)
+    server = world.servers["b0"]
+    offered(server.bridge, 0.0, *[1000.0] * 20)
+    first = world.report_of(server)
+    assert first is not None and first[1] == pytest.approx(20, rel=0.3) and first[1] != 20
+    offered(server.bridge, 0.0, *[1000.0] * 20, first=50)
+    assert world.report_of(server) == first  # not made anew yet
+    world.clock.run(11.0)
+    later = world.report_of(server)
+    assert later is not None and later[1] == pytest.approx(40, rel=0.3)
+    with_reports = Simulation(told, "ours", 1).run()
+    assert with_reports.verdict.broken == [] and with_reports.verdict.worth > 0.9
+
+
 def test_trouble_on_sockets() -> None:
-    """Slow and spoilt answers, and a list that is silent, in real time: no rule breaks."""
+    """Slow and spoilt answers, and lists that are silent or spoilt, in real time: no rule breaks."""
+    fleet = msgspec.structs.replace(SMALL.fleet, reports=("inflight", "util"))
     faults = (
         Fault(kind="slow-answers", at_s=0.5, len_s=2.0, part=0.5, delay_ms=100.0),
         Fault(kind="spoilt-answers", at_s=1.0, len_s=1.5, part=0.5, size=0.3),
-        Fault(kind="discovery-outage", at_s=1.0, len_s=1.0),
+        Fault(kind="discovery-outage", at_s=1.0, len_s=0.5),
+        Fault(kind="spoilt-lists", at_s=2.0, len_s=0.5),
         Fault(kind="death", at_s=1.5, len_s=1.0, part=0.3),
     )
-    played = asyncio.run(real.play(msgspec.structs.replace(SMALL, seconds=4.0, faults=faults), 1))
+    played = asyncio.run(
+        real.play(msgspec.structs.replace(SMALL, seconds=4.0, faults=faults, fleet=fleet), 1)
+    )
     if played.void:
         pytest.skip(played.void)
     assert played.verdict.broken == [] and played.died == []
