--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -321,17 +321,6 @@
             if connection is not None:
                 connection.answer(Verdict.TAKEN)
 
-    def _schedule(self, server: Server) -> None:
-        due_ms = server.bridge.next_ms()
-        server.wake += 1
-        if due_ms is not None:
-            self.clock.at(due_ms, self._wake, server, server.wake)
-
-    def _wake(self, server: Server, number: int) -> None:
-        if number == server.wake:
-            self._look(server)
-            self._schedule(server)
-
     def _lost(self, server: Server) -> None:
         server.bridge.stop()
         server.wake += 1
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -457,18 +457,6 @@
             if sent is not None and not sent.over and not server.cut_off:
                 self._reply(sent, Outcome.OK)
 
-    def _schedule(self, server: Server) -> None:
-        """Look at it again when its next request ends."""
-        due_ms = server.bridge.next_ms()
-        server.wake += 1
-        if due_ms is not None:
-            self.clock.at(due_ms, self._wake, server, server.wake)
-
-    def _wake(self, server: Server, number: int) -> None:
-        if number == server.wake:
-            self._look(server)
-            self._schedule(server)
-
     def _lost(self, server: Server) -> None:
         """Its process has ended: all that was on it is reset."""
         server.bridge.stop()
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -100,9 +100,17 @@
     def _look(self, server: Server) -> None:
         """Let its time pass up to now, and send what has ended."""
 
-    @abstractmethod
     def _schedule(self, server: Server) -> None:
         """Look at it again when its next request ends."""
+        due_ms = server.bridge.next_ms()
+        server.wake += 1
+        if due_ms is not None:
+            self.clock.at(due_ms, self._wake, server, server.wake)
+
+    def _wake(self, server: Server, number: int) -> None:
+        if number == server.wake:
+            self._look(server)
+            self._schedule(server)
 
     @abstractmethod
     def _lost(self, server: Server) -> None:
