The lab's own log, by structlog: level and form in the scenario, level on the command line

Change: lab/log.py; what goes wrong, which proxies run and which have ended are logged. Result: at warning, the default, a good run says nothing; at info a line for each trouble, tested as JSON.

--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -8,6 +8,7 @@
 
 import click
 
+from cloverrouter.lab import log
 from cloverrouter.lab.real import RealWorld, play
 from cloverrouter.lab.scenario import Class, Fault, Fleet, Kind, Load, Member, Scenario
 
@@ -53,6 +54,7 @@
     Exits 0 if no rule was broken, 1 otherwise, or if the machine was too busy to tell.
     """
     told = scenario(seconds)
+    log.configure(told.log)
     before: Counter[str] = Counter()
     seen = 0
 
--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -12,8 +12,8 @@
 import click
 import msgspec
 
+from cloverrouter.lab import log, runner, scenario
 from cloverrouter.lab import real as playing
-from cloverrouter.lab import runner, scenario
 from cloverrouter.lab.compare import Difference, paired
 from cloverrouter.lab.runner import Row, Store, StoreError
 from cloverrouter.lab.scenario import Scenario, ScenarioError
@@ -41,6 +41,14 @@
     return next(iter(_read_all(path).values()))
 
 
+def _log(told: Scenario, level: str | None) -> Scenario:
+    """The scenario, with its log's level as the command line has it."""
+    if level is not None:
+        told = msgspec.structs.replace(told, log=msgspec.structs.replace(told.log, level=level))
+    log.configure(told.log)
+    return told
+
+
 @click.group()
 def lab() -> None:
     """Emulated bridge servers, lists and clients: try a configuration before a busy season."""
@@ -78,6 +86,9 @@
 @click.option(
     "--out", type=click.Path(path_type=Path), help="Keep results here, and go on with what is there."
 )
+@click.option(
+    "--log", "level", type=click.Choice(list(log.LEVELS)), help="The log's level; default the file's."
+)
 @click.option("--real", is_flag=True, help="In real time, with the real proxy over loopback sockets.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 def run(
@@ -86,6 +97,7 @@
     seeds: int | None,
     policies: tuple[str, ...],
     out: Path | None,
+    level: str | None,
     real: bool,
     as_json: bool,
 ) -> None:
@@ -94,7 +106,7 @@
     In real time it is the real proxy that is played, a seed at a time. Exits 0 if the project's own policy
     broke no rule, 1 if it did, a run failed or is void, 2 if the file is wrong.
     """
-    variants = _read_all(file)
+    variants = {label: _log(told, level) for label, told in _read_all(file).items()}
     if real:
         if out is not None or policies not in ((), ("ours",)) or len(variants) > 1:
             raise click.UsageError(
@@ -242,7 +254,7 @@
     The first line is a JSON object with the configuration of each proxy; point real ones at them. What the
     scenario says goes wrong does so, counted from the start.
     """
-    told = _read(file)
+    told = _log(_read(file), None)
 
     async def stand() -> None:
         world = playing.RealWorld(told, told.seeds[0])
--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -24,7 +24,7 @@
 import httptools
 
 from cloverrouter.interface import EndpointState, ListedEndpoint
-from cloverrouter.lab import load
+from cloverrouter.lab import load, log
 from cloverrouter.lab.bridge import Job, Verdict
 from cloverrouter.lab.judge import Asked
 from cloverrouter.lab.judge import Verdict as Judged
@@ -571,6 +571,7 @@
         try:
             proxies.start(told, world)
             await proxies.ready()
+            log.get().info("proxies are ready", processes=[p.pid for p in proxies.processes])
             world.clock = WallClock()
             for server in world.servers.values():
                 server.bridge.restart_clock()
@@ -586,6 +587,8 @@
             played = Played(verdict, late_share=world.late_share, died=died, told=world.log)
             played.lab_cpu = (time.process_time() - own_s) / took_s
             played.proxy_cpu_us = cpu_s / max(1, len(world.judge.asked)) * 1e6
+            for text in died:
+                log.get().error("a proxy has ended", proxy=text)
             if played.late_share > LATE_SHARE:
                 played.void = (
                     f"{played.late_share:.1%} of the requests were sent late: the lab had too little CPU"
--- a/cloverrouter/lab/runner.py
+++ b/cloverrouter/lab/runner.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from cloverrouter.lab import log
 from cloverrouter.lab.scenario import Scenario
 from cloverrouter.lab.simulate import Result, Simulation
 
@@ -100,6 +101,8 @@
 
 def play(scenario: Scenario, policy: str, seed: int) -> Result:
     """One run."""
+    log.configure(scenario.log)
+    log.get().debug("a run begins", scenario=scenario.name, policy=policy, seed=seed)
     return Simulation(scenario, policy, seed).run()
 
 
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -129,6 +129,13 @@
     on_s: float = 2.0  # a neighbour is on and off in turn for so long
 
 
+class Log(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The lab's own log."""
+
+    level: Literal["debug", "info", "warning", "error"] = "warning"
+    form: Literal["console", "json"] = "console"
+
+
 class Scenario(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One scenario, whole."""
 
@@ -144,6 +151,7 @@
     max_attempts: int = 3
     policies: tuple[str, ...] = ("ours", "least-in-flight", "random")
     seeds: tuple[int, ...] = (1, 2, 3)
+    log: Log = Log()
 
 
 MOST_VARIANTS = 200
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 from cloverrouter.interface import EndpointState, ListedEndpoint
-from cloverrouter.lab import scenario
+from cloverrouter.lab import log, scenario
 from cloverrouter.lab.bridge import Bay, Bridge
 from cloverrouter.lab.draws import Draws, Weighted
 from cloverrouter.lab.judge import Judge
@@ -165,7 +165,9 @@
         return bool(server.spoilt_share) and self._spoils.random() < server.spoilt_share
 
     def _note(self, text: str) -> None:
-        self.log.append(((self.clock.now_ms - START_MS) / 1000, text))
+        at_s = (self.clock.now_ms - START_MS) / 1000
+        self.log.append((at_s, text))
+        log.get().info(text, at_s=round(at_s, 3), scenario=self.scenario.name, seed=self.draws.seed)
 
     # What goes wrong
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -526,6 +526,28 @@
     assert store.done() == {("ours", 1), ("ours", 2)}
 
 
+def test_log_is_as_told(tmp_path: Path) -> None:
+    path = write_small(tmp_path / "s.toml")
+    path.write_text(path.read_text() + '\n[log]\nform = "json"\n[[faults]]\nkind = "neighbour"\nat_s = 1.0\n')
+    command = [
+        sys.executable,
+        "-m",
+        "cloverrouter",
+        "lab",
+        "run",
+        str(path),
+        "--policy",
+        "ours",
+        "--seeds",
+        "1",
+    ]
+    for more, lines in (([], 0), (["--log", "info"], 1), (["--log", "debug"], 2)):
+        done = subprocess.run([*command, *more], capture_output=True, text=True, check=True)
+        told = [json.loads(line) for line in done.stderr.splitlines()]
+        assert len(told) == lines
+        assert not told or (told[-1]["event"].startswith("neighbour begins") and told[-1]["at_s"] == 1.0)
+
+
 def test_what_varies_is_combined(tmp_path: Path) -> None:
     path = write_small(tmp_path / "s.toml", **{"seconds = 4.0": "seconds = 3.0"})
     text = path.read_text()
