Lab and explorer: one piece of code where two did the same, and no state that nobody reads

Need: a second reading found what a server makes of a request, the ledger's entries and the query for results written twice, baselines with a copy of the module's tuple, two searches over a connection's states, and fields set but unread. Change: World offers requests and counts what is wanted for both times; one function reads results, one generator walks the connection's table; baselines use the module's own NEVER_RAN; an attempt's timer stands with the attempt, in place of a table that grew; faults heal by one function. That mends one thing: where slow and spoilt answers overlap on a server, the end of one no longer ends the other. Tests differ by an unread argument; assertions stand.

--- a/cloverrouter/explore/connections.py
+++ b/cloverrouter/explore/connections.py
@@ -53,20 +53,27 @@
     """All states, and the first breach. `settles` False: requests go out on a connection on which bytes
     still wait, which is the fault that this is to find."""
     seen: dict[Wire, tuple[Wire, str] | None] = {Wire(): None}
-    left = deque([Wire()])
+    for wire, name, after, breach in _transitions(settles):
+        if breach:
+            return len(seen), Found(breach, (*_path(seen, wire), name))
+        seen.setdefault(after, (wire, name))
+    return len(seen), None
+
+
+def _transitions(settles: bool) -> Iterator[tuple[Wire, str, Wire, str]]:
+    """Breadth first: each state, each event in it, the state after it, and what it breaks, if anything."""
+    left, seen = deque([Wire()]), {Wire()}
     while left:
         wire = left.popleft()
-        for name in list(_enabled(wire, settles)):
+        for name in _enabled(wire, settles):
             try:
                 after, breach = _apply(wire, name)
             except ValueError as error:
                 after, breach = wire, f"table: {error}"
-            if breach:
-                return len(seen), Found(breach, (*_path(seen, wire), name))
+            yield wire, name, after, breach
             if after not in seen:
-                seen[after] = (wire, name)
+                seen.add(after)
                 left.append(after)
-    return len(seen), None
 
 
 def _path(seen: dict[Wire, tuple[Wire, str] | None], wire: Wire) -> list[str]:
@@ -171,20 +178,10 @@
 def unreachable() -> list[str]:
     """Entries of the table that no history reaches, as `state: event`."""
     reached: set[tuple[State, Event]] = set()
-    left, seen = deque([Wire()]), {Wire()}
-    while left:
-        wire = left.popleft()
-        for name in _enabled(wire, True):
-            after, _ = _apply(wire, name)
-            if after.state is not wire.state:
-                reached |= {
-                    (wire.state, event)
-                    for event, (state, _) in TABLE[wire.state].items()
-                    if state is after.state
-                }
-            if after not in seen:
-                seen.add(after)
-                left.append(after)
+    for wire, _, after, _ in _transitions(settles=True):
+        if after.state is not wire.state:
+            ways = TABLE[wire.state].items()
+            reached |= {(wire.state, event) for event, (state, _) in ways if state is after.state}
     return [
         f"{state.value}: {event.value}"
         for state, entries in TABLE.items()
--- a/cloverrouter/explore/search.py
+++ b/cloverrouter/explore/search.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from cloverrouter.explore import trace
 from cloverrouter.explore.canon import digest
 from cloverrouter.explore.choices import next_script
@@ -83,7 +85,7 @@
         report.seconds = self.clock() - begun
         if report.found is not None:
             steps = trace.shrink(self.scope, self.fault, report.found.steps)
-            report.found = _by(report.found, steps)
+            report.found = msgspec.structs.replace(report.found, steps=steps)
         return report
 
     def _fresh(self) -> World:
@@ -186,8 +188,3 @@
 
     def _found(self, breach: str, steps: list[Step]) -> Counterexample:
         return Counterexample(trace.FORM, self.scope.name, self.fault, breach, tuple(steps))
-
-
-def _by(found: Counterexample, steps: tuple[Step, ...]) -> Counterexample:
-    """The same breach, by a shorter way."""
-    return Counterexample(found.form, found.scope, found.fault, found.breach, steps)
--- a/cloverrouter/lab/bridge.py
+++ b/cloverrouter/lab/bridge.py
@@ -54,7 +54,6 @@
     id: int
     work: float
     key: str | None
-    came_ms: float
     began_ms: float = 0.0
     ends_at: float = 0.0  # on the virtual clock
     cancelled: bool = False
@@ -325,7 +324,7 @@
     def _own_work(self, now_ms: float, work: float) -> None:
         if work > 0:
             self._own -= 1
-            job = Job(self._own, work, None, now_ms)
+            job = Job(self._own, work, None)
             self._jobs[job.id] = job
             self._begin(now_ms, job)
 
--- a/cloverrouter/lab/policies.py
+++ b/cloverrouter/lab/policies.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Protocol
 
-from cloverrouter.decide import Balancer
+from cloverrouter.decide import NEVER_RAN, Balancer
 from cloverrouter.interface import (
     Action,
     AttemptEnded,
@@ -18,7 +18,6 @@
     Idempotency,
     ListedEndpoint,
     ListKind,
-    Outcome,
     Refuse,
     RequestArrived,
     RequestClass,
@@ -27,8 +26,6 @@
     Settings,
 )
 
-NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
-
 
 class Policy(Protocol):
     """What decides in one proxy."""
--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -26,14 +26,12 @@
 from cloverrouter.interface import EndpointState, ListedEndpoint
 from cloverrouter.lab import load, log
 from cloverrouter.lab.bridge import Job, Verdict
-from cloverrouter.lab.judge import Asked
 from cloverrouter.lab.judge import Verdict as Judged
 from cloverrouter.lab.scenario import Scenario
 from cloverrouter.lab.world import START_MS, Server, World
 
 HOST = "127.0.0.1"
 READY_S = 30.0
-TAIL_MS = 4000.0
 LATE_MS = 25.0  # a client that sends so much later than it is meant to was held up here
 LATE_SHARE = 0.02  # of such sends voids the run
 EFFECTS = {"never": "fragile", "keyed": "dedup", "always": "retryable"}
@@ -221,10 +219,6 @@
         self._connections: set[ServerConnection] = set()
         self._working: dict[int, ServerConnection] = {}  # by job
         self._asks: dict[int, load.Ask] = {}  # by request
-        self._classes = {c.name: c for c in told.load.classes}
-        self._errors = self.draws.stream("errors")
-        self._clients = self.draws.stream("clients")
-        self._last_request = self._last_job = 0
         self._idle: list[list[Streams]] = [[] for _ in range(told.proxies)]
         self._open: set[asyncio.Task[None]] = set()
         self._late = self._sends = 0
@@ -287,32 +281,20 @@
             bridge.cancel(connection.job)
 
     def reached(self, connection: ServerConnection, request: int) -> None:
-        server, now_ms = connection.server, self.clock.now_ms
+        server, ask = connection.server, self._asks.get(request)
         self._look(server)
-        bridge, ask = server.bridge, self._asks.get(request)
         if ask is None:  # nobody here has asked for it: made by hand, and answered at once
             connection.answer(Verdict.TAKEN)
             return
-        self._last_job += 1
-        job = Job(self._last_job, ask.work, ask.key, now_ms)
-        self.judge.reached(request, connection.proxy, bridge.name, server.bay, now_ms)
-        keyed = self._classes[ask.cls].repeats == "keyed"
-        fell = bridge.totals.fell
-        verdict = bridge.offer(now_ms, job, self._errors.random(), f"r{request}" if keyed else None)
+        job = Job(self.next_job(), ask.work, ask.key)
+        verdict = self._offer(server, connection.proxy, request, ask, job)
         if verdict is Verdict.TAKEN:
             connection.job = job.id
             self._working[job.id] = connection
             self._schedule(server)
-            return
-        if bridge.totals.fell > fell:
-            self.judge.fell(bridge.name, now_ms)
-            self._note(f"{bridge.name} falls over")
-            self._lost(server)
         elif verdict is Verdict.DOWN:
             connection.abort()
         else:
-            if verdict is Verdict.FULL:
-                self.judge.never_ran(request)
             connection.answer(verdict)
 
     def _look(self, server: Server) -> None:
@@ -356,8 +338,7 @@
             at_ms = START_MS + ask.at_ms
             if at_ms - self.clock.now_ms > 1:
                 await self.clock.sleep_until(at_ms)
-            cls = self._classes[ask.cls]
-            self.judge.ask(ask.number, Asked(at_ms, ask.cls, ask.member, cls.worth, cls.aim_ms))
+            self._wants(ask)
             self._sends += 1
             self._late += self.clock.now_ms > at_ms + LATE_MS
             task = asyncio.get_running_loop().create_task(self._client(ask, addresses[ask.proxy]))
--- a/cloverrouter/lab/runner.py
+++ b/cloverrouter/lab/runner.py
@@ -59,8 +59,7 @@
         return set(self._db.execute("SELECT policy, seed FROM runs WHERE result IS NOT NULL"))
 
     def results(self) -> list[Result]:
-        rows = self._db.execute("SELECT result FROM runs WHERE result IS NOT NULL ORDER BY policy, seed")
-        return [msgspec.json.decode(text, type=Result) for (text,) in rows]
+        return _results(self._db)
 
     def keep(self, policy: str, seed: int, result: Result | None, error: str = "") -> None:
         """Survives whatever comes next; a run that failed is kept with its error, and played again."""
@@ -72,6 +71,11 @@
         self._db.close()
 
 
+def _results(db: sqlite3.Connection) -> list[Result]:
+    rows = db.execute("SELECT result FROM runs WHERE result IS NOT NULL ORDER BY policy, seed")
+    return [msgspec.json.decode(text, type=Result) for (text,) in rows]
+
+
 def read(folder: Path) -> tuple[Scenario, str, list[Result]]:
     """What a run folder holds: scenario, revision of the code, results. Raises StoreError."""
     path = folder / STORE
@@ -82,9 +86,7 @@
         about = dict(db.execute("SELECT key, value FROM about"))
         if about.get("form") != str(FORM):
             raise StoreError(f"{folder}: form: found {about.get('form')}, this version reads {FORM}")
-        rows = db.execute("SELECT result FROM runs WHERE result IS NOT NULL ORDER BY policy, seed")
-        results = [msgspec.json.decode(text, type=Result) for (text,) in rows]
-        return msgspec.json.decode(about["scenario"], type=Scenario), about["revision"], results
+        return msgspec.json.decode(about["scenario"], type=Scenario), about["revision"], _results(db)
     except (sqlite3.Error, KeyError, msgspec.MsgspecError) as error:
         raise StoreError(f"{folder}: can't be read: {error}") from error
 
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -41,7 +41,6 @@
 )
 from cloverrouter.lab import load, scenario
 from cloverrouter.lab.bridge import Job, Verdict
-from cloverrouter.lab.judge import Asked
 from cloverrouter.lab.judge import Verdict as Judged
 from cloverrouter.lab.policies import Policy, make
 from cloverrouter.lab.scenario import Scenario
@@ -86,10 +85,9 @@
     proxy: Proxy
     server: Server
     job: Job
-    connected: bool = False
     written: bool = False
     over: bool = False  # nobody waits for it any more
-    process: float | None = None  # of the server that it reached
+    watch: int = 0  # the number of its latest timer: earlier ones are void
 
 
 class Proxy:
@@ -106,14 +104,13 @@
         clock = world.clock
         self.engine = Engine(
             Lifecycle(longest_ms),
-            lambda now_ms, events: self._decide(now_ms, events),
+            self._decide,
             lambda: clock.now_ms,
             self._carry_out,
         )
         self.targets: dict[str, Hashable] = {}
         self.idle: dict[str, int] = {}
         self.sent: dict[Key, Sent] = {}
-        self.due: dict[Key, int] = {}  # the number of the latest timer of an attempt
         self.decided_s = 0.0
 
     def _decide(self, now_ms: float, events: Any) -> Any:
@@ -150,31 +147,30 @@
             case Abandon():
                 world.abandon(self.sent.pop((effect.call, effect.attempt)))
             case SetDue():
-                self._watch((effect.call, effect.attempt), effect.timeout_ms)
+                self._watch(self.sent[effect.call, effect.attempt], effect.timeout_ms)
             case _:
                 pass  # the lists come by themselves here
 
     def _fire(self, token: int) -> None:
         self.engine.take(TimerFired(token))
 
-    def _watch(self, key: Key, timeout_ms: float) -> None:
-        self.due[key] = self.due.get(key, 0) + 1
-        self.world.clock.after(timeout_ms, self._time_up, key, self.due[key])
+    def _watch(self, sent: Sent, timeout_ms: float) -> None:
+        sent.watch += 1
+        self.world.clock.after(timeout_ms, self._time_up, sent, sent.watch)
 
-    def _time_up(self, key: Key, number: int) -> None:
-        if key in self.sent and self.due.get(key) == number:
-            self.engine.take(TimeUp(*key))
+    def _time_up(self, sent: Sent, number: int) -> None:
+        if sent.key in self.sent and sent.watch == number:
+            self.engine.take(TimeUp(*sent.key))
 
     def _start(self, start: Start) -> None:
         key, world = (start.call, start.attempt), self.world
         ask = world.ask_of[start.call]
-        job = Job(world.next_job(), ask.work, ask.key, 0.0)
+        job = Job(world.next_job(), ask.work, ask.key)
         sent = self.sent[key] = Sent(key, self, world.servers[start.endpoint], job)
         if start.timeout_ms is not None:
-            self._watch(key, start.timeout_ms)
+            self._watch(sent, start.timeout_ms)
         if self.idle.get(start.endpoint, 0):
             self.idle[start.endpoint] -= 1
-            sent.connected = True
             world.write(sent)
         else:
             world.connect(sent)
@@ -182,7 +178,6 @@
     def ended(self, sent: Sent, outcome: Outcome, report: tuple[float, ...] | None = None) -> None:
         """Tell the core, if it still waits for it."""
         if self.sent.pop(sent.key, None) is not None:
-            self.due.pop(sent.key, None)
             answer = "answer" if outcome is Outcome.OK else None
             self.engine.take(Ended(*sent.key, outcome, answer, report))
 
@@ -232,11 +227,7 @@
         self.ask_of: dict[int, load.Ask] = {}  # by request
         self.proxy_of: dict[int, int] = {}
         self.retries_left: dict[int, int] = {}
-        self._last_request = self._last_job = 0
         self._on_server: dict[int, Sent] = {}  # by job
-        self._errors = self.draws.stream("errors")
-        self._clients = self.draws.stream("clients")
-        self._classes = {c.name: c for c in told.load.classes}
         self.most_connections = 0
         self._held: dict[str, list[int]] = {name: [] for name in self.servers}
 
@@ -278,10 +269,6 @@
             self._held[name].append(server.bridge.held)
         self.clock.after(1000.0, self._sample)
 
-    def next_job(self) -> int:
-        self._last_job += 1
-        return self._last_job
-
     # Clients
 
     def _next_ask(self, coming: Any) -> None:
@@ -291,9 +278,7 @@
 
     def _ask(self, ask: load.Ask, coming: Any) -> None:
         self._next_ask(coming)
-        cls = self._classes[ask.cls]
-        asked = Asked(START_MS + ask.at_ms, ask.cls, ask.member, cls.worth, cls.aim_ms)
-        self.judge.ask(ask.number, asked)
+        self._wants(ask)
         self.retries_left[ask.number] = self.scenario.load.clients.retries
         self._send(ask)
         if ask.leaves_ms is not None:
@@ -355,7 +340,6 @@
             return
         self._schedule(sent.server)
         self.most_connections = max(self.most_connections, bridge.connections)
-        sent.connected, sent.process = True, bridge.started_ms
         self.clock.after(way_ms, self._connected, sent)
 
     def _unconnected(self, sent: Sent) -> None:
@@ -399,31 +383,21 @@
     # Servers
 
     def _reach(self, sent: Sent) -> None:
-        server, now_ms, bridge = sent.server, self.clock.now_ms, sent.server.bridge
+        server = sent.server
         if server.cut_off:
             return  # silence
         self._look(server)
-        if not bridge.up:
+        if not server.bridge.up:
             self._reply(sent, Outcome.RESET)
             return
-        request = sent.key[0]
         if sent.over:
             return  # its connection was closed before it came
-        self.judge.reached(request, sent.proxy.number, bridge.name, server.bay, now_ms)
-        sent.job.came_ms, sent.process = now_ms, bridge.started_ms
-        keyed = self._classes[self.ask_of[request].cls].repeats == "keyed"
-        fell = bridge.totals.fell
-        verdict = bridge.offer(now_ms, sent.job, self._errors.random(), f"r{request}" if keyed else None)
+        request = sent.key[0]
+        verdict = self._offer(server, sent.proxy.number, request, self.ask_of[request], sent.job)
         if verdict is Verdict.TAKEN:
             self._on_server[sent.job.id] = sent
             self._schedule(server)
             return
-        if bridge.totals.fell > fell:
-            self.judge.fell(bridge.name, now_ms)
-            self._note(f"{bridge.name} falls over")
-            self._lost(server)
-        if verdict is Verdict.FULL:
-            self.judge.never_ran(request)
         outcomes = {
             Verdict.FULL: Outcome.REJECTED,
             Verdict.ERROR: Outcome.ERROR,
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -14,9 +14,10 @@
 
 from cloverrouter.interface import EndpointState, ListedEndpoint
 from cloverrouter.lab import log, scenario
-from cloverrouter.lab.bridge import Bay, Bridge
+from cloverrouter.lab.bridge import Bay, Bridge, Job, Verdict
 from cloverrouter.lab.draws import Draws, Weighted
-from cloverrouter.lab.judge import Judge
+from cloverrouter.lab.judge import Asked, Judge
+from cloverrouter.lab.load import Ask
 from cloverrouter.lab.scenario import Fault, Scenario
 
 START_MS = 1000.0  # proxies know the list by then
@@ -67,6 +68,10 @@
         self.judge = Judge(repeats, told.fleet.bay_window_ms, told.max_attempts)
         self.servers = self._fleet()
         self.log: list[tuple[float, str]] = []
+        self._classes = {c.name: c for c in told.load.classes}
+        self._last_request = self._last_job = 0
+        self._errors = self.draws.stream("errors")
+        self._clients = self.draws.stream("clients")
         self._lists = self.draws.stream("lists")
         self._spoils = self.draws.stream("spoils")
         self._noise = self.draws.stream("reports")
@@ -96,6 +101,32 @@
             draws = self.draws.stream(f"fault {number}")
             self.clock.at(START_MS + fault.at_s * 1000, self._go_wrong, fault, draws)
 
+    def next_job(self) -> int:
+        """A number for a request at a server."""
+        self._last_job += 1
+        return self._last_job
+
+    def _wants(self, ask: Ask) -> None:
+        """Somebody wants this from now on: the ledger counts it."""
+        cls = self._classes[ask.cls]
+        asked = Asked(START_MS + ask.at_ms, ask.cls, ask.member, cls.worth, cls.aim_ms)
+        self.judge.ask(ask.number, asked)
+
+    def _offer(self, server: Server, proxy: int, request: int, ask: Ask, job: Job) -> Verdict:
+        """A whole request has come in: what the server makes of it, once the ledger has it."""
+        now_ms, bridge = self.clock.now_ms, server.bridge
+        self.judge.reached(request, proxy, bridge.name, server.bay, now_ms)
+        keyed = self._classes[ask.cls].repeats == "keyed"
+        fell = bridge.totals.fell
+        verdict = bridge.offer(now_ms, job, self._errors.random(), f"r{request}" if keyed else None)
+        if verdict is Verdict.FULL:
+            self.judge.never_ran(request)
+        if bridge.totals.fell > fell:
+            self.judge.fell(bridge.name, now_ms)
+            self._note(f"{bridge.name} falls over")
+            self._lost(server)
+        return verdict
+
     @abstractmethod
     def _look(self, server: Server) -> None:
         """Let its time pass up to now, and send what has ended."""
@@ -181,16 +212,13 @@
         match fault.kind:
             case "fast-errors":
                 for name in met:
-                    self.servers[name].bridge.error_share = fault.size
-                    self.clock.after(len_ms, self._errors_end, name)
-            case "slow-answers" | "spoilt-answers":
+                    self._for_a_while(self.servers[name].bridge, "error_share", fault.size, len_ms)
+            case "slow-answers":
+                for name in met:
+                    self._for_a_while(self.servers[name], "delay_ms", fault.delay_ms, len_ms)
+            case "spoilt-answers":
                 for name in met:
-                    server = self.servers[name]
-                    if fault.kind == "slow-answers":
-                        server.delay_ms = fault.delay_ms
-                    else:
-                        server.spoilt_share = fault.size
-                    self.clock.after(len_ms, self._answers_mend, name)
+                    self._for_a_while(self.servers[name], "spoilt_share", fault.size, len_ms)
             case "discovery-outage" | "spoilt-lists":
                 self.outage_until_ms = self.clock.now_ms + len_ms
                 self._silence_lists(fault.kind == "spoilt-lists")
@@ -207,16 +235,14 @@
                     self.clock.after(len_ms, self._come_back, name)
             case "partition":
                 for name in met:
-                    self.servers[name].cut_off = True
-                    self.clock.after(len_ms, self._mend, name)
+                    self._for_a_while(self.servers[name], "cut_off", True, len_ms)
             case "burst":
                 pass  # the load's
 
-    def _errors_end(self, name: str) -> None:
-        self.servers[name].bridge.error_share = 0.0
-
-    def _answers_mend(self, name: str) -> None:
-        self.servers[name].delay_ms = self.servers[name].spoilt_share = 0.0
+    def _for_a_while(self, of: Server | Bridge, name: str, value: float | bool, len_ms: float) -> None:
+        """Set one thing that is amiss; it is as in a sound server again after `len_ms`."""
+        setattr(of, name, value)
+        self.clock.after(len_ms, setattr, of, name, type(value)())
 
     def _neighbour(self, name: str, fault: Fault, until_ms: float, on: bool) -> None:
         server = self.servers[name]
@@ -242,6 +268,3 @@
         self._note(f"{name} is back, cold")
         self.servers[name].bridge.start(self.clock.now_ms)
         self._change(name, EndpointState.READY)
-
-    def _mend(self, name: str) -> None:
-        self.servers[name].cut_off = False
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -42,7 +42,7 @@
 
 
 def offered(bridge: Bridge, now_ms: float, *works: float, first: int = 1) -> list[Verdict]:
-    return [bridge.offer(now_ms, Job(first + i, work, None, now_ms), 1.0) for i, work in enumerate(works)]
+    return [bridge.offer(now_ms, Job(first + i, work, None), 1.0) for i, work in enumerate(works)]
 
 
 def test_requests_share_the_cores() -> None:
@@ -63,7 +63,7 @@
     for i, (gap_ms, work) in enumerate(jobs):
         now_ms += gap_ms
         ended += len(bridge.advance(now_ms))
-        bridge.offer(now_ms, Job(i, work, None, now_ms), 1.0)
+        bridge.offer(now_ms, Job(i, work, None), 1.0)
     total = sum(work for _, work in jobs)
     ended += len(bridge.advance(now_ms + total + 1))  # one core alone would be done by then
     assert ended == len(jobs) and bridge.held == 0
@@ -116,18 +116,18 @@
     bay = Bay(10_000.0)
     one, other = (Bridge(n, Shape(cores=1, memory_saves=0.5, memory_ms=1000.0), bay) for n in "ab")
     for at_ms, work in ((0.0, 100.0), (200.0, 50.0), (2000.0, 100.0)):
-        job = Job(int(at_ms), 100.0, "k", at_ms)
+        job = Job(int(at_ms), 100.0, "k")
         one.advance(at_ms)
         one.offer(at_ms, job, 1.0)
         assert job.work == work
-    assert one.offer(2000.0, Job(7, 1.0, None, 0), 1.0, "r1") is Verdict.TAKEN
-    assert other.offer(2001.0, Job(8, 1.0, None, 0), 1.0, "r1") is Verdict.DROPPED
-    assert other.offer(20_000.0, Job(9, 1.0, None, 0), 1.0, "r1") is Verdict.TAKEN
+    assert one.offer(2000.0, Job(7, 1.0, None), 1.0, "r1") is Verdict.TAKEN
+    assert other.offer(2001.0, Job(8, 1.0, None), 1.0, "r1") is Verdict.DROPPED
+    assert other.offer(20_000.0, Job(9, 1.0, None), 1.0, "r1") is Verdict.TAKEN
 
 
 def test_errors_connections_and_probes_cost() -> None:
     bridge = Bridge("b", Shape(connections=1, handshake=10, probe=5, cores=1), error_share=0.5)
-    assert bridge.offer(0.0, Job(1, 1, None, 0), 0.4) is Verdict.ERROR
+    assert bridge.offer(0.0, Job(1, 1, None), 0.4) is Verdict.ERROR
     assert bridge.connect(0.0) and not bridge.connect(0.0)
     assert bridge.probed(0.0) is not None
     assert bridge.advance(20.0) == []  # its own work is nobody's answer
