--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -86,7 +86,7 @@
             f"{name} {share:.3f}" for name, share in {**verdict.by_class, **verdict.by_member}.items()
         )
         + f"\nlatency {', '.join(f'p{q} {ms:.0f} ms' for q, ms in verdict.latency_ms.items())}"
-        f"\nrules broken: {len(verdict.broken)}; the proxies took {played.proxy_cpu_us:.0f} us a request"
+        f"\nrules broken: {len(verdict.broken)}; the proxies took {played.decided_us:.0f} us a request"
     )
     for text in [*verdict.broken[:5], *played.died, *([f"void: {played.void}"] if played.void else [])]:
         click.echo(text)
--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -15,9 +15,9 @@
 from cloverrouter.lab import log, runner, scenario
 from cloverrouter.lab import real as playing
 from cloverrouter.lab.compare import Difference, paired
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.runner import Row, Store, StoreError
 from cloverrouter.lab.scenario import Scenario, ScenarioError
-from cloverrouter.lab.simulate import Result
 
 FIGURES: dict[str, Callable[[Result], float]] = {
     "worth": lambda r: r.verdict.worth,
@@ -25,6 +25,7 @@
     "p50 ms": lambda r: r.verdict.latency_ms.get("50", 0.0),
     "p99 ms": lambda r: r.verdict.latency_ms.get("99", 0.0),
     "wasted": lambda r: r.wasted,
+    "us/ask": lambda r: r.decided_us,
     "broken": lambda r: float(len(r.verdict.broken)),
 }
 
@@ -90,6 +91,7 @@
     "--log", "level", type=click.Choice(list(log.LEVELS)), help="The log's level; default the file's."
 )
 @click.option("--real", is_flag=True, help="In real time, with the real proxy over loopback sockets.")
+@click.option("--build", multiple=True, help="NAME=CHECKOUT: in real time, play the proxies of these, too.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 def run(
     file: Path,
@@ -99,21 +101,26 @@
     out: Path | None,
     level: str | None,
     real: bool,
+    build: tuple[str, ...],
     as_json: bool,
 ) -> None:
     """Play a scenario with every policy and seed that it names.
 
-    In real time it is the real proxy that is played, a seed at a time. Exits 0 if the project's own policy
-    broke no rule, 1 if it did, a run failed or is void, 2 if the file is wrong.
+    In real time it is the real proxy that is played, a run at a time, with each build in turn. Exits 0 if
+    the project's own policy broke no rule, 1 if it did, a run failed or is void, 2 if the file is wrong.
     """
     variants = {label: _log(told, level) for label, told in _read_all(file).items()}
     if real:
-        if out is not None or policies not in ((), ("ours",)) or len(variants) > 1:
-            raise click.UsageError(
-                "--real plays the proxy alone, one variant, and keeps no results: no --out, --policy or vary"
-            )
+        if policies not in ((), ("ours",)) or len(variants) > 1:
+            raise click.UsageError("--real plays the proxy alone, one variant: no --policy or vary")
         told = next(iter(variants.values()))
-        _run_real(told, told.seeds[: seeds or len(told.seeds)], as_json)
+        builds = dict(_named(text) for text in build)
+        told = msgspec.structs.replace(
+            told, seeds=told.seeds[: seeds or len(told.seeds)], builds={**told.builds, **builds}
+        )
+        _run_real(told, out, as_json)
+    if build:
+        raise click.UsageError("--build is for --real: simulated time plays this checkout's decisions")
     bad, tables = False, []
     for label, told in variants.items():
         told = msgspec.structs.replace(
@@ -133,6 +140,13 @@
     sys.exit(1 if bad else 0)
 
 
+def _named(text: str) -> tuple[str, str]:
+    name, equals, path = text.partition("=")
+    if not (name and equals and path):
+        raise click.UsageError(f"--build: found {text!r}, allowed NAME=CHECKOUT")
+    return name, path
+
+
 def _play(
     told: Scenario, processes: int | None, folder: Path | None, quiet: bool
 ) -> tuple[list[Result], list[str]]:
@@ -214,36 +228,51 @@
         )
 
 
-def _run_real(told: Scenario, seeds: tuple[int, ...], as_json: bool) -> None:
-    bad = False
-    runs = []
+def _run_real(told: Scenario, out: Path | None, as_json: bool) -> None:
+    """Each seed with each build, one at a time: the builds of a seed directly after each other, so that what
+    else the machine does meets them alike."""
+    try:
+        store = Store(out, told, "real") if out is not None else None
+    except StoreError as error:
+        raise click.UsageError(str(error)) from error
+    done = store.done() if store is not None else set()
+    fresh: list[Result] = []
     if not as_json:
         click.echo(f"{told.name}, in real time: {told.fleet.servers} servers, {told.proxies} proxies")
-        click.echo(
-            f"{'seed':>6}{'worth':>9}{'worst10':>9}{'p50 ms':>9}{'p99 ms':>9}{'us/ask':>9}{'lab CPU':>9}"
-        )
-    for seed in seeds:
-        try:
-            played = asyncio.run(playing.play(told, seed))
-        except RuntimeError as error:
-            click.echo(f"seed {seed}: {error}", err=True)
-            sys.exit(1)
-        runs.append({"seed": seed, **msgspec.to_builtins(played)})
-        verdict = played.verdict
-        bad = bad or bool(verdict.broken or played.void or played.died)
-        if as_json:
-            continue
-        lat = verdict.latency_ms
-        click.echo(
-            f"{seed:6}{verdict.worth:9.3f}{verdict.worst:9.3f}{lat.get('50', 0):9.0f}{lat.get('99', 0):9.0f}"
-            f"{played.proxy_cpu_us:9.0f}{played.lab_cpu:9.2f}  "
-            + "; ".join(
-                [*verdict.broken[:3], *played.died, *([f"void: {played.void}"] if played.void else [])]
-            )
-        )
+        heads = ("seed", "worth", "worst10", "p50 ms", "p99 ms", "us/ask", "lab CPU")
+        click.echo(f"{'build':16}{heads[0]:>6}" + "".join(f"{name:>9}" for name in heads[1:]))
+    for seed in told.seeds:
+        for build in told.builds or ("ours",):
+            if (build, seed) in done:
+                continue
+            try:
+                result = asyncio.run(playing.play(told, seed, build=build))
+            except RuntimeError as error:
+                click.echo(f"seed {seed}: {error}", err=True)
+                sys.exit(1)
+            fresh.append(result)
+            if store is not None:
+                # A void run is none: played again, it may say something.
+                store.keep(build, seed, None if result.void else result, result.void)
+            if not as_json:
+                _line(result)
+    results = store.results() if store is not None else fresh
+    void = [r for r in fresh if r.void]
+    if store is not None:
+        store.close()
     if as_json:
-        click.echo(msgspec.json.encode({"scenario": told, "runs": runs}))
-    sys.exit(1 if bad else 0)
+        kept = results if store is None else [*results, *void]
+        click.echo(msgspec.json.encode({"scenario": told, "runs": kept, "rows": runner.rows(results)}))
+    sys.exit(1 if void or any(r.verdict.broken or r.died for r in results) else 0)
+
+
+def _line(result: Result) -> None:
+    lat, verdict = result.verdict.latency_ms, result.verdict
+    amiss = [*verdict.broken[:3], *result.died, *([f"void: {result.void}"] if result.void else [])]
+    click.echo(
+        f"{result.policy:16}{result.seed:6}{verdict.worth:9.3f}{verdict.worst:9.3f}{lat.get('50', 0):9.0f}"
+        f"{lat.get('99', 0):9.0f}{result.decided_us:9.0f}{result.lab_cpu:9.2f}  {'; '.join(amiss)}"
+    )
 
 
 @lab.command()
--- a/cloverrouter/lab/judge.py
+++ b/cloverrouter/lab/judge.py
@@ -45,6 +45,25 @@
     member: str
     worth: float
     aim_ms: float
+    beyond: bool = False  # its member's quota was spent
+
+
+class Quota:
+    """What counts in full of what one member asks for: so many a second, with one second's worth at once."""
+
+    def __init__(self, per_s: float) -> None:
+        self._per_ms = per_s / 1000
+        self._most = max(1.0, per_s)
+        self._left, self._at_ms = self._most, 0.0
+
+    def spend(self, at_ms: float) -> bool:
+        """False if it is spent."""
+        self._left = min(self._most, self._left + (at_ms - self._at_ms) * self._per_ms)
+        self._at_ms = at_ms
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
 
 
 @dataclass(slots=True)
@@ -57,6 +76,7 @@
     by_member: dict[str, float] = field(default_factory=dict)
     answers: dict[str, int] = field(default_factory=dict)
     asked: int = 0
+    beyond: int = 0  # of these, beyond their members' quotas
     attempts: int = 0
     latency_ms: dict[str, float] = field(default_factory=dict)  # of what was served, by percentile
     by_second: dict[str, list[float]] = field(default_factory=dict)  # worth, and answers of each kind
@@ -156,6 +176,7 @@
         counted = {n: a for n, a in self.asked.items() if a.at_ms >= since_ms}
         earned = {n: a.worth if self._in_aim(n, a) else 0.0 for n, a in counted.items()}
         found = Verdict(asked=len(counted), attempts=self.attempts, broken=list(self.broken))
+        found.beyond = sum(a.beyond for a in counted.values())
         if not counted:
             return found
         found.worth = _share(counted, earned, list(counted))
--- a/cloverrouter/lab/load.py
+++ b/cloverrouter/lab/load.py
@@ -25,6 +25,8 @@
     work: float
     patience_ms: float  # of each try
     leaves_ms: float | None  # after which its client goes away; None: it stays
+    answer_bytes: int = 0  # size of its answer's body; 0: a few bytes
+    reads_kb_s: float | None = None  # how fast its client reads; None: as fast as it comes
 
 
 def mean_work(scenario: Scenario) -> float:
@@ -48,7 +50,18 @@
     for fault in scenario.faults:
         if fault.kind == "burst":
             rate *= _burst(fault, at_ms)
-    return rate
+    members = scenario.load.members
+    usual = sum(m.share for m in members)
+    return rate * sum(shares_at(scenario, at_ms).values()) / usual
+
+
+def shares_at(scenario: Scenario, at_ms: float) -> dict[str, float]:
+    """Each member's share of the usual load at this time: a surge raises that of its member."""
+    shares = {m.name: m.share for m in scenario.load.members}
+    for fault in scenario.faults:
+        if fault.kind == "surge":
+            shares[fault.member] *= _burst(fault, at_ms)
+    return shares
 
 
 def _burst(fault: Fault, at_ms: float) -> float:
@@ -64,12 +77,27 @@
     load, when = scenario.load, draws.stream("arrivals")
     classes = {c.name: c for c in load.classes}
     cls_of = Weighted({c.name: c.share for c in load.classes})
-    member_of = Weighted({m.name: m.share for m in load.members})
+    member_of = Weighted(shares_at(scenario, -1.0))
+    surges = any(f.kind == "surge" for f in scenario.faults)
     keys, proxies = Zipf(load.keys, load.skew), Zipf(scenario.proxies, SKEW_OF_PROXIES)
     streams = {
-        name: draws.stream(name) for name in ("class", "member", "key", "proxy", "work", "patience", "leave")
+        name: draws.stream(name)
+        for name in (
+            "class",
+            "member",
+            "key",
+            "proxy",
+            "work",
+            "patience",
+            "leave",
+            "answer",
+            "reader",
+        )
     }
-    most = base * (1 + load.wander) * max([1.0, *(f.size for f in scenario.faults if f.kind == "burst")])
+    most = base * (1 + load.wander)
+    for fault in scenario.faults:
+        if fault.kind in ("burst", "surge"):
+            most *= max(1.0, fault.size)
     at_ms, number = 0.0, 0
     while True:
         at_ms += when.expovariate(most)
@@ -82,6 +110,9 @@
         least, greatest = load.clients.patience
         patience_ms = cls.deadline_ms * streams["patience"].uniform(least, greatest)
         leaves = streams["leave"].random() < load.clients.leave_share
+        slow = streams["reader"].random() < load.clients.slow_share
+        if surges:
+            member_of = Weighted(shares_at(scenario, at_ms))
         yield Ask(
             number,
             at_ms,
@@ -92,4 +123,8 @@
             lognormal(streams["work"], cls.mean_work, cls.spread),
             patience_ms,
             streams["leave"].uniform(0, patience_ms) if leaves else None,
+            int(lognormal(streams["answer"], cls.answer_kb * 1024, cls.answer_spread))
+            if cls.answer_kb
+            else 0,
+            load.clients.slow_kb_s if slow else None,
         )
--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -15,8 +15,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -26,7 +26,7 @@
 from cloverrouter.interface import EndpointState, ListedEndpoint
 from cloverrouter.lab import load, log
 from cloverrouter.lab.bridge import Job, Verdict
-from cloverrouter.lab.judge import Verdict as Judged
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.scenario import Scenario
 from cloverrouter.lab.world import START_MS, Server, World
 
@@ -36,6 +36,7 @@
 LATE_SHARE = 0.02  # of such sends voids the run
 EFFECTS = {"never": "fragile", "keyed": "dedup", "always": "retryable"}
 STATES = {EndpointState.READY: "active", EndpointState.DRAINING: "leaving", EndpointState.GONE: "left"}
+READ_BYTES = 16 * 1024  # at a time, by a client that reads slowly
 ANSWERS = {
     Verdict.TAKEN: b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
     Verdict.DROPPED: b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
@@ -79,6 +80,7 @@
         self.world, self.server, self.proxy = world, server, proxy
         self.transport: asyncio.Transport | None = None
         self.job: int | None = None
+        self.answer_bytes = 0  # of what is asked for on it now
         self.counted = False
         self._parser = httptools.HttpRequestParser(self)
         self._id = b""
@@ -116,6 +118,11 @@
         report = self.world.report_of(self.server)
         if verdict is Verdict.TAKEN and self.world.spoils_answer(self.server):
             data = SPOILT
+        elif verdict is Verdict.TAKEN and self.answer_bytes:
+            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.answer_bytes
+            data += bytes(self.answer_bytes)
+        if data is SPOILT:
+            pass  # nothing in it can be read, a report neither
         elif report is not None:
             pairs = zip(self.world.scenario.fleet.reports, report, strict=True)
             line = ",".join(f"{name}={value:.3f}" for name, value in pairs)
@@ -191,19 +198,6 @@
         return {"version": self._version, "full": False, "servers": servers}
 
 
-@dataclass(slots=True)
-class Played:
-    """A run in real time."""
-
-    verdict: Judged
-    void: str = ""  # why nothing should be concluded from it
-    late_share: float = 0.0  # of sends that came late from here
-    lab_cpu: float = 0.0  # cores that the lab itself took
-    proxy_cpu_us: float = 0.0  # a first try
-    died: list[str] = field(default_factory=list)  # proxies that ended on their own
-    told: list[tuple[float, str]] = field(default_factory=list)
-
-
 class RealWorld(World):
     """Servers, discovery and clients on sockets; proxies as processes."""
 
@@ -216,6 +210,7 @@
         self.discoveries = [Discovery() for _ in range(told.proxies)]
         self.discovery_ports: list[int] = []
         self._listeners: list[asyncio.Server] = []
+        self._of_server: dict[str, list[asyncio.Server]] = {}  # these of its present address
         self._connections: set[ServerConnection] = set()
         self._working: dict[int, ServerConnection] = {}  # by job
         self._asks: dict[int, load.Ask] = {}  # by request
@@ -225,17 +220,27 @@
 
     async def listen(self) -> None:
         """Have all servers and discoveries there."""
-        loop = asyncio.get_running_loop()
+        for server in self.servers.values():
+            await self._listen_for(server)
         for proxy in range(self.scenario.proxies):
-            for name, server in self.servers.items():
-                made = await loop.create_server(partial(ServerConnection, self, server, proxy), HOST, 0)
-                self._listeners.append(made)
-                self.addresses[proxy, name] = f"{HOST}:{made.sockets[0].getsockname()[1]}"
+            for name in self.servers:
                 self.discoveries[proxy].put(self._listed(proxy, self._entry(name)))
             spoken = await asyncio.start_server(self.discoveries[proxy].serve, HOST, 0)
             self._listeners.append(spoken)
             self.discovery_ports.append(spoken.sockets[0].getsockname()[1])
 
+    async def _listen_for(self, server: Server) -> None:
+        """Have it at an address of its own for each proxy, instead of those that it had."""
+        loop, name = asyncio.get_running_loop(), server.bridge.name
+        old, self._of_server[name] = self._of_server.get(name, []), []
+        for proxy in range(self.scenario.proxies):
+            made = await loop.create_server(partial(ServerConnection, self, server, proxy), HOST, 0)
+            self._listeners.append(made)
+            self._of_server[name].append(made)
+            self.addresses[proxy, name] = f"{HOST}:{made.sockets[0].getsockname()[1]}"
+        for listener in old:
+            listener.close()
+
     def _listed(self, proxy: int, entry: ListedEndpoint) -> dict[str, Any]:
         started = entry.started_ms
         return {
@@ -266,6 +271,7 @@
         server = connection.server
         self._look(server)
         good = not server.cut_off and server.bridge.connect(self.clock.now_ms)
+        self.most_connections = max(self.most_connections, server.bridge.connections)
         self._connections.add(connection)
         self._schedule(server)
         return good
@@ -284,9 +290,11 @@
         server, ask = connection.server, self._asks.get(request)
         self._look(server)
         if ask is None:  # nobody here has asked for it: made by hand, and answered at once
+            connection.answer_bytes = 0
             connection.answer(Verdict.TAKEN)
             return
         job = Job(self.next_job(), ask.work, ask.key)
+        connection.answer_bytes = ask.answer_bytes
         verdict = self._offer(server, connection.proxy, request, ask, job)
         if verdict is Verdict.TAKEN:
             connection.job = job.id
@@ -303,6 +311,18 @@
             if connection is not None:
                 connection.answer(Verdict.TAKEN)
 
+    def _move(self, server: Server) -> None:
+        gone = [c for c in self._connections if c.server is server]
+        self._keep(self._listen_for(server))
+        for connection in gone:
+            connection.abort()  # `disconnected` calls off what is on it
+
+    def _keep(self, doing: Coroutine[Any, Any, None]) -> None:
+        """Have it go on, and waited for at the end."""
+        task = asyncio.get_running_loop().create_task(doing)
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
     def _lost(self, server: Server) -> None:
         server.bridge.stop()
         server.wake += 1
@@ -312,13 +332,11 @@
                 connection.job = None
             connection.abort()
 
-    def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
+    def _tell(self, proxy: int, entry: ListedEndpoint, address: int) -> None:
         banned = entry.state is not EndpointState.READY
         self.discoveries[proxy].put(self._listed(proxy, entry))
         self.judge.told(proxy, entry.name, banned, self.clock.now_ms)
-        task = asyncio.get_running_loop().create_task(self.discoveries[proxy].tell())
-        self._open.add(task)
-        task.add_done_callback(self._open.discard)
+        self._keep(self.discoveries[proxy].tell())
 
     def _silence_lists(self, spoilt: bool) -> None:
         for discovery in self.discoveries:
@@ -341,9 +359,7 @@
             self._wants(ask)
             self._sends += 1
             self._late += self.clock.now_ms > at_ms + LATE_MS
-            task = asyncio.get_running_loop().create_task(self._client(ask, addresses[ask.proxy]))
-            self._open.add(task)
-            task.add_done_callback(self._open.discard)
+            self._keep(self._client(ask, addresses[ask.proxy]))
         while self._open:
             await asyncio.wait(list(self._open))
 
@@ -379,40 +395,65 @@
         wait_ms = ask.patience_ms if ask.leaves_ms is None or again else ask.leaves_ms
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                what = await self._exchange(head, address, self._idle[ask.proxy])
+                what, streams, answer = await self._exchange(head, address, self._idle[ask.proxy])
         except TimeoutError:
             if wait_ms < ask.patience_ms:
                 self.judge.left(request, self.clock.now_ms)
             return wait_ms < ask.patience_ms
+        self.judge.answered(request, what, self.clock.now_ms)
+        if streams is not None and answer is not None and not await self._rest(ask, streams, answer):
+            what = "cut"
         if what == "cut":
             self.judge.cut(request)
-        self.judge.answered(request, what, self.clock.now_ms)
         return what == "served"
 
-    async def _exchange(self, head: bytes, address: tuple[str, int], idle: list[Streams]) -> str:
-        """What became of it. A request that crosses the end of a kept connection goes out once more."""
+    async def _rest(self, ask: load.Ask, streams: Streams, answer: Answer) -> bool:
+        """Read the body, as fast as this client does; False if it is cut short."""
+        whole = False
+        try:
+            await streams.body(answer.length, ask.reads_kb_s if answer.status == 200 else None)
+            whole = True
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        if whole and answer.keep:
+            self._idle[ask.proxy].append(streams)
+        else:
+            streams.writer.transport.abort()
+        return whole
+
+    async def _exchange(
+        self, head: bytes, address: tuple[str, int], idle: list[Streams]
+    ) -> tuple[str, Streams | None, Answer | None]:
+        """What became of it, and what is left to read. A request that crosses the end of a kept connection
+        goes out once more."""
         while True:
             kept = bool(idle)
             try:
                 streams = idle.pop() if kept else Streams(*await asyncio.open_connection(*address))
             except OSError:
-                return "unreachable"
-            status = 0
+                return "unreachable", None, None
+            answer = None
             try:
                 streams.writer.write(head)
-                status, keep = await streams.answer()
+                answer = await streams.head()
             except (OSError, asyncio.IncompleteReadError) as error:
                 if kept and not getattr(error, "partial", b""):
                     continue
-                return "cut"
+                return "cut", None, None
             finally:
-                if not status:
+                if answer is None:
                     streams.writer.transport.abort()
-            if keep:
-                idle.append(streams)
-            else:
-                streams.writer.close()
-            return {200: "served", 429: "refused", 503: "refused"}.get(status, "failed")
+            what = {200: "served", 429: "refused", 503: "refused"}.get(answer.status, "failed")
+            return what, streams, answer
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The head of one."""
+
+    status: int
+    length: int
+    keep: bool  # the connection may be used again
 
 
 @dataclass(slots=True)
@@ -422,12 +463,19 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
-    async def answer(self) -> tuple[int, bool]:
-        """The status, and whether the connection may be used again."""
+    async def head(self) -> Answer:
         head = (await self.reader.readuntil(b"\r\n\r\n")).lower()
         length = int(head.partition(b"content-length:")[2].partition(b"\r")[0] or 0)
-        await self.reader.readexactly(length)
-        return int(head.split(None, 2)[1]), b"connection: close" not in head
+        return Answer(int(head.split(None, 2)[1]), length, b"connection: close" not in head)
+
+    async def body(self, length: int, kb_s: float | None = None) -> None:
+        """Read it all, so fast at most. Raises IncompleteReadError if it is cut short."""
+        while length > 0:
+            part = min(length, READ_BYTES if kb_s is not None else length)
+            await self.reader.readexactly(part)
+            length -= part
+            if kb_s is not None:
+                await asyncio.sleep(part / 1024 / kb_s)
 
 
 def config_of(told: Scenario, world: RealWorld, proxy: int, listen: str) -> dict[str, Any]:
@@ -471,7 +519,8 @@
         self.processes: list[subprocess.Popen[bytes]] = []
         self.addresses: list[tuple[str, int]] = []
 
-    def start(self, told: Scenario, world: RealWorld) -> None:
+    def start(self, told: Scenario, world: RealWorld, checkout: Path | None = None) -> None:
+        """Start them; those of another checkout of the project, if one is named."""
         for proxy in range(told.proxies):
             with socket.socket() as free:  # a port that nobody has now
                 free.bind((HOST, 0))
@@ -483,7 +532,9 @@
             with (own / "log").open("wb") as log:
                 environ = {**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": str(own)}
                 command = [sys.executable, "-m", "cloverrouter.proxy"]
-                self.processes.append(subprocess.Popen(command, env=environ, stderr=log))
+                if checkout is not None:
+                    environ["PYTHONPATH"] = str(checkout)
+                self.processes.append(subprocess.Popen(command, env=environ, stderr=log, cwd=checkout))
             self.addresses.append(address)
 
     async def ready(self) -> None:
@@ -530,9 +581,10 @@
     try:
         streams = Streams(*await asyncio.open_connection(*address))
         streams.writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        status, _ = await streams.answer()
+        answer = await streams.head()
+        await streams.body(answer.length)
         streams.writer.close()
-        return status == 200
+        return answer.status == 200
     except (OSError, asyncio.IncompleteReadError):
         return False
 
@@ -543,20 +595,32 @@
         watch(world)
 
 
-async def play(told: Scenario, seed: int, watch: Callable[[RealWorld], None] = lambda world: None) -> Played:
-    """One run; `watch` is called each second. Raises RuntimeError if a proxy does not come up."""
+async def play(
+    told: Scenario,
+    seed: int,
+    watch: Callable[[RealWorld], None] = lambda world: None,
+    build: str = "ours",
+) -> Result:
+    """One run with the proxies of a build that the scenario names; `watch` is called each second.
+
+    Raises RuntimeError if a proxy does not come up, or if the build is no checkout.
+    """
+    checkout = Path(told.builds[build]).resolve() if build in told.builds else None
+    if checkout is not None and not (checkout / "cloverrouter" / "proxy").is_dir():
+        raise RuntimeError(f"build {build}: {checkout} is no checkout of the proxy")
     world = RealWorld(told, seed)
     await world.listen()
     with tempfile.TemporaryDirectory(prefix="cypresswinch-lab-") as folder:
         proxies = Proxies(Path(folder))
         try:
-            proxies.start(told, world)
+            proxies.start(told, world, checkout)
             await proxies.ready()
             log.get().info("proxies are ready", processes=[p.pid for p in proxies.processes])
             world.clock = WallClock()
             for server in world.servers.values():
                 server.bridge.restart_clock()
             world.plan_faults()
+            world.sample()
             own_s, proxies_s, begun_s = time.process_time(), proxies.cpu_s(), time.monotonic()
             watching = asyncio.create_task(_watched(world, watch))
             await world.ask_all(proxies.addresses, load.per_ms(told, world.capacity()))
@@ -565,9 +629,25 @@
             died = proxies.died()
             cpu_s = proxies.cpu_s() - proxies_s
             verdict = world.judge.verdict(START_MS + told.warm_s * 1000, world.clock.now_ms)
-            played = Played(verdict, late_share=world.late_share, died=died, told=world.log)
-            played.lab_cpu = (time.process_time() - own_s) / took_s
-            played.proxy_cpu_us = cpu_s / max(1, len(world.judge.asked)) * 1e6
+            totals = [server.bridge.totals for server in world.servers.values()]
+            did = sum(t.work for t in totals)
+            played = Result(
+                policy=build,
+                seed=seed,
+                verdict=verdict,
+                simulated_s=took_s,
+                took_s=took_s,
+                decided_s=cpu_s,
+                work=did / (world.capacity() * told.seconds * 1000),
+                wasted=sum(t.wasted for t in totals) / did if did else 0.0,
+                turned_away=sum(t.full for t in totals),
+                connections=float(world.most_connections),
+                told=tuple(world.log),
+                held=world.held,
+                late_share=world.late_share,
+                lab_cpu=(time.process_time() - own_s) / took_s,
+                died=died,
+            )
             for text in died:
                 log.get().error("a proxy has ended", proxy=text)
             if played.late_share > LATE_SHARE:
--- a/cloverrouter/lab/report.py
+++ b/cloverrouter/lab/report.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from cloverrouter.lab import runner
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.runner import Row
 from cloverrouter.lab.scenario import Scenario
-from cloverrouter.lab.simulate import Result
 from cloverrouter.lab.world import START_MS
 
 matplotlib.use("svg")
@@ -33,7 +33,8 @@
 
 def page(told: Scenario, revision: str, results: list[Result]) -> tuple[str, bytes]:
     """The page, and the same as JSON."""
-    results = sorted(results, key=lambda r: (told.policies.index(r.policy), r.seed))
+    order = [*told.policies, *told.builds]
+    results = sorted(results, key=lambda r: (order.index(r.policy) if r.policy in order else -1, r.seed))
     rows = runner.rows(results)
     by_policy = {row.policy: [r for r in results if r.policy == row.policy] for row in rows}
     parts = [
--- a/cloverrouter/lab/runner.py
+++ b/cloverrouter/lab/runner.py
@@ -13,10 +13,11 @@
 import msgspec
 
 from cloverrouter.lab import log
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.scenario import Scenario
-from cloverrouter.lab.simulate import Result, Simulation
+from cloverrouter.lab.simulate import Simulation
 
-FORM = 2
+FORM = 3
 STORE = "results.sqlite"
 
 
@@ -27,10 +28,10 @@
 class Store:
     """One run folder: the scenario as it was, and each result once it is there."""
 
-    def __init__(self, folder: Path, scenario: Scenario) -> None:
-        """Make the folder, or go on with the one that is there.
+    def __init__(self, folder: Path, scenario: Scenario, how: str = "simulated") -> None:
+        """Make the folder, or go on with the one that is there. `how`: simulated or real.
 
-        Raises StoreError if it is of another form or of another scenario, or can't be written.
+        Raises StoreError if it is of another form, scenario or kind of time, or can't be written.
         """
         told = msgspec.json.encode(scenario).decode()
         try:
@@ -45,7 +46,7 @@
         except (OSError, sqlite3.Error) as error:
             raise StoreError(f"{folder}: no run folder: {error}") from error
         if not about:
-            rows = {"form": str(FORM), "scenario": told, "revision": revision()}
+            rows = {"form": str(FORM), "scenario": told, "how": how, "revision": revision()}
             self._db.executemany("INSERT INTO about VALUES (?, ?)", rows.items())
             self._db.commit()
         elif about.get("form") != str(FORM):
@@ -53,6 +54,8 @@
             raise StoreError(f"{folder}: form: found {found}, this version writes {FORM}; use a new folder")
         elif about["scenario"] != told:
             raise StoreError(f"{folder}: holds another scenario than the one given; use a new folder")
+        elif about["how"] != how:
+            raise StoreError(f"{folder}: holds runs in {about['how']} time, not {how}; use a new folder")
 
     def done(self) -> set[tuple[str, int]]:
         """The runs that have a result."""
@@ -91,11 +94,10 @@
         raise StoreError(f"{folder}: can't be read: {error}") from error
 
 
-def revision() -> str:
+def revision(where: Path = Path(__file__).parent) -> str:
     """The checkout's, or nothing where there is none."""
     command = ["git", "describe", "--always", "--dirty"]
     try:
-        where = Path(__file__).parent
         return subprocess.run(command, cwd=where, capture_output=True, text=True, timeout=10).stdout.strip()
     except (OSError, subprocess.TimeoutExpired):
         return ""
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -73,6 +73,8 @@
     deadline_ms: float = 2000.0
     worth: float = 1.0
     repeats: Literal["never", "keyed", "always"] = "never"
+    answer_kb: float = 0.0  # mean size of an answer's body; 0: a few bytes
+    answer_spread: float = 0.5  # standard deviation of the logarithm of that size
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -80,6 +82,7 @@
 
     name: str
     share: float
+    quota: float | None = None  # requests a second that count in full; None: all of them
 
 
 class Clients(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -89,6 +92,8 @@
     wait_ms: tuple[float, float] = (100.0, 400.0)
     patience: tuple[float, float] = (0.7, 1.0)  # of the class's deadline
     leave_share: float = 0.0  # that go away before they are answered
+    slow_share: float = 0.0  # that read what they get slowly
+    slow_kb_s: float = 64.0  # and how fast those read
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -101,6 +106,7 @@
     members: tuple[Member, ...] = (Member(name="all", share=1.0),)
     keys: int = 1000
     skew: float = 0.8
+    over_quota_worth: float = 1.0  # part of its worth that a request beyond its member's quota keeps
     clients: Clients = Clients()
 
 
@@ -109,6 +115,7 @@
 
     kind: Literal[
         "burst",
+        "surge",
         "fast-errors",
         "slow-answers",
         "spoilt-answers",
@@ -117,13 +124,15 @@
         "drain",
         "death",
         "partition",
+        "move",
         "discovery-outage",
         "spoilt-lists",
     ]
     at_s: float
     len_s: float = 5.0
     part: float = 0.2  # of the servers that it meets
-    size: float = 0.5  # of a burst: the rate's multiple; else a share
+    size: float = 0.5  # of a burst or a surge: the rate's multiple; else a share
+    member: str = ""  # whose rate a surge raises
     delay_ms: float = 300.0  # by which slow answers are held back
     gap_s: float = 1.0  # between one server and the next, in a release or a drain
     on_s: float = 2.0  # a neighbour is on and off in turn for so long
@@ -151,10 +160,12 @@
     max_attempts: int = 3
     policies: tuple[str, ...] = ("ours", "least-in-flight", "random")
     seeds: tuple[int, ...] = (1, 2, 3)
+    builds: dict[str, str] = {}  # real time: checkouts whose proxies are played, by name; none: this one
     log: Log = Log()
 
 
 MOST_VARIANTS = 200
+MOST_ANSWER_KB = 16_384  # mean; it is made in memory
 POLICIES = ("ours", "least-in-flight", "random")
 
 
@@ -236,6 +247,10 @@
         ("load.members", len(load.members), "one or more, each name once",
          0 < len(load.members) == len({m.name for m in load.members})),
         ("load.keys", load.keys, "1 or more", load.keys >= 1),
+        ("load.over_quota_worth", load.over_quota_worth, "0 to 1", 0 <= load.over_quota_worth <= 1),
+        ("load.clients.leave_share", load.clients.leave_share, "0 to 1", 0 <= load.clients.leave_share <= 1),
+        ("load.clients.slow_share", load.clients.slow_share, "0 to 1", 0 <= load.clients.slow_share <= 1),
+        ("load.clients.slow_kb_s", load.clients.slow_kb_s, "more than 0", load.clients.slow_kb_s > 0),
         ("load.clients.retries", load.clients.retries, "0 to 5", 0 <= load.clients.retries <= 5),
     ]  # fmt: skip
     for i, kind in enumerate(fleet.kinds):
@@ -246,13 +261,21 @@
         name = f"load.classes[{cls.name}]"
         rows.append((f"{name}.share", cls.share, "more than 0", cls.share > 0))
         rows.append((f"{name}.mean_work", cls.mean_work, "more than 0", cls.mean_work > 0))
+        sized = 0 <= cls.answer_kb <= MOST_ANSWER_KB
+        rows.append((f"{name}.answer_kb", cls.answer_kb, f"0 to {MOST_ANSWER_KB:,}", sized))
         good = 0 < cls.aim_ms <= cls.deadline_ms
         rows.append((f"{name}.aim_ms", cls.aim_ms, f"above 0, at most deadline_ms ({cls.deadline_ms})", good))
+    for member in load.members:
+        good = member.quota is None or member.quota > 0
+        rows.append((f"load.members[{member.name}].quota", member.quota, "more than 0", good))
     for i, fault in enumerate(s.faults):
         name = f"faults[{i}] ({fault.kind})"
         rows.append((f"{name}.at_s", fault.at_s, f"0 to {s.seconds}", 0 <= fault.at_s < s.seconds))
         rows.append((f"{name}.part", fault.part, "above 0, at most 1", 0 < fault.part <= 1))
-        share = fault.size > 0 and (fault.kind == "burst" or fault.size <= 1)
+        names = ", ".join(m.name for m in load.members)
+        known = fault.kind != "surge" or fault.member in {m.name for m in load.members}
+        rows.append((f"{name}.member", repr(fault.member), f"one of {names}", known))
+        share = fault.size > 0 and (fault.kind in ("burst", "surge") or fault.size <= 1)
         rows.append((f"{name}.size", fault.size, "above 0; a share is at most 1", share))
         rows.append((f"{name}.delay_ms", fault.delay_ms, "above 0", fault.delay_ms > 0))
         rows.append(
@@ -286,7 +309,6 @@
         )
         for c in s.load.classes
     )  # fmt: skip
-    total = sum(m.share for m in s.load.members)
     return Settings(
         classes=classes,
         zone=zone,
@@ -300,5 +322,6 @@
             push_multiple=s.fleet.fall_multiple,
             push_window_ms=s.fleet.fall_ms,
         ),
-        tenants=tuple(Tenant(m.name, (s.load.rate or 0.0) * m.share / total) for m in s.load.members),
+        tenants=tuple(Tenant(m.name, m.quota) for m in s.load.members if m.quota is not None),
+        over_quota_worth=s.load.over_quota_worth,
     )
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -16,6 +16,8 @@
 from cloverrouter.core.lifecycle import Lifecycle
 from cloverrouter.core.states import (
     Abandon,
+    AnswerBegun,
+    Begin,
     Effect,
     Ended,
     GiveFailure,
@@ -41,14 +43,15 @@
 )
 from cloverrouter.lab import load, scenario
 from cloverrouter.lab.bridge import Job, Verdict
-from cloverrouter.lab.judge import Verdict as Judged
 from cloverrouter.lab.policies import Policy, make
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.scenario import Scenario
 from cloverrouter.lab.world import START_MS, Server, World
 
 MARGIN_MS = 3.0  # proxies take deadlines to be so much earlier
 CONNECT_MS = 250.0  # a connection that has not come up by then never does
 TAIL_MS = 6000.0  # played on after the last arrival
+KEPT_KB = 64.0  # the part of an answer that is kept on the way to a client that reads slowly
 Key = tuple[int, int]
 
 
@@ -85,6 +88,7 @@
     proxy: Proxy
     server: Server
     job: Job
+    address: int  # of the server, as the proxy knows it
     written: bool = False
     over: bool = False  # nobody waits for it any more
     watch: int = 0  # the number of its latest timer: earlier ones are void
@@ -109,6 +113,7 @@
             self._carry_out,
         )
         self.targets: dict[str, Hashable] = {}
+        self.addresses: dict[str, int] = {}  # of each server, as it was told last
         self.idle: dict[str, int] = {}
         self.sent: dict[Key, Sent] = {}
         self.decided_s = 0.0
@@ -119,13 +124,16 @@
         self.decided_s += time.perf_counter() - begun
         return actions
 
-    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...]) -> None:
+    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...], address: int = 0) -> None:
         world = self.world
         for entry in entries:
+            if address > self.addresses.get(entry.name, 0):
+                world.close(self, entry.name, self.idle.pop(entry.name, 0))
+            self.addresses[entry.name] = max(address, self.addresses.get(entry.name, 0))
             ready = entry.state is EndpointState.READY
             world.judge.told(self.number, entry.name, not ready, world.clock.now_ms)
             if ready:
-                self.targets[entry.name] = (entry.name, entry.started_ms)
+                self.targets[entry.name] = (entry.name, entry.started_ms, self.addresses[entry.name])
             else:
                 self.targets.pop(entry.name, None)
                 world.close(self, entry.name, self.idle.pop(entry.name, 0))
@@ -136,7 +144,7 @@
         match effect:
             case Start():
                 self._start(effect)
-            case Serve():
+            case Serve() | Begin():
                 world.answered(effect.call, "served")
             case SetTimer():
                 world.clock.after(max(0.0, effect.delay_ms), self._fire, effect.token)
@@ -166,7 +174,8 @@
         key, world = (start.call, start.attempt), self.world
         ask = world.ask_of[start.call]
         job = Job(world.next_job(), ask.work, ask.key)
-        sent = self.sent[key] = Sent(key, self, world.servers[start.endpoint], job)
+        address = self.addresses.get(start.endpoint, 0)
+        sent = self.sent[key] = Sent(key, self, world.servers[start.endpoint], job, address)
         if start.timeout_ms is not None:
             self._watch(sent, start.timeout_ms)
         if self.idle.get(start.endpoint, 0):
@@ -182,30 +191,6 @@
             self.engine.take(Ended(*sent.key, outcome, answer, report))
 
 
-@dataclass(frozen=True, slots=True)
-class Result:
-    """One run: the verdict, what each server did, and what it cost to play."""
-
-    policy: str
-    seed: int
-    verdict: Judged
-    simulated_s: float
-    took_s: float
-    decided_s: float  # of that, in the policy
-    events: int
-    work: float  # that servers did, as a share of what they could have done
-    wasted: float  # of that work, for requests that nobody waited for any more
-    turned_away: int  # by servers, full
-    connections: float  # the most that a server held at once
-    told: tuple[tuple[float, str], ...]  # what went wrong, and when
-    held: dict[str, list[int]]  # by each server, each second
-
-    @property
-    def speed(self) -> float:
-        """Simulated seconds a second."""
-        return self.simulated_s / self.took_s if self.took_s else 0.0
-
-
 class Simulation(World):
     """One scenario, one policy, one seed."""
 
@@ -228,8 +213,6 @@
         self.proxy_of: dict[int, int] = {}
         self.retries_left: dict[int, int] = {}
         self._on_server: dict[int, Sent] = {}  # by job
-        self.most_connections = 0
-        self._held: dict[str, list[int]] = {name: [] for name in self.servers}
 
     def run(self) -> Result:
         """Play it all."""
@@ -238,7 +221,7 @@
         for proxy in self.proxies:
             clock.at(0.0, proxy.listed, ListKind.FULL, tuple(self._entry(name) for name in self.servers))
         self.plan_faults()
-        clock.at(0.0, self._sample)
+        clock.at(0.0, self.sample)
         coming = load.asks(told, self.draws, per_ms)
         self._next_ask(coming)
         end_ms = START_MS + told.seconds * 1000 + TAIL_MS
@@ -261,14 +244,9 @@
             turned_away=sum(t.full for t in totals),
             connections=float(self.most_connections),
             told=tuple(self.log),
-            held=self._held,
+            held=self.held,
         )
 
-    def _sample(self) -> None:
-        for name, server in self.servers.items():
-            self._held[name].append(server.bridge.held)
-        self.clock.after(1000.0, self._sample)
-
     # Clients
 
     def _next_ask(self, coming: Any) -> None:
@@ -335,7 +313,8 @@
     def _knock(self, sent: Sent, way_ms: float) -> None:
         bridge = sent.server.bridge
         self._look(sent.server)
-        if not bridge.connect(self.clock.now_ms):
+        moved = sent.address != sent.server.address
+        if moved or not bridge.connect(self.clock.now_ms):
             self.clock.after(way_ms, self._unconnected, sent)
             return
         self._schedule(sent.server)
@@ -364,6 +343,8 @@
     def _rest(self, sent: Sent) -> None:
         """Its connection may be used again."""
         name = sent.server.bridge.name
+        if sent.address != sent.server.address:
+            return  # its server has moved away from under it
         if name in sent.proxy.targets and sent.server.bridge.up:
             sent.proxy.idle[name] = sent.proxy.idle.get(name, 0) + 1
         else:
@@ -371,7 +352,7 @@
 
     def abandon(self, sent: Sent) -> None:
         sent.over = True
-        if sent.written:
+        if sent.written and sent.address == sent.server.address:
             self.close(sent.proxy, sent.server.bridge.name, 1)
             self.clock.after(self._way_ms(sent.proxy, sent.server), self._cancel, sent)
 
@@ -387,7 +368,7 @@
         if server.cut_off:
             return  # silence
         self._look(server)
-        if not server.bridge.up:
+        if not server.bridge.up or sent.address != server.address:
             self._reply(sent, Outcome.RESET)
             return
         if sent.over:
@@ -418,6 +399,20 @@
     def _replied(self, sent: Sent, outcome: Outcome, report: tuple[float, ...] | None) -> None:
         if sent.over or sent.server.cut_off:
             return
+        ask = self.ask_of[sent.key[0]]
+        slowly_kb = ask.answer_bytes / 1024 - KEPT_KB
+        if outcome is Outcome.OK and ask.reads_kb_s is not None and slowly_kb > 0:
+            # Its connection is taken up until the client has read all but what is kept on the way.
+            sent.proxy.engine.take(AnswerBegun(*sent.key))
+            self.clock.after(slowly_kb / ask.reads_kb_s * 1000, self._passed_on, sent, report)
+            return
+        self._done(sent, outcome, report)
+
+    def _passed_on(self, sent: Sent, report: tuple[float, ...] | None) -> None:
+        if not sent.over:
+            self._done(sent, Outcome.OK, report)
+
+    def _done(self, sent: Sent, outcome: Outcome, report: tuple[float, ...] | None) -> None:
         if outcome is Outcome.SPOILT:
             self.close(sent.proxy, sent.server.bridge.name, 1)
         elif outcome is not Outcome.RESET:
@@ -443,8 +438,19 @@
                 if not sent.over:
                     self._reply(sent, Outcome.RESET)
 
-    def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
-        self.proxies[proxy].listed(ListKind.DELTA, (entry,))
+    def _move(self, server: Server) -> None:
+        server.bridge.connections = 0
+        for proxy in self.proxies:
+            proxy.idle.pop(server.bridge.name, None)
+        for job_id, sent in list(self._on_server.items()):
+            if sent.server is server:
+                del self._on_server[job_id]
+                server.bridge.cancel(job_id)
+                if not sent.over:
+                    self._reply(sent, Outcome.RESET)
+
+    def _tell(self, proxy: int, entry: ListedEndpoint, address: int) -> None:
+        self.proxies[proxy].listed(ListKind.DELTA, (entry,), address)
 
     def _silence_lists(self, spoilt: bool) -> None:
         """A list that can't be read is a call that failed, as one that does not come."""
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -16,7 +16,7 @@
 from cloverrouter.lab import log, scenario
 from cloverrouter.lab.bridge import Bay, Bridge, Job, Verdict
 from cloverrouter.lab.draws import Draws, Weighted
-from cloverrouter.lab.judge import Asked, Judge
+from cloverrouter.lab.judge import Asked, Judge, Quota
 from cloverrouter.lab.load import Ask
 from cloverrouter.lab.scenario import Fault, Scenario
 
@@ -44,6 +44,7 @@
     zone: str
     cell: int
     state: EndpointState = EndpointState.READY  # as the list has it, or will
+    address: int = 0  # how often it has moved
     cut_off: bool = False  # nothing gets through to it, nor from it
     spoilt_share: float = 0.0  # of its answers, which can't be read; their requests have run
     delay_ms: float = 0.0  # by which its answers are held back
@@ -69,12 +70,15 @@
         self.servers = self._fleet()
         self.log: list[tuple[float, str]] = []
         self._classes = {c.name: c for c in told.load.classes}
+        self._quotas = {m.name: Quota(m.quota) for m in told.load.members if m.quota is not None}
         self._last_request = self._last_job = 0
         self._errors = self.draws.stream("errors")
         self._clients = self.draws.stream("clients")
         self._lists = self.draws.stream("lists")
         self._spoils = self.draws.stream("spoils")
         self._noise = self.draws.stream("reports")
+        self.most_connections = 0  # that a server held at once
+        self.held: dict[str, list[int]] = {name: [] for name in self.servers}  # by each, each second
         self.outage_until_ms = 0.0  # of discovery: nothing is told before
 
     def _fleet(self) -> dict[str, Server]:
@@ -101,6 +105,12 @@
             draws = self.draws.stream(f"fault {number}")
             self.clock.at(START_MS + fault.at_s * 1000, self._go_wrong, fault, draws)
 
+    def sample(self) -> None:
+        """Note what each server holds, each second from now on."""
+        for name, server in self.servers.items():
+            self.held[name].append(server.bridge.held)
+        self.clock.after(1000.0, self.sample)
+
     def next_job(self) -> int:
         """A number for a request at a server."""
         self._last_job += 1
@@ -109,7 +119,10 @@
     def _wants(self, ask: Ask) -> None:
         """Somebody wants this from now on: the ledger counts it."""
         cls = self._classes[ask.cls]
-        asked = Asked(START_MS + ask.at_ms, ask.cls, ask.member, cls.worth, cls.aim_ms)
+        quota = self._quotas.get(ask.member)
+        beyond = quota is not None and not quota.spend(ask.at_ms)
+        worth = cls.worth * (self.scenario.load.over_quota_worth if beyond else 1.0)
+        asked = Asked(START_MS + ask.at_ms, ask.cls, ask.member, worth, cls.aim_ms, beyond)
         self.judge.ask(ask.number, asked)
 
     def _offer(self, server: Server, proxy: int, request: int, ask: Ask, job: Job) -> Verdict:
@@ -152,8 +165,12 @@
         """Discovery is out: what watches it is cut off, or gets what can't be read."""
 
     @abstractmethod
-    def _tell(self, proxy: int, entry: ListedEndpoint) -> None:
-        """The list tells this proxy."""
+    def _move(self, server: Server) -> None:
+        """It is at another address from now on; what is connected to the old one is reset."""
+
+    @abstractmethod
+    def _tell(self, proxy: int, entry: ListedEndpoint, address: int) -> None:
+        """The list tells this proxy; `address` is how often the server had moved when the list changed."""
 
     # The list
 
@@ -165,18 +182,18 @@
     def _change(self, name: str, state: EndpointState) -> None:
         """The list changes, and tells each proxy late."""
         self.servers[name].state = state
-        entry = self._entry(name)
+        entry, address = self._entry(name), self.servers[name].address
         for proxy in range(self.scenario.proxies):
             late_ms = self._lists.uniform(*self.scenario.discovery_ms)
             at_ms = max(self.clock.now_ms, self.outage_until_ms) + late_ms
-            self.clock.at(at_ms, self._tell_in_time, proxy, entry)
+            self.clock.at(at_ms, self._tell_in_time, proxy, entry, address)
 
-    def _tell_in_time(self, proxy: int, entry: ListedEndpoint) -> None:
+    def _tell_in_time(self, proxy: int, entry: ListedEndpoint, address: int) -> None:
         """Tell it now, or once discovery is back."""
         if self.clock.now_ms < self.outage_until_ms:
-            self.clock.at(self.outage_until_ms, self._tell_in_time, proxy, entry)
+            self.clock.at(self.outage_until_ms, self._tell_in_time, proxy, entry, address)
         else:
-            self._tell(proxy, entry)
+            self._tell(proxy, entry, address)
 
     def report_of(self, server: Server) -> tuple[float, ...] | None:
         """What it says of its load now, a little old and a little wrong; None: it says nothing."""
@@ -207,7 +224,7 @@
         draws.shuffle(names)
         met = names if fault.kind == "release" else names[: max(1, round(fault.part * len(names)))]
         len_ms = fault.len_s * 1000
-        everywhere = fault.kind in ("burst", "discovery-outage", "spoilt-lists")
+        everywhere = fault.kind in ("burst", "surge", "discovery-outage", "spoilt-lists")
         self._note(f"{fault.kind} begins" + ("" if everywhere else f" on {len(met)} servers"))
         match fault.kind:
             case "fast-errors":
@@ -236,7 +253,10 @@
             case "partition":
                 for name in met:
                     self._for_a_while(self.servers[name], "cut_off", True, len_ms)
-            case "burst":
+            case "move":
+                for i, name in enumerate(met):
+                    self.clock.after(i * fault.gap_s * 1000, self._move_and_tell, name)
+            case "burst" | "surge":
                 pass  # the load's
 
     def _for_a_while(self, of: Server | Bridge, name: str, value: float | bool, len_ms: float) -> None:
@@ -259,6 +279,16 @@
         self._change(name, EndpointState.DRAINING)
         self.clock.after(len_ms, self._stop_drained, name)
 
+    def _move_and_tell(self, name: str) -> None:
+        """Its process goes on elsewhere: as warm as it was, and all that was connected to it is reset."""
+        server = self.servers[name]
+        self._note(f"{name} moves")
+        self._look(server)
+        server.address += 1
+        self._move(server)
+        self._schedule(server)
+        self._change(name, server.state)
+
     def _stop_drained(self, name: str) -> None:
         self._look(self.servers[name])
         self._lost(self.servers[name])
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 import sqlite3
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -29,7 +30,7 @@
 from cloverrouter.lab.bridge import Bay, Bridge, Job, Shape, Verdict
 from cloverrouter.lab.compare import paired
 from cloverrouter.lab.draws import Draws, Zipf, lognormal
-from cloverrouter.lab.judge import RULES, Asked, Judge
+from cloverrouter.lab.judge import RULES, Asked, Judge, Quota
 from cloverrouter.lab.policies import Plain
 from cloverrouter.lab.runner import Store, StoreError
 from cloverrouter.lab.scenario import Class, Clients, Fault, Fleet, Load, Scenario, ScenarioError
@@ -174,6 +175,23 @@
     assert [a.at_ms for a in again] == [a.at_ms for a in asks]  # other keys shift no arrival
 
 
+def test_a_surge_is_one_members_and_beyond_its_quota_worth_little() -> None:
+    members = (scenario.Member(name="loud", share=0.5, quota=20.0), scenario.Member(name="calm", share=0.5))
+    told = msgspec.structs.replace(
+        SMALL,
+        seconds=10.0,
+        load=msgspec.structs.replace(SMALL.load, members=members, over_quota_worth=0.1),
+        faults=(Fault(kind="surge", at_s=2, len_s=6, size=6.0, member="loud"),),
+    )
+    counts = Counter((a.member, 3000 <= a.at_ms < 7000) for a in load.asks(told, Draws(1), 0.04))
+    assert counts["loud", True] == pytest.approx(4000 * 0.02 * 6, rel=0.15)
+    assert counts["calm", True] == pytest.approx(4000 * 0.02, rel=0.3)
+    verdict = Simulation(told, "ours", 1).run().verdict
+    assert verdict.broken == [] and 0 < verdict.beyond < verdict.asked
+    quota = Quota(2.0)
+    assert [quota.spend(at) for at in (0.0, 0.0, 0.0, 500.0, 500.0)] == [True, True, False, True, False]
+
+
 # The judge, and a proxy for each rule that breaks it
 
 
@@ -220,7 +238,7 @@
 class Deaf(Proxy):
     """Hears of no drain."""
 
-    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...]) -> None:
+    def listed(self, kind: ListKind, entries: tuple[ListedEndpoint, ...], address: int = 0) -> None:
         super().listed(kind, entries)
         still = tuple(replace(e, state=EndpointState.READY) for e in entries)
         self.targets.update({e.name: (e.name, e.started_ms) for e in still})
@@ -291,7 +309,7 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["neighbour", "death", "partition", "drain", "slow-answers", "spoilt-answers"]
+    "kind", ["neighbour", "death", "partition", "drain", "move", "slow-answers", "spoilt-answers"]
 )
 def test_ours_keeps_the_rules_whatever_goes_wrong(kind: Any) -> None:
     fault = Fault(kind=kind, at_s=1, len_s=2, part=0.5)
@@ -355,6 +373,69 @@
     assert played.verdict.answers["failed"] > 0 and played.verdict.worth > 0.5
 
 
+def test_a_server_that_moves_goes_on_as_warm_as_it_was() -> None:
+    move = Fault(kind="move", at_s=2, part=1.0, gap_s=0.2)
+    told = msgspec.structs.replace(SMALL, faults=(move,), discovery_ms=(100.0, 900.0))
+    world = Simulation(told, "ours", 1)
+    result = world.run()
+    assert [s.address for s in world.servers.values()] == [1] * 4
+    assert all(s.bridge.started_ms is None for s in world.servers.values())
+    assert all(set(p.addresses.values()) == {1} for p in world.proxies)
+    served = result.verdict.by_second["served"]
+    assert result.verdict.broken == [] and min(served[5:7]) > 0.8 * min(served[1:3])
+
+
+LARGE = (msgspec.structs.replace(CLASSES[0], answer_kb=200.0), CLASSES[1])
+SLOWLY = Clients(slow_share=0.2, slow_kb_s=400.0, leave_share=0.1)
+
+
+def test_slow_readers_take_up_connections_and_cost_no_service() -> None:
+    usual = msgspec.structs.replace(SMALL, load=msgspec.structs.replace(SMALL.load, classes=LARGE))
+    slow = msgspec.structs.replace(usual, load=msgspec.structs.replace(usual.load, clients=SLOWLY))
+    one, other = (Simulation(told, "ours", 1).run() for told in (usual, slow))
+    assert other.verdict.broken == [] and other.connections > one.connections
+    assert other.verdict.answers.get("failed", 0) == 0
+
+
+def test_moves_and_large_answers_on_sockets() -> None:
+    """Servers change their addresses while some clients read large answers slowly and some leave."""
+    move = Fault(kind="move", at_s=1.0, part=0.5, gap_s=0.3)
+    told = msgspec.structs.replace(
+        SMALL,
+        seconds=4.0,
+        faults=(move,),
+        load=msgspec.structs.replace(SMALL.load, classes=LARGE, clients=SLOWLY),
+    )
+    played = asyncio.run(real.play(told, 1))
+    if played.void:
+        pytest.skip(played.void)
+    # An answer whose server moves away from under it is cut: that is the server's doing, and told as a cut.
+    moved = sum("moves" in text for _, text in played.told)
+    assert moved == 2 and played.died == []
+    assert [text for text in played.verdict.broken if "cut off" not in text] == []
+    assert played.verdict.answers["served"] > 0.8 * sum(played.verdict.answers.values())
+
+
+def test_builds_are_played_in_turn_kept_and_compared(tmp_path: Path) -> None:
+    path, out = write_small(tmp_path / "s.toml", **{"proxies = 5": "proxies = 1"}), tmp_path / "out"
+    path.write_text(path.read_text().replace("seconds = 4.0", "seconds = 2.5"))
+    here = Path(__file__).parent.parent
+    command = ("run", str(path), "--real", "--out", str(out), "--build", f"now={here}")
+    code, text = run(*command, "--build", f"again={here}", "--seeds", "1")
+    if "void" in text:
+        pytest.skip(text)
+    assert code == 0 and "now" in text and "again" in text
+    assert run("compare", str(out), str(out), "--policy", "now", "--against", "again")[0] == 0
+    assert run("report", str(out))[0] == 0
+    code, text = run(*command, "--build", f"again={here}", "--seeds", "1", "--json")
+    assert code == 0 and [r["policy"] for r in json.loads(text)["runs"]] == ["again", "now"]  # as kept
+    assert "holds another scenario" in run(*command, "--seeds", "1")[1]
+    code, text = run("run", str(path), "--real", "--build", f"none={tmp_path}", "--seeds", "1")
+    assert code == 1 and "is no checkout" in text
+    assert run("run", str(path), "--real", "--build", "nothing")[0] == 2
+    assert run("run", str(path), "--build", f"now={here}")[0] == 2
+
+
 def test_ours_is_worth_more_than_chance_where_it_matters() -> None:
     told = scenario.read(FOLDER / "herd.toml")
     ours, chance = (Simulation(told, policy, 1).run().verdict for policy in ("ours", "random"))
@@ -451,6 +532,12 @@
             "load: found both, or neither, allowed one of rate and level",
         ),
         ("proxies = 5", "proxies = 0", "proxies: found 0, allowed 1 to 10,000"),
+        ("share = 0.48", "share = 0.48\nquota = 0.0", r"load.members\[sagar-net\].quota: found 0.0"),
+        (
+            "[load]",
+            '[[faults]]\nkind = "surge"\nat_s = 1.0\n[load]',
+            r"faults\[0\] \(surge\).member: found ''",
+        ),
         ("proxies = 5", "proxy = 5", "unknown field `proxy`"),
         ("servers = 12", 'servers = "many"', r"Expected `int`, got `str` - at `\$.fleet.servers`"),
         ("aim_ms = 600.0", "aim_ms = 6000.0", r"load.classes\[join\].aim_ms: found 6000.0"),
@@ -500,7 +587,7 @@
     with sqlite3.connect(out / runner.STORE) as db:
         db.execute("UPDATE about SET value = '0' WHERE key = 'form'")
     code, text = run("run", str(path), "--out", str(out))
-    assert code == 2 and "form: found 0, this version writes 2" in text
+    assert code == 2 and "form: found 0, this version writes 3" in text
     (tmp_path / "file").write_text("")
     with pytest.raises(StoreError, match="no run folder"):
         Store(tmp_path / "file", SMALL)
