--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -63,8 +63,7 @@
     per_ms = size * (1.5 * BEARS if full else BEARS / 4) / LATENCY_MS / proxies
     usual = per_ms * LATENCY_MS * proxies / size
     order, request, spent, since, spent_then = 0, 0, 0.0, 0, 0.0
-    warm = max(500, int(per_ms * 4000))  # windows and limits have found their sizes by then
-    warm = min(warm, 3000)
+    warm = min(3000, max(500, int(per_ms * 4000)))  # windows and limits have found their sizes by then
     asked_ms = 0.0
     sends = answered = 0
     while spent - spent_then < MOST_S and request < warm + 4000:
--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -88,6 +88,6 @@
         + f"\nlatency {', '.join(f'p{q} {ms:.0f} ms' for q, ms in verdict.latency_ms.items())}"
         f"\nrules broken: {len(verdict.broken)}; the proxies took {played.decided_us:.0f} us a request"
     )
-    for text in [*verdict.broken[:5], *played.died, *([f"void: {played.void}"] if played.void else [])]:
+    for text in played.amiss(5):
         click.echo(text)
     sys.exit(1 if verdict.broken or played.died or played.void else 0)
--- a/cloverrouter/cli/lab.py
+++ b/cloverrouter/cli/lab.py
@@ -147,14 +147,19 @@
     return name, path
 
 
+def _store(folder: Path | None, told: Scenario, how: str) -> Store | None:
+    """Where results are kept, if they are."""
+    try:
+        return Store(folder, told, how) if folder is not None else None
+    except StoreError as error:
+        raise click.UsageError(str(error)) from error
+
+
 def _play(
     told: Scenario, processes: int | None, folder: Path | None, quiet: bool
 ) -> tuple[list[Result], list[str]]:
     """All results of a scenario, kept ones too, and what failed."""
-    try:
-        store = Store(folder, told) if folder is not None else None
-    except StoreError as error:
-        raise click.UsageError(str(error)) from error
+    store = _store(folder, told, "simulated")
     results: list[Result] = []
     errors: list[str] = []
     total, quiet = len(told.seeds) * len(told.policies), quiet or not sys.stderr.isatty()
@@ -231,10 +236,7 @@
 def _run_real(told: Scenario, out: Path | None, as_json: bool) -> None:
     """Each seed with each build, one at a time: the builds of a seed directly after each other, so that what
     else the machine does meets them alike."""
-    try:
-        store = Store(out, told, "real") if out is not None else None
-    except StoreError as error:
-        raise click.UsageError(str(error)) from error
+    store = _store(out, told, "real")
     done = store.done() if store is not None else set()
     fresh: list[Result] = []
     if not as_json:
@@ -268,10 +270,9 @@
 
 def _line(result: Result) -> None:
     lat, verdict = result.verdict.latency_ms, result.verdict
-    amiss = [*verdict.broken[:3], *result.died, *([f"void: {result.void}"] if result.void else [])]
     click.echo(
         f"{result.policy:16}{result.seed:6}{verdict.worth:9.3f}{verdict.worst:9.3f}{lat.get('50', 0):9.0f}"
-        f"{lat.get('99', 0):9.0f}{result.decided_us:9.0f}{result.lab_cpu:9.2f}  {'; '.join(amiss)}"
+        f"{lat.get('99', 0):9.0f}{result.decided_us:9.0f}{result.lab_cpu:9.2f}  {'; '.join(result.amiss(3))}"
     )
 
 
--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -257,8 +257,10 @@
         spans = self.membership.spans(self._window_size(), self.place)
         # Danger: back from a cordon and cold it would lose every draw against the warm, and its operators see
         # it get nothing. It is sent one request early, wherever the window lies.
-        owed = [e for e in islice(self.membership.owed.values(), REACH) if self._has_room(e)]
-        allowed = [e for e in owed if self._may_send(request, e)]
+        allowed = []
+        if self.membership.owed:
+            owed = [e for e in islice(self.membership.owed.values(), REACH) if self._has_room(e)]
+            allowed = [e for e in owed if self._may_send(request, e)]
         if not allowed:
             small = sum([span[2] for span in spans]) <= REACH
             allowed = self._among(request, spans) if small else self._drawn(request, spans)
@@ -378,7 +380,7 @@
         return found
 
     def _try(self, request: Request, spans: list[Span], but: list[Endpoint]) -> Endpoint | None:
-        ring, start, wanted, _ = span = self._draw_span(spans)
+        ring, start, wanted, _ = self._draw_span(spans)
         for _ in range(TRIES):
             size = len(ring.members)
             at = start + self.random.randrange(wanted)
@@ -389,8 +391,7 @@
             self.open_share += OPEN_GAIN * (room - self.open_share)
             if room and endpoint not in but and self._fits(request, endpoint):
                 return endpoint
-            ring, start, wanted, _ = span = self._draw_span(spans)
-        ring, start, wanted, _ = span
+            ring, start, wanted, _ = self._draw_span(spans)
         size = len(ring.members)
         first = start + (wanted if wanted < size else self.random.randrange(size))
         for i in range(first, first + min(size, REACH)):
--- a/cloverrouter/decide/membership.py
+++ b/cloverrouter/decide/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from heapq import heappop, heappush
 from math import ceil
 
@@ -40,8 +41,8 @@
         self.judged = indexes.Mean()
         self.all = Ring()
         self.ready = self.all.members  # kept up in place
-        self.rings: dict[str, Ring] = {}  # these, by zone
-        self.cells: dict[tuple[str, int], Ring] = {}  # and by cell
+        self.rings: dict[str, Ring] = defaultdict(indexes.Ring)  # these, by zone; none is empty
+        self.cells: dict[tuple[str, int], Ring] = defaultdict(indexes.Ring)  # and by cell
         self.owed: dict[str, Endpoint] = {}  # back from a cordon, and sent nothing since
         self.cold: dict[str, Endpoint] = {}
         self._warming: list[tuple[float, str]] = []  # a heap of when each is warm
@@ -92,12 +93,8 @@
 
     def _rings(self, endpoint: Endpoint) -> tuple[Ring, Ring, Ring]:
         """All that it is in while it is ready."""
-        cell = endpoint.listed.zone, endpoint.listed.cell
-        if cell not in self.cells:
-            self.cells[cell] = Ring()
-        if cell[0] not in self.rings:
-            self.rings[cell[0]] = Ring()
-        return self.all, self.rings[cell[0]], self.cells[cell]
+        listed = endpoint.listed
+        return self.all, self.rings[listed.zone], self.cells[listed.zone, listed.cell]
 
     def _place(self, endpoint: Endpoint) -> None:
         if endpoint.listed.state is EndpointState.READY and not endpoint.cordoned:
--- a/cloverrouter/fleet/subset.py
+++ b/cloverrouter/fleet/subset.py
@@ -13,6 +13,8 @@
 from math import sqrt
 from random import Random
 
+from cloverrouter.indexes import Ring
+
 Way = Callable[[Sequence[str], int, int, int], list[str]]
 GOLDEN = (sqrt(5) - 1) / 2
 
@@ -30,7 +32,11 @@
 
 
 def _ring(servers: Iterable[str]) -> list[str]:
-    return sorted(servers, key=lambda name: (hashed(name), name))
+    """In the order in which the decision module has them."""
+    ring: Ring[str] = Ring()
+    for name in servers:
+        ring.add(name, 1.0, name)
+    return ring.members
 
 
 def _from(ring: Sequence[str], place: float, size: int) -> list[str]:
--- a/cloverrouter/indexes.py
+++ b/cloverrouter/indexes.py
@@ -159,9 +159,8 @@
 
     def add(self, request: W) -> None:
         self._number += 1
-        line = self.tried if request.attempts else self.fresh
-        insort(line.hopeful, (request.value, self._number, request))
         request.held_as = self._number
+        self.put_back([(request.value, self._number, request)])
         heappush(self._ages, (request.arrived_ms, self._number, request))
 
     def oldest(self) -> W | None:
@@ -187,7 +186,7 @@
         return best[1]
 
     def put_back(self, entries: list[Entry[W]]) -> None:
-        """What was taken out and waits on."""
+        """What waits on, or anew."""
         for entry in entries:
             insort((self.tried if entry[2].attempts else self.fresh).hopeful, entry)
 
--- a/cloverrouter/lab/real.py
+++ b/cloverrouter/lab/real.py
@@ -117,13 +117,11 @@
         data = ANSWERS[verdict]
         report = self.world.report_of(self.server)
         if verdict is Verdict.TAKEN and self.world.spoils_answer(self.server):
-            data = SPOILT
+            data, report = SPOILT, None  # nothing in it can be read, a report neither
         elif verdict is Verdict.TAKEN and self.answer_bytes:
             data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.answer_bytes
             data += bytes(self.answer_bytes)
-        if data is SPOILT:
-            pass  # nothing in it can be read, a report neither
-        elif report is not None:
+        if report is not None:
             pairs = zip(self.world.scenario.fleet.reports, report, strict=True)
             line = ",".join(f"{name}={value:.3f}" for name, value in pairs)
             status, _, rest = data.partition(b"\r\n")
@@ -629,25 +627,9 @@
             died = proxies.died()
             cpu_s = proxies.cpu_s() - proxies_s
             verdict = world.judge.verdict(START_MS + told.warm_s * 1000, world.clock.now_ms)
-            totals = [server.bridge.totals for server in world.servers.values()]
-            did = sum(t.work for t in totals)
-            played = Result(
-                policy=build,
-                seed=seed,
-                verdict=verdict,
-                simulated_s=took_s,
-                took_s=took_s,
-                decided_s=cpu_s,
-                work=did / (world.capacity() * told.seconds * 1000),
-                wasted=sum(t.wasted for t in totals) / did if did else 0.0,
-                turned_away=sum(t.full for t in totals),
-                connections=float(world.most_connections),
-                told=tuple(world.log),
-                held=world.held,
-                late_share=world.late_share,
-                lab_cpu=(time.process_time() - own_s) / took_s,
-                died=died,
-            )
+            played = world.result(build, verdict, simulated_s=took_s, took_s=took_s, decided_s=cpu_s)
+            played.late_share, played.died = world.late_share, died
+            played.lab_cpu = (time.process_time() - own_s) / took_s
             for text in died:
                 log.get().error("a proxy has ended", proxy=text)
             if played.late_share > LATE_SHARE:
--- a/cloverrouter/lab/result.py
+++ b/cloverrouter/lab/result.py
@@ -32,6 +32,10 @@
     lab_cpu: float = 0.0  # cores that the lab itself took
     died: list[str] = field(default_factory=list)  # proxies that ended on their own
 
+    def amiss(self, most: int) -> list[str]:
+        """What speaks against it, with so many of the rules broken at most."""
+        return [*self.verdict.broken[:most], *self.died, *([f"void: {self.void}"] if self.void else [])]
+
     @property
     def speed(self) -> float:
         """Simulated seconds a second."""
--- a/cloverrouter/lab/simulate.py
+++ b/cloverrouter/lab/simulate.py
@@ -162,17 +162,16 @@
             self.begun = True
             world = self.world
             self.listed(ListKind.FULL, tuple(world.entry(name) for name in world.servers))
-            world.calls[int(world.clock.now_ms // 1000)] += 1
-            allowed = self.limits()
-            every_ms = allowed.ask_every_ms if allowed else UNBOUNDED_ASK_MS
             # Those that began together do not go on so.
-            world.clock.after(every_ms * self.world.draws.stream(f"turn {self.number}").random(), self.ask)
+            self.ask(world.draws.stream(f"turn {self.number}").random())
 
-    def ask(self) -> None:
-        """Ask discovery, and again when it is due. What has changed is told by the list on its own."""
+    def ask(self, part: float = 1.0) -> None:
+        """Ask discovery, and again after this part of the usual time. What has changed is told by the list on
+        its own."""
         self.world.calls[int(self.world.clock.now_ms // 1000)] += 1
         allowed = self.limits()
-        self.world.clock.after(allowed.ask_every_ms if allowed else UNBOUNDED_ASK_MS, self.ask)
+        every_ms = allowed.ask_every_ms if allowed else UNBOUNDED_ASK_MS
+        self.world.clock.after(every_ms * part, self.ask)
 
     def drop_idle(self, name: str) -> None:
         since = self.idle.pop(name, [])
@@ -293,26 +292,18 @@
         for server in self.servers.values():
             server.bridge.advance(end_ms)
         verdict = self.judge.verdict(START_MS + told.warm_s * 1000, end_ms)
-        totals = [server.bridge.totals for server in self.servers.values()]
-        did = sum(t.work for t in totals)
-        return Result(
-            policy=self.policy,
-            seed=self.draws.seed,
-            verdict=verdict,
+        result = self.result(
+            self.policy,
+            verdict,
             simulated_s=end_ms / 1000,
             took_s=time.perf_counter() - begun,
             decided_s=sum(proxy.decided_s for proxy in self.proxies),
-            events=clock.events,
-            work=did / (self.capacity() * told.seconds * 1000),
-            wasted=sum(t.wasted for t in totals) / did if did else 0.0,
-            turned_away=sum(t.full for t in totals),
-            connections=float(self.most_connections),
-            told=tuple(self.log),
-            held=self.held,
-            calls_per_s=self._calls_per_s(),
-            most_calls_per_s=float(max(self.calls.values(), default=0)),
-            handshakes_per_s=max(self.handshakes.values(), default=0) / told.seconds,
         )
+        result.events = clock.events
+        result.calls_per_s = self._calls_per_s()
+        result.most_calls_per_s = float(max(self.calls.values(), default=0))
+        result.handshakes_per_s = max(self.handshakes.values(), default=0) / told.seconds
+        return result
 
     def _calls_per_s(self) -> float:
         """To discovery in the busiest second after the warm-up."""
@@ -507,15 +498,13 @@
         """Its process has ended: all that was on it is reset."""
         server.bridge.stop()
         server.wake += 1
-        for proxy in self.proxies:
-            proxy.drop_idle(server.bridge.name)
-        for job_id, sent in list(self._on_server.items()):
-            if sent.server is server:
-                del self._on_server[job_id]
-                if not sent.over:
-                    self._reply(sent, Outcome.RESET)
+        self._cut(server)
 
     def _move(self, server: Server) -> None:
+        self._cut(server)
+
+    def _cut(self, server: Server) -> None:
+        """All that is connected to it is reset, and what runs on it for that is called off."""
         for proxy in self.proxies:
             proxy.drop_idle(server.bridge.name)
         for job_id, sent in list(self._on_server.items()):
--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -17,7 +17,9 @@
 from cloverrouter.lab.bridge import Bay, Bridge, Job, Verdict
 from cloverrouter.lab.draws import Draws, Weighted
 from cloverrouter.lab.judge import Asked, Judge, Quota
+from cloverrouter.lab.judge import Verdict as Judged
 from cloverrouter.lab.load import Ask
+from cloverrouter.lab.result import Result
 from cloverrouter.lab.scenario import Fault, Scenario
 
 START_MS = 1000.0  # proxies know the list by then
@@ -111,6 +113,27 @@
             self.held[name].append(server.bridge.held)
         self.clock.after(1000.0, self.sample)
 
+    def result(
+        self, policy: str, verdict: Judged, *, simulated_s: float, took_s: float, decided_s: float
+    ) -> Result:
+        """What has come of it, as far as both kinds of time tell it alike."""
+        totals = [server.bridge.totals for server in self.servers.values()]
+        did = sum(t.work for t in totals)
+        return Result(
+            policy=policy,
+            seed=self.draws.seed,
+            verdict=verdict,
+            simulated_s=simulated_s,
+            took_s=took_s,
+            decided_s=decided_s,
+            work=did / (self.capacity() * self.scenario.seconds * 1000),
+            wasted=sum(t.wasted for t in totals) / did if did else 0.0,
+            turned_away=sum(t.full for t in totals),
+            connections=float(self.most_connections),
+            told=tuple(self.log),
+            held=self.held,
+        )
+
     def next_job(self) -> int:
         """A number for a request at a server."""
         self._last_job += 1
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,7 +20,7 @@
     "interface": set(),
     "explore": {"interface", "core", "decide", "proxy"},
     "proxy": {"interface", "core", "decide", "handed"},
-    "fleet": set(),
+    "fleet": {"indexes"},
     "lab": {"interface", "core", "decide", "fleet"},
     "cli": {"explore", "lab", "proxy"},
 }
