Large fleet: a pooled limit that follows traffic and servers, lists before work, no stopped clocks

Limits of single servers stood at 0.1 in four proxies, with answers taken for 4,000 to 18,000 times slower than usual. After a zone was lost all went on with limits for all zones, answers took 500 ms and more, and 100 to 250 attempts a second ran out of time. Ruled out: full connection tables (no attempt was turned away), retries (under 10 a second but in the second after the loss), the proxies' CPU (at most 0.3 of a core in any second).

Causes, each mended where it was: - decide/flow.py, Flow.ended: the limit grew by 1/(16 x limit) an answer, an eighth of a request in a second at 18. It now grows in proportion. Flow.resize left the limit alone when servers went; it now goes with their weight. - decide/balancer.py, _learn: the pooled limit shrank only past half-way to the aim, far behind the limits a server; it now keeps to the same target.

--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -58,6 +58,7 @@
 TRIES = 8  # draws from a large window for one server that fits
 OPEN_GAIN = 0.02  # smoothing of how many of those drawn have room
 FADE_AT_ONCE = 64
+TIMED_LEAST_MS = 0.01  # no server answers sooner
 SOON_MS = 25.0  # no sooner does a timer look at held requests: with traffic, events do so anyway
 # From this part of the requests that clients can have open on, those held are let go, the oldest first.
 FULL_SHARE = 0.85
@@ -104,6 +105,7 @@
         self.place = self.random.random() if place is None else place
         self.flow = Flow(settings)
         self.forgot_ms: float | None = None
+        self.untimed_ms = float("-inf")  # until then the clock is known to have stood still
         self.fading: list[Endpoint] = []  # those whose judgements are still to fade in this round
         self.fade = (0.0, 1.0, 1.0)  # by how much, and towards what
         self.failed_calls = 0
@@ -145,10 +147,9 @@
                     self._on_completed(event)
                 case PartTaken():
                     self._on_part(event)
-                case ProbeEnded():
-                    pass
                 case _:
-                    raise ValueError(f"not an event: {event!r}")
+                    if not isinstance(event, ProbeEnded):
+                        raise ValueError(f"not an event: {event!r}")
         self._forget_old_judgements()
         self._send_held()
         return self.actions
@@ -280,8 +281,7 @@
         return False
 
     def _fits(self, request: Request, endpoint: Endpoint) -> bool:
-        """As `_may_send`, which is asked again about the one that is picked; of a request not tried yet, only
-        what differs between servers."""
+        """As `_may_send`; of a request not tried yet, only what differs between servers."""
         if request.attempts or endpoint.cold_until_ms > self.now_ms:
             return self._may_send(request, endpoint)
         return True
@@ -609,13 +609,17 @@
             return
         attempt.working = False
         attempt.endpoint.in_flight -= 1
-        if outcome in NO_EVIDENCE or cls is None:
+        # Danger: while the clock stands still answers seem to take no time, and beside those all servers are
+        # too slow to be sent anything. What was out then can't be timed.
+        if latency_ms < TIMED_LEAST_MS and outcome in WORKED:
+            self.untimed_ms = self.now_ms
+        if outcome in NO_EVIDENCE or cls is None or attempt.sent_ms <= self.untimed_ms:
             self.flow.ended(self.now_ms, latency_ms, None)
             return
         usual = self.latencies[cls.name]
         good_ms = usual.in_good_time_ms()
-        slow = latency_ms / good_ms
-        self.flow.ended(self.now_ms, usual.base_ms, slow if outcome in (*WORKED, Outcome.TIMEOUT) else None)
+        slow = usual.slowness(latency_ms) / self._target() if outcome in (*WORKED, Outcome.TIMEOUT) else None
+        self.flow.ended(self.now_ms, usual.base_ms, slow)
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
             usual.add(latency_ms)
--- a/cloverrouter/decide/flow.py
+++ b/cloverrouter/decide/flow.py
@@ -10,7 +10,8 @@
 # the servers, about what keeps a core busy; it never falls under this part of that.
 FLOW_START = 3.0
 FLOW_LEAST = 0.1
-# Beyond the start it grows slower than a server's limit: it stands for all of them, and all proxies grow.
+# Beyond the start it grows by this part a round. Danger: traffic is unequal, and a step that does not grow
+# with the limit leaves a busy proxy turning work away beside idle servers.
 FLOW_GROWTH = LIMIT_GROWTH / 4
 FLOW_BURST = 5.0  # pauses that may be taken ahead
 # A proxy keeps to a window of the servers: of as many as give each this many proxies on average, enough
@@ -19,21 +20,15 @@
 
 
 def crowded(settings: Settings) -> bool:
-    """Do more proxies send to each server than can have an attempt each out there at all times?
-
-    Up to then what each server answers tells a proxy enough, and limits for each server bound the sum.
-    Past it the exceptions for crowds act: the pooled limit, limits of less than one, water-filled zones.
-    """
+    """Do more proxies send to each server than can have an attempt each out there at all times? Past that the
+    exceptions for crowds act: the pooled limit, limits of less than one, water-filled zones."""
     return settings.proxies > COVER
 
 
 class Flow:
-    """How many attempts this proxy may have out over all servers together.
-
-    Danger: a limit a server can't be less than one, and with hundreds of proxies one each is a jam. This
-    limit is pooled over the servers and may be a fraction: below one, a pause after each attempt, as
-    long as to keep one out for that part of the time.
-    """
+    """How many attempts this proxy may have out over all servers together. Danger: a limit a server can't be
+    less than one, and with hundreds of proxies one each is a jam. This one may be a fraction: below one, a
+    pause after each attempt, as long as to keep one out for that part of the time."""
 
     def __init__(self, settings: Settings) -> None:
         self._proxies = settings.proxies
@@ -48,8 +43,11 @@
 
     def resize(self, weight: float) -> None:
         """The servers known now weigh this much together."""
-        self.start = FLOW_START * weight / self._proxies
+        before, self.start = self.start, FLOW_START * weight / self._proxies
         self.least = FLOW_LEAST * self.start
+        # Danger: with a zone gone, all proxies go on with what the servers could take before.
+        if before and weight:
+            self.limit *= min(1.0, self.start / before)
         self.limit = max(self.limit, self.least) if self.limit else self.start
 
     def has_room(self, now_ms: float) -> bool:
@@ -69,7 +67,7 @@
             elif self.limit < self.start:
                 self.limit = min(self.start, 2 * self.limit)
             elif bound:
-                self.limit += FLOW_GROWTH * min(self.limit, 1 / self.limit)
+                self.limit += FLOW_GROWTH * min(1.0, self.limit)
             self.limit = max(self.limit, self.least)
         if self.limit < 1:
             # Danger: traffic of a few requests a minute does not come evenly. What was not used may be, a
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 import httptools
@@ -21,9 +22,9 @@
 HASTY_S = 0.05
 PAUSE_S = 0.1  # well within the 200 ms after which a watch has ended
 PUSHED_FIRST_S, PUSHED_MOST_S = 0.1, 2.0
-# Danger: in a release most proxies start at one moment, and discovery has no room for all of them at once.
-# One that has a list to work with lets its first call wait by chance, for up to this long.
-FIRST_CALL_S = 0.3
+# Where a list is at hand from before, the agent is asked what has changed before anything is sent. Silent for
+# so long, it has nothing to tell, or discovery is down: the list at hand must do.
+FIRST_ANSWER_S = 0.25
 log = logging.getLogger(__name__)
 
 
@@ -73,6 +74,7 @@
         self._task: asyncio.Task[None] | None = None
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.version: int | None = None
+        self._settled = asyncio.Event()  # the first call has ended, well or not
         self.hold_ms = HOLD_MS
         self.grace_s = GRACE_S
 
@@ -80,6 +82,16 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    async def caught_up(self) -> None:
+        """Until the agent has told what it has, or has let `FIRST_ANSWER_S` pass.
+
+        Danger: what happened while this process was down counts as told the moment the agent has it. A proxy
+        that serves by its old list until a call comes round sends to servers that it was told are gone.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_ANSWER_S):
+                await self._settled.wait()
+
     def move(self, address: Address) -> None:
         """Ask at another address from now on, first for the whole list: versions are not shared.
 
@@ -97,8 +109,6 @@
 
     async def _run(self) -> None:
         backoff_s = PUSHED_FIRST_S
-        if self.version is not None:
-            await asyncio.sleep(FIRST_CALL_S * self._random.random())
         while True:
             asked_s = asyncio.get_running_loop().time()
             try:
@@ -110,6 +120,7 @@
                 self._close()
                 if not isinstance(error, OSError | EOFError | DiscoveryError):
                     self.version = None  # what follows on it can't be trusted: ask for the whole list
+                self._settled.set()
                 self._on_failure()
                 if not self._pushed:
                     return
@@ -123,13 +134,17 @@
             backoff_s = PUSHED_FIRST_S
             self.version = found.version
             self._on_list(found)
+            if not self._settled.is_set():
+                self._settled.set()
+                continue
             if not found.entries and asyncio.get_running_loop().time() - asked_s < HASTY_S:
                 await asyncio.sleep(PAUSE_S)
 
     async def _call(self) -> HostList:
         target, hold_s = "/v1/servers", 0.0
         if self.version is not None:
-            target, hold_s = f"{target}?from={self.version}&hold_ms={self.hold_ms}", self.hold_ms / 1000
+            hold_ms = self.hold_ms if self._settled.is_set() else 0
+            target, hold_s = f"{target}?from={self.version}&hold_ms={hold_ms}", hold_ms / 1000
         async with asyncio.timeout(hold_s + self.grace_s):
             status, body = await self._get(target)
         if status != 200:
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -80,6 +80,8 @@
             self._node.listed(ListKind.RESTORED, known)
         if not told.settings.subscribe or known is None:
             self._watch.start()
+            if known is not None:
+                await self._watch.caught_up()
         if told.control is not None:
             await self._admin.listen(told.control)
         if self._inherited is not None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -215,3 +215,20 @@
     request, actions = lost.request(deadline_ms=lost.now_ms + 3 * SAFE.deadline_ms)
     assert actions == []
     assert lost.wait(3 * SAFE.deadline_ms) == [Refuse(request)]
+
+
+def test_answers_timed_by_a_stopped_clock_teach_nothing() -> None:
+    """A process whose clock stands still at its start sees answers in no time. Taken for what is usual, they
+    make each later answer look thousands of times too slow, and limits fall to next to nothing."""
+    servers = [endpoint(f"s{i}") for i in range(4)]
+    stopped, usual = Driver(endpoints=servers), Driver(endpoints=servers)
+    for _ in range(30):  # within one instant
+        request, actions = stopped.request()
+        if any(isinstance(action, Send) for action in actions):
+            stopped.end(request, Outcome.OK, latency_ms=0.0)
+    for driver in (stopped, usual):
+        driver.serve(200)
+    known = {name: driver.balancer for name, driver in (("stopped", stopped), ("usual", usual))}
+    base = {name: b.latencies["safe"].base_ms for name, b in known.items()}
+    assert base["stopped"] == pytest.approx(base["usual"], rel=0.2)
+    assert all(e.limit >= 1 for e in known["stopped"].membership.endpoints.values())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -340,6 +340,31 @@
     assert flow.limit > 2 * flow.start
 
 
+def test_busy_proxy_among_many_reaches_its_traffic_within_a_few_rounds() -> None:
+    """Danger: equal parts of unequal traffic. By a fixed step the busiest turned away most of what it got,
+    beside idle servers."""
+    driver = Driver(replace(SETTINGS, proxies=40), [endpoint(f"s{i}") for i in range(60)])
+    flow = driver.balancer.flow
+    flow.limit = first = 20.0
+    for _ in range(12):  # rounds in which all that is out is answered in good time
+        for _ in range(int(flow.limit)):
+            flow.out = int(flow.limit) + 1
+            flow.has_room(driver.now_ms)
+            flow.ended(driver.now_ms, 50, 0.5)
+    assert flow.limit > 1.8 * first
+
+
+def test_with_a_part_of_the_servers_the_pooled_limit_goes() -> None:
+    """Danger: with a zone gone, all proxies go on with what the servers bore before it went."""
+    driver = Driver(replace(SETTINGS, proxies=40), [endpoint(f"s{i}") for i in range(60)])
+    flow = driver.balancer.flow
+    flow.limit = 18.0
+    driver.tell(full(*(endpoint(f"s{i}") for i in range(40))))
+    assert flow.limit == pytest.approx(12.0)
+    driver.tell(full(*(endpoint(f"s{i}") for i in range(60))))
+    assert flow.limit == pytest.approx(12.0)  # what they bear is found out anew
+
+
 def test_a_window_of_the_servers_for_each_proxy_and_all_servers_in_even_use() -> None:
     """Danger: with many proxies each server is met too rarely to be known, and holds connections to all."""
     servers = [endpoint(f"s{i}") for i in range(12)]
