Cold servers are held back by their credit alone, not by the draw as well

Credits were unspent. Ruled out: limits a server (cold ones had room), slower work on cold servers (by age, no slower than warm ones).

One test, which fails on the code before.

--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -333,7 +333,7 @@
         total = sum([e.share for e in allowed])
         one = self._draw(allowed, total, None)
         other = self._draw(allowed, total - one.share, one)
-        return one if one.score(self.now_ms) >= other.score(self.now_ms) else other
+        return one if one.score() >= other.score() else other
 
     def _draw(self, allowed: Sequence[Endpoint], total: float, but: Endpoint | None) -> Endpoint:
         if total <= 1e-12:
--- a/cloverrouter/decide/endpoint.py
+++ b/cloverrouter/decide/endpoint.py
@@ -148,7 +148,7 @@
         age = max(0.0, now_ms - started_ms) / self.safety.cold_ms
         return min(1.0, self.safety.cold_share + (1 - self.safety.cold_share) * age)
 
-    def score(self, now_ms: float) -> float:
-        """What two draws are compared by."""
-        score = self.earned / self.slowness / (1 + self.in_flight)
-        return score if now_ms >= self.cold_until_ms else score * self.warmth(now_ms)
+    def score(self) -> float:
+        """What two draws are compared by. One that is cold is held back by its credit alone: held back twice,
+        it idles while the warm are full."""
+        return self.earned / self.slowness / (1 + self.in_flight)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -232,3 +232,19 @@
     base = {name: b.latencies["safe"].base_ms for name, b in known.items()}
     assert base["stopped"] == pytest.approx(base["usual"], rel=0.2)
     assert all(e.limit >= 1 for e in known["stopped"].membership.endpoints.values())
+
+
+def test_cold_server_with_credit_is_drawn_like_any_other() -> None:
+    """Danger: held back by its credit and by the draw as well, it idles beside warm servers that are full."""
+    driver = Driver(endpoints=[endpoint("warm"), endpoint("cold", started_ms=900.0)])
+    driver.serve(40)
+    cold, before = driver.balancer.membership.endpoints["cold"], driver.now_ms
+    counts = {"warm": 0, "cold": 0}
+    while driver.now_ms < before + 6000:
+        cold.judge(driver.now_ms, 1.0, 1.0)
+        cold.cold_credit = 1e6
+        request, _ = driver.request()
+        counts[driver.sent[request][0]] += 1
+        driver.wait(20)
+        driver.end(request, Outcome.OK, 20.0)
+    assert counts["cold"] > counts["warm"] / 4
