Proxies tell each other which servers hang or refuse; a stopped clock teaches nothing

Some proxies' pooled limits stood at 1.3 of 18: their first answers, of the time in which their clock stood still, had set what counts as unhurried too low.

Causes: nothing carried what one proxy had seen to the others (decide/endpoint.py judges a time-out like a slow answer); core/lifecycle.py, _latency_ms, took a standing clock's readings for latencies. The module leaves such servers out (ProbeEnded). Node notices a clock that gives one reading twice; attempts begun then are told with latency 0, which is not learnt.

--- a/cloverrouter/core/lifecycle.py
+++ b/cloverrouter/core/lifecycle.py
@@ -129,6 +129,7 @@
         self._targets: dict[str, Target] = {}
         self.calls: dict[int, Call] = {}
         self.owed = 0  # calls that are not final
+        self.untimed_ms = float("-inf")  # what began up to then can't be timed: the clock stood still
 
     # What happens
 
@@ -146,7 +147,7 @@
         if type(happening) is RequestArrived:
             return self._arrived(happening)
         match happening:
-            case TimerFired() | PartTaken() | Cordon():
+            case TimerFired() | PartTaken() | Cordon() | ProbeEnded():
                 return [Tell(happening)]
             case TimeUp(call_id, number):
                 return self._time_up(now_ms, call_id, number)
@@ -363,12 +364,12 @@
             )
         )
 
-    @staticmethod
-    def _latency_ms(now_ms: float, call: Call, attempt: Attempt) -> float:
-        """From its sending, or the last byte of an upload."""
+    def _latency_ms(self, now_ms: float, call: Call, attempt: Attempt) -> float:
+        """From its sending, or the last byte of an upload; 0 if that can't be told."""
+        since_ms = attempt.sent_ms
         if call.uploaded and attempt.written_ms is not None:
-            return max(0.0, now_ms - attempt.written_ms)
-        return now_ms - attempt.sent_ms
+            since_ms = attempt.written_ms
+        return max(0.0, now_ms - since_ms) if since_ms > self.untimed_ms else 0.0
 
     def _forget_if_over(self, call: Call) -> list[Effect]:
         if call.state in FINAL and not call.out and self.calls.pop(call.id, None) is not None:
--- a/cloverrouter/core/states.py
+++ b/cloverrouter/core/states.py
@@ -22,6 +22,7 @@
     Event,
     Outcome,
     PartTaken,
+    ProbeEnded,
     RequestArrived,
     RequestCompleted,
     RequestGone,
@@ -146,6 +147,7 @@
     | TimerFired
     | Cordon
     | PartTaken
+    | ProbeEnded
 )
 
 
--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -51,23 +51,22 @@
 COLD_MARGIN = 0.45
 RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
 LIMIT_LEAST = 0.1  # of the time, then, one attempt is out there
-# A proxy's window has no fewer servers than this, for two draws to mean something; and as many as it meets
-# each at least once in this many longest deadlines.
+# A proxy's window: no fewer servers than this, for two draws to mean something; and as many as it meets each
+# at least once in this many longest deadlines.
 WINDOW_LEAST = 3.0
 WINDOW_SPANS = 0.5
 TRIES = 8  # draws from a large window for one server that fits
 OPEN_GAIN = 0.02  # smoothing of how many of those drawn have room
 FADE_AT_ONCE = 64
-TIMED_LEAST_MS = 0.01  # no server answers sooner
+TIMED_LEAST_MS = 0.01  # no server answers sooner: the clock has stood still
 SOON_MS = 25.0  # no sooner does a timer look at held requests: with traffic, events do so anyway
 # From this part of the requests that clients can have open on, those held are let go, the oldest first.
 FULL_SHARE = 0.85
 FULL_SHARE_BESIDE = 0.7  # beside another balancer, whose count is a moment old
-# Of a class nothing is known of, when the request does not say either.
-DEFAULT_DEADLINE_MS = 1000.0
+DEFAULT_DEADLINE_MS = 1000.0  # of a class nothing is known of, when the request does not say either
 
-# The server has done the work: how fast tells what it can take, whatever the answer was worth. Danger:
-# answers come spoilt from all servers alike, and a pause for each would leave out the whole fleet.
+# The work is done: how fast tells what the server can take. Danger: a pause for each spoilt answer, which
+# come from all servers alike, would leave out the whole fleet.
 WORKED = (Outcome.OK, Outcome.SPOILT)
 BROKEN = (Outcome.RESET, Outcome.CONNECT_FAILED)  # the connection's fate, which may be the network's doing
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
@@ -88,7 +87,7 @@
         self.requests: dict[int, Request] = {}
         self.held = Held[Request]()
         self.timers: dict[int, Callable[[], None]] = {}  # no lambdas: a balancer can be pickled
-        self.last_token = 0
+        self.last_token = self.failed_calls = 0
         self.window_count = self.window_warm = 0.0  # servers in the window last looked at; warm ones
         self.open_share = 1.0  # smoothed share of the servers drawn that have room
         self.room_ms = inf  # when the first of the servers just looked at has room by itself
@@ -96,8 +95,7 @@
         self.look_ms = 0.0  # when held requests are looked at next, whatever else happens
         self.look_token = 0  # of the timer for that
         self.handed_peak = 0.0  # the peak rate that a balancer before this one has seen
-        self.peak_rate = 0.0  # highest work rate of a warm server, fading
-        self.peak_ms = 0.0
+        self.peak_rate = self.peak_ms = 0.0  # highest work rate of a warm server, fading since then
         self.work_rate = Rate(RATE_WINDOWS * settings.safety.push_window_ms)
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
         self.arrivals = Rate(WINDOW_SPANS * self.longest_deadline_ms)
@@ -105,10 +103,8 @@
         self.place = self.random.random() if place is None else place
         self.flow = Flow(settings)
         self.forgot_ms: float | None = None
-        self.untimed_ms = float("-inf")  # until then the clock is known to have stood still
         self.fading: list[Endpoint] = []  # those whose judgements are still to fade in this round
         self.fade = (0.0, 1.0, 1.0)  # by how much, and towards what
-        self.failed_calls = 0
         self.now_ms = float("-inf")
         self.actions: list[Action] = []
         self.started = False
@@ -147,9 +143,11 @@
                     self._on_completed(event)
                 case PartTaken():
                     self._on_part(event)
+                case ProbeEnded():
+                    if event.endpoint in self.membership.endpoints:
+                        self.membership.endpoints[event.endpoint].down = event.outcome is not Outcome.OK
                 case _:
-                    if not isinstance(event, ProbeEnded):
-                        raise ValueError(f"not an event: {event!r}")
+                    raise ValueError(f"not an event: {event!r}")
         self._forget_old_judgements()
         self._send_held()
         return self.actions
@@ -276,7 +274,11 @@
         """As it says; if it will have by itself, held requests are looked at then."""
         if endpoint.has_room(self.now_ms):
             return True
-        if self.now_ms < endpoint.paused_until_ms and endpoint.in_flight < max(1.0, endpoint.limit):
+        if (
+            self.now_ms < endpoint.paused_until_ms
+            and not endpoint.down
+            and endpoint.in_flight < max(1.0, endpoint.limit)
+        ):
             self.room_ms = min(self.room_ms, endpoint.paused_until_ms)
         return False
 
@@ -603,17 +605,13 @@
         cls = request.cls
         if not attempt.working:  # its answer had begun before, or the server never had the whole request
             if outcome in (Outcome.REJECTED, *BROKEN) and not request.streaming and cls is not None:
-                base_ms = self.latencies[cls.name].base_ms
-                longest_ms = self.longest_deadline_ms / 2
-                attempt.endpoint.failed(self.now_ms, base_ms, longest_ms, outcome in BROKEN)
+                self._failed(attempt.endpoint, self.latencies[cls.name], outcome)
             return
         attempt.working = False
         attempt.endpoint.in_flight -= 1
-        # Danger: while the clock stands still answers seem to take no time, and beside those all servers are
-        # too slow to be sent anything. What was out then can't be timed.
-        if latency_ms < TIMED_LEAST_MS and outcome in WORKED:
-            self.untimed_ms = self.now_ms
-        if outcome in NO_EVIDENCE or cls is None or attempt.sent_ms <= self.untimed_ms:
+        # Danger: beside an answer that seems to take no time, all servers are too slow to be sent anything.
+        untimed = outcome in (*WORKED, Outcome.TIMEOUT) and latency_ms < TIMED_LEAST_MS
+        if outcome in NO_EVIDENCE or cls is None or untimed:
             self.flow.ended(self.now_ms, latency_ms, None)
             return
         usual = self.latencies[cls.name]
@@ -631,15 +629,14 @@
         if outcome in WORKED:
             attempt.endpoint.answered(self.now_ms, latency_ms)
         if outcome in (*WORKED, Outcome.TIMEOUT):
-            attempt.endpoint.adapt_limit(
-                self.now_ms,
-                min(latency_ms, good_ms),
-                max(usual.slowness(latency_ms), reported) / self._target(),
-                LIMIT_LEAST if self.crowded else 1.0,
-            )
+            strain = max(usual.slowness(latency_ms), reported) / self._target()
+            least = LIMIT_LEAST if self.crowded else 1.0
+            attempt.endpoint.adapt_limit(self.now_ms, min(latency_ms, good_ms), strain, least)
         else:
-            longest_ms = self.longest_deadline_ms / 2
-            attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms, outcome in BROKEN)
+            self._failed(attempt.endpoint, usual, outcome)
+
+    def _failed(self, endpoint: Endpoint, usual: ClassLatency, outcome: Outcome) -> None:
+        endpoint.failed(self.now_ms, usual.base_ms, self.longest_deadline_ms / 2, outcome in BROKEN)
 
     def _on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request_id)
--- a/cloverrouter/decide/endpoint.py
+++ b/cloverrouter/decide/endpoint.py
@@ -35,14 +35,15 @@
         self.handed_credit: float | None = None  # to start with, where a balancer before this has spent some
         self.share = 1.0  # how readily it is drawn
         self.cordoned = False  # an operator leaves it out
+        self.down = False  # a probe found that it can't be reached, and none since that it can
         self.back_ms: float | None = None  # when the last cordon ended: it may have restarted until then
         self.owed = False  # it has been sent nothing since then
         self.cold_until_ms = self._cold_until_ms()
 
     def has_room(self, now_ms: float) -> bool:
-        if not self.in_flight:
+        if not self.in_flight and not self.down:
             return now_ms >= self.paused_until_ms
-        if self.in_flight >= self.limit or now_ms < self.paused_until_ms:
+        if self.down or self.in_flight >= self.limit or now_ms < self.paused_until_ms:
             return False
         return not self.silent(now_ms)
 
@@ -57,12 +58,13 @@
         """Is it left out now for what it is, not just full?"""
         paused = bool(self.failures) and now_ms < self.paused_until_ms
         drains = self.listed.state is not EndpointState.READY
-        return self.cordoned or drains or paused or self.silent(now_ms)
+        return self.cordoned or self.down or drains or paused or self.silent(now_ms)
 
     def start_over(self) -> None:
         """It is a new process, or may be: the old one's record is void."""
         self._set(*self.judged.means())
         self.cold_credit, self.cold_credit_ms, self.handed_credit = 0.0, None, None
+        self.down = False
 
     def _set(self, earned: float, slowness: float) -> None:
         if self.judged_ms is not None:
--- /dev/null
+++ b/cloverrouter/fleet/sentinel.py
@@ -0,0 +1,163 @@
+"""Which servers are of no use now, as one proxy of many finds out with the others. No I/O.
+
+One proxy of many meets each server seldom: forty that learn alone of one that hangs lose forty requests
+and more to it, and again each time that they try whether it is back. So what one has seen is told to the
+others, in small datagrams: a server that took no connection, or gave no answer at all for as long as an
+attempt could wait, is left out by all; the first that gets an answer from it says so. Each tries again by
+itself after a time that is drawn anew, and longer the more proxies there are, so that few of them pay for
+finding out.
+
+Own evidence comes first: whoever has been answered lately contradicts. Hearsay never makes a server
+eligible, it can only leave one out, for a bounded time, and never more than half of the list, whatever
+peers say.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from cloverrouter.fleet import news
+from cloverrouter.fleet.news import News
+
+# A proxy leaves a server out for this long by itself, and so much longer for each other proxy that may try
+# before it; half to one and a half times that, by chance.
+ALONE_MS = 1000.0
+EACH_MS = 100.0
+MOST_MS = 10_000.0
+OWN_MS = 500.0  # an own answer this fresh outweighs what peers say
+LEFT_OUT_MOST = 0.5  # of the list
+AGAIN_MS = 1000.0  # news that was told or heard so lately is not repeated
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether this server is of use; said when that changes."""
+
+    server: str
+    reached: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """Send this to all peers."""
+
+    data: bytes
+
+
+Effect = Verdict | Say
+
+
+class _Server:
+    """What is known of one."""
+
+    __slots__ = ("alive_ms", "key", "seen_ms", "told", "told_ms", "until_ms")
+
+    def __init__(self, name: str) -> None:
+        self.key = news.key(name)
+        self.alive_ms = float("-inf")  # its last answer to us
+        self.until_ms = float("-inf")  # left out until then
+        self.seen_ms = float("-inf")  # when what stands was observed, by whomever
+        self.told = True  # what the last news of it was, told or heard
+        self.told_ms = float("-inf")
+
+
+class Sentinel:
+    """One proxy's watch over the servers on its list."""
+
+    def __init__(self, instances: int, random: Random) -> None:
+        """`instances`: proxies that tell each other, this one included."""
+        self._random = random
+        self._servers: dict[str, _Server] = {}
+        self._names: dict[bytes, str] = {}
+        self._out: dict[str, _Server] = {}
+        self.rest_ms = min(MOST_MS, ALONE_MS + EACH_MS * max(0, instances - 1))
+        self.unread = 0  # datagrams that could not be read
+
+    @property
+    def left_out(self) -> Iterable[str]:
+        return self._out.keys()
+
+    def listed(self, names: Iterable[str]) -> None:
+        """These may be sent to, and no others."""
+        wanted = dict.fromkeys(names)
+        for name in [name for name in self._servers if name not in wanted]:
+            del self._names[self._servers.pop(name).key]
+            self._out.pop(name, None)
+        for name in wanted:
+            if name not in self._servers:
+                server = self._servers[name] = _Server(name)
+                self._names[server.key] = name
+
+    def answered(self, now_ms: float, name: str) -> list[Effect]:
+        """It has answered an attempt, with whatever."""
+        server = self._servers.get(name)
+        if server is None:
+            return []
+        server.alive_ms = now_ms
+        if server.told:
+            return []
+        return [*self._back(name), *self._tell(now_ms, server, True)]
+
+    def refused(self, now_ms: float, name: str) -> list[Effect]:
+        """It took no connection."""
+        server = self._servers.get(name)
+        return self._fault(now_ms, name, server) if server is not None else []
+
+    def unanswered(self, now_ms: float, name: str, sent_ms: float) -> list[Effect]:
+        """An attempt that went out at `sent_ms` has run out of time."""
+        server = self._servers.get(name)
+        if server is None or server.alive_ms >= sent_ms:
+            return []  # it is there, and slow: the module's own figures tell how slow
+        return self._fault(now_ms, name, server)
+
+    def heard(self, now_ms: float, data: bytes) -> list[Effect]:
+        """A datagram came."""
+        found = news.read(data)
+        if found is None:
+            self.unread += 1
+            return []
+        effects: list[Effect] = []
+        for item in found:
+            name = self._names.get(item.server)
+            if name is not None:
+                effects += self._hear(now_ms, name, self._servers[name], item)
+        return effects
+
+    def _hear(self, now_ms: float, name: str, server: _Server, item: News) -> list[Effect]:
+        seen_ms = now_ms - item.age_ms
+        if seen_ms <= server.seen_ms:
+            return []  # late, or a duplicate
+        if not item.reached and seen_ms - server.alive_ms < OWN_MS:
+            return self._tell(now_ms, server, True)
+        server.seen_ms, server.told, server.told_ms = seen_ms, item.reached, now_ms
+        return self._back(name) if item.reached else self._leave_out(now_ms, name, server)
+
+    def tick(self, now_ms: float) -> list[Effect]:
+        """To be called every so often: who has been left out for long enough is tried again."""
+        over = [name for name, server in self._out.items() if now_ms >= server.until_ms]
+        return [effect for name in over for effect in self._back(name)]
+
+    def _fault(self, now_ms: float, name: str, server: _Server) -> list[Effect]:
+        effects = self._leave_out(now_ms, name, server)
+        return [*effects, *self._tell(now_ms, server, False)]
+
+    def _tell(self, now_ms: float, server: _Server, reached: bool) -> list[Effect]:
+        server.seen_ms = now_ms
+        if server.told is reached and now_ms - server.told_ms < AGAIN_MS:
+            return []
+        server.told, server.told_ms = reached, now_ms
+        return [Say(news.write([News(server.key, reached, 0.0)]))]
+
+    def _leave_out(self, now_ms: float, name: str, server: _Server) -> list[Effect]:
+        if name not in self._out and len(self._out) + 1 > LEFT_OUT_MOST * len(self._servers):
+            return []
+        server.until_ms = now_ms + self.rest_ms * (0.5 + self._random.random())
+        if name in self._out:
+            return []
+        self._out[name] = server
+        return [Verdict(name, False)]
+
+    def _back(self, name: str) -> list[Effect]:
+        return [Verdict(name, True)] if self._out.pop(name, None) is not None else []
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -75,6 +75,7 @@
     parallel_attempts: bool = False
     cancel: bool = False
     probes: bool = False
+    peers: bool = False  # proxies may tell each other what they see
     retry_after: bool = False
     max_retry_after_ms: float = 0.0
     connect_timeout_ms: float = 250.0
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -78,6 +78,7 @@
             parallel_attempts=bounds.get("parallel_tries", False),
             cancel=bounds.get("cancel", False),
             probes=bounds.get("probes", False),
+            peers=bounds.get("peers", False),
             retry_after=bounds.get("retry_after", False),
             max_retry_after_ms=bounds.get("max_retry_after_ms", 0.0),
             connect_timeout_ms=bounds.get("connect_timeout_ms", 250.0),
@@ -197,6 +198,14 @@
 # The whole
 
 
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """The other client proxies of the tier."""
+
+    listen: Address
+    to: tuple[Address, ...]  # what goes to all of them goes to each of these
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -210,6 +219,17 @@
     settings: Settings
     known: HostList | None
     clock: UnixClock
+    peers: Peers | None = None
+
+
+def read_peers(told: Json) -> Peers | None:
+    """Raises ValueError for an address that is none."""
+    if not told.get("peer_listen"):
+        return None
+    everyone, one_by_one = told.get("peers_all"), told.get("peers", [])
+    own = told["settings"].get("ordinal")
+    others = [read_address(peer) for number, peer in enumerate(one_by_one) if number != own]
+    return Peers(read_address(told["peer_listen"]), (read_address(everyone),) if everyone else tuple(others))
 
 
 def read_seed(value: Any) -> int:
@@ -246,4 +266,5 @@
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_list(told["known"], clock) if told.get("known") else None,
         clock=clock,
+        peers=read_peers(told) if facts["bounds"].get("peers") else None,
     )
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -10,6 +10,7 @@
 import logging
 import time
 from collections.abc import Callable, Hashable
+from random import Random
 from typing import cast
 
 from cloverrouter.core.engine import Engine
@@ -36,6 +37,8 @@
     TimeUp,
     Written,
 )
+from cloverrouter.fleet import sentinel
+from cloverrouter.fleet.sentinel import Say, Sentinel, Verdict
 from cloverrouter.handed import census, memory_of, restored
 from cloverrouter.interface import (
     Census,
@@ -47,6 +50,7 @@
     Memory,
     Outcome,
     PartTaken,
+    ProbeEnded,
     RequestArrived,
     RequestCompleted,
     RequestGone,
@@ -67,6 +71,8 @@
 LAG_KEPT = 0.98  # of the longest lag, from one measurement to the next
 # Danger: smoothed, a figure beyond belief would outweigh all that come after it.
 MOST_REPORTED = 1e6
+LOOK_S = 0.25  # between looks at which servers are to be tried again
+ANSWERED = (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.SPOILT)
 log = logging.getLogger(__name__)
 
 
@@ -104,10 +110,23 @@
 class Out:
     """An attempt that is out: where it is on the wire, its timer, and what the wire tells of it."""
 
-    __slots__ = ("attempt", "call_id", "exchange", "head", "node", "sink", "source", "timer")
-
-    def __init__(self, node: Node, call_id: int, attempt: int) -> None:
+    __slots__ = (
+        "attempt",
+        "call_id",
+        "exchange",
+        "head",
+        "host",
+        "node",
+        "sent_ms",
+        "sink",
+        "source",
+        "timer",
+    )
+
+    def __init__(self, node: Node, call_id: int, attempt: int, host: str, sent_ms: float) -> None:
         self.node = node
+        self.host = host
+        self.sent_ms = sent_ms
         self.call_id = call_id
         self.attempt = attempt
         self.exchange: Exchange | None = None
@@ -126,6 +145,7 @@
 
     def time_up(self) -> None:
         self.node.take(TimeUp(self.call_id, self.attempt))
+        self.node.time_up(self)
 
     def written(self) -> None:
         self.node.take(Written(self.call_id, self.attempt))
@@ -152,7 +172,9 @@
         subscribe: Callable[[], None],
         crash: Callable[[BaseException], None],
         memory: Memory | None = None,
+        say: Callable[[bytes], None] | None = None,
     ) -> None:
+        """`say` sends a datagram to all other proxies, where there are any to talk to."""
         self._loop = asyncio.get_running_loop()
         self._settings = settings
         self._balancer = restored(settings, seed, memory)
@@ -174,12 +196,23 @@
         self._ids: set[bytes] = set()  # the clients' own, of the same calls
         self._out: dict[tuple[int, int], Out] = {}
         self._last_id = 0
-        self._now_ms = 0.0
+        self._now_ms = self._read_ms = 0.0
         self._lag = LagMeter()
         self._cordoned: Cordoned | None = None  # the latest answer to an operator
+        self._say = say
+        self._sentinel: Sentinel | None = None
+        if say is not None:
+            self._sentinel = Sentinel(settings.proxies, Random(seed))
+            self._loop.call_later(LOOK_S, self._look)
 
     def now_ms(self) -> float:
-        self._now_ms = max(self._now_ms, time.monotonic() * 1000)
+        read_ms = time.monotonic() * 1000
+        self._now_ms = max(self._now_ms, read_ms)
+        # Danger: a process that owes its machine the time of its start may read a clock that stands still
+        # while answers come. By what seems to take no time, all that comes later is far too slow.
+        if read_ms == self._read_ms:
+            self._lifecycle.untimed_ms = self._now_ms
+        self._read_ms = read_ms
         return self._now_ms
 
     def take(self, happening: Happening) -> None:
@@ -301,7 +334,7 @@
 
     def _start(self, start: Start) -> None:
         call, key = self._calls[start.call], (start.call, start.attempt)
-        out = self._out[key] = Out(self, start.call, start.attempt)
+        out = self._out[key] = Out(self, start.call, start.attempt, start.endpoint, self._now_ms)
         timeout_ms = start.timeout_ms
         if timeout_ms is None:  # its time begins with its last byte
             timeout_ms = call.timeout_ms or self._longest_ms
@@ -330,9 +363,45 @@
         if self._out.pop((out.call_id, out.attempt), None) is None:
             return
         out.watch(None)
+        self._heard_of(out, outcome)
         report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
         self.take(Ended(out.call_id, out.attempt, outcome, answer, report))
 
+    # Whether servers are of any use
+
+    def _heard_of(self, out: Out, outcome: Outcome) -> None:
+        if self._sentinel is not None:
+            if outcome in ANSWERED:
+                self._watched(self._sentinel.answered(self._now_ms, out.host))
+            elif outcome is Outcome.CONNECT_FAILED:
+                self._watched(self._sentinel.refused(self._now_ms, out.host))
+            elif outcome is Outcome.TIMEOUT:
+                self._watched(self._sentinel.unanswered(self._now_ms, out.host, out.sent_ms))
+
+    def time_up(self, out: Out) -> None:
+        """The attempt has been given all its time."""
+        if (out.call_id, out.attempt) not in self._out:  # and has not begun to bring an answer
+            self._heard_of(out, Outcome.TIMEOUT)
+
+    def _look(self) -> None:
+        assert self._sentinel is not None
+        self._watched(self._sentinel.tick(self.now_ms()))
+        self._loop.call_later(LOOK_S, self._look)
+
+    def news(self, data: bytes) -> None:
+        """Another proxy tells of servers."""
+        if self._sentinel is not None:
+            self._watched(self._sentinel.heard(self.now_ms(), data))
+
+    def _watched(self, effects: list[sentinel.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Verdict(server, reached):
+                    self.take(ProbeEnded(server, Outcome.OK if reached else Outcome.TIMEOUT, 0.0))
+                case Say(data):
+                    assert self._say is not None
+                    self._say(data)
+
     # Discovery
 
     def listed(self, kind: ListKind, found: HostList) -> None:
@@ -349,6 +418,8 @@
             else:
                 self._addresses.pop(name, None)
         self._upstream.keep_only(set(self._addresses.items()))
+        if self._sentinel is not None:
+            self._sentinel.listed(self._addresses)
         event = EndpointsListed(kind, tuple(entry.listed for entry in found.entries))
         targets: dict[str, Hashable] = {**self._addresses}
         self.take(Listed(event, targets))
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -18,6 +18,7 @@
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.handover import Giver, Inheritance, Link
 from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.peers import Peers
 from cloverrouter.proxy.streams import Budget
 from cloverrouter.proxy.upstream import Upstream
 
@@ -66,7 +67,18 @@
         )
         self._state_before = inherited.state if inherited is not None else {}
         memory = self._memory()
-        self._node = Node(told.settings, told.seed, self._upstream, self._watch.start, self._crash, memory)
+        self._peers = (
+            Peers(told.peers, lambda data: self._node.news(data)) if told.peers is not None else None
+        )
+        self._node = Node(
+            told.settings,
+            told.seed,
+            self._upstream,
+            self._watch.start,
+            self._crash,
+            memory,
+            self._peers.say if self._peers is not None else None,
+        )
         self._frontend = Frontend(self._node, classes, sockets // 2, self._figures, Budget(told.memory_mb))
         self._admin = Admin(self)
         self._giver: Giver | None = None
@@ -82,6 +94,8 @@
             self._watch.start()
             if known is not None:
                 await self._watch.caught_up()
+        if self._peers is not None:
+            await self._peers.open()
         if told.control is not None:
             await self._admin.listen(told.control)
         if self._inherited is not None:
@@ -102,6 +116,8 @@
         if self._sharing is not None:
             self._sharing.cancel()
         self._watch.stop()
+        if self._peers is not None:
+            self._peers.close()
         if self._crashes:
             log.critical("the decisions crashed", exc_info=self._crashes[0])
             return 1
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -292,28 +292,30 @@
     command: list[str] | str = [sys.executable, "-m", "cloverrouter.proxy"],  # noqa: B006
     settings: dict[str, Any] | None = None,
     environ: dict[str, str] | None = None,
+    told: dict[str, Any] | None = None,
 ) -> AsyncIterator[Proxy]:
     """The program with these hosts, up and answering."""
     discovery.entries.update({host.name: host.entry() for host in hosts})
     # An address of its own: no other test, and no connection's own end, can hold the port.
     host = "127." + ".".join(str(random.randrange(1, 255)) for _ in range(3))
     address = f"{host}:3000"
+    more = told or {}
     told = {"name": "n0", "listen": address, "control": f"{host}:9901",
             "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "settings": {**SETTINGS, **(settings or {})}}  # fmt: skip
+            "settings": {**SETTINGS, **(settings or {})}, **more}  # fmt: skip
     if known:
         told["known"] = discovery.listing()
     with tempfile.TemporaryDirectory() as folder:
         path, stderr = Path(folder, "config.json"), Path(folder, "log")
         path.write_text(json.dumps(told))
 
-        def start(more: dict[str, str]) -> subprocess.Popen[bytes]:
+        def start(added: dict[str, str]) -> subprocess.Popen[bytes]:
             own = {"PROXY_CONFIG": str(path), "TMPDIR": folder}
             with stderr.open("ab") as log:
                 return subprocess.Popen(
                     command,
-                    env={**os.environ, **own, **(environ or {}), **more},
+                    env={**os.environ, **own, **(environ or {}), **added},
                     stderr=log,
                     shell=isinstance(command, str),
                 )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,7 @@
     "handed": {"interface", "decide"},
     "interface": set(),
     "explore": {"interface", "core", "decide", "proxy"},
-    "proxy": {"interface", "core", "decide", "handed"},
+    "proxy": {"interface", "core", "decide", "fleet", "handed"},
     "fleet": {"indexes"},
     "lab": {"interface", "core", "decide", "fleet"},
     "cli": {"explore", "lab", "proxy"},
