While answers come too slowly, cold servers get what their credit allows first

A proxy's credit for one cold server makes one request in about eight seconds; drawn once in two seconds and beaten by half of the others, it stands unused, and does not grow past one. Cause: decide/balancer.py, _try_send: only servers back from a cordon came before the draw.

--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -256,10 +256,10 @@
         spans = self.membership.spans(self._window_size(), self.place)
         # Danger: back from a cordon and cold it would lose every draw against the warm, and its operators see
         # it get nothing. It is sent one request early, wherever the window lies.
-        allowed = []
-        if self.membership.owed:
-            owed = [e for e in islice(self.membership.owed.values(), REACH) if self._has_room(e)]
-            allowed = [e for e in owed if self._may_send(request, e)]
+        # And while answers come too slowly, those that warm up are sent all that their credit allows.
+        first = self.membership.owed or (self.membership.cold if self.flow.strain > 1 else {})
+        found = [e for e in islice(first.values(), REACH) if self._has_room(e)]
+        allowed = [e for e in found if self._may_send(request, e)]
         if not allowed:
             small = sum([span[2] for span in spans]) <= REACH
             allowed = self._among(request, spans) if small else self._drawn(request, spans)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -248,3 +248,21 @@
         driver.wait(20)
         driver.end(request, Outcome.OK, 20.0)
     assert counts["cold"] > counts["warm"] / 4
+
+
+def test_while_answers_come_too_slowly_cold_servers_get_what_their_credit_allows() -> None:
+    """Danger: drawn as seldom as any other, a cold server of many leaves its credit unspent while the warm
+    are too slow."""
+    servers = [*(endpoint(f"w{i}") for i in range(9)), endpoint("cold", started_ms=900.0)]
+    driver = Driver(replace(SETTINGS, proxies=40), servers)
+    driver.serve(40)
+    flow, cold = driver.balancer.flow, driver.balancer.membership.endpoints["cold"]
+    flow.strain = 1.5
+    cold.limit = 4.0
+    for _ in range(4):
+        cold.cold_credit, cold.cold_credit_ms = 1e6, driver.now_ms
+        request, _ = driver.request()
+        assert driver.sent[request] == ["cold"]
+    cold.cold_credit, cold.cold_credit_ms = 0.0, driver.now_ms  # what it may get has been spent
+    request, _ = driver.request()
+    assert driver.sent.get(request, ["none"]) != ["cold"]
