Test of the silent discovery: the first call asks without a wait

Need: test_upstream held the first call to a wait; since a proxy asks at once what has changed before it serves, the first of the calls has none, and the stand-in answers it. Change: the test expects the three calls in their order, the empty first answer and then the change. Result: test_upstream passes, 22 tests; nothing else failed in that run.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -279,9 +279,14 @@
         await until(lambda: failures)
         await discovery.change({"id": "h", "addr": "127.0.0.1:9", "state": "leaving"})
         watch.start()
-        await until(lambda: lists)
-        assert discovery.calls[:2] == ["/v1/servers?from=1&hold_ms=100"] * 2
-        assert [e.listed.state for e in lists[0].entries] == [EndpointState.DRAINING]
+        await until(lambda: len(lists) > 1)
+        assert [call.partition("from=")[2] for call in discovery.calls[:3]] == [
+            "1&hold_ms=0",  # what is there already, without a wait
+            "1&hold_ms=100",
+            "1&hold_ms=100",
+        ]
+        assert not lists[0].entries
+        assert [e.listed.state for e in lists[1].entries] == [EndpointState.DRAINING]
         watch.stop()
 
     asyncio.run(scene())
