--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -68,6 +68,7 @@
 # The work is done: how fast tells what the server can take. Danger: a pause for each spoilt answer, which
 # come from all servers alike, would leave out the whole fleet.
 WORKED = (Outcome.OK, Outcome.SPOILT)
+TIMED = (*WORKED, Outcome.TIMEOUT)  # how long it took tells how busy the server is
 BROKEN = (Outcome.RESET, Outcome.CONNECT_FAILED)  # the connection's fate, which may be the network's doing
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
 
@@ -610,13 +611,13 @@
         attempt.working = False
         attempt.endpoint.in_flight -= 1
         # Danger: beside an answer that seems to take no time, all servers are too slow to be sent anything.
-        untimed = outcome in (*WORKED, Outcome.TIMEOUT) and latency_ms < TIMED_LEAST_MS
+        untimed = outcome in TIMED and latency_ms < TIMED_LEAST_MS
         if outcome in NO_EVIDENCE or cls is None or untimed:
             self.flow.ended(self.now_ms, latency_ms, None)
             return
         usual = self.latencies[cls.name]
         good_ms = usual.in_good_time_ms()
-        slow = usual.slowness(latency_ms) / self._target() if outcome in (*WORKED, Outcome.TIMEOUT) else None
+        slow = usual.slowness(latency_ms) / self._target() if outcome in TIMED else None
         self.flow.ended(self.now_ms, usual.base_ms, slow)
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
@@ -628,7 +629,7 @@
             attempt.endpoint.judge(self.now_ms, 0.0, max(1.0, usual.slowness(latency_ms)))
         if outcome in WORKED:
             attempt.endpoint.answered(self.now_ms, latency_ms)
-        if outcome in (*WORKED, Outcome.TIMEOUT):
+        if outcome in TIMED:
             strain = max(usual.slowness(latency_ms), reported) / self._target()
             least = LIMIT_LEAST if self.crowded else 1.0
             attempt.endpoint.adapt_limit(self.now_ms, min(latency_ms, good_ms), strain, least)
