Cold servers no longer close the pooled limit, and get work only in the window

Cause: Flow is strained by answers of cold servers as by any other (Balancer._learn, "slow = ..."), which are slow because they have a part of their capacity; and while it is strained, cold servers were taken first (Balancer._try_send, "first = ..."), whose answers strained it on. A circle that holds itself, and took every proxy to the same 32 cold servers, in its window or not, although a credit is cut for the few proxies near a server.

Ruled out: the limits a server (79 of 131 had room), credits (refusals for want of a server: 2 of 2,656), retries' tokens (full), lists (told within 2 s).

Change: an answer of a cold server strains the pool by its slowness times its warmth; no cold server first, none outside the window; the credit shrinks where the window is wider than when the highest rate was seen (windows went from 12 to 50 in the surge while the rate stood).

--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -97,6 +97,7 @@
         self.look_token = 0  # of the timer for that
         self.handed_peak = 0.0  # the peak rate that a balancer before this one has seen
         self.peak_rate = self.peak_ms = 0.0  # highest work rate of a warm server, fading since then
+        self.peak_window = inf  # how large the window was when that was seen
         self.work_rate = Rate(RATE_WINDOWS * settings.safety.push_window_ms)
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
         self.arrivals = Rate(WINDOW_SPANS * self.longest_deadline_ms)
@@ -257,9 +258,7 @@
         spans = self.membership.spans(self._window_size(), self.place)
         # Danger: back from a cordon and cold it would lose every draw against the warm, and its operators see
         # it get nothing. It is sent one request early, wherever the window lies.
-        # And while answers come too slowly, those that warm up are sent all that their credit allows.
-        first = self.membership.owed or (self.membership.cold if self.flow.strain > 1 else {})
-        found = [e for e in islice(first.values(), REACH) if self._has_room(e)]
+        found = [e for e in islice(self.membership.owed.values(), REACH) if self._has_room(e)]
         allowed = [e for e in found if self._may_send(request, e)]
         if not allowed:
             small = sum([span[2] for span in spans]) <= REACH
@@ -275,11 +274,8 @@
         """As it says; if it will have by itself, held requests are looked at then."""
         if endpoint.has_room(self.now_ms):
             return True
-        if (
-            self.now_ms < endpoint.paused_until_ms
-            and not endpoint.down
-            and endpoint.in_flight < max(1.0, endpoint.limit)
-        ):
+        free = not endpoint.down and endpoint.in_flight < max(1.0, endpoint.limit)
+        if free and self.now_ms < endpoint.paused_until_ms:
             self.room_ms = min(self.room_ms, endpoint.paused_until_ms)
         return False
 
@@ -312,7 +308,8 @@
             allowed = [e for e in roomy if self._fits(request, e)]
         if not allowed and roomy:  # the window has none for it: a repeat's group, or servers that are cold
             allowed = [e for e in self._reach(self._group(request)) if self._has_room(e)]
-            allowed = [e for e in allowed if self._may_send(request, e)]
+            # Danger: what all proxies may send a cold server, not just those near it, adds up to a push.
+            allowed = [e for e in allowed if e.cold_until_ms <= self.now_ms and self._may_send(request, e)]
         if request.attempts:
             tried = [a.endpoint for a in request.attempts]
             # A retry goes elsewhere; with nowhere else to go, back to where it failed.
@@ -511,6 +508,8 @@
         # at a random part of one request: full, the proxies' first requests would add up to a push;
         # empty, a server in few proxies' traffic would get nothing until it is warm.
         rate = COLD_MARGIN * safety.push_multiple * warmth * self.warm_rate() * self.part
+        # Danger: that was in a narrower window, perhaps. In a wider one more proxies share each server.
+        rate *= min(1.0, self.peak_window / self._window_size())
         if endpoint.cold_credit_ms is None:
             first = self.random.random() * request.work * self.part
             first = first if endpoint.handed_credit is None else endpoint.handed_credit * self.part
@@ -535,11 +534,14 @@
         rate = self.work_rate.per_ms(self.now_ms)
         if self.handed_peak:
             self.peak_rate, self.peak_ms, self.handed_peak = self.handed_peak, self.now_ms, 0.0
+            self.peak_window = self._window_size()
         if not rate and not self.peak_rate:
             mean = sum(usual.mean_ms for usual in self.latencies.values()) / max(1, len(self.latencies))
             return self.arrivals.per_ms(self.now_ms) * mean / max(1.0, self.window_count)
         kept = 1 - (self.now_ms - self.peak_ms) / max(1.0, self.settings.safety.cold_ms)
-        self.peak_rate, self.peak_ms = max(rate, self.peak_rate * max(0.0, kept)), self.now_ms
+        self.peak_rate, self.peak_ms = self.peak_rate * max(0.0, kept), self.now_ms
+        if rate >= self.peak_rate:
+            self.peak_rate, self.peak_window = rate, self._window_size()
         return self.peak_rate
 
     def _send(self, request: Request, endpoint: Endpoint) -> None:
@@ -617,7 +619,9 @@
             return
         usual = self.latencies[cls.name]
         good_ms = usual.in_good_time_ms()
-        slow = usual.slowness(latency_ms) / self._target() if outcome in TIMED else None
+        # Danger: a cold server is slow by nature. By its answers the pool would close before idle warm ones.
+        warmth = attempt.endpoint.warmth(self.now_ms)
+        slow = warmth * usual.slowness(latency_ms) / self._target() if outcome in TIMED else None
         self.flow.ended(self.now_ms, usual.base_ms, slow)
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
--- a/cloverrouter/decide/endpoint.py
+++ b/cloverrouter/decide/endpoint.py
@@ -41,11 +41,9 @@
         self.cold_until_ms = self._cold_until_ms()
 
     def has_room(self, now_ms: float) -> bool:
-        if not self.in_flight and not self.down:
-            return now_ms >= self.paused_until_ms
-        if self.down or self.in_flight >= self.limit or now_ms < self.paused_until_ms:
+        if self.down or now_ms < self.paused_until_ms:
             return False
-        return not self.silent(now_ms)
+        return not self.in_flight or (self.in_flight < self.limit and not self.silent(now_ms))
 
     def silent(self, now_ms: float) -> bool:
         """Danger: a hung or cut-off server swallows work until the first time-out tells. Owed answers
