An attempt out of time is a doubt that whoever was answered since contradicts

Cause: Sentinel.unanswered took an attempt that ran out of time for a server that hangs, told all, and only who had been answered within OWN_MS of the news contradicted, after all had left it out. Forty proxies with hundreds of requests a second hold that up; 200 with ten each meet a server less than once a second.

Change: it is told as a doubt, with how long ago the attempt was sent. Refused connections count as before, and so does a server that was tried again in vain.

--- a/cloverrouter/fleet/news.py
+++ b/cloverrouter/fleet/news.py
@@ -1,8 +1,9 @@
 """What client proxies tell each other of servers: small datagrams, read with suspicion.
 
 A datagram is a head of three bytes (a mark, the version, how many entries) and so many entries of nine: six
-bytes of the server's hashed name, one that says whether it is of use, and how long ago that was seen, in
-milliseconds. Ages and not times go out, so that no two clocks need to agree.
+bytes of the server's hashed name, one that says whether it is of use (1), is not (0) or is in doubt (2), and
+how long ago that was seen, in milliseconds; of a doubt, how long ago that was sent which has had no answer.
+Ages and not times go out, so that no two clocks need to agree.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 ENTRY = struct.Struct("!6sBH")
 MOST_BYTES = 256  # of one datagram, as the platform allows
 MOST_ENTRIES = (MOST_BYTES - HEAD.size) // ENTRY.size
+DOUBT = 2
 MOST_AGE_MS = 5000.0  # older news is no news
 
 
@@ -27,6 +29,7 @@
     server: bytes  # as `key` gives it
     reached: bool
     age_ms: float
+    doubt: bool = False  # not reached by this one: has anybody been answered since?
 
 
 def key(name: str) -> bytes:
@@ -38,7 +41,10 @@
     """One datagram. Raises ValueError for more than fits into one."""
     if len(news) > MOST_ENTRIES:
         raise ValueError(f"{len(news)} entries, allowed are {MOST_ENTRIES}")
-    entries = [ENTRY.pack(n.server, n.reached, min(0xFFFF, max(0, round(n.age_ms)))) for n in news]
+    entries = [
+        ENTRY.pack(n.server, DOUBT if n.doubt else n.reached, min(0xFFFF, max(0, round(n.age_ms))))
+        for n in news
+    ]
     return HEAD.pack(MARK, VERSION, len(news)) + b"".join(entries)
 
 
@@ -50,9 +56,9 @@
     if (mark, version) != (MARK, VERSION) or len(data) != HEAD.size + count * ENTRY.size:
         return None
     found = []
-    for server, reached, age_ms in ENTRY.iter_unpack(data[HEAD.size :]):
-        if reached > 1:
+    for server, word, age_ms in ENTRY.iter_unpack(data[HEAD.size :]):
+        if word > DOUBT:
             return None
         if age_ms <= MOST_AGE_MS:
-            found.append(News(server, bool(reached), float(age_ms)))
+            found.append(News(server, word == 1, float(age_ms), word == DOUBT))
     return found
