What a proxy must say of a server is said without a pretended state

Need: read again, the two places where a proxy contradicts a doubt first set what was told last to False, only to get past the rule that news is not repeated.

Change: Sentinel._say tells without that rule, and _tell is the rule before it.

--- a/cloverrouter/fleet/sentinel.py
+++ b/cloverrouter/fleet/sentinel.py
@@ -107,8 +107,7 @@
         doubted = self._doubts.pop(name, None) is not None
         if server.told and not doubted:
             return []
-        server.told = False  # by what others may hold
-        return [*self._back(name), *self._tell(now_ms, server, True)]
+        return [*self._back(name), *self._say(now_ms, server, True)]
 
     def refused(self, now_ms: float, name: str) -> list[Effect]:
         """It took no connection."""
@@ -158,8 +157,7 @@
         if server.known_ms >= sent_ms:
             return []  # whoever doubts it will have heard
         if server.alive_ms >= sent_ms:
-            server.told = False  # by what others may hold
-            return self._tell(now_ms, server, True)
+            return self._say(now_ms, server, True)
         if server.told:
             self._doubts.setdefault(name, now_ms + DOUBT_MS)
         return []
@@ -181,10 +179,15 @@
         return [*effects, *self._tell(now_ms, server, False)]
 
     def _tell(self, now_ms: float, server: _Server, reached: bool) -> list[Effect]:
-        server.seen_ms = now_ms
+        """Say so, unless the others were told lately."""
         if server.told is reached and now_ms - server.told_ms < AGAIN_MS:
+            server.seen_ms = now_ms
             return []
-        server.told, server.told_ms = reached, now_ms
+        return self._say(now_ms, server, reached)
+
+    def _say(self, now_ms: float, server: _Server, reached: bool) -> list[Effect]:
+        """Whatever they were told: they may hold the opposite."""
+        server.seen_ms, server.told, server.told_ms = now_ms, reached, now_ms
         if reached:
             server.known_ms = now_ms
         return [Say(news.write([News(server.key, reached, 0.0)]))]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -29,6 +29,7 @@
 from cloverrouter.proxy.peers import Peers
 from tests.driver import Driver, endpoint
 from tests.sockets import LONG_S, SETTINGS, Client, Discovery, Host, Proxy, never, running
+from tests.test_operators import figures
 
 BOUNDS = {**SETTINGS["bounds"], "peers": True}
 CLASSES = [
@@ -103,21 +104,20 @@
 
 @asynccontextmanager
 async def two(
-    discovery: Discovery, hosts: list[Host], proxies: list[Proxy] | None = None
-) -> AsyncIterator[tuple[Client, Client, list[str]]]:
-    """A client of each of two proxies that tell each other, and where the proxies listen for that. `proxies`
-    gets the two themselves."""
+    discovery: Discovery, hosts: list[Host]
+) -> AsyncIterator[tuple[list[Proxy], list[Client], list[str]]]:
+    """Two proxies that tell each other, a client of each, and where the proxies listen for that."""
     ports = [f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}.{n}:7946" for n in (1, 2)]
     async with AsyncExitStack() as stack:
-        clients = []
+        proxies, clients = [], []
         for number in (0, 1):
             settings = {"ordinal": number, "balancers": 2, "bounds": BOUNDS, "categories": CLASSES}
             told = {"peer_listen": ports[number], "peers": ports}
-            proxy = await stack.enter_async_context(running(discovery, hosts, settings=settings, told=told))
-            clients.append(await proxy.client())
-            if proxies is not None:
-                proxies.append(proxy)
-        yield clients[0], clients[1], ports
+            proxies.append(
+                await stack.enter_async_context(running(discovery, hosts, settings=settings, told=told))
+            )
+            clients.append(await proxies[-1].client())
+        yield proxies, clients, ports
 
 
 def test_one_proxy_pays_for_a_server_that_hangs_and_the_other_does_not() -> None:
@@ -125,13 +125,12 @@
         discovery = await Discovery().start()
         hosts = [await Host(name).start() for name in ("well", "fine", "hangs")]
         hosts[2].respond = never
-        proxies: list[Proxy] = []
-        async with two(discovery, hosts, proxies) as (first, second, _):
+        async with two(discovery, hosts) as (proxies, (first, second), _):
             async with asyncio.timeout(LONG_S):
                 while not hosts[2].seen:
                     await first.ask("/unsafe", timeout_ms=500)
                 # Not before the other has had its moment to contradict.
-                while b"proxy_cluster_unhealthy 1" not in (await proxies[1].call("GET", "/admin/stats")).body:
+                while (await figures(proxies[1]))["proxy_cluster_unhealthy"] != 1:
                     await asyncio.sleep(0.01)
             paid = len(hosts[2].seen)
             for _ in range(12):  # well within the time for which it is left out
@@ -147,7 +146,7 @@
         discovery = await Discovery().start()
         hosts = [await Host(f"h{i}").start() for i in range(4)]
         lie = news.write([News(news.key(host.name), False, 0.0) for host in hosts])
-        async with two(discovery, hosts) as (first, _, ports):
+        async with two(discovery, hosts) as (_, (first, _), ports):
             address, port = ports[0].split(":")
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as liar:
                 for data in (b"", b"x" * 256, lie[:-1], bytes(60000), lie):
