A start that is given no time reads the agent's answer before it serves

Cause: Watch.caught_up waited 0.25 s by the clock. Change: the wait is taken in ten rounds of the loop. The test lets the clock leap by 0.9 s between the call and its answer, and fails without this.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -29,6 +29,7 @@
 # Where a list is at hand from before, the agent is asked what has changed before anything is sent. Silent for
 # so long, it has nothing to tell, or discovery is down: the list at hand must do.
 FIRST_ANSWER_S = 0.25
+ROUNDS = 10  # in which that time is waited out
 log = logging.getLogger(__name__)
 
 
@@ -94,12 +95,17 @@
     async def caught_up(self) -> None:
         """Until the agent has told what it has, or has let `FIRST_ANSWER_S` pass.
 
-        Danger: what happened while this process was down counts as told the moment the agent has it. A proxy
-        that serves by its old list until a call comes round sends to servers that it was told are gone.
+        Danger: what happened while this process was down counts as told the moment the agent has it. A
+        proxy that serves by its old list until a call comes round sends to servers that it was told are
+        gone. And a process that is just starting may be given no time for longer than all of the wait: the
+        clock has gone on then, while an answer that lies there has not been read. So it is waited in rounds
+        of the loop.
         """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_ANSWER_S):
-                await self._settled.wait()
+        for _ in range(ROUNDS):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_ANSWER_S / ROUNDS):
+                    await self._settled.wait()
+                    return
 
     def move(self, address: Address) -> None:
         """Ask at another address from now on, first for the whole list: versions are not shared.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -461,6 +461,35 @@
     asyncio.run(scene())
 
 
+def test_start_that_is_given_no_time_still_reads_the_answer_before_it_serves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The clock leaps over the whole wait between the call and its answer."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        real, leapt_s = loop.time, 0.0
+        monkeypatch.setattr(loop, "time", lambda: real() + leapt_s)
+        agent = await Agent(listing(2)).start()
+        lists: list[HostList] = []
+        watch = Watch(agent.address, UnixClock(), True, lists.append, lambda: None)
+        watch.version = 1
+        sent = Watch._get
+
+        async def leaps(self: Watch, target: str) -> tuple[int, bytes]:
+            nonlocal leapt_s
+            leapt_s += 0.9  # in the step in which the call goes out; its own time-out is longer
+            return await sent(self, target)
+
+        monkeypatch.setattr(Watch, "_get", leaps)
+        watch.start()
+        await watch.caught_up()
+        assert [found.version for found in lists] == [2]
+        watch.stop()
+
+    asyncio.run(scene())
+
+
 INDENTED = b'{\n  "version": 2,\n  "full": true,\n  "servers": [\n    {"id": "h", "addr": "127.0.0.1:9",\n "state": "leaving"}\n  ]\n}\n'  # noqa: E501
 SPOILT_ENTRY = '{"id":"bad","addr":5,"state":"active"}'
 
