The halt comes once, and leaves answers that have begun to their end

Cause: Leaving.look said HALT at every look while a stream was owed, and the log told of it fifty times a second (cloverrouter/core/leaving.py, the condition on _halt_s). Change: not in the stage that it has led to. The log tells how many were failed, without the streams. Test: test_answers_that_have_begun_go_on_after_the_halt_which_comes_once fails without it.

--- a/cloverrouter/core/leaving.py
+++ b/cloverrouter/core/leaving.py
@@ -14,7 +14,7 @@
 | SENDING_AWAY | new connections may still come, and calls run their course | quiet connections close |
 | FINISHING | calls run their course | quiet connections close, in time those that never spoke, too |
 | CUTTING | nothing but what is half-sent, or an answer that its client does not read | the same |
-| HALTED | nothing: what was still owed has been answered as failed, as a kill comes next | the same |
+| HALTED | the rest of answers that have begun; all else was failed, as a kill comes next | the same |
 | OVER | nothing | |
 
 Nothing here knows a socket or a clock: whoever drives it says what there is to be seen.
@@ -113,7 +113,7 @@
                 self.stage = Stage.OVER
                 return []
             return [Do.TAKE_IN] if now_s >= self._open_s + COME_AGAIN_S else []
-        if seen.owed and now_s >= self._halt_s:
+        if seen.owed and now_s >= self._halt_s and self.stage is not Stage.HALTED:
             self.stage = Stage.HALTED
             return [Do.HALT, *rest]
         idle_s = now_s - self._owed_s
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -320,8 +320,9 @@
                     case Do.END_HALF_SENT:
                         frontend.end_half_sent()
                     case Do.HALT:
-                        log.warning("%d requests are failed: no time is left", node.owed)
+                        owed = node.owed
                         node.halt()
+                        log.warning("%d requests are failed: no time is left", owed - node.owed)
                     case Do.TAKE_IN:
                         nobody_waits = not frontend.take_in()
             # Danger: whoever comes between this look and the next would be lost with the listener.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -106,6 +106,15 @@
     assert leaving.over
 
 
+def test_answers_that_have_begun_go_on_after_the_halt_which_comes_once() -> None:
+    leaving = finishing(1.0)
+    halt_s = 100.0 + 1.0 + KILLED_AFTER_S - HALT_BEFORE_S
+    assert leaving.look(halt_s, Seen(2, 2))[0] is Do.HALT
+    for after_s in (SOON, 1.0, 5.0):
+        assert leaving.look(halt_s + after_s, Seen(1, 1)) == REST
+        assert not leaving.over
+
+
 def test_a_request_that_came_in_time_has_all_of_its_deadline() -> None:
     """Up to 0.7 s after SIGTERM, by the page; then nothing but what is left until the kill."""
     leaving = finishing(1.0)
