Two more crossings forced: a client that leaves before it is taken in, a list that trickles

Need: both stood in docs/endings.md as endings without a test. A client whose request and whose end lie in the listener's queue is read in two rounds, and the request went out in the first of them before Call.left was asked: the test fails with that look taken out. A list of which always something comes, and never all, ends with its call's time-out: fails without it. Nothing in the program changes here.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -36,7 +36,7 @@
 from cloverrouter.proxy.frontend import ClientConnection, Frontend
 from cloverrouter.proxy.messages import Answer, hung_up
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import Upstream
+from cloverrouter.proxy.upstream import SETTLE_S, Upstream
 from tests.sockets import LONG_S, Client, Discovery, Host, Proxy, Seen, answer_ok, never, ok, running
 from tests.test_clients import PATIENT
 from tests.test_upstream import FakeCall, full_listener, until
@@ -277,6 +277,30 @@
     asyncio.run(scene())
 
 
+def test_client_that_leaves_before_its_connection_is_taken_in_asks_for_nothing() -> None:
+    """Its request and its end lie in the queue of the listener: they come in one read, and in the next."""
+
+    async def scene() -> None:
+        async with parts() as it:
+            host = await Host("h").start()
+            it.told_of(h=at(host))
+            first = await it.client()
+            assert (await first.ask("/unsafe")).status == 200
+            (connection,) = it.upstream.connections
+            # It rests, and has settled: the next request would go out at once.
+            await until(lambda: it.upstream.loop.time() > connection.idle_since + SETTLE_S)
+            it.front.accept_no_more()
+            with socket.create_connection(it.address) as gone:
+                gone.sendall(b"POST /unsafe HTTP/1.1\r\nX-Request-ID: gone\r\nContent-Length: 0\r\n\r\n")
+            it.front._accept(it.front.listener)
+            assert it.front.open == 2
+            await until(lambda: it.front.open == 1 and not it.node.busy)
+            assert (await first.ask("/unsafe")).status == 200
+            assert [seen.message.headers["x-request-id"] for seen in host.seen].count("gone") == 0
+
+    asyncio.run(scene())
+
+
 # Room, made by closing a connection on which the rest of a request has just come
 
 
@@ -528,6 +552,35 @@
     asyncio.run(scene())
 
 
+def test_trickled_answer_is_given_up_with_its_call() -> None:
+    async def scene() -> None:
+        calls: list[str] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                calls.append((await reader.readuntil(b"\r\n\r\n")).decode())
+                if len(calls) > 1:
+                    writer.write(listing(3))
+                    await reader.read()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+                while not writer.is_closing():
+                    writer.write(b" ")  # always something, never all of it
+                    await asyncio.sleep(0.02)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        lists: list[HostList] = []
+        watch = Watch(server.sockets[0].getsockname(), UnixClock(), True, lists.append, lambda: None)
+        watch.version, watch.grace_s = 1, 0.3
+        watch.start()
+        await until(lambda: lists)
+        assert lists[0].version == 3 and len(calls) == 2
+        watch.stop()
+        server.close()
+
+    asyncio.run(scene())
+
+
 def test_spoilt_entries_hide_no_drain_of_the_others() -> None:
     async def scene() -> None:
         leaving = ENTRY.replace("active", "leaving")
