An attempt that is slow to connect beside a second copy goes out within the window, too

The first attempt was still connecting when a second copy ran; only attempts after the first were bounded (decide/balancer.py, _send). Change: each attempt of a keyed class but those of bodies that still come has its class's window to go out.

--- a/cloverrouter/decide/balancer.py
+++ b/cloverrouter/decide/balancer.py
@@ -557,10 +557,10 @@
             self.membership.owed.pop(endpoint.listed.name, None)
         request.held_as = 0
         self._drop_timer(request)
-        # Danger: a repeat whose connection is slow to come up would run when repeats are dropped no more.
-        within_ms = request.repeats_end_ms() - self.now_ms if request.attempts else inf
         attempt = Attempt(endpoint, self.now_ms)
         request.attempts.append(attempt)
+        # Danger: what is slow to come up would run beside another when repeats are dropped no more.
+        within_ms = inf if request.uploading else request.repeats_end_ms() - self.now_ms
         request.out += 1
         timeout_ms = 0.0
         if not request.uploading:
