A connection to a server that is over before anything went out gets no request

Cause: Upstream._connect handed a connection that had just come up to Connection.send without the look that idle ones get (Pool.take asks clean). A server that closes it at once, or says half a line unasked, was written to: outcome RESET or SPOILT, which may have run, so a request of a class that is not repeated was failed (502). Change: the same look; nothing goes out then, outcome CONNECT_FAILED, which has surely not run. One recv(MSG_PEEK) for each new connection, none for a request on a resting one. Ruled out: the same for connections that rest, which clean() keeps (test_hosts, test_proxy). Test: test_connection_that_is_closed_or_spoken_on_at_once_gets_no_request, both cases 502 without the change, 503 with. Before: 'assert 502 == 503'.

--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -600,7 +600,12 @@
         finally:
             if not owned:
                 sock.close()
-        if exchange.on_end is None or not exchange.wanted():
+        if not connection.clean():
+            # Danger: the host has closed it again, or said something unasked. Written to it, a request would
+            # count as one that may have run.
+            connection.abort()
+            exchange.end(Outcome.CONNECT_FAILED)
+        elif exchange.on_end is None or not exchange.wanted():
             pool.put(connection)  # given up in the meantime: it must not go out any more
         else:
             connection.send(exchange)
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,238 @@
+"""Connections that close at the wrong instant: over bytes that nobody has read, over an answer whose last
+piece is still in the system, before anything could be written.
+
+As in `test_endings.py`, each crossing is forced: by a socket option, or by a step of the loop that is held.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverrouter.core.leaving import LAST_BYTES_S, STILL_COMING_S
+from cloverrouter.proxy import config
+from cloverrouter.proxy import frontend as frontend_module
+from cloverrouter.proxy.config import Address
+from cloverrouter.proxy.frontend import bind
+from cloverrouter.proxy.program import Program
+from tests.sockets import LONG_S, SETTINGS, Discovery, Host, Seen, ok, raw
+from tests.test_clients import PATIENT
+from tests.test_endings import Parts, at, parts
+from tests.test_upstream import until
+
+Respond = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def plain_client(it: Parts, request: bytes) -> socket.socket:
+    """A client that asks, and reads nothing by itself."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, it.address)
+    # Danger of a real one: it acknowledges late what it has not answered to.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0)
+    await loop.sock_sendall(sock, request)
+    return sock
+
+
+async def all_of(sock: socket.socket) -> tuple[bytes, bool]:
+    """What comes until the connection's end, and whether that was an orderly one."""
+    got = b""
+    async with asyncio.timeout(LONG_S):
+        while True:
+            try:
+                data = await asyncio.get_running_loop().sock_recv(sock, 65536)
+            except ConnectionResetError:
+                return got, False
+            if not data:
+                return got, True
+            got += data
+
+
+def in_two(head: bytes, half: bytes, rest: bytes, go: asyncio.Event) -> Respond:
+    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(head + half)
+        await go.wait()
+        writer.write(rest)
+
+    return respond
+
+
+def ask(extra: str = "", version: str = "1.1") -> bytes:
+    return f"POST /unsafe HTTP/{version}\r\nX-Request-ID: r\r\n{extra}Content-Length: 0\r\n\r\n".encode()
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def test_last_piece_of_an_answer_outlives_a_close_over_unread_bytes() -> None:
+    """The end of the connection is a reset then, which takes along what the system has held back."""
+
+    async def scene() -> None:
+        go = asyncio.Event()
+        async with parts() as it:
+            host = await Host("h", in_two(CHUNKED, b"4\r\nhalf\r\n", b"4\r\nrest\r\n0\r\n\r\n", go)).start()
+            it.told_of(h=at(host))
+            sock = await plain_client(it, ask("Connection: close\r\n"))
+            await until(lambda: any(c._source is not None for c in it.connections()))  # the half is passed on
+            (connection,) = it.connections()
+            assert connection._transport is not None
+            connection._transport.pause_reading()  # as in a process that stands still
+            sock.send(b"more than was to come")
+            await until(lambda: connection.unread)
+            go.set()
+            await until(lambda: not it.connections())
+            got, orderly = await all_of(sock)
+            assert got.endswith(b"4\r\nhalf\r\n4\r\nrest\r\n0\r\n\r\n")
+            assert not orderly  # the crossing did take place
+            sock.close()
+
+    asyncio.run(scene())
+
+
+def test_small_writes_to_clients_are_not_held_back() -> None:
+    async def scene() -> None:
+        async with parts() as it:
+            await it.client()
+            await until(it.connections)
+            (connection,) = it.connections()
+            assert connection._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    asyncio.run(scene())
+
+
+# A connection to a server that is over before anything went out on it
+
+
+@pytest.mark.parametrize("first", [b"", b"HTTP/1.1 200 O"], ids=["closes", "half a line"])
+def test_connection_that_is_closed_or_spoken_on_at_once_gets_no_request(
+    first: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What has never gone out may be tried again, by us and by its client, whatever its class."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        real, got = loop.create_connection, []
+
+        async def rude(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(first)
+            if first:
+                got.append(await reader.read())
+            writer.close()
+
+        async def held(*how: Any, **more: Any) -> Any:
+            if "sock" in more:  # the upstream's own
+                await until(lambda: heard(more["sock"]))
+            return await real(*how, **more)
+
+        server = await asyncio.start_server(rude, "127.0.0.1", 0)
+        async with parts() as it:
+            it.told_of(rude=server.sockets[0].getsockname())
+            client = await it.client()
+            monkeypatch.setattr(loop, "create_connection", held)
+            client.send("/unsafe", timeout_ms=30_000)
+            assert (await client.read()).status == 503  # refused: it has surely not run
+            await until(lambda: not it.upstream.open)
+            assert not any(got)
+        server.close()
+
+    asyncio.run(scene())
+
+
+def heard(sock: socket.socket) -> bool:
+    with contextlib.suppress(BlockingIOError):
+        sock.recv(1, socket.MSG_PEEK)
+        return True
+    return False
+
+
+# An answer that can't be finished
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_answer_that_is_cut_can_be_told_from_a_whole_one(version: str) -> None:
+    """To a client of HTTP/1.0 the connection's end is the answer's: it must not be an orderly one."""
+
+    async def scene() -> None:
+        go = asyncio.Event()
+        async with parts() as it:
+            host = await Host("h", in_two(CHUNKED, b"4\r\nhalf\r\n", b"no chunk at all\r\n", go)).start()
+            it.told_of(h=at(host))
+            sock = await plain_client(it, ask(version=version))
+            await until(lambda: any(c._source is not None for c in it.connections()))
+            go.set()
+            got, orderly = await all_of(sock)
+            assert b"half" in got and not got.endswith(b"0\r\n\r\n")
+            assert not orderly or b"chunked" in got
+            sock.close()
+
+    asyncio.run(scene())
+
+
+# The end of the process
+
+
+def test_rest_of_an_answer_that_is_read_slowly_is_not_cut_off_by_the_end_of_the_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What ends by itself loses what it had; what a kill finds under way is not held against it."""
+    body = bytes(200_000)
+
+    def narrow(address: Address) -> socket.socket:
+        listener = bind(address)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # little of it is in the system
+        return listener
+
+    monkeypatch.setattr(frontend_module, "bind", narrow)
+
+    async def scene() -> None:
+        loop, discovery, host = asyncio.get_running_loop(), Discovery(), Host("h", raw(ok(body)))
+        await host.start()
+        discovery.entries["h"] = host.entry()
+        await discovery.start()
+        async with program(tmp_path, discovery) as (it, ended):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, it._told.listen)
+            await loop.sock_sendall(sock, ask("Connection: close\r\n"))
+            got = 0
+            while not got or it._node.owed:
+                got += len(await loop.sock_recv(sock, 4096))
+            # All of it has come from the host; not all of it has gone out.
+            assert [c.sending for c in it._frontend._connections] == [True]
+            it.stop()
+            # Nobody reads, for longer than last bytes were waited for before.
+            await asyncio.sleep(STILL_COMING_S + 2 * LAST_BYTES_S + 0.5)
+            assert not ended.done()
+            rest, orderly = await all_of(sock)
+            assert orderly and len(body) < got + len(rest) < len(body) + 1000
+            async with asyncio.timeout(LONG_S):
+                assert await ended == 0
+            sock.close()
+
+    asyncio.run(scene())
+
+
+@asynccontextmanager
+async def program(folder: Path, discovery: Discovery) -> AsyncIterator[tuple[Program, asyncio.Task[int]]]:
+    """The whole program in this loop, serving."""
+    listen = f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}.7:3000"
+    told = {"listen": listen, "discovery": f"127.0.0.1:{discovery.port}", "settings": {**SETTINGS, **PATIENT},
+            "known": discovery.listing()}  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps(told))
+    made = Program(config.load({"PROXY_CONFIG": str(path)}), None)
+    ended = asyncio.create_task(made.run())
+    await until(lambda: made._frontend._listener)
+    yield made, ended
+    ended.cancel()
