--- a/cloverrouter/core/leaving.py
+++ b/cloverrouter/core/leaving.py
@@ -120,8 +120,8 @@
             self.stage = Stage.HALTED
             return [Do.HALT, *rest]
         idle_s = now_s - self._owed_s
-        # Danger: what a process cuts off by its own end is lost, and what a kill finds under way is not. Whose
-        # client reads nothing ends by itself (`ClientConnection.check`).
+        # Danger: what a process cuts off by its own end is lost; what a kill finds under way is not. What its
+        # client does not read ends by itself (`ClientConnection.check`).
         if not seen.owed and idle_s >= 2 * LAST_BYTES_S and not seen.moving:
             self.stage = Stage.OVER
             return []
