The process ends only in a look at which nobody waits, also past clients that never end

Cause: Leaving.look had two ways to OVER. The one for connections that are left (idle_s >= 2 * LAST_BYTES_S: a client that never ends its request, or lingers) asked neither for the queue of the listener nor for whoever had just been taken in, so who connected in that step was reset without an answer. Change: one way, by TAKE_IN; who is taken in has COME_AGAIN_S to ask. HALT comes with END_HALF_SENT. Ruled out: the way without connections, which asked already. Tests: test_who_connects_as_the_process_gives_up_on_half_a_request_is_taken_in (reset, no answer without the change; 200 with); in test_leaving, one look more before the end where it was looked at once (stricter), and three more looks.

--- a/cloverrouter/core/leaving.py
+++ b/cloverrouter/core/leaving.py
@@ -4,7 +4,8 @@
 still there. A connection may be closed between two requests; a request that crosses such a close comes again
 on a new connection. So the listener is the last thing that ends: as long as a connection is left that may be
 closed, and for a moment after the last has been, there has to be a place to come again to. The end itself is
-only in a look at which nothing is owed, no connection is left, and nobody waits to be taken in.
+only in a look at which nothing is owed, nothing moves on the connections that are left, if any, and nobody
+waits to be taken in.
 
     SERVING -> SENDING_AWAY -> FINISHING -> (CUTTING ->) OVER
     SENDING_AWAY, FINISHING, CUTTING -> HALTED -> OVER
@@ -66,6 +67,7 @@
     open: int  # client connections
     others_accept: bool = False  # another process takes in who comes
     nobody_waits: bool = False  # `TAKE_IN` has just found nobody
+    taken_in: bool = False  # `TAKE_IN` has just found somebody
     moving: bool = (
         False  # the rest of an answer is on its way out, or something has come that nobody has read
     )
@@ -108,23 +110,23 @@
             self._owed_s = now_s
         if self.stage is Stage.SENDING_AWAY:
             return [Do.CLOSE_QUIET]
+        if seen.taken_in:  # its request has as much time to come as one that crosses a close
+            self._owed_s = max(self._owed_s, now_s + COME_AGAIN_S - 2 * LAST_BYTES_S)
         rest = [Do.CLOSE_QUIET]
         if now_s >= self._told_s + SPEAK_S:
             rest.append(Do.CLOSE_SILENT)
-        if not seen.owed and not seen.open:
-            if seen.others_accept or seen.nobody_waits:
-                self.stage = Stage.OVER
-                return []
-            return [Do.TAKE_IN] if now_s >= self._open_s + COME_AGAIN_S else []
         if seen.owed and now_s >= self._halt_s and self.stage is not Stage.HALTED:
             self.stage = Stage.HALTED
-            return [Do.HALT, *rest]
+            return [Do.HALT, Do.END_HALF_SENT, *rest]
         idle_s = now_s - self._owed_s
         # Danger: what a process cuts off by its own end is lost; what a kill finds under way is not. What its
         # client does not read ends by itself (`ClientConnection.check`).
-        if not seen.owed and idle_s >= 2 * LAST_BYTES_S and not seen.moving:
-            self.stage = Stage.OVER
-            return []
+        stuck = bool(seen.open) and idle_s >= 2 * LAST_BYTES_S and not seen.moving
+        if not seen.owed and (stuck or not seen.open):
+            if seen.others_accept or seen.nobody_waits:
+                self.stage = Stage.OVER
+                return []
+            return [Do.TAKE_IN] if stuck or now_s >= self._open_s + COME_AGAIN_S else []
         if not seen.owed and idle_s >= LAST_BYTES_S and self.stage is Stage.FINISHING:
             self.stage = Stage.CUTTING
             return [Do.END_HALF_SENT, *rest]
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -307,11 +307,11 @@
         frontend.send_away()
         leaving = Leaving()
         leaving.told(loop.time(), node.longest_ms / 1000)
-        nobody_waits = False
+        nobody_waits = taken_in = False
         while not leaving.over:
-            moving = not node.owed and frontend.moving
-            seen = Seen(node.owed, frontend.open, self._successor is not None, nobody_waits, moving)
-            nobody_waits = False
+            seen = Seen(node.owed, frontend.open, self._successor is not None, nobody_waits, taken_in)
+            seen.moving = not node.owed and frontend.moving
+            nobody_waits = taken_in = False
             for do in leaving.look(loop.time(), seen):
                 match do:
                     case Do.CLOSE_QUIET:
@@ -325,7 +325,8 @@
                         node.halt()
                         log.warning("%d requests are failed: no time is left", owed - node.owed)
                     case Do.TAKE_IN:
-                        nobody_waits = not frontend.take_in()
+                        taken_in = frontend.take_in()
+                        nobody_waits = not taken_in
             # Danger: whoever comes between this look and the next would be lost with the listener.
             if not leaving.over and not nobody_waits:
                 await asyncio.sleep(POLL_S)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -18,18 +18,19 @@
 
 import pytest
 
-from cloverrouter.core.leaving import LAST_BYTES_S, STILL_COMING_S
+from cloverrouter.core.leaving import LAST_BYTES_S, STILL_COMING_S, Do, Leaving, Seen
 from cloverrouter.proxy import config
 from cloverrouter.proxy import frontend as frontend_module
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.frontend import bind
 from cloverrouter.proxy.program import Program
-from tests.sockets import LONG_S, SETTINGS, Discovery, Host, Seen, ok, raw
+from tests import sockets
+from tests.sockets import LONG_S, SETTINGS, Discovery, Host, ok, raw
 from tests.test_clients import PATIENT
 from tests.test_endings import Parts, at, parts
 from tests.test_upstream import until
 
-Respond = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
+Respond = Callable[[sockets.Seen, asyncio.StreamWriter], Awaitable[None]]
 
 
 async def plain_client(it: Parts, request: bytes) -> socket.socket:
@@ -59,7 +60,7 @@
 
 
 def in_two(head: bytes, half: bytes, rest: bytes, go: asyncio.Event) -> Respond:
-    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    async def respond(seen: sockets.Seen, writer: asyncio.StreamWriter) -> None:
         writer.write(head + half)
         await go.wait()
         writer.write(rest)
@@ -236,3 +237,43 @@
     await until(lambda: made._frontend._listener)
     yield made, ended
     ended.cancel()
+
+
+def test_who_connects_as_the_process_gives_up_on_half_a_request_is_taken_in(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A client that never ends its request keeps a connection open up to the end; the end comes without it,
+    but not in a look at which somebody else waits in the listener's queue."""
+    came: list[socket.socket] = []
+    real = Leaving.look
+
+    def look(self: Leaving, now_s: float, seen: Seen) -> list[Do]:
+        do = real(self, now_s, seen)
+        if not came and (self.over or Do.TAKE_IN in do):
+            came.append(socket.create_connection(made[0]._told.listen))
+            came[0].sendall(ask())
+        return do
+
+    made: list[Program] = []
+    monkeypatch.setattr(Leaving, "look", look)
+
+    async def scene() -> None:
+        discovery, host = Discovery(), await Host("h").start()
+        discovery.entries["h"] = host.entry()
+        await discovery.start()
+        async with program(tmp_path, discovery) as (it, ended):
+            made.append(it)
+            half = socket.create_connection(it._told.listen)
+            half.sendall(b"POST /unsafe HTTP/1.1\r\nX-Request-ID: h\r\nContent-Length: 9\r\n\r\nhalf")
+            await until(lambda: [c.half_sent for c in it._frontend._connections] == [True])
+            it.stop()
+            await until(lambda: came)
+            came[0].setblocking(False)
+            got, _ = await all_of(came[0])
+            assert got.startswith(b"HTTP/1.1 200 ")
+            async with asyncio.timeout(LONG_S):
+                assert await ended == 0
+            half.close()
+            came[0].close()
+
+    asyncio.run(scene())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -88,7 +88,27 @@
     assert leaving.look(at_s + LAST_BYTES_S - SOON, Seen(0, 1)) == REST
     assert leaving.look(at_s + LAST_BYTES_S, Seen(0, 1)) == [Do.END_HALF_SENT, *REST]
     assert leaving.look(at_s + LAST_BYTES_S + SOON, Seen(0, 1)) == REST
-    assert leaving.look(at_s + 2 * LAST_BYTES_S, Seen(0, 1)) == []
+    assert leaving.look(at_s + 2 * LAST_BYTES_S, Seen(0, 1)) == [Do.TAKE_IN]  # nor is anybody left waiting
+    assert leaving.look(at_s + 2 * LAST_BYTES_S, Seen(0, 1, nobody_waits=True)) == []
+    assert leaving.over
+
+
+def test_who_is_taken_in_at_the_last_moment_has_time_to_ask() -> None:
+    leaving = finishing(seen=Seen(0, 1))
+    at_s = 100.0 + STILL_COMING_S + 2 * LAST_BYTES_S
+    leaving.look(at_s - SOON, Seen(0, 1))
+    assert leaving.look(at_s, Seen(0, 1)) == [Do.TAKE_IN]
+    assert leaving.look(at_s, Seen(0, 2, taken_in=True)) == REST
+    assert leaving.look(at_s + COME_AGAIN_S - SOON, Seen(0, 2)) == REST
+    assert leaving.look(at_s + COME_AGAIN_S + SOON, Seen(0, 2)) == [Do.TAKE_IN]
+
+
+def test_while_something_moves_it_does_not_end_of_itself() -> None:
+    leaving = finishing(seen=Seen(0, 1))
+    at_s = 100.0 + STILL_COMING_S + LAST_BYTES_S
+    assert leaving.look(at_s, Seen(0, 1, moving=True)) == [Do.END_HALF_SENT, *REST]
+    assert leaving.look(at_s + 2.0, Seen(0, 1, nobody_waits=True, moving=True)) == REST
+    assert leaving.look(at_s + 2.1, Seen(0, 1, nobody_waits=True)) == []
     assert leaving.over
 
 
@@ -99,7 +119,7 @@
     before = leaving.look(killed_s - HALT_BEFORE_S - SOON, Seen(2, 2))
     assert before == (REST if killed_s - HALT_BEFORE_S - SOON >= 100.0 + SPEAK_S else EARLY)
     rest = REST if killed_s - HALT_BEFORE_S + SOON >= 100.0 + SPEAK_S else EARLY
-    assert leaving.look(killed_s - HALT_BEFORE_S + SOON, Seen(2, 2)) == [Do.HALT, *rest]
+    assert leaving.look(killed_s - HALT_BEFORE_S + SOON, Seen(2, 2)) == [Do.HALT, Do.END_HALF_SENT, *rest]
     assert leaving.stage is Stage.HALTED and not leaving.over
     at_s = killed_s - HALT_BEFORE_S + 2 * SOON
     assert leaving.look(at_s, Seen(0, 0, nobody_waits=True)) == []
