A client that left is seen also where its end stands behind the start of its next request

Cause: messages.hung_up looked at the first unread byte only, unless the connection had stopped reading for a large body (ClientConnection.left passed behind_unread). A client that had begun its next request, or sent noise, and left while the process stood still was taken to be there, and its held request went on in the same step. Change: where something is unread, POLLRDHUP is asked always; where nothing is, as on nearly every attempt, it is the one peek as before. Only RDHUP, HUP and ERR count, so that a poll that can't be had never makes a client a leaver. Test: test_held_request_is_not_sent_for_a_client_whose_end_stands_behind_other_bytes fails without it (an attempt is out). In test_leaving_behind_bytes the assertion that the end is hidden reads the byte before it, as the weak look is gone.

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -321,7 +321,7 @@
         """See `Call.left`. What there is to be withdrawn has been withdrawn when this returns."""
         if self._open is not call or self._transport is None:
             return True
-        if self._ended or not hung_up(self._sock, self._still_since_s is not None):
+        if self._ended or not hung_up(self._sock):
             return False
         self._gone()
         return True
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -12,6 +12,7 @@
 SMALL = 64 * 1024  # bodies up to this are held whole, so that they can be sent again
 MAX_BODY = 34 * 1024 * 1024  # of either side; what is larger is not one of ours
 MAX_HEAD = 16 * 1024
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def _peek(sock: socket.socket) -> bytes | None:
@@ -29,17 +30,15 @@
     return _peek(sock) is not None
 
 
-def hung_up(sock: socket.socket, behind_unread: bool = False) -> bool:
-    """Has the peer ended its side, or reset the connection? `behind_unread`: also where that stands behind
-    bytes that nobody reads for now, which costs one call more."""
+def hung_up(sock: socket.socket) -> bool:
+    """Has the peer ended its side, or reset the connection? Its end may stand behind bytes that nobody has
+    read yet, which takes one call more to see."""
     first = _peek(sock)
     if not first:
         return first is not None
-    if not behind_unread:
-        return False
     poll = select.poll()
     poll.register(sock, select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return any(how & ENDED for _, how in poll.poll(0))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -142,6 +142,29 @@
     asyncio.run(scene())
 
 
+def test_held_request_is_not_sent_for_a_client_whose_end_stands_behind_other_bytes() -> None:
+    """It has begun its next request before it left, and none of that has been read."""
+
+    async def scene() -> None:
+        async with parts() as it:
+            host = await Host("h", never).start()
+            it.told_of(h=at(host))
+            first, second = await it.client(), await it.client()
+            first.send("/unsafe", timeout_ms=30_000)
+            await host.wait(lambda: len(host.seen) == 1)
+            second.send("/unsafe", timeout_ms=30_000)
+            await until(lambda: it.node.owed == 2)
+            with own_socket(second) as raw:
+                assert raw.send(b"POST /unsafe HT") == 15
+                raw.shutdown(socket.SHUT_WR)
+            (out,) = it.node._out.values()
+            out.ended(Outcome.OK, Answer(200, b"room", b"", False, None))
+            assert not it.node._out and not it.node.busy
+            assert len(host.seen) == 1
+
+    asyncio.run(scene())
+
+
 def test_connection_that_comes_up_as_the_client_leaves_gets_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         loop = asyncio.get_running_loop()
@@ -233,8 +256,8 @@
             raw.shutdown(socket.SHUT_WR)
             raw.close()
             (connection,) = (c for c in it.connections() if c._still_since_s is not None)
-            await until(lambda: hung_up(connection._sock, behind_unread=True))  # it has arrived
-            assert not hung_up(connection._sock)
+            await until(lambda: hung_up(connection._sock))  # it has arrived
+            assert connection._sock.recv(1, socket.MSG_PEEK) == b"y"  # and stands behind these
             (out,) = it.node._out.values()
             out.ended(Outcome.OK, Answer(200, b"room", b"", False, None))
             assert not it.node._out and not it.node.busy
