--- a/benchmarks/leavers.py
+++ b/benchmarks/leavers.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import socket
 import sys
 import time
@@ -21,7 +22,7 @@
 from typing import Any
 
 from tests.sockets import SETTINGS, Client, Discovery, Host, Proxy, Seen, never, ok, raw, reset, running
-from tests.test_endings import leave
+from tests.test_endings import leave, own_socket
 from tests.test_upstream import full_listener
 
 LATE_S = 0.3
@@ -118,6 +119,33 @@
     return cases
 
 
+async def standing(proxy: Proxy, server: Server, count: Count) -> int:
+    """Held, in a process that stands still while the server answers and they leave, two of three behind the
+    start of another request: it finds all that at once, the room first, when it goes on."""
+    server.then = never
+    clients = [await proxy.client() for _ in range(BATCH + 10)]
+    names = [asks(client) for client in clients]
+    await settled(proxy)
+    await asyncio.sleep(0.1)
+    proxy.process.send_signal(signal.SIGSTOP)
+    server.release()
+    cases = 0
+    for number, (client, own) in enumerate(zip(clients, names, strict=True)):
+        if own[0] not in count.arrived:
+            if number % 3:
+                with own_socket(client) as sock:
+                    sock.send(b"POST /unsafe HTTP/1.1\r\nX-Requ")
+            goes(count, client, own, number, ("close", "half-close"))
+            cases += 1
+    await asyncio.sleep(WAIT_S)
+    proxy.process.send_signal(signal.SIGCONT)
+    await settled(proxy)
+    await asyncio.sleep(0.1)
+    for client in clients:
+        client.writer.close()
+    return cases
+
+
 async def behind(proxy: Proxy, server: Server, count: Count) -> int:
     """Behind another request on its connection, with a part of a third after it."""
     server.then = never
@@ -250,6 +278,7 @@
 Situation = Callable[[Proxy, Server, Count], Awaitable[int]]
 SITUATIONS: dict[str, Situation] = {
     "held": held,
+    "standing": standing,
     "behind": behind,
     "between": between,
     "connecting": connecting,
