Who can't be taken in at the limit of connections is answered 503, not closed without a word

Cause: Frontend._accept closed a connection beyond the limit unread. Change: what is there is read, 503 sent, the connection closed (_turn_away): an orderly end over nothing unread. Test: test_who_can_not_be_taken_in_is_told_so: no byte without the change, 503 with it. Also forced now, and passing without a change: a server that closes a resting connection between the look and the write (RESET; a keyed request is repeated, one of an unsafe class fails and goes out once).

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -794,7 +794,7 @@
                 self.loop.call_later(SWEEP_S, self._resume)
                 return
             if self.open >= self._most_open and not self._make_room():
-                sock.close()  # it can't be served, and not reading it would keep it waiting
+                self._turn_away(sock)
                 continue
             sock.setblocking(False)
             connection = ClientConnection(self, sock)
@@ -802,6 +802,16 @@
             self._adopting.add(task)
             task.add_done_callback(self._adopting.discard)
 
+    def _turn_away(self, sock: socket.socket) -> None:
+        """It can't be served, and not taking it would keep it waiting. Danger: ended without a word, or over
+        a request that nobody has read, its client would not know that nothing of that has run."""
+        with sock, suppress(OSError):
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with suppress(BlockingIOError):
+                sock.recv(READ_BYTES)
+            sock.send(encode(503, b"", b"", True))
+
     async def _adopt(self, connection: ClientConnection, sock: socket.socket) -> None:
         try:
             # Danger: the loop does so only for sockets made with the protocol's number; those of a plain
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -19,11 +19,15 @@
 import pytest
 
 from cloverrouter.core.leaving import LAST_BYTES_S, STILL_COMING_S, Do, Leaving, Seen
+from cloverrouter.interface import Outcome
 from cloverrouter.proxy import config
 from cloverrouter.proxy import frontend as frontend_module
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.frontend import bind
+from cloverrouter.proxy.messages import Answer
+from cloverrouter.proxy.node import Node, Out
 from cloverrouter.proxy.program import Program
+from cloverrouter.proxy.upstream import SETTLE_S, Connection
 from tests import sockets
 from tests.sockets import LONG_S, SETTINGS, Discovery, Host, ok, raw
 from tests.test_clients import PATIENT
@@ -156,6 +160,70 @@
     return False
 
 
+@pytest.mark.parametrize(("target", "status", "sent"), [("/keyed", 200, 2), ("/unsafe", 502, 1)])
+def test_server_that_closes_a_resting_connection_as_a_request_is_written_may_have_run_it(
+    target: str, status: int, sent: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The close comes between the look at the connection and the write: nothing can tell it apart from a
+    server that dies at work, so only what may be repeated is."""
+
+    async def scene() -> None:
+        ends: list[Outcome] = []
+        async with parts() as it:
+            host = await Host("h").start()
+            it.told_of(h=at(host))
+            client = await it.client()
+            assert (await client.ask(target)).status == 200
+            (connection,) = it.upstream.connections
+            await until(lambda: it.upstream.loop.time() > connection.idle_since + SETTLE_S)
+            looked, told = Connection.clean, Node.ended
+
+            def clean(self: Connection) -> bool:
+                found = looked(self)
+                for writer in host.open.values():
+                    own = socket.socket(fileno=socket.dup(writer.get_extra_info("socket").fileno()))
+                    own.shutdown(socket.SHUT_RDWR)
+                    own.close()
+                monkeypatch.setattr(Connection, "clean", looked)
+                return found
+
+            def ended(self: Node, out: Out, outcome: Outcome, answer: Answer | None) -> None:
+                ends.append(outcome)
+                told(self, out, outcome, answer)
+
+            monkeypatch.setattr(Connection, "clean", clean)
+            monkeypatch.setattr(Node, "ended", ended)
+            assert (await client.ask(target, timeout_ms=30_000)).status == status
+            assert ends[0] is Outcome.RESET and len(ends) == sent
+            assert len(host.seen) == sent  # the first request, and a repeat where one may be
+
+    asyncio.run(scene())
+
+
+# A connection that is one too many
+
+
+def test_who_can_not_be_taken_in_is_told_so() -> None:
+    """All connections are busy: nothing can make room for its request, which waits in the queue already."""
+
+    async def scene() -> None:
+        async with parts(most_open=1) as it:
+            host = await Host("h", sockets.never).start()
+            it.told_of(h=at(host))
+            first = await it.client()
+            first.send("/unsafe", timeout_ms=30_000)
+            await host.wait(lambda: len(host.seen) == 1)
+            it.front.accept_no_more()
+            second = await plain_client(it, ask())
+            it.front._accept(it.front.listener)
+            got, orderly = await all_of(second)
+            assert got.startswith(b"HTTP/1.1 503 ") and orderly
+            assert it.front.open == 1 and len(host.seen) == 1
+            second.close()
+
+    asyncio.run(scene())
+
+
 # An answer that can't be finished
 
 
