After a stall the list is read before anything is sent: drains told meanwhile are kept

Cause: the loop takes what is there in the order of its descriptors' readiness. In a process that has stood still for longer than the drain grace (stopped, or without its part of the core), requests that came first were sent by the old list while the news of a drain lay unread on the watch's socket; Upstream.send writes to a resting connection in the same step. Change: LagMeter tells that the process has stood still for half of the grace (settings); an attempt then waits five rounds of the loop, as one that connects, and is called back by the list like that. Nothing changes in a process that runs. Ruled out: attempts that connect (called back already), requests held (the module's list is the same). Requests of a class that is not repeated are refused when called back, as before.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -63,13 +63,14 @@
 from cloverrouter.proxy.config import Address, HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.streams import Sink, Source, StreamHead
-from cloverrouter.proxy.upstream import Exchange, Upstream
+from cloverrouter.proxy.upstream import ROUNDS, Exchange, Upstream
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
 # this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
 MARGIN_MS = 3.0
 MOST_LAG_MS = 30.0
 LAG_EVERY_S = 0.05
+STILL_SHARE = 0.5  # of the grace for drains: the rest is for a send that is under way already
 LAG_KEPT = 0.98  # of the longest lag, from one measurement to the next
 # Danger: smoothed, a figure beyond belief would outweigh all that come after it.
 MOST_REPORTED = 1e6
@@ -93,18 +94,34 @@
 class LagMeter:
     """How late the event loop comes to things: the longest of late, fading."""
 
-    def __init__(self) -> None:
+    def __init__(self, still_s: float) -> None:
+        """Having come to nothing for `still_s`, the process has stood still."""
         self._loop = asyncio.get_running_loop()
         self.peak_ms = 0.0
         self._due_s = 0.0
+        self._still_s = still_s
+        self._rounds_left = 0  # of the loop, until all has been read that came while it stood still
         self._again()
 
+    def stood_still(self) -> bool:
+        """Has it, just now? Danger: what it reads first then is not what came first."""
+        return self._rounds_left > 0 or time.monotonic() - self._due_s > self._still_s
+
+    def _round(self) -> None:
+        self._rounds_left -= 1
+        if self._rounds_left:
+            self._loop.call_soon(self._round)
+
     def _again(self) -> None:
         self._due_s = time.monotonic() + LAG_EVERY_S
         self._loop.call_later(LAG_EVERY_S, self._measure)
 
     def _measure(self) -> None:
         late_ms = (time.monotonic() - self._due_s) * 1000
+        if late_ms > self._still_s * 1000:
+            if not self._rounds_left:
+                self._loop.call_soon(self._round)
+            self._rounds_left = ROUNDS
         self.peak_ms = min(MOST_LAG_MS, max(late_ms, self.peak_ms * LAG_KEPT))
         self._again()
 
@@ -210,7 +227,9 @@
         self._out: dict[tuple[int, int], Out] = {}
         self._last_id = 0
         self._now_ms = self._read_ms = 0.0
-        self._lag = LagMeter()
+        # Danger: a server that drains is told of in bytes that lie unread while the process stands still, and
+        # the grace runs.
+        self._lag = LagMeter(settings.safety.drain_grace_ms / 1000 * STILL_SHARE)
         self._cordoned: Cordoned | None = None  # the latest answer to an operator
         self._say = say
         self._sentinel: Sentinel | None = None
@@ -369,8 +388,9 @@
             return
         host = start.endpoint, cast(Address, start.target)
         exchange = self._upstream.send(
-            host, call, timeout_ms, out.ended, out.begun, out.written, out.held, out.wanted
-        )
+            host, call, timeout_ms, out.ended, out.begun, out.written, out.held, out.wanted,
+            ROUNDS if self._lag.stood_still() else 0,
+        )  # fmt: skip
         out.exchange = exchange
         if out.timer is not None:
             exchange.due_s = out.timer.when()
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -44,6 +44,9 @@
 # What a host sends behind an answer (a second copy, noise) may come in a read of its own. Nothing goes
 # out on a connection before that has had time to come, or it would be taken for the next answer.
 SETTLE_S = 0.005
+# So many rounds of the loop an attempt waits in a process that has stood still: by then what came meanwhile
+# has been read and taken in, a list of servers, too: its bytes in one, what they say in the next.
+ROUNDS = 5
 log = logging.getLogger(__name__)
 
 
@@ -545,24 +548,26 @@
         on_written: Callable[[], None] = lambda: None,
         on_held: Callable[[], None] = lambda: None,
         wanted: Callable[[], bool] = lambda: True,
+        rounds: int = 0,
     ) -> Exchange:
         """Start an attempt. `on_end` is called once, later or before this returns. Before it may come, in
         this order: `on_written`, with the last byte; `on_held`, when an answer of unknown length begins;
         `on_begin`, for an answer that is passed on while it comes. `wanted` is asked once more before the
-        first byte goes out on a connection that had to be opened: after a no, nothing goes out."""
+        first byte goes out on a connection that had to be opened, or after `rounds` of the loop in which
+        whatever has come is read first: after a no, nothing goes out."""
         message = encode(call, timeout_ms)
         exchange = Exchange(message, call.upload, on_end, on_begin, on_written, on_held, wanted)
         pool = self._pools.get(host)
         if pool is None:
             pool = self._pools[host] = Pool(self, host)
         pool.drop_idle(self.loop.time() - self._idle_s)
-        connection = pool.take()
+        connection = pool.take() if not rounds else None
         if connection is not None:
             connection.send(exchange)
         elif self.open >= self._most_open and not self._make_room():
             exchange.end(Outcome.NOT_SENT)  # our own lack: it says nothing about the host
         else:
-            task = self.loop.create_task(self._connect(pool, exchange))
+            task = self.loop.create_task(self._connect(pool, exchange, rounds))
             exchange.opening = task
             self._opening.add(task)
             task.add_done_callback(lambda task: self._opened(task, exchange))
@@ -577,8 +582,17 @@
             log.error("connecting failed", exc_info=error)
             exchange.end(Outcome.CONNECT_FAILED)
 
-    async def _connect(self, pool: Pool, exchange: Exchange) -> None:
+    async def _connect(self, pool: Pool, exchange: Exchange, rounds: int) -> None:
         address = pool.host[1]
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        if rounds and (rested := pool.take()) is not None:
+            exchange.opening = None
+            if exchange.wanted():
+                rested.send(exchange)
+            else:
+                pool.put(rested)
+            return
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         except OSError as error:  # no descriptor, no memory: not the host's fault
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import random
+import signal
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -29,7 +30,7 @@
 from cloverrouter.proxy.program import Program
 from cloverrouter.proxy.upstream import SETTLE_S, Connection
 from tests import sockets
-from tests.sockets import LONG_S, SETTINGS, Discovery, Host, ok, raw
+from tests.sockets import LONG_S, SETTINGS, Discovery, Host, ok, raw, running
 from tests.test_clients import PATIENT
 from tests.test_endings import Parts, at, parts
 from tests.test_upstream import until
@@ -345,3 +346,33 @@
             came[0].close()
 
     asyncio.run(scene())
+
+
+# A process that stands still
+
+
+def test_what_was_told_while_the_process_stood_still_counts_before_what_is_sent() -> None:
+    """Requests and the news of a drain lie there, the requests first, when it goes on after the grace."""
+
+    async def scene() -> None:
+        discovery, hosts = await Discovery().start(), [await Host(name).start() for name in ("a", "b")]
+        async with running(discovery, hosts, settings=PATIENT) as proxy:
+            clients = [await proxy.client() for _ in range(12)]
+            for client in clients:
+                assert (await client.ask("/keyed")).status == 200
+            calls = len(discovery.calls)
+            assert discovery.calls[-1].endswith("hold_ms=3000")  # a watch is open
+            before = len(hosts[0].seen)
+            proxy.process.send_signal(signal.SIGSTOP)
+            for client in clients:
+                client.send("/keyed", timeout_ms=30_000)
+                await client.writer.drain()
+            await discovery.change(hosts[0].entry("leaving"))
+            await asyncio.sleep(0.6)  # longer than the grace
+            proxy.process.send_signal(signal.SIGCONT)
+            for client in clients:
+                assert (await client.read()).status == 200
+            await discovery.asked(calls + 1)
+            assert len(hosts[0].seen) == before
+
+    asyncio.run(scene())
