A watch that moves still takes in what its old address has told

Cause: Watch.move cancelled the call that was out and closed its connection. A list that lay there unread, or was read and not yet taken in, was lost, though it counts as told; with a new address that says nothing for a while the drain in it was not known past the grace. Change: Program has a watch for each address. The one before is retired (Watch.retire): its call is the last, and what it brings counts until the new one's first list. Otherwise nothing changes: the new address is asked at once, in full. Ruled out, by a test that passed before as well and was not kept: SIGSTOP, a drain, SIGHUP, SIGCONT; the loop takes the list in before the signal's callback. The crossing needs the bytes to come in the very step of the signal. Test: test_what_the_old_address_has_told_counts_when_the_watch_moves fails without it (the drain is never known), passed 3 of 3 with it; test_reload and test_handover pass.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -85,6 +85,7 @@
         self._was_spoilt = False  # the last answer, or a part of it
         self._left_out: list[Any] = []
         self._settled = asyncio.Event()  # the first call has ended, well or not
+        self._last = False  # no call follows the one that is out
         self.hold_ms = HOLD_MS
         self.grace_s = GRACE_S
 
@@ -107,14 +108,10 @@
                     await self._settled.wait()
                     return
 
-    def move(self, address: Address) -> None:
-        """Ask at another address from now on, first for the whole list: versions are not shared.
-
-        Danger: a call that is out may go on waiting at the old address while its list grows stale.
-        """
-        self.stop()
-        self._address, self.version = address, None
-        self.start()
+    def retire(self) -> None:
+        """Another watch takes over: the call that is out is the last. Danger: what its agent has written
+        already counts as told, also if nobody has read it when the other one is named."""
+        self._last = True
 
     def stop(self) -> None:
         task, self._task = self._task, None
@@ -133,6 +130,8 @@
                 # good. Nothing of the module's runs in here: its crashes are not hidden.
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._close()
+                if self._last:
+                    return
                 if not isinstance(error, OSError | EOFError | DiscoveryError):
                     self.version = None  # what follows on it can't be trusted: ask for the whole list
                 self._settled.set()
@@ -150,6 +149,9 @@
             backoff_s = 0.0
             self.version = found.version
             self._on_list(found)
+            if self._last:
+                self._close()
+                return
             if not self._settled.is_set():
                 self._settled.set()
                 continue
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -13,7 +13,7 @@
 from cloverrouter.interface import ListKind, Memory
 from cloverrouter.proxy import config, handover
 from cloverrouter.proxy.admin import Admin
-from cloverrouter.proxy.config import Config, HostList, Json
+from cloverrouter.proxy.config import Address, Config, HostList, Json
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.figures import Figures, Gauges
 from cloverrouter.proxy.frontend import Frontend
@@ -48,22 +48,15 @@
         self._sharing: asyncio.Task[None] | None = None
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = min(told.sockets, limit) - RESERVED_SOCKETS
-        pushed = not told.settings.subscribe
         classes = {cls.name: cls.idempotency for cls in told.settings.classes}
         self._figures = Figures(classes)
         self._figures.gauges = self._gauges
         self._figures.configured(True)
         connect_ms = told.settings.limits.connect_timeout_ms
         self._upstream = Upstream(sockets // 2, told.conn_idle_ms, connect_ms, self._figures.sent)
-        self._watch = Watch(
-            told.discovery,
-            told.clock,
-            pushed,
-            self._on_list,
-            lambda: self._node.discovery_failed(),
-            Random(told.seed),
-            told.settings.safety.drain_grace_ms,
-        )
+        self._random = Random(told.seed)
+        self._watch = self._watch_at(told.discovery)
+        self._watch_before: Watch | None = None  # at the address before, with its last call out
         self._state_before = inherited.state if inherited is not None else {}
         memory = self._memory()
         self._peers = (
@@ -73,7 +66,7 @@
             told.settings,
             told.seed,
             self._upstream,
-            self._watch.start,
+            lambda: self._watch.start(),
             self._crash,
             memory,
             self._peers.say if self._peers is not None else None,
@@ -115,6 +108,8 @@
         if self._sharing is not None:
             self._sharing.cancel()
         self._watch.stop()
+        if self._watch_before is not None:
+            self._watch_before.stop()
         if self._peers is not None:
             self._peers.close()
         if self._crashes:
@@ -129,8 +124,34 @@
         self._crashes.append(error)
         self._stop.set()
 
-    def _on_list(self, found: HostList) -> None:
-        self._node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
+    def _watch_at(self, address: Address) -> Watch:
+        settings = self._told.settings
+
+        def on_list(found: HostList) -> None:
+            if watch is self._watch and self._watch_before is not None:
+                self._watch_before.stop()
+                self._watch_before = None
+            self._node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
+
+        watch = Watch(
+            address,
+            self._told.clock,
+            not settings.subscribe,
+            on_list,
+            lambda: self._node.discovery_failed(),
+            self._random,
+            settings.safety.drain_grace_ms,
+        )
+        return watch
+
+    def _move(self, address: Address) -> None:
+        """Ask at another address from now on, first for the whole list: versions are not shared. What the one
+        before still tells counts until the new one has answered."""
+        if self._watch_before is not None:
+            self._watch_before.stop()
+        self._watch_before, self._watch = self._watch, self._watch_at(address)
+        self._watch_before.retire()
+        self._watch.start()
 
     def reload(self) -> None:
         """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
@@ -143,7 +164,7 @@
             return
         self._figures.configured(True)
         log.info("discovery is at %s:%d from now on", *address)
-        self._watch.move(address)
+        self._move(address)
 
     # What operators ask for
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -376,3 +376,53 @@
             assert len(hosts[0].seen) == before
 
     asyncio.run(scene())
+
+
+# A watch that moves
+
+
+def test_what_the_old_address_has_told_counts_when_the_watch_moves(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A drain is written in the very step in which SIGHUP is taken, and the new address says nothing yet."""
+
+    async def scene() -> None:
+        hosts, drains, asked = [await Host(name).start() for name in ("a", "b")], asyncio.Event(), []
+        old, told = Discovery(), []
+        old.entries.update({host.name: host.entry() for host in hosts})
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(await reader.readuntil(b"\r\n\r\n"))
+            await reader.read()
+            writer.close()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for answer in ([], [hosts[0].entry("leaving")]):
+                told.append(await reader.readuntil(b"\r\n\r\n"))
+                if answer:
+                    await drains.wait()
+                changes = {"version": 1 + len(answer), "full": False, "servers": answer}
+                writer.write(ok(json.dumps(changes).encode()))
+            made[0].reload()  # before the loop has looked at any socket again
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+
+        made: list[Program] = []
+        agents = [await asyncio.start_server(one, "127.0.0.1", 0) for one in (serve, silent)]
+        old.port, new_port = (agent.sockets[0].getsockname()[1] for agent in agents)
+        async with program(tmp_path, old) as (it, _ended):
+            made.append(it)
+            await until(lambda: len(told) == 2)
+            path = tmp_path / "config.json"
+            moved = {**json.loads(path.read_text()), "discovery": f"127.0.0.1:{new_port}"}
+            path.write_text(json.dumps(moved))
+            monkeypatch.setenv("PROXY_CONFIG", str(path))
+            assert set(it._node._addresses) == {"a", "b"}
+            drains.set()
+            await until(lambda: asked)
+            await until(lambda: set(it._node._addresses) == {"b"})
+        for agent in agents:
+            agent.close()
+
+    asyncio.run(scene())
