Time in which the process stood still counts for the requests that came in it

Cause: ClientCall.arrived_ms is when the last byte is read; Node._deadline_ms took off a lag of 30 ms at most. What had lain unread through a stall got all of its time anew, and its final answer as late as the stall was long: over half a second late is lost. Seen on real sockets: 4 s asked for, SIGSTOP for 3 s, a server that never answers: answer after 7.0 s. Change: after a stall (half of the drain grace or more, as for sends) what is read counts from when the stall began. Ruled out: attempts and held requests from before the stall, whose deadlines stand. Cost: who came at the end of a stall may be refused although there was time; it may come again. Test: test_time_in_which_the_process_stood_still_counts_for_what_came_in_it, 7.0 s without, under 5.5 s with.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -101,11 +101,16 @@
         self._due_s = 0.0
         self._still_s = still_s
         self._rounds_left = 0  # of the loop, until all has been read that came while it stood still
+        self._stood_ms = 0.0
         self._again()
 
-    def stood_still(self) -> bool:
-        """Has it, just now? Danger: what it reads first then is not what came first."""
-        return self._rounds_left > 0 or time.monotonic() - self._due_s > self._still_s
+    def stood_ms(self) -> float:
+        """For how long it has, just now; 0 if it has not. Danger: what it reads first then is not what came
+        first, and may have come as long ago as that."""
+        late_s = time.monotonic() - self._due_s
+        if late_s > self._still_s:
+            return late_s * 1000
+        return self._stood_ms if self._rounds_left else 0.0
 
     def _round(self) -> None:
         self._rounds_left -= 1
@@ -121,7 +126,7 @@
         if late_ms > self._still_s * 1000:
             if not self._rounds_left:
                 self._loop.call_soon(self._round)
-            self._rounds_left = ROUNDS
+            self._rounds_left, self._stood_ms = ROUNDS, late_ms
         self.peak_ms = min(MOST_LAG_MS, max(late_ms, self.peak_ms * LAG_KEPT))
         self._again()
 
@@ -352,7 +357,7 @@
     def _deadline_ms(self, call: Call) -> float | None:
         if call.timeout_ms is None:
             return None
-        margin_ms = MARGIN_MS + self._lag.peak_ms
+        margin_ms = MARGIN_MS + max(self._lag.peak_ms, self._lag.stood_ms())
         # Danger: a call that has waited behind another has less time left than it asked for.
         return call.arrived_ms + call.timeout_ms - margin_ms
 
@@ -389,7 +394,7 @@
         host = start.endpoint, cast(Address, start.target)
         exchange = self._upstream.send(
             host, call, timeout_ms, out.ended, out.begun, out.written, out.held, out.wanted,
-            ROUNDS if self._lag.stood_still() else 0,
+            ROUNDS if self._lag.stood_ms() else 0,
         )  # fmt: skip
         out.exchange = exchange
         if out.timer is not None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -378,6 +378,25 @@
     asyncio.run(scene())
 
 
+def test_time_in_which_the_process_stood_still_counts_for_what_came_in_it() -> None:
+    """A final answer is due before the client gives up; half a second after that it is lost."""
+
+    async def scene() -> None:
+        discovery, host = await Discovery().start(), await Host("h", sockets.never).start()
+        async with running(discovery, [host], settings=PATIENT) as proxy:
+            client, loop = await proxy.client(), asyncio.get_running_loop()
+            proxy.process.send_signal(signal.SIGSTOP)
+            asked_s = loop.time()
+            client.send("/unsafe", timeout_ms=4000)
+            await client.writer.drain()
+            await asyncio.sleep(3.0)
+            proxy.process.send_signal(signal.SIGCONT)
+            assert (await client.read()).status == 502
+            assert loop.time() - asked_s < 5.5  # counted from its reading it would be seven
+
+    asyncio.run(scene())
+
+
 # A watch that moves
 
 
