--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,4 +5,5 @@
 scripts/setup.sh
 .venv-dev/bin/ruff check .
 .venv-dev/bin/mypy
-.venv-dev/bin/pytest -q "$@"
+# Each test has ports, addresses and files of its own; those that go on longest are shared out as workers get free.
+.venv-dev/bin/pytest -q -n "${TEST_WORKERS:-4}" --dist worksteal "$@"
