The mends of the endings read again: one way to assign a connection, no state that can be derived

Need: read again, the change had written things twice or kept what it need not. - Upstream._connect decided in two places whether a connection is given its request or put to rest: _assign does both. - Frontend._turn_away set up a socket as _accept does, and TCP_NODELAY for one write with nothing before it. - Node.busy was used by tests alone since the drain asks for owed; they ask for that, too, the assertions mean the same. - tests/cold_world.py kept when each attempt was sent, which its answer is told already, and numbered them by proxy, too. - Two readers of a process's memory are Proxy.memory_mb; two situations of benchmarks/leavers.py begin in one place. Nothing behaves otherwise.

--- a/benchmarks/leavers.py
+++ b/benchmarks/leavers.py
@@ -99,22 +99,27 @@
         await proxy.health()
 
 
-async def held(proxy: Proxy, server: Server, count: Count) -> int:
-    """Held for a server: all that there are have no room."""
+async def all_ask(proxy: Proxy, server: Server) -> list[tuple[Client, list[str]]]:
+    """More than the server, which answers none, may be sent: clients, and the ids of what they ask for."""
     server.then = never
     clients = [await proxy.client() for _ in range(BATCH + 10)]
     names = [asks(client) for client in clients]
     await settled(proxy)
     await asyncio.sleep(0.1)
-    cases = 0
-    for number, (client, own) in enumerate(zip(clients, names, strict=True)):
+    return list(zip(clients, names, strict=True))
+
+
+async def held(proxy: Proxy, server: Server, count: Count) -> int:
+    """Held for a server: all that there are have no room."""
+    asked, cases = await all_ask(proxy, server), 0
+    for number, (client, own) in enumerate(asked):
         if own[0] not in count.arrived:
             goes(count, client, own, number)
             cases += 1
     await asyncio.sleep(WAIT_S)
     server.release()
     await asyncio.sleep(0.1)
-    for client in clients:
+    for client, _ in asked:
         client.writer.close()
     return cases
 
@@ -122,15 +127,10 @@
 async def standing(proxy: Proxy, server: Server, count: Count) -> int:
     """Held, in a process that stands still while the server answers and they leave, two of three behind the
     start of another request: it finds all that at once, the room first, when it goes on."""
-    server.then = never
-    clients = [await proxy.client() for _ in range(BATCH + 10)]
-    names = [asks(client) for client in clients]
-    await settled(proxy)
-    await asyncio.sleep(0.1)
+    asked, cases = await all_ask(proxy, server), 0
     proxy.process.send_signal(signal.SIGSTOP)
     server.release()
-    cases = 0
-    for number, (client, own) in enumerate(zip(clients, names, strict=True)):
+    for number, (client, own) in enumerate(asked):
         if own[0] not in count.arrived:
             if number % 3:
                 with own_socket(client) as sock:
@@ -141,7 +141,7 @@
     proxy.process.send_signal(signal.SIGCONT)
     await settled(proxy)
     await asyncio.sleep(0.1)
-    for client in clients:
+    for client, _ in asked:
         client.writer.close()
     return cases
 
--- a/benchmarks/resident.py
+++ b/benchmarks/resident.py
@@ -16,7 +16,6 @@
 import statistics
 import sys
 import time
-from pathlib import Path
 from typing import Any
 
 from tests.sockets import SETTINGS, Client, Discovery, Host, Proxy, running
@@ -25,13 +24,6 @@
 CLASSES = ("/keyed", "/unsafe")
 
 
-def resident_mb(proxy: Proxy) -> float:
-    for line in Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    raise RuntimeError("the process has no resident size")
-
-
 async def call(proxy: Proxy, chance: random.Random, end_s: float, tally: dict[int, int]) -> None:
     """One caller: a new connection for every few requests, of a client that is never seen again."""
     while time.monotonic() < end_s:
@@ -72,7 +64,7 @@
         changes = asyncio.create_task(replace(discovery, hosts, end_s))
         while time.monotonic() < end_s:
             await asyncio.sleep(0.5)
-            seen.append((time.monotonic() - began_s, resident_mb(proxy)))
+            seen.append((time.monotonic() - began_s, proxy.memory_mb("VmRSS")))
             for host in hosts:
                 host.seen.clear()
         await asyncio.gather(*work)
--- a/cloverrouter/core/leaving.py
+++ b/cloverrouter/core/leaving.py
@@ -68,9 +68,7 @@
     others_accept: bool = False  # another process takes in who comes
     nobody_waits: bool = False  # `TAKE_IN` has just found nobody
     taken_in: bool = False  # `TAKE_IN` has just found somebody
-    moving: bool = (
-        False  # the rest of an answer is on its way out, or something has come that nobody has read
-    )
+    moving: bool = False  # something is still going out on one of these, or has come unread
 
 
 class Leaving:
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -793,10 +793,10 @@
                 self.loop.remove_reader(listener)
                 self.loop.call_later(SWEEP_S, self._resume)
                 return
+            sock.setblocking(False)
             if self.open >= self._most_open and not self._make_room():
                 self._turn_away(sock)
                 continue
-            sock.setblocking(False)
             connection = ClientConnection(self, sock)
             task: asyncio.Task[object] = self.loop.create_task(self._adopt(connection, sock))
             self._adopting.add(task)
@@ -806,8 +806,6 @@
         """It can't be served, and not taking it would keep it waiting. Danger: ended without a word, or over
         a request that nobody has read, its client would not know that nothing of that has run."""
         with sock, suppress(OSError):
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with suppress(BlockingIOError):
                 sock.recv(READ_BYTES)
             sock.send(encode(503, b"", b"", True))
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -314,10 +314,6 @@
     def ready(self) -> bool:
         return bool(self._addresses)
 
-    @property
-    def busy(self) -> bool:
-        return self._lifecycle.owed > 0
-
     @property
     def owed(self) -> int:
         """Calls whose final answer has not been given."""
--- a/cloverrouter/proxy/program.py
+++ b/cloverrouter/proxy/program.py
@@ -330,8 +330,8 @@
         leaving.told(loop.time(), node.longest_ms / 1000)
         nobody_waits = taken_in = False
         while not leaving.over:
-            seen = Seen(node.owed, frontend.open, self._successor is not None, nobody_waits, taken_in)
-            seen.moving = not node.owed and frontend.moving
+            moving = not node.owed and frontend.moving
+            seen = Seen(node.owed, frontend.open, self._successor is not None, nobody_waits, taken_in, moving)
             nobody_waits = taken_in = False
             for do in leaving.look(loop.time(), seen):
                 match do:
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -588,10 +588,7 @@
             await asyncio.sleep(0)
         if rounds and (rested := pool.take()) is not None:
             exchange.opening = None
-            if exchange.wanted():
-                rested.send(exchange)
-            else:
-                pool.put(rested)
+            self._assign(pool, rested, exchange)
             return
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
@@ -619,8 +616,14 @@
             # count as one that may have run.
             connection.abort()
             exchange.end(Outcome.CONNECT_FAILED)
-        elif exchange.on_end is None or not exchange.wanted():
-            pool.put(connection)  # given up in the meantime: it must not go out any more
+        else:
+            self._assign(pool, connection, exchange)
+
+    @staticmethod
+    def _assign(pool: Pool, connection: Connection, exchange: Exchange) -> None:
+        """Send it there, unless it was given up while it waited: it must not go out any more then."""
+        if exchange.on_end is None or not exchange.wanted():
+            pool.put(connection)
         else:
             connection.send(exchange)
 
--- a/tests/cold_world.py
+++ b/tests/cold_world.py
@@ -96,8 +96,7 @@
         self._queue: list[tuple[float, int, str, tuple[Any, ...]]] = []
         self._numbers = count()
         self.served = self.asked = 0
-        self._attempts: dict[tuple[int, int], int] = {}  # the last one's number, by proxy and request
-        self._sent: dict[tuple[int, int, int], float] = {}
+        self._attempts: dict[int, int] = {}  # the last one's number, by request
         shares = [self.random.lognormvariate(0.0, plan.unequal) for _ in range(plan.proxies)]
         rate = plan.load * plan.servers * RATE
         self.rates = [rate * share / sum(shares) for share in shares]
@@ -156,13 +155,14 @@
         if self.lives[number] == life:
             self._tell(number, TimerFired(token))
 
-    def _answer(self, number: int, life: int, request: int, attempt: int, server: Server, at: Any) -> None:
+    def _answer(
+        self, number: int, life: int, request: int, attempt: int, server: Server, at: Any, took_ms: float
+    ) -> None:
         if server.started_ms == at:
             server.busy -= 1
         if self.lives[number] == life:
             self.served += 1
-            latency_ms = self.now_ms - self._sent.pop((number, request, attempt))
-            self._tell(number, AttemptEnded(request, attempt, Outcome.OK, latency_ms, True))
+            self._tell(number, AttemptEnded(request, attempt, Outcome.OK, took_ms, True))
 
     def _tell(self, number: int, event: Event) -> None:
         actions: list[Action] = self.proxies[number].handle(self.now_ms, [event])
@@ -170,9 +170,8 @@
             if isinstance(action, SetTimer):
                 self._at(action.delay_ms, "timer", number, self.lives[number], action.token)
             elif isinstance(action, Send):
-                server, key = self.servers[action.endpoint], (number, action.request_id)
-                attempt = self._attempts[key] = self._attempts.get(key, -1) + 1
-                self._sent[number, action.request_id, attempt] = self.now_ms
-                took_ms = server.take(self.now_ms)
-                how = (number, self.lives[number], action.request_id, attempt, server, server.started_ms)
+                server, request = self.servers[action.endpoint], action.request_id
+                attempt = self._attempts[request] = self._attempts.get(request, -1) + 1
+                took_ms, life = server.take(self.now_ms), self.lives[number]
+                how = (number, life, request, attempt, server, server.started_ms, took_ms)
                 self._at(took_ms, "answer", *how)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -257,6 +257,11 @@
             assert self.process.poll() is None and time.monotonic() < end, self.log()
             await asyncio.sleep(0.02)
 
+    def memory_mb(self, figure: str) -> float:
+        """As the system has it: VmRSS, now, or VmHWM, the most so far."""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) / 1024 for line in lines if line.startswith(f"{figure}:"))
+
     async def client(self) -> Client:
         host, port = self.address.split(":")
         return Client(*await asyncio.open_connection(host, int(port)))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -139,7 +139,7 @@
                 second.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
             (out,) = it.node._out.values()
             out.ended(Outcome.OK, Answer(200, b"room", b"", False, None))
-            assert not it.node._out and not it.node.busy  # nothing is on its way
+            assert not it.node._out and not it.node.owed  # nothing is on its way
             third = await it.client()
             host.respond = answer_ok
             assert (await third.ask("/unsafe")).status == 200
@@ -159,7 +159,7 @@
                 raw.shutdown(socket.SHUT_WR)
             (out,) = it.node._out.values()
             out.ended(Outcome.OK, Answer(200, b"room", b"", False, None))
-            assert not it.node._out and not it.node.busy
+            assert not it.node._out and not it.node.owed
             assert len(host.seen) == 1
 
     asyncio.run(scene())
@@ -189,7 +189,7 @@
             connection._transport.pause_reading()  # as in a process that stands still
             client.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
             go.set()
-            await until(lambda: not it.node.busy)
+            await until(lambda: not it.node.owed)
             await host.wait(lambda: host.connections == 1)
             monkeypatch.undo()
             third = await it.client()
@@ -260,7 +260,7 @@
             assert connection._sock.recv(1, socket.MSG_PEEK) == b"y"  # and stands behind these
             (out,) = it.node._out.values()
             out.ended(Outcome.OK, Answer(200, b"room", b"", False, None))
-            assert not it.node._out and not it.node.busy
+            assert not it.node._out and not it.node.owed
 
     asyncio.run(scene())
 
@@ -275,9 +275,9 @@
             await until(lambda: sum(len(host.seen) for host in hosts) == 1)
             (out,) = it.node._out.values()
             out.ended(Outcome.RESET, None)
-            assert it.node.busy and not it.node._out  # it sleeps before its next attempt
+            assert it.node.owed and not it.node._out  # it sleeps before its next attempt
             client.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
-            await until(lambda: not it.node.busy)
+            await until(lambda: not it.node.owed)
             for call in list(it.node._balancer.timers.values()):
                 call()  # the timer that had been set fires all the same
             assert not it.node._out
@@ -297,7 +297,7 @@
             client.writer.write(b"POST /unsafe HTTP/1.1\r\nX-Request")  # and a part of a third
             await host.wait(lambda: len(host.seen) == 1)
             leave(client, "close")
-            await until(lambda: not it.node.busy and not it.front.waiting)
+            await until(lambda: not it.node.owed and not it.front.waiting)
             host.respond = answer_ok
             assert (await (await it.client()).ask("/unsafe")).status == 200
             assert len(host.seen) == 2
@@ -322,7 +322,7 @@
                 gone.sendall(b"POST /unsafe HTTP/1.1\r\nX-Request-ID: gone\r\nContent-Length: 0\r\n\r\n")
             it.front._accept(it.front.listener)
             assert it.front.open == 2
-            await until(lambda: it.front.open == 1 and not it.node.busy)
+            await until(lambda: it.front.open == 1 and not it.node.owed)
             assert (await first.ask("/unsafe")).status == 200
             assert [seen.message.headers["x-request-id"] for seen in host.seen].count("gone") == 0
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -294,7 +294,7 @@
                 if i % 5 == 0:
                     node.gone(call)
                 await asyncio.sleep(0.002)
-            await until(lambda: not node.busy and not node._calls)
+            await until(lambda: not node.owed and not node._calls)
             # One answer each, but for those that left before there was one.
             assert all(
                 len(call.given) == 1 or (i % 5 == 0 and not call.given) for i, call in enumerate(calls)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -167,8 +167,7 @@
 
 
 def resident_mb(proxy: Proxy) -> float:
-    with open(f"/proc/{proxy.process.pid}/status") as file:
-        return next(int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM"))
+    return proxy.memory_mb("VmHWM")
 
 
 def test_many_large_ones_at_once_are_never_held() -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -244,7 +244,7 @@
         await host.wait(lambda: len(host.seen) == 1)
         await until(lambda: call.given)
         await host.wait(lambda: not host.open)
-        assert call.given == ["failed"] and not node.busy and not crashes
+        assert call.given == ["failed"] and not node.owed and not crashes
 
     asyncio.run(scene())
 
