--- /dev/null
+++ b/cloverrouter/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""One process of the system put together: settings, roles, readiness, signals."""
--- /dev/null
+++ b/cloverrouter/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 shared by the client proxy and the router: parsing, bodies, event streams, connections."""
--- /dev/null
+++ b/cloverrouter/messages/__init__.py
@@ -0,0 +1,6 @@
+"""The internal protocol between the proxies: typed messages, their Avro encoding, and framing."""
+
+from cloverrouter.messages.codec import Decoder, encode, message, nested
+from cloverrouter.messages.errors import FrameTooLarge, MalformedFrame, MessageError
+
+__all__ = ["Decoder", "FrameTooLarge", "MalformedFrame", "MessageError", "encode", "message", "nested"]
--- /dev/null
+++ b/cloverrouter/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server gets a request: server models, prefix affinity, quotas, admission. Pure."""
--- /dev/null
+++ b/cloverrouter/store/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state on a local disk, by lmdb."""
--- /dev/null
+++ b/tests/system/test_codec.py
@@ -0,0 +1,61 @@
+"""The internal protocol's encoding: round trips, bytes split anywhere, and what is not a frame."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverrouter.messages import Decoder, FrameTooLarge, MalformedFrame, encode, message, nested
+
+
+@nested
+class Inner:
+    name: str
+    score: float | None
+
+
+@message(65001)
+class Example:
+    count: int
+    data: bytes
+    flag: bool
+    items: tuple[Inner, ...]
+    shares: dict[str, float]
+
+
+EXAMPLE = Example(-5, b"\x00\xff", True, (Inner("a", None), Inner("b", 0.5)), {"t": 1.5})
+
+
+def test_a_message_comes_back_as_it_was() -> None:
+    assert list(Decoder().feed(encode(EXAMPLE))) == [EXAMPLE]
+
+
+@given(st.integers(1, 40))
+def test_bytes_may_be_split_anywhere(size: int) -> None:
+    data = encode(EXAMPLE) * 3
+    decoder = Decoder()
+    found = [m for at in range(0, len(data), size) for m in decoder.feed(data[at : at + size])]
+    assert found == [EXAMPLE] * 3
+
+
+def test_an_unknown_type_or_version_is_skipped() -> None:
+    frame = bytearray(encode(EXAMPLE))
+    unknown_type = bytes(frame[:5]) + b"\xff\xfe" + bytes(frame[7:])
+    other_version = bytes(frame[:4]) + b"\x63" + bytes(frame[5:])
+    assert list(Decoder().feed(unknown_type + other_version + bytes(frame))) == [EXAMPLE]
+
+
+def test_a_frame_that_is_too_large_is_refused_before_it_is_read() -> None:
+    with pytest.raises(FrameTooLarge):
+        list(Decoder(max_frame_bytes=10).feed(encode(EXAMPLE)[:7]))
+
+
+@given(st.binary(max_size=60))
+def test_any_body_decodes_or_is_refused(body: bytes) -> None:
+    frame = encode(EXAMPLE)[4:7]
+    data = (len(body) + 3).to_bytes(4, "big") + frame + body
+    with suppress(MalformedFrame):
+        list(Decoder().feed(data))
