--- a/cloverrouter/coordination/__init__.py
+++ b/cloverrouter/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Coordination of a few machines with disks and many without: a library to embed. Pure cores, thin drivers."""
+"""Coordination of a few machines with disks and many without: a library to embed. Pure cores only."""
--- a/cloverrouter/messages/codec.py
+++ b/cloverrouter/messages/codec.py
@@ -1,6 +1,6 @@
 """Messages as attrs classes, encoded by Avro schemas that are derived from their fields.
 
-A frame is: length of what follows (4 bytes, big-endian), protocol version (1 byte), type (2 bytes), Avro body.
+A frame: length of what follows (4 bytes, big-endian), protocol version (1 byte), type (2 bytes), Avro body.
 
 Version rule: a message's fields never change once released. A changed message gets a new type; a frame of an
 unknown type or of another protocol version is skipped, so that old and new processes can talk.
