--- /dev/null
+++ b/cloverrouter/coordination/context.py
@@ -0,0 +1,117 @@
+"""What the parts of a replica share: who it is, its disk and state, the view it knows, and its effects."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+
+from cloverrouter.coordination.disk import DiskQueue
+from cloverrouter.coordination.effects import Effect, ReplicaConfig, Send
+from cloverrouter.coordination.history import History
+from cloverrouter.coordination.messages import Report
+from cloverrouter.coordination.views import Member, View
+from cloverrouter.messages import Decoder, encode
+
+
+@attrs.define(slots=True)
+class Context:
+    """Shared by the parts of one replica."""
+
+    me: Member
+    config: ReplicaConfig
+    random: Random
+    disk: DiskQueue
+    history: History
+    view: View | None  # of the highest epoch that is known
+    effects: list[Effect] = attrs.Factory(list)
+    addresses: dict[str, str] = attrs.Factory(dict)  # of members that have moved
+    seen_epoch: int = 0  # highest that any message has told
+    round_epoch: int = 0  # of the newest heartbeat that was taken
+    round: int = 0
+    resigning: bool = False
+
+    @property
+    def epoch(self) -> int:
+        """The epoch that is promised: no lower one is taken part in."""
+        return self.disk.meta.promised
+
+    @property
+    def synced(self) -> int:
+        """The epoch in which the state was handed over."""
+        return self.disk.meta.synced
+
+    @property
+    def settled(self) -> bool:
+        """Whether the known view is known to have been in force."""
+        return self.disk.meta.settled
+
+    def send(self, ip: str, message: object) -> None:
+        """Send to an address."""
+        self.effects.append(Send(ip, message))
+
+    def address(self, member: Member) -> str:
+        """Where a member is."""
+        return self.addresses.get(member.identity, member.ip)
+
+    def learn_view(self, now: float, view: View | None, settled: bool) -> None:
+        """Another replica knows this view. That obliges to nothing."""
+        if view is None:
+            return
+        self.seen_epoch = max(self.seen_epoch, view.epoch)
+        known = self.view.epoch if self.view is not None else 0
+        if view.epoch > known:
+            self.view = view
+            facts = {"view": encode_view(view), "view_epoch": view.epoch}
+            self.disk.note(now, **facts, settled=settled or not view.old_voters, adoptable=False)
+        elif view.epoch == known and settled and not self.settled:
+            self.disk.note(now, settled=True)
+
+    def take_view(self, view: View, proposer: str, synced: bool) -> None:
+        """A head has told its view, and its state if `synced`: to be stored at once."""
+        self.seen_epoch = max(self.seen_epoch, view.epoch)
+        settled = not view.old_voters
+        if self.view is not None and self.view.epoch == view.epoch:
+            settled = settled or self.settled
+        self.view = view
+        self.disk.change(
+            promised=view.epoch,
+            promised_to=proposer,
+            view=encode_view(view),
+            view_epoch=view.epoch,
+            settled=settled,
+            adoptable=False,
+        )
+        if synced:
+            self.disk.change(synced=view.epoch)
+
+    def report(self, now: float, ip: str, receiver: str) -> None:
+        """Tell a head how things stand here."""
+        durable = self.disk.durable
+        message = Report(
+            sender=self.me.identity,
+            receiver=receiver,
+            round_epoch=self.round_epoch,
+            round=self.round,
+            promised=self.epoch,
+            view_epoch=durable.meta.view_epoch,
+            synced=durable.meta.synced,
+            seq=durable.seq,
+            received_seq=self.history.newest,
+            trouble_ms=int(self.disk.trouble_s(now) * 1000),
+            resigning=self.resigning,
+        )
+        self.send(ip, message)
+
+
+def encode_view(view: View) -> bytes:
+    """A view as it is stored."""
+    return encode(view)
+
+
+def decode_view(data: bytes) -> View | None:
+    """A stored view. Raises MessageError."""
+    for found in Decoder().feed(data):
+        if isinstance(found, View):
+            return found
+    return None
--- /dev/null
+++ b/cloverrouter/coordination/disk.py
@@ -0,0 +1,132 @@
+"""What is to be on the disk, what is there for certain, and whether the disk works.
+
+One record is under way at a time; what comes meanwhile is put together into the next (group commit). A record
+that fails is tried again with what has come since: nothing is ever written out of order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from cloverrouter.store import Meta, Record, Snapshot, StoredReplica, Update
+
+# A write that was refused tells as much as one that takes for ever.
+FAILING_S = 60.0
+
+
+@attrs.frozen(slots=True)
+class Durable:
+    """What the disk holds for certain."""
+
+    meta: Meta
+    seq: int
+
+
+class DiskQueue:
+    """The writes of one replica."""
+
+    def __init__(
+        self, stored: StoredReplica, newest: Callable[[], Snapshot], retry_s: float, compact_bytes: int
+    ) -> None:
+        """`newest` gives the newest state, with all updates that were appended."""
+        self.meta = stored.meta
+        seq = stored.snapshot.seq if stored.snapshot is not None else 0
+        self.seq = stored.updates[-1].seq if stored.updates else seq
+        self.durable = Durable(self.meta, self.seq)
+        self._newest = newest
+        self._retry_s = retry_s
+        self._compact_bytes = compact_bytes
+        self._snapshot: Snapshot | None = None
+        self._updates: list[Update] = []
+        self._dirty = False
+        self._lazy_since: float | None = None
+        self._flying: tuple[Record, Durable] | None = None
+        self._token = 0
+        self._begun = 0.0  # of the record under way
+        self._failing_since: float | None = None
+        self._retry_at = 0.0
+        self._snapshot_bytes = len(stored.snapshot.data) if stored.snapshot is not None else 0
+        self._update_bytes = sum(len(update.data) for update in stored.updates)
+
+    @property
+    def state_bytes(self) -> int:
+        """About the size of the state: the last snapshot and the updates since."""
+        return self._snapshot_bytes + self._update_bytes
+
+    def change(self, **facts: Any) -> None:
+        """Facts of `Meta` that are to be written at once."""
+        self.meta = attrs.evolve(self.meta, **facts)
+        self._dirty = True
+
+    def note(self, now: float, **facts: Any) -> None:
+        """Facts of `Meta` that go with the next record, or after a while."""
+        self.meta = attrs.evolve(self.meta, **facts)
+        if self._lazy_since is None:
+            self._lazy_since = now
+
+    def append(self, seq: int, update: bytes) -> None:
+        """The next update."""
+        self._updates.append(Update(seq, update))
+        self._update_bytes += len(update)
+        self.seq = seq
+        self._dirty = True
+
+    def replace(self, seq: int, snapshot: bytes) -> None:
+        """Another state in place of all that is stored."""
+        self._snapshot = Snapshot(seq, snapshot)
+        self._updates.clear()
+        self._snapshot_bytes, self._update_bytes = len(snapshot), 0
+        self.seq = seq
+        self._dirty = True
+
+    def trouble_s(self, now: float) -> float:
+        """For how long the disk has been busy with one record, or has refused."""
+        if self._failing_since is not None:
+            return FAILING_S + now - self._failing_since
+        return now - self._begun if self._flying is not None else 0.0
+
+    def forgive(self, now: float) -> None:
+        """The process was frozen: the time that passed says nothing about the disk."""
+        self._begun = now
+
+    def next(self, now: float, lazy_s: float) -> tuple[int, Record] | None:
+        """The record to write now, if any. Facts that can wait do so for `lazy_s`."""
+        if self._flying is not None or now < self._retry_at:
+            return None
+        lazy_due = self._lazy_since is not None and now - self._lazy_since >= lazy_s
+        if not self._dirty and not lazy_due and self._failing_since is None:
+            return None
+        self._compact()
+        record = Record(meta=self.meta, snapshot=self._snapshot, updates=tuple(self._updates))
+        self._flying = (record, Durable(self.meta, self.seq))
+        self._snapshot, self._updates = None, []
+        self._dirty, self._lazy_since = False, None
+        self._begun = now
+        self._token += 1
+        return self._token, record
+
+    def done(self, now: float, token: int, error: str | None) -> None:
+        """The record under way has been written, or was refused."""
+        if self._flying is None or token != self._token:
+            return
+        (record, durable), self._flying = self._flying, None
+        if error is None:
+            self.durable = durable
+            self._failing_since = None
+            return
+        if self._failing_since is None:
+            self._failing_since = now
+        self._retry_at = now + self._retry_s
+        self._dirty = True
+        if self._snapshot is None:
+            self._snapshot = record.snapshot
+            self._updates[:0] = record.updates
+
+    def _compact(self) -> None:
+        """Fold the updates into a snapshot when they take more room than it."""
+        if self._update_bytes > max(self._compact_bytes, self._snapshot_bytes):
+            newest = self._newest()
+            self.replace(newest.seq, newest.data)
--- /dev/null
+++ b/cloverrouter/coordination/follower.py
@@ -0,0 +1,361 @@
+"""The part of a replica that answers: it promises, takes views and state, stores and passes on."""
+
+from __future__ import annotations
+
+from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.effects import Committed, Restored
+from cloverrouter.coordination.messages import (
+    Announce,
+    Canvass,
+    Commit,
+    Fetch,
+    Forward,
+    Heartbeat,
+    Install,
+    Promise,
+    Propose,
+    Refused,
+    State,
+    Stored,
+    Support,
+)
+from cloverrouter.coordination.views import standing_order
+
+
+class Follower:
+    """One replica as voter and chain member."""
+
+    def __init__(self, context: Context, now: float) -> None:
+        self._context = context
+        self._started = now
+        self.contact_at = now  # when the head was last heard
+        self.head: str | None = None  # identity of the head that was heard
+        self.head_active = False
+        self._head_ill_since: float | None = None  # its disk fails, or it is about to leave
+        self._inactive_since: tuple[int, float] = (0, now)  # epoch, since when its head is not in force yet
+        self._promise_due: tuple[int, str, str] | None = None  # epoch, proposer, address
+        self._report_due: tuple[int, str, str] | None = None  # epoch, head, address
+        self._upstream = 0  # all from the head to the predecessor have stored up to this
+        self._told = 0  # of which the successor was told
+        self._link_epoch = 0  # that these two belong to
+
+    # -- the head, and standing up in its place --
+
+    def contact(self, now: float, head: str) -> None:
+        """A head, or one who is about to be, was heard."""
+        self.contact_at = now
+        self.head = head
+
+    def is_bound(self, now: float, sender: str) -> bool:
+        """Whether a promise to `sender` has to wait, as the head was heard a moment ago."""
+        config = self._context.config
+        if sender == self.head or self._head_ill_since is not None:
+            return False
+        if self.head is None:  # nothing is known of the life before this one
+            return self._context.synced > 0 and now - self._started < config.sticky_s
+        return now - self.contact_at < config.sticky_s
+
+    def stands_up_at(self, now: float, jitter: float) -> float | None:
+        """When this replica tries to become head if the head stays silent; None if it may not."""
+        context, config = self._context, self._context.config
+        view = context.view
+        if view is None or view.voter(context.me.identity) is None or context.resigning:
+            return None
+        order = standing_order(view)
+        me = context.me.identity
+        rank = order.index(me) if me in order else 0
+        if self._head_ill_since is not None:
+            return self._head_ill_since + rank * config.rank_delay_s + jitter
+        if self.head is not None:
+            return self.contact_at + config.failure_timeout_s + rank * config.rank_delay_s + jitter
+        if not view.chain:  # the first view of all
+            return self.contact_at + rank * config.rank_delay_s + jitter
+        delay = jitter if self._was_head(me) else config.start_delay_s + rank * config.rank_delay_s + jitter
+        return self._started + delay
+
+    def _was_head(self, identity: str) -> bool:
+        view = self._context.view
+        return view is not None and view.head == identity
+
+    def hears_head(self, now: float) -> bool:
+        """Whether a head that is well was heard just now."""
+        return self.contact_at >= now and self._head_ill_since is None
+
+    def begin_first_view(self, now: float) -> None:
+        """The first voters were just agreed on."""
+        self.contact_at = now
+
+    # -- votes --
+
+    def on_canvass(self, now: float, ip: str, message: Canvass) -> None:
+        """Would this replica promise?"""
+        context = self._context
+        known = context.view.epoch if context.view is not None else 0
+        granted = not self.is_bound(now, message.sender) and message.view_epoch >= known
+        reply = Support(
+            sender=context.me.identity,
+            receiver=message.sender,
+            attempt=message.attempt,
+            granted=granted and not self._disk_is_busy(now),
+            promised=context.epoch,
+            view=context.view,
+            settled=context.settled,
+        )
+        context.send(ip, reply)
+
+    def _disk_is_busy(self, now: float) -> bool:
+        return self._context.disk.trouble_s(now) >= self._context.config.failure_timeout_s
+
+    def on_propose(self, now: float, ip: str, message: Propose) -> bool:
+        """A promise is asked for. Gives whether a new one was made."""
+        context = self._context
+        context.seen_epoch = max(context.seen_epoch, message.epoch)
+        meta = context.disk.meta
+        same = message.epoch == meta.promised and message.sender == meta.promised_to
+        if not same and (message.epoch <= meta.promised or self.is_bound(now, message.sender)):
+            refused = Refused(context.me.identity, message.sender, message.epoch, meta.promised)
+            context.send(ip, refused)
+            return False
+        if not same:
+            context.disk.change(promised=message.epoch, promised_to=message.sender)
+            self.contact(now, message.sender)
+        self._promise_due = (message.epoch, message.sender, ip)
+        return not same
+
+    def on_fetch(self, ip: str, message: Fetch) -> None:
+        """The proposer that has the promise asks for the state."""
+        context = self._context
+        meta = context.disk.meta
+        if message.epoch != meta.promised or message.sender != meta.promised_to:
+            return
+        newest = context.history.snapshot()
+        reply = State(
+            sender=context.me.identity,
+            receiver=message.sender,
+            epoch=message.epoch,
+            synced=meta.synced,
+            seq=newest.seq,
+            snapshot=newest.data,
+        )
+        context.send(ip, reply)
+
+    # -- views and state --
+
+    def on_install(self, now: float, ip: str, message: Install) -> bool:
+        """A head hands over its view and state. Gives whether they were taken just now."""
+        context = self._context
+        view = message.view
+        if not self._may_take(now, ip, message.sender, view.epoch):
+            return False
+        self.contact(now, message.sender)
+        self._report_due = (view.epoch, message.sender, ip)
+        if context.synced == view.epoch:
+            return False
+        if message.snapshot is not None:
+            context.history.replace(message.seq, message.snapshot)
+            context.disk.replace(message.seq, message.snapshot)
+        elif (context.synced, context.history.newest) == (message.from_synced, message.from_seq):
+            for update in message.updates:
+                context.disk.append(context.history.append(update), update)
+        else:
+            return False
+        context.take_view(view, message.sender, synced=True)
+        return True
+
+    def on_announce(self, now: float, ip: str, message: Announce) -> bool:
+        """A head tells its view. Gives whether it was taken just now."""
+        context = self._context
+        epoch = message.view.epoch
+        if not self._may_take(now, ip, message.sender, epoch):
+            return False
+        self.contact(now, message.sender)
+        self._report_due = (epoch, message.sender, ip)
+        if context.view is not None and context.view.epoch == epoch and context.epoch == epoch:
+            return False
+        context.take_view(message.view, message.sender, synced=False)
+        return True
+
+    def _may_take(self, now: float, ip: str, sender: str, epoch: int) -> bool:
+        """Whether a view of this epoch from this head may be taken; if a higher one was promised, say so."""
+        meta = self._context.disk.meta
+        if epoch < meta.promised:
+            self._context.report(now, ip, sender)
+            return False
+        return epoch > meta.promised or sender == meta.promised_to
+
+    # -- updates --
+
+    def on_forward(self, message: Forward) -> list[Committed | Restored]:
+        """Updates come down the chain: stored here, and passed on at once."""
+        context = self._context
+        if not self._is_in_chain(message.epoch):
+            return []
+        history = context.history
+        fresh = message.updates[max(0, history.newest + 1 - message.first_seq) :]
+        if fresh and message.first_seq <= history.newest + 1:
+            first = history.newest + 1
+            for update in fresh:
+                context.disk.append(history.append(update), update)
+            self._pass_on(message, first, fresh)
+        self._take_upstream(message.epoch, message.sender, message.stored)
+        return self._commit(message.committed)
+
+    def _pass_on(self, message: Forward, first: int, updates: tuple[bytes, ...]) -> None:
+        context = self._context
+        successor = self._successor()
+        if successor is None or context.view is None:
+            return
+        passed = Forward(
+            sender=context.me.identity,
+            receiver=successor,
+            epoch=message.epoch,
+            first_seq=first,
+            updates=updates,
+            stored=self._stored(),
+            committed=message.committed,
+        )
+        self._send_to(successor, passed)
+
+    def on_stored(self, message: Stored) -> None:
+        """The predecessor, and all before it, have stored."""
+        if self._is_in_chain(message.epoch):
+            self._take_upstream(message.epoch, message.sender, message.seq)
+
+    def on_commit(self, message: Commit) -> list[Committed | Restored]:
+        """All of the chain have stored."""
+        return self._commit(message.seq) if self._is_in_chain(message.epoch) else []
+
+    def _commit(self, seq: int) -> list[Committed | Restored]:
+        history = self._context.history
+        return history.commit(min(seq, history.newest))
+
+    def _is_in_chain(self, epoch: int) -> bool:
+        """Whether this replica holds the state of that epoch and has promised no higher one."""
+        return epoch == self._context.epoch == self._context.synced
+
+    def _take_upstream(self, epoch: int, sender: str, seq: int) -> None:
+        self._enter_link(epoch)
+        view = self._context.view
+        if view is None or view.epoch != epoch:
+            return
+        place = view.chain.index(self._context.me.identity)
+        if place > 0 and view.chain[place - 1] == sender:
+            self._upstream = max(self._upstream, seq)
+
+    def _enter_link(self, epoch: int) -> None:
+        if epoch != self._link_epoch:
+            self._link_epoch, self._upstream, self._told = epoch, 0, 0
+
+    def _stored(self) -> int:
+        """Up to where all from the head to this replica have stored."""
+        durable = self._context.disk.durable
+        if durable.meta.synced != self._link_epoch:
+            return 0
+        return min(self._upstream, durable.seq)
+
+    def _successor(self) -> str | None:
+        view = self._context.view
+        if view is None or self._context.me.identity not in view.chain:
+            return None
+        place = view.chain.index(self._context.me.identity) + 1
+        return view.chain[place] if place < len(view.chain) else None
+
+    def _send_to(self, identity: str, message: object) -> None:
+        view = self._context.view
+        member = view.voter(identity) if view is not None else None
+        if member is not None:
+            self._context.send(self._context.address(member), message)
+
+    # -- heartbeats --
+
+    def on_heartbeat(self, now: float, ip: str, message: Heartbeat) -> list[Committed | Restored]:
+        """The head is there, and asks how things stand."""
+        context = self._context
+        context.seen_epoch = max(context.seen_epoch, message.epoch)
+        known = context.view.epoch if context.view is not None else 0
+        if message.epoch < known:
+            context.report(now, ip, message.sender)
+            return []
+        self._judge_head(now, message)
+        if message.epoch >= context.epoch:
+            context.round_epoch, context.round = message.epoch, message.round
+        context.report(now, ip, message.sender)
+        if not self._is_in_chain(message.epoch):
+            return []
+        if message.active and not context.settled:
+            context.disk.note(now, settled=True)
+        return self._commit(message.committed)
+
+    def _judge_head(self, now: float, message: Heartbeat) -> None:
+        self.head_active = message.active
+        if self._inactive_since[0] != message.epoch or message.active:
+            self._inactive_since = (message.epoch, now)
+        # One that can't get its view in force is not waited for for ever.
+        if now - self._inactive_since[1] < 2 * self._context.config.failure_timeout_s:
+            self.contact(now, message.sender)
+        is_ill = message.resigning or message.trouble_ms >= self._context.config.failure_timeout_s * 1000
+        if not is_ill:
+            self._head_ill_since = None
+        elif self._head_ill_since is None:
+            self._head_ill_since = now
+
+    def forgive(self, now: float) -> None:
+        """The process was frozen: silence says nothing about the others."""
+        self.contact_at = max(self.contact_at, now)
+        self._head_ill_since = None
+
+    # -- what follows from a write that is done --
+
+    def flush(self, now: float) -> None:
+        """Send what had to wait for the disk."""
+        self._flush_promise()
+        self._flush_report(now)
+        self._flush_stored()
+
+    def _flush_promise(self) -> None:
+        context = self._context
+        durable = context.disk.durable
+        if self._promise_due is None:
+            return
+        epoch, proposer, ip = self._promise_due
+        if epoch != context.epoch:
+            self._promise_due = None
+        elif durable.meta.promised == epoch:
+            self._promise_due = None
+            promise = Promise(
+                sender=context.me.identity,
+                receiver=proposer,
+                epoch=epoch,
+                synced=durable.meta.synced,
+                seq=durable.seq,
+                view=context.view,
+                settled=context.settled,
+            )
+            context.send(ip, promise)
+
+    def _flush_report(self, now: float) -> None:
+        if self._report_due is None:
+            return
+        epoch, head, ip = self._report_due
+        if epoch != self._context.epoch:
+            self._report_due = None
+        elif self._is_stored(epoch):
+            self._report_due = None
+            self._context.report(now, ip, head)
+
+    def _is_stored(self, epoch: int) -> bool:
+        wanted, durable = self._context.disk.meta, self._context.disk.durable.meta
+        return durable.view_epoch == epoch == durable.promised and durable.synced == wanted.synced
+
+    def _flush_stored(self) -> None:
+        context = self._context
+        view = context.view
+        if view is None or not self._is_in_chain(view.epoch) or view.head == context.me.identity:
+            return
+        self._enter_link(view.epoch)
+        seq = self._stored()
+        if seq <= self._told:
+            return
+        self._told = seq
+        receiver = self._successor() or view.chain[0]
+        self._send_to(receiver, Stored(context.me.identity, receiver, view.epoch, seq))
--- /dev/null
+++ b/cloverrouter/coordination/head.py
@@ -0,0 +1,401 @@
+"""The head of one epoch: brings its view into force, orders updates, and watches the others."""
+
+from __future__ import annotations
+
+from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.desk import Asked, Desk, Flying
+from cloverrouter.coordination.effects import Answer, Outcome, ViewInfo
+from cloverrouter.coordination.messages import (
+    Announce,
+    Commit,
+    Forward,
+    Heartbeat,
+    Install,
+    Promise,
+    Report,
+    Stored,
+)
+from cloverrouter.coordination.proposal import Plan
+from cloverrouter.coordination.roster import Peer, Roster
+from cloverrouter.coordination.views import Member, View, is_majority, majority
+
+# View and state are handed over again when nothing is heard of them for so long.
+HAND_AGAIN_S = 0.5
+REPAIR_AFTER_S = 0.2
+# One message carries updates of so many bytes, or a single one.
+FORWARD_BYTES = 1024 * 1024
+KEPT_ROUNDS = 64
+
+
+class Head:
+    """One headship: from the choice of the state to the next epoch."""
+
+    def __init__(
+        self,
+        context: Context,
+        roster: Roster,
+        desk: Desk,
+        view: View,
+        promises: dict[str, Promise],
+        lineage: dict[int, int],
+        now: float,
+    ) -> None:
+        """`lineage`: for an epoch, up to which update states handed over in it are beginnings of this one."""
+        self.view = view
+        self.active = False
+        self._context = context
+        self._roster = roster
+        self._desk = desk
+        self._promises = promises
+        self._lineage = lineage
+        self._base = context.history.newest
+        self._round = 0
+        self._round_begun: dict[int, float] = {}
+        self._rounds: dict[str, int] = {}  # newest round that each voter has answered
+        self._confirmed = 0
+        self.confirmed_at = now  # when a majority was last known to follow
+        self.followed_at = now  # the same, however long the process has been frozen
+        self._lead_from: float | None = None
+        self._no_lead_round = 0  # the last round in which the others were told not to hold to this head
+        self._beat_at = now
+        self._sent_at = now  # when updates were last sent
+        self._tail_stored = 0
+        self._told_stored = 0
+        context.take_view(view, context.me.identity, synced=True)
+        roster.begin(now, view)
+        desk.new_rounds()
+        self._hand_out(now)
+        self.beat(now)
+
+    # -- bringing the view into force --
+
+    @property
+    def _others(self) -> list[Member]:
+        me = self._context.me.identity
+        return [member for member in self.view.electorate(settled=False) if member.identity != me]
+
+    def _hand_out(self, now: float) -> None:
+        for member in self._others:
+            peer = self._roster.peers.get(member.identity)
+            if peer is not None:
+                self._hand(now, peer)
+
+    def _hand(self, now: float, peer: Peer) -> None:
+        """Send view and state to one of the chain, or the view to another."""
+        if peer.handed_at and now - peer.handed_at < HAND_AGAIN_S:
+            return
+        peer.handed_at = now
+        me, identity = self._context.me.identity, peer.member.identity
+        if identity in self.view.chain:
+            self._send(peer.member, self._install_for(identity))
+        else:
+            self._send(peer.member, Announce(me, identity, self.view))
+
+    def _install_for(self, identity: str) -> Install:
+        promise = self._promises.get(identity)
+        updates: tuple[bytes, ...] | None = None
+        synced = seq = 0
+        if promise is not None:
+            synced, seq = promise.synced, promise.seq
+            if seq <= self._lineage.get(synced, -1):
+                updates = self._context.history.after(seq)
+        if updates is not None and self._context.history.newest != self._base:
+            updates = updates[: self._base - seq]
+        state = self._context.history.snapshot() if updates is None else None
+        return Install(
+            sender=self._context.me.identity,
+            receiver=identity,
+            view=self.view,
+            seq=state.seq if state is not None else self._base,
+            snapshot=state.data if state is not None else None,
+            from_synced=synced,
+            from_seq=seq,
+            updates=updates or (),
+        )
+
+    def _send(self, member: Member, message: object) -> None:
+        self._context.send(self._context.address(member), message)
+
+    def _is_in_force(self) -> bool:
+        """Whether all of the chain hold view and state, and a majority of the old voters the view."""
+        epoch = self.view.epoch
+        if not self._own_is_stored():
+            return False
+        for identity in self.view.chain[1:]:
+            report = self._report(identity)
+            if report is None or report.synced != epoch:
+                return False
+        if self._context.settled:
+            return True
+        holders = {self._context.me.identity}
+        for member in self.view.old_voters:
+            report = self._report(member.identity)
+            if report is not None and report.view_epoch == epoch:
+                holders.add(member.identity)
+        return is_majority(self.view.old_voters, holders)
+
+    def _own_is_stored(self) -> bool:
+        return self._context.disk.durable.meta.synced == self.view.epoch
+
+    def _report(self, identity: str) -> Report | None:
+        """The report of one that follows this epoch."""
+        peer = self._roster.peers.get(identity)
+        report = peer.report if peer is not None else None
+        return report if report is not None and report.promised == self.view.epoch else None
+
+    # -- heartbeats and confirmation --
+
+    def beat(self, now: float) -> int:
+        """Begin a round of heartbeats. Gives its number."""
+        context = self._context
+        self._round += 1
+        self._beat_at = now
+        self._round_begun[self._round] = now
+        self._round_begun.pop(self._round - KEPT_ROUNDS, None)
+        trouble_s = context.disk.trouble_s(now)
+        if context.resigning or trouble_s >= context.config.failure_timeout_s:
+            self._no_lead_round = self._round
+            self._lead_from = None
+        for member in self._others + self._roster.wanted_spares(now, self.view):
+            beat = Heartbeat(
+                sender=context.me.identity,
+                receiver=member.identity,
+                epoch=self.view.epoch,
+                round=self._round,
+                active=self.active,
+                committed=context.history.committed if self.active else 0,
+                trouble_ms=int(trouble_s * 1000),
+                resigning=context.resigning,
+            )
+            self._send(member, beat)
+        self._confirm()
+        return self._round
+
+    def on_report(self, now: float, report: Report) -> None:
+        """A member tells how things stand."""
+        peer = self._roster.heard(now, report, self.view.epoch)
+        self._context.seen_epoch = max(self._context.seen_epoch, report.promised)
+        if peer is None or report.promised > self.view.epoch:
+            return
+        if report.round_epoch == self.view.epoch:
+            self._rounds[report.sender] = max(report.round, self._rounds.get(report.sender, 0))
+            self._confirm()
+        in_chain = report.sender in self.view.chain
+        behind = report.synced != self.view.epoch if in_chain else report.view_epoch != self.view.epoch
+        if behind:
+            self._hand(now, peer)
+        elif in_chain and self.active:
+            self._repair(now, peer, report)
+
+    def _confirm(self) -> None:
+        """Find the newest round that a majority of the voters has answered."""
+        rounds = [self._rounds.get(member.identity, 0) for member in self.view.voters]
+        me = self._context.me.identity
+        rounds += [self._round] if self.view.voter(me) is not None else []
+        rounds = sorted(rounds, reverse=True)
+        newest = rounds[majority(len(self.view.voters)) - 1]
+        if newest > self._confirmed:
+            self._confirmed = newest
+            begun = self._round_begun.get(newest)
+            if begun is not None:
+                self.confirmed_at = max(self.confirmed_at, begun)
+                self.followed_at = max(self.followed_at, begun)
+                if newest > self._no_lead_round:
+                    self._lead_from = begun
+
+    @property
+    def lead_until(self) -> float | None:
+        """Until when no other can have become head, or None if that was never sure."""
+        if not self.active or self._lead_from is None:
+            return None
+        return self._lead_from + self._context.config.sticky_s
+
+    def has_lost_quorum(self, now: float) -> bool:
+        """Whether a majority has not answered for too long."""
+        return now - self.confirmed_at > self._context.config.lost_quorum_s
+
+    def forgive(self, now: float) -> None:
+        """The process was frozen: silence says nothing."""
+        self.confirmed_at = max(self.confirmed_at, now)
+
+    # -- commands --
+
+    def work(self, now: float) -> None:
+        """Decide on what waits, as far as there is room."""
+        config = self._context.config
+        desk = self._desk
+        while self.active and desk.waiting and len(desk.flying) < config.in_flight:
+            if any(entry.reply is None for entry in desk.asked):
+                return  # reads of the committed state come first
+            entry = desk.waiting.popleft()
+            self._decide(now, entry.ticket, entry.command)
+
+    def _decide(self, now: float, ticket: int, command: bytes) -> None:
+        context, desk = self._context, self._desk
+        decision = context.history.decide(command)
+        if decision.update is None:
+            newest = context.history.newest
+            desk.asked.append(Asked(ticket, newest, decision.reply, now))
+            return
+        if context.disk.state_bytes + len(decision.update) > context.config.max_state_bytes:
+            context.effects.append(Answer(ticket, Outcome.TOO_LARGE))
+            return
+        seq = context.history.append(decision.update)
+        context.disk.append(seq, decision.update)
+        desk.flying.append(Flying(ticket, seq, decision.reply))
+
+    def ask_rounds(self, now: float) -> None:
+        """Begin a round for reads that have come since the last."""
+        asked = [entry for entry in self._desk.asked if entry.round is None]
+        if not asked or not self.active:
+            return
+        number = self.beat(now)
+        for entry in asked:
+            entry.round = number
+
+    def answer_asked(self) -> None:
+        """Answer the reads that are confirmed."""
+        history, desk = self._context.history, self._desk
+        left: list[Asked] = []
+        for entry in desk.asked:
+            confirmed = entry.round is not None and entry.round <= self._confirmed
+            if not self.active or not confirmed or history.committed < entry.seq:
+                left.append(entry)
+            elif entry.reply is not None:
+                self._context.effects.append(Answer(entry.ticket, Outcome.DONE, entry.reply, entry.seq))
+            elif history.newest == history.committed:
+                state = history.snapshot()
+                self._context.effects.append(Answer(entry.ticket, Outcome.DONE, state.data, state.seq))
+            else:
+                left.append(entry)
+        desk.asked = left
+
+    # -- the chain --
+
+    def forward(self, now: float, sent: int) -> int:
+        """Send the updates after `sent` to the successor. Gives up to where all are sent."""
+        history = self._context.history
+        if not self.active or len(self.view.chain) < 2 or history.newest <= sent:
+            return history.newest
+        updates = history.after(sent) or ()
+        successor = self.view.voter(self.view.chain[1])
+        if successor is not None:
+            self._send_updates(successor, sent + 1, updates)
+        self._sent_at = now
+        return history.newest
+
+    def _send_updates(self, member: Member, first: int, updates: tuple[bytes, ...]) -> None:
+        for start, batch in _batches(updates):
+            forward = Forward(
+                sender=self._context.me.identity,
+                receiver=member.identity,
+                epoch=self.view.epoch,
+                first_seq=first + start,
+                updates=batch,
+                stored=self._own_stored(),
+                committed=self._context.history.committed,
+            )
+            self._send(member, forward)
+
+    def _own_stored(self) -> int:
+        durable = self._context.disk.durable
+        return durable.seq if durable.meta.synced == self.view.epoch else 0
+
+    def _repair(self, now: float, peer: Peer, report: Report) -> None:
+        """Send once more what a member lacks, if that is not merely on its way."""
+        history = self._context.history
+        if report.received_seq >= history.newest or now - self._sent_at < REPAIR_AFTER_S:
+            return
+        if now - peer.repaired_at < REPAIR_AFTER_S:
+            return
+        updates = history.after(report.received_seq)
+        if updates:
+            peer.repaired_at = now
+            self._send_updates(peer.member, report.received_seq + 1, updates)
+
+    def on_stored(self, message: Stored) -> None:
+        """The tail has stored, and so have all before it."""
+        if message.epoch == self.view.epoch and message.sender == self.view.chain[-1]:
+            self._tail_stored = max(self._tail_stored, message.seq)
+
+    def _stored_by_all(self) -> int:
+        """Up to where the whole chain has stored: told by the tail, or one by one in the reports."""
+        least = self._own_stored()
+        for identity in self.view.chain[1:]:
+            report = self._report(identity)
+            known = report.seq if report is not None and report.synced == self.view.epoch else 0
+            least = min(least, known)
+        return max(least, min(self._tail_stored, self._own_stored()))
+
+    def flush(self, now: float) -> bool:
+        """What follows from writes that are done and reports that came. Gives whether the view has just come
+        into force."""
+        begins = not self.active and self._is_in_force()
+        if begins:
+            self.active = True
+            self._context.disk.note(now, settled=True)
+        if not self.active:
+            return False
+        self._tell_stored()
+        seq = self._stored_by_all()
+        if seq > self._context.history.committed or begins:
+            self._commit(now, seq)
+        return begins
+
+    def _tell_stored(self) -> None:
+        seq = self._own_stored()
+        if len(self.view.chain) < 2 or seq <= max(self._told_stored, self._base):
+            return
+        self._told_stored = seq
+        successor = self.view.voter(self.view.chain[1])
+        if successor is not None:
+            me = self._context.me.identity
+            self._send(successor, Stored(me, successor.identity, self.view.epoch, seq))
+
+    def _commit(self, now: float, seq: int) -> None:
+        context = self._context
+        context.effects += context.history.commit(seq)
+        context.disk.note(now, committed=context.history.committed)
+        context.effects += self._desk.committed(context.history.committed)
+        for identity in self.view.chain[1:]:
+            member = self.view.voter(identity)
+            if member is not None:
+                self._send(member, Commit(context.me.identity, identity, self.view.epoch, seq))
+
+    # -- watching --
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        if now - self._beat_at >= self._context.config.heartbeat_s:
+            self.beat(now)
+        self._roster.mark(now, self.view)
+
+    def plan(self, now: float) -> Plan | None:
+        """The next view, if another one is called for and this disk works."""
+        if self._context.resigning or self._context.disk.trouble_s(now) > self._context.config.sticky_s:
+            return None
+        return self._roster.plan(now, self.view, settled=self.active)
+
+    def info(self) -> ViewInfo:
+        """What this head says of its view."""
+        return view_info(self._context, self.view, self.active)
+
+
+def view_info(context: Context, view: View, active: bool) -> ViewInfo:
+    """A view as it is told outside."""
+    members = [member for member in map(view.voter, view.chain) if member is not None]
+    head_ip = context.address(members[0]) if members else None
+    return ViewInfo(view.epoch, view.voters, tuple(members), head_ip, active)
+
+
+def _batches(updates: tuple[bytes, ...]) -> list[tuple[int, tuple[bytes, ...]]]:
+    """Updates in portions, each with the place of its first."""
+    batches: list[tuple[int, tuple[bytes, ...]]] = []
+    start, size = 0, 0
+    for place, update in enumerate(updates):
+        if place > start and size + len(update) > FORWARD_BYTES:
+            batches.append((start, updates[start:place]))
+            start, size = place, 0
+        size += len(update)
+    batches.append((start, updates[start:]))
+    return batches
--- /dev/null
+++ b/cloverrouter/coordination/history.py
@@ -0,0 +1,101 @@
+"""The state of one replica: the newest, how much of it is committed, and the updates in between."""
+
+from __future__ import annotations
+
+from cloverrouter.coordination.effects import Committed, Decision, Restored, StateMachine
+from cloverrouter.store import Snapshot, StoredReplica
+
+# Committed updates that are kept in memory for members that lack them.
+KEPT_BYTES = 512 * 1024
+KEPT_UPDATES = 256
+
+
+class History:
+    """Newest state and updates."""
+
+    def __init__(self, machine: StateMachine) -> None:
+        self._machine = machine
+        self.newest = 0
+        self.committed = 0
+        self._updates: list[bytes] = []  # those up to `newest`
+        self._bytes = 0
+        self._received: Snapshot | None = None  # a state taken whole whose commit is awaited
+        self._cached: Snapshot | None = None
+
+    def start(self, stored: StoredReplica) -> list[Committed | Restored]:
+        """Take what the disk held. What is known to be committed is told."""
+        known = stored.meta.committed
+        if stored.snapshot is not None:
+            self.replace(stored.snapshot.seq, stored.snapshot.data)
+        effects: list[Committed | Restored] = []
+        for update in stored.updates:
+            if self.newest == known:
+                effects += self._resume(known)
+            self.append(update.data)
+        if self.newest == known:
+            effects += self._resume(known)
+        return effects
+
+    def _resume(self, seq: int) -> list[Committed | Restored]:
+        self.committed = seq
+        self._received = None
+        return [Restored(seq, self.snapshot().data)] if seq else []
+
+    def decide(self, command: bytes) -> Decision:
+        """What the state machine makes of a command, against the newest state."""
+        return self._machine.decide(command)
+
+    def append(self, update: bytes) -> int:
+        """The next update enters the newest state. Gives its number."""
+        self._machine.apply(update)
+        self._updates.append(update)
+        self._bytes += len(update)
+        self.newest += 1
+        self._cached = None
+        return self.newest
+
+    def replace(self, seq: int, snapshot: bytes) -> None:
+        """Another state, handed over by a head."""
+        self._machine.restore(snapshot)
+        self._updates.clear()
+        self._bytes = 0
+        self.newest = seq
+        self._cached = None
+        self._received = Snapshot(seq, snapshot)
+
+    def snapshot(self) -> Snapshot:
+        """The newest state."""
+        if self._cached is None:
+            self._cached = Snapshot(self.newest, self._machine.snapshot())
+        return self._cached
+
+    def after(self, seq: int) -> tuple[bytes, ...] | None:
+        """The updates after `seq`, or None if they are not kept any more."""
+        count = self.newest - seq
+        if not 0 <= count <= len(self._updates):
+            return None
+        return tuple(self._updates[len(self._updates) - count :])
+
+    def commit(self, seq: int) -> list[Committed | Restored]:
+        """The state `seq`, not over the newest, is committed. Gives what became of the committed state."""
+        effects: list[Committed | Restored] = []
+        if seq <= self.committed:
+            return effects
+        received = self._received
+        if received is not None and received.seq <= seq:
+            if received.seq > self.committed:
+                effects.append(Restored(received.seq, received.data))
+                self.committed = received.seq
+            self._received = None
+        first = self.newest - len(self._updates)  # the state before the first update that is kept
+        for number in range(self.committed, seq):
+            effects.append(Committed(number + 1, self._updates[number - first]))
+        self.committed = seq
+        self._trim()
+        return effects
+
+    def _trim(self) -> None:
+        while self._updates and self.newest - len(self._updates) < self.committed:
+            if self._bytes <= KEPT_BYTES and len(self._updates) <= KEPT_UPDATES:
+                return
+            self._bytes -= len(self._updates.pop(0))
--- /dev/null
+++ b/cloverrouter/coordination/proposal.py
@@ -0,0 +1,276 @@
+"""One try to become head of a new view: canvass, collect promises, take the newest state.
+
+| phase | left when |
+| --- | --- |
+| CANVASSING | a quorum would promise: only then an epoch is spent, and a head that others hear has peace |
+| RESERVING | the own promise is on the disk: the epoch is never used a second time |
+| COLLECTING | a quorum has promised, and the slower ones had a moment |
+| FETCHING | the newest state among them is here |
+| READY | whoever drives it makes it the head |
+| DEAD | a higher epoch was seen, or this replica is no voter |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+import attrs
+
+from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.messages import Canvass, Fetch, Promise, Propose, Refused, State, Support
+from cloverrouter.coordination.views import Member, View, chain_order, least_chain, next_epoch
+
+
+class Phase(Enum):
+    """How far it has come."""
+
+    CANVASSING = "canvassing"
+    RESERVING = "reserving"
+    COLLECTING = "collecting"
+    FETCHING = "fetching"
+    READY = "ready"
+    DEAD = "dead"
+
+
+@attrs.frozen(slots=True)
+class Plan:
+    """What a head wants of its next view."""
+
+    base_epoch: int  # of the view that it changes
+    voters: tuple[Member, ...]
+    chain: frozenset[str]  # identities of those that are well, itself among them
+    reason: str
+
+
+class Proposal:
+    """One try."""
+
+    def __init__(self, context: Context, now: float, attempt: int, plan: Plan | None = None) -> None:
+        """With a plan of an active head there is no canvass."""
+        self._context = context
+        self.plan = plan
+        self.phase = Phase.CANVASSING
+        self.epoch = 0
+        self.fetched = False
+        self.promises: dict[str, Promise] = {}
+        self._attempt = attempt
+        self._supporters = {context.me.identity}
+        self._asked_at = now
+        self._quorum_at: float | None = None
+        self._fetch_from: str | None = None
+        if plan is not None:
+            self._reserve()
+        else:
+            self._ask(now)
+            self._count_supporters()
+
+    # -- questions --
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        if self.phase is Phase.COLLECTING:
+            self._choose(now)
+        if now - self._asked_at >= self._context.config.retry_s:
+            self._ask(now)
+
+    def _ask(self, now: float) -> None:
+        """Ask all that have not answered."""
+        self._asked_at = now
+        if self.phase is Phase.CANVASSING:
+            known = self._view.epoch
+            for member in self._others(self._supporters):
+                question = Canvass(self._context.me.identity, member.identity, self._attempt, known)
+                self._context.send(self._context.address(member), question)
+        elif self.phase is Phase.COLLECTING:
+            for member in self._others(self.promises):
+                propose = Propose(self._context.me.identity, member.identity, self.epoch)
+                self._context.send(self._context.address(member), propose)
+        elif self.phase is Phase.FETCHING:
+            self._ask_state(now)
+
+    @property
+    def _view(self) -> View:
+        view = self._context.view
+        assert view is not None
+        return view
+
+    def _others(self, answered: Iterable[str]) -> list[Member]:
+        known = {*answered, self._context.me.identity}
+        electorate = self._view.electorate(self._context.settled)
+        return [member for member in electorate if member.identity not in known]
+
+    def _still_votes(self) -> bool:
+        if self._view.voter(self._context.me.identity) is not None:
+            return True
+        self.phase = Phase.DEAD
+        return False
+
+    # -- canvass --
+
+    def on_support(self, now: float, message: Support) -> None:
+        """An answer to the canvass."""
+        self._context.seen_epoch = max(self._context.seen_epoch, message.promised)
+        if self.phase is not Phase.CANVASSING or message.attempt != self._attempt:
+            return
+        known = self._view.epoch
+        self._context.learn_view(now, message.view, message.settled)
+        if not self._still_votes():
+            return
+        if self._view.epoch > known:
+            self._supporters = {self._context.me.identity}
+            self._ask(now)
+        elif message.granted:
+            self._supporters.add(message.sender)
+            self._count_supporters()
+
+    def _count_supporters(self) -> None:
+        if self._view.has_quorum(self._supporters, self._context.settled):
+            self._reserve()
+
+    # -- promises --
+
+    def _reserve(self) -> None:
+        context = self._context
+        above = max(context.epoch, context.seen_epoch, self._view.epoch)
+        self.epoch = next_epoch(above, context.me.identity)
+        context.seen_epoch = self.epoch
+        context.disk.change(promised=self.epoch, promised_to=context.me.identity)
+        self.phase = Phase.RESERVING
+
+    def flush(self, now: float) -> None:
+        """A write is done."""
+        context = self._context
+        durable = context.disk.durable
+        if self.phase is not Phase.RESERVING or durable.meta.promised != self.epoch:
+            return
+        self.phase = Phase.COLLECTING
+        own = Promise(
+            sender=context.me.identity,
+            receiver=context.me.identity,
+            epoch=self.epoch,
+            synced=durable.meta.synced,
+            seq=durable.seq,
+            view=context.view,
+            settled=context.settled,
+        )
+        self.promises[context.me.identity] = own
+        self._ask(now)
+        self._choose(now)
+
+    def on_promise(self, now: float, message: Promise) -> None:
+        """A promise has come."""
+        if message.epoch != self.epoch or self.phase is not Phase.COLLECTING:
+            return
+        if message.view is not None and message.view.epoch >= self.epoch:
+            self.phase = Phase.DEAD
+            return
+        known = self._view.epoch
+        self._context.learn_view(now, message.view, message.settled)
+        if not self._still_votes():
+            return
+        self.promises[message.sender] = message
+        if self._view.epoch > known:
+            self._ask(now)
+        self._choose(now)
+
+    def on_refused(self, message: Refused) -> None:
+        """Someone has promised a higher epoch."""
+        self._context.seen_epoch = max(self._context.seen_epoch, message.promised)
+        if message.epoch == self.epoch and message.promised > self.epoch:
+            self.phase = Phase.DEAD
+
+    def _choose(self, now: float) -> None:
+        """With a quorum, and when the slower ones had a moment, go on with the newest state."""
+        if not self._view.has_quorum(self.promises, self._context.settled):
+            return
+        if self._quorum_at is None:
+            self._quorum_at = now
+        is_over = now - self._quorum_at >= self._context.config.gather_s
+        if not is_over and not self._all_answered():
+            return
+        if len(self._chain_members()) < self._least_chain():
+            return
+        best = max(self.promises.values(), key=lambda promise: (promise.synced, promise.seq))
+        own = self.promises[self._context.me.identity]
+        if (best.synced, best.seq) == (own.synced, own.seq):
+            self.phase = Phase.READY
+            return
+        self.phase = Phase.FETCHING
+        self._fetch_from = best.sender
+        self._ask_state(now)
+
+    def _all_answered(self) -> bool:
+        if self.plan is not None and self._plan_holds():
+            voters = {member.identity for member in self._view.voters}
+            return all(identity in self.promises for identity in self.plan.chain & voters)
+        return not self._others(self.promises)
+
+    # -- the newest state --
+
+    def _ask_state(self, now: float) -> None:
+        """Ask for the state. A source that does not answer is done without."""
+        context = self._context
+        source = self._fetch_from
+        members = [member for member in self._others(()) if member.identity == source]
+        if source is None or not members:
+            self.phase = Phase.DEAD
+            return
+        if now - (self._quorum_at or now) > context.config.failure_timeout_s:
+            del self.promises[source]
+            self._quorum_at = None
+            self.phase = Phase.COLLECTING
+            return
+        context.send(context.address(members[0]), Fetch(context.me.identity, source, self.epoch))
+
+    def on_state(self, message: State) -> None:
+        """The state has come."""
+        context = self._context
+        if self.phase is not Phase.FETCHING or message.epoch != self.epoch:
+            return
+        if message.sender != self._fetch_from:
+            return
+        promise = self.promises[message.sender]
+        if (message.synced, message.seq) != (promise.synced, promise.seq):
+            self.phase = Phase.DEAD
+            return
+        context.history.replace(message.seq, message.snapshot)
+        context.disk.replace(message.seq, message.snapshot)
+        context.disk.change(synced=message.synced)
+        self.fetched = True
+        self.phase = Phase.READY
+
+    # -- the new view --
+
+    def _plan_holds(self) -> bool:
+        return self.plan is not None and self._view.epoch == self.plan.base_epoch
+
+    def _voters(self) -> tuple[Member, ...]:
+        if self.plan is not None and self._plan_holds():
+            return self.plan.voters
+        return self._view.voters
+
+    def _least_chain(self) -> int:
+        return least_chain(len(self._voters()), self._context.config.tolerance)
+
+    def _chain_members(self) -> list[Member]:
+        """Those that have promised; with a plan, the well ones of them and the new voter."""
+        voters = self._voters()
+        present = set(self.promises)
+        if self.plan is not None and self._plan_holds():
+            known = {member.identity for member in self._view.voters}
+            planned = self.plan.chain & (present | (self.plan.chain - known))
+            planned_members = [member for member in voters if member.identity in planned]
+            if len(planned_members) >= self._least_chain():
+                return planned_members
+        return [member for member in voters if member.identity in present]
+
+    def new_view(self) -> View:
+        """The view that follows. Only when ready."""
+        voters = self._voters()
+        old: tuple[Member, ...] = ()
+        if voters != self._view.voters:
+            old = self._view.voters
+        elif not self._context.settled:
+            old = self._view.old_voters
+        return View(self.epoch, voters, chain_order(self._context.me, self._chain_members()), old)
--- /dev/null
+++ b/cloverrouter/coordination/roster.py
@@ -0,0 +1,227 @@
+"""What a head knows of the others: who answers, whose disk works, and which view that calls for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from cloverrouter.coordination.effects import ReplicaConfig
+from cloverrouter.coordination.messages import Report
+from cloverrouter.coordination.proposal import Plan
+from cloverrouter.coordination.views import Member, View, least_chain
+
+# A spare that nobody has spoken of for so long is none.
+SPARE_SEEN_S = 6.0
+# A head that learns of a higher promise waits so long for the one it was given to.
+FENCED_WAIT_S = 0.3
+MOST_RELAPSES = 5
+# A member that has been well for so long has a clean record.
+CLEAN_AFTER_S = 20.0
+
+
+@attrs.define(slots=True)
+class Peer:
+    """One other disk, as the head sees it."""
+
+    member: Member
+    heard: float  # when it last answered, or when this was begun
+    report: Report | None = None  # of this headship
+    well_since: float | None = None
+    relapses: int = 0
+    fenced_since: float | None = None  # it has promised a higher epoch
+    handed_at: float = 0.0  # when view and state were last sent to it
+    repaired_at: float = 0.0  # when updates were last sent to it once more
+
+    def is_well(self, now: float, config: ReplicaConfig) -> bool:
+        """Whether it answers and its disk works, as far as is known."""
+        if now - self.heard >= config.failure_timeout_s:
+            return False
+        report = self.report
+        return report is None or not (
+            report.resigning or report.trouble_ms >= config.failure_timeout_s * 1000
+        )
+
+
+class Roster:
+    """All other disks that a replica knows."""
+
+    def __init__(self, me: Member, config: ReplicaConfig) -> None:
+        self._me = me
+        self._config = config
+        self.peers: dict[str, Peer] = {}
+        self._spares: dict[str, tuple[Member, float]] = {}  # and when they were last spoken of
+
+    def discovered(self, now: float, members: Iterable[Member]) -> None:
+        """Disks that are known from elsewhere to be there."""
+        for member in members:
+            if member.identity != self._me.identity:
+                self._spares[member.identity] = (member, now)
+
+    def begin(self, now: float, view: View) -> None:
+        """This replica leads a view: nothing has been heard in it yet."""
+        for member in view.electorate(settled=False):
+            if member.identity != self._me.identity:
+                peer = self._peer(now, member)
+                peer.heard = max(peer.heard, now) if member.identity in view.chain else peer.heard
+        for peer in self.peers.values():
+            peer.report = None
+            peer.fenced_since = None
+            peer.handed_at = peer.repaired_at = 0.0
+
+    def _peer(self, now: float, member: Member) -> Peer:
+        peer = self.peers.get(member.identity)
+        if peer is None:
+            peer = self.peers[member.identity] = Peer(member, heard=now)
+        return peer
+
+    def forget(self) -> None:
+        """This replica leads no more."""
+        self.peers.clear()
+
+    def was_silent(self, member: Member, since: float) -> None:
+        """The head that was is silent since then."""
+        self.peers[member.identity] = Peer(member, heard=since)
+
+    def forgive(self, now: float) -> None:
+        """The process was frozen: silence says nothing."""
+        for peer in self.peers.values():
+            peer.heard = max(peer.heard, now)
+
+    def spares(self, now: float, view: View) -> list[Member]:
+        """Disks without a vote that were spoken of lately."""
+        for identity, (_, seen) in list(self._spares.items()):
+            if now - seen > SPARE_SEEN_S:
+                del self._spares[identity]
+        voters = {member.identity for member in view.voters}
+        return [member for identity, (member, _) in self._spares.items() if identity not in voters]
+
+    def wanted_spares(self, now: float, view: View) -> list[Member]:
+        """Spares that may be needed, so that it should be known whether they are well."""
+        spares = self.spares(now, view)
+        silent = any(self.silent_s(now, member) >= self._config.failure_timeout_s for member in view.voters)
+        places = {member.ip for member in view.voters} | {member.name for member in view.voters}
+        wanted = [spare for spare in spares if silent or spare.ip in places or spare.name in places]
+        for member in wanted:
+            self._peer(now, member)
+        return wanted
+
+    def silent_s(self, now: float, member: Member) -> float:
+        """For how long a member has not answered."""
+        peer = self.peers.get(member.identity)
+        return now - peer.heard if peer is not None else 0.0
+
+    def heard(self, now: float, report: Report, epoch: int) -> Peer | None:
+        """A member has answered."""
+        peer = self.peers.get(report.sender)
+        if peer is None:
+            return None
+        peer.heard = now
+        peer.report = report
+        if report.promised > epoch:
+            peer.fenced_since = now if peer.fenced_since is None else peer.fenced_since
+        else:
+            peer.fenced_since = None
+        if peer.well_since is None and peer.is_well(now, self._config):
+            peer.well_since = now
+        return peer
+
+    def mark(self, now: float, view: View) -> None:
+        """Note who is not well."""
+        for peer in self.peers.values():
+            if not peer.is_well(now, self._config):
+                if peer.member.identity in view.chain and peer.well_since is not None:
+                    peer.relapses = min(MOST_RELAPSES, peer.relapses + 1)
+                peer.well_since = None
+            elif peer.well_since is not None and now - peer.well_since > CLEAN_AFTER_S:
+                peer.relapses = 0
+
+    # -- the view that all this calls for --
+
+    def plan(self, now: float, view: View, settled: bool) -> Plan | None:
+        """The next view, if another one than this is called for."""
+        if settled:
+            exchange = self._exchange(now, view)
+            if exchange is not None:
+                return exchange
+        return self._regroup(now, view)
+
+    def _regroup(self, now: float, view: View) -> Plan | None:
+        """The same voters, another chain."""
+        present = {self._me.identity}
+        reasons: list[str] = []
+        for member in view.voters:
+            peer = self.peers.get(member.identity)
+            if peer is None:
+                continue
+            in_chain = member.identity in view.chain
+            is_fit = peer.is_well(now, self._config) if in_chain else self._may_join(now, peer, view)
+            if is_fit:
+                present.add(member.identity)
+            if is_fit != in_chain:
+                reasons.append(f"{member.name} {'joins' if is_fit else 'leaves'}")
+            elif in_chain and self._is_fenced(now, peer):
+                reasons.append(f"{member.name} has promised more")
+        if not reasons or len(present) < least_chain(len(view.voters), self._config.tolerance):
+            return None
+        return Plan(view.epoch, view.voters, frozenset(present), ", ".join(reasons))
+
+    def _may_join(self, now: float, peer: Peer, view: View) -> bool:
+        """Whether one outside the chain is to come in: well for a while, and its disk took this view."""
+        report = peer.report
+        if report is None or peer.well_since is None or not peer.is_well(now, self._config):
+            return False
+        if now - peer.well_since < self._config.rejoin_s * 2 ** max(0, peer.relapses - 1):
+            return False
+        return report.view_epoch == view.epoch or self._is_fenced(now, peer)
+
+    def _is_fenced(self, now: float, peer: Peer) -> bool:
+        return peer.fenced_since is not None and now - peer.fenced_since >= FENCED_WAIT_S
+
+    def _exchange(self, now: float, view: View) -> Plan | None:
+        """A spare in the place of a voter that is lost, one at a time."""
+        config = self._config
+        fit = [spare for spare in self.spares(now, view) if self._spare_is_fit(now, spare)]
+        if not fit:
+            return None
+        lost = [member for member in view.voters if self._seems_lost(now, member)]
+        pair = self._same_place(fit, lost) or self._longest_silent(now, fit, lost)
+        if pair is None:
+            return None
+        gone, spare = pair
+        voters = tuple(spare if member == gone else member for member in view.voters)
+        chain = {self._me.identity, spare.identity}
+        for identity in view.chain:
+            peer = self.peers.get(identity)
+            if peer is not None and identity != gone.identity and peer.is_well(now, config):
+                chain.add(identity)
+        if len(chain) < least_chain(len(voters), config.tolerance):
+            return None
+        return Plan(view.epoch, voters, frozenset(chain), f"{spare.name} in the place of {gone.name}")
+
+    def _spare_is_fit(self, now: float, spare: Member) -> bool:
+        peer = self.peers.get(spare.identity)
+        return peer is not None and peer.report is not None and peer.is_well(now, self._config)
+
+    def _seems_lost(self, now: float, member: Member) -> bool:
+        if member.identity == self._me.identity:
+            return False
+        return self.silent_s(now, member) >= 2 * self._config.heartbeat_s
+
+    def _same_place(self, fit: list[Member], lost: list[Member]) -> tuple[Member, Member] | None:
+        """A machine that has lost its disk, or was put in another's place under its name."""
+        for gone in lost:
+            for spare in fit:
+                if spare.ip == gone.ip or spare.name == gone.name:
+                    return gone, spare
+        return None
+
+    def _longest_silent(
+        self, now: float, fit: list[Member], lost: list[Member]
+    ) -> tuple[Member, Member] | None:
+        silent = [member for member in lost if self.silent_s(now, member) >= self._config.exchange_after_s]
+        if not silent:
+            return None
+        gone = max(silent, key=lambda member: (self.silent_s(now, member), member.identity))
+        spare = min(fit, key=lambda member: (member.zone != gone.zone, member.identity))
+        return gone, spare
--- /dev/null
+++ b/cloverrouter/store/replica_store.py
@@ -0,0 +1,302 @@
+"""A replica's disk: one lmdb file, each write one synced transaction.
+
+What a disk means when it is opened:
+
+- No file, or a file that never got an identity (power went during first use): an empty disk. An identity is
+  drawn and synced before anything else.
+- A file that lmdb can't open, or in which any value fails its checksum or is missing: the disk is lost. Its
+  file is removed and a new identity is drawn, so that it never votes as the machine that it was.
+- Anything else is whole: lmdb's transactions are either there or not.
+
+An object is used by one thread at a time, a directory by one process.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import secrets
+import struct
+import zlib
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import lmdb
+
+from cloverrouter.store.errors import StoreError, StoreFailed, StoreFull
+from cloverrouter.store.records import Meta, Record, Snapshot, StoredReplica, Update
+
+FILE_NAME = "replica.mdb"
+IDENTITY_BYTES = 8
+# Share of the room that the file may take: lmdb never shrinks it, and a full disk refuses every write.
+MAP_SHARE = 0.7
+PAGE_BYTES = 4096
+# Chunks fill whole pages with lmdb's page header: large values would need a long run of free pages.
+CHUNK_BYTES = 8 * PAGE_BYTES - 16 - 4
+
+_IDENTITY = b"identity"
+_META = b"meta"
+_PEERS = b"peers"
+_SNAPSHOT = b"snapshot"
+_UPDATE = b"update"
+_SEQ = struct.Struct(">Q")
+_CHUNK = struct.Struct(">I")
+_CHECKSUM = struct.Struct(">I")
+_META_HEAD = struct.Struct(">QQQQ??B")
+
+
+class _Damaged(Exception):
+    """A stored value is not what was written."""
+
+
+class ReplicaStore:
+    """The disk of one replica."""
+
+    def __init__(self, directory: Path, map_bytes: int) -> None:
+        """Use `open`."""
+        self._directory = directory
+        self._map_bytes = map_bytes
+        self._environment: Any = None
+
+    @classmethod
+    def open(cls, directory: Path, max_bytes: int) -> ReplicaStore:
+        """A store in a directory, which is made if need be. Its file stays under 0.7 of `max_bytes`.
+
+        Raises StoreError if the disk does not even allow that."""
+        map_bytes = int(max_bytes * MAP_SHARE) // PAGE_BYTES * PAGE_BYTES
+        store = cls(directory, map_bytes)
+        try:
+            _make_directory(directory)
+        except OSError as error:
+            raise _store_error(error) from error
+        return store
+
+    def load(self, bootstrap: bool = False) -> StoredReplica:
+        """What the disk holds; an empty or damaged disk gets an identity. `bootstrap`: this is the system's
+        first start, so an empty disk may become one of the first voters. Raises StoreError."""
+        damage = ""
+        try:
+            self._open_environment()
+            stored = self._read()
+        except (_Damaged, lmdb.InvalidError, lmdb.CorruptedError, lmdb.VersionMismatchError) as error:
+            damage = f"{type(error).__name__}: {error}"
+            stored = None
+            self._empty()
+        except (lmdb.Error, OSError) as error:
+            raise _store_error(error) from error
+        if stored is not None:
+            return stored
+        # A disk that held something before is not one of the system's first start.
+        return self._first_use(adoptable=bootstrap and not damage, damage=damage)
+
+    def write(self, record: Record) -> None:
+        """Store a record; when this returns, it is durable. Raises StoreError, and nothing has changed."""
+        try:
+            self._open_environment()
+            with self._environment.begin(write=True) as transaction:
+                _put_record(transaction, record)
+        except lmdb.PanicError as error:
+            self.close()  # lmdb takes nothing more until it is opened again
+            raise StoreFailed(str(error)) from error
+        except (lmdb.Error, OSError, _Damaged) as error:
+            raise _store_error(error) from error
+
+    def close(self) -> None:
+        """Let go of the file. A later call opens it again."""
+        if self._environment is not None:
+            self._environment.close()
+            self._environment = None
+
+    def _open_environment(self) -> None:
+        if self._environment is not None:
+            return
+        path = self._directory / FILE_NAME
+        is_new = not path.exists()
+        self._environment = lmdb.open(
+            str(path), map_size=self._map_bytes, subdir=False, lock=False, max_spare_txns=1, readahead=False
+        )
+        if is_new:
+            self._environment.sync(True)
+            _sync_directory(self._directory)
+        # A file that is shorter than its pages say would end the process when they are read.
+        if path.stat().st_size < (self._environment.info()["last_pgno"] + 1) * PAGE_BYTES:
+            raise _Damaged("the file is cut short")
+
+    def _read(self) -> StoredReplica | None:
+        with self._environment.begin() as transaction:
+            identity = _get(transaction, _IDENTITY)
+            if identity is None:
+                return None
+            meta = _get(transaction, _META)
+            if meta is None:
+                raise _Damaged("no meta record")
+            snapshot = _read_snapshot(transaction)
+            updates = tuple(_read_updates(transaction))
+            peers = _get(transaction, _PEERS) or b""
+        _check_order(snapshot, updates)
+        return StoredReplica(
+            identity=identity.decode(),
+            meta=_unpack_meta(meta),
+            snapshot=snapshot,
+            updates=updates,
+            peers=tuple(peers.decode().split()),
+        )
+
+    def _first_use(self, adoptable: bool, damage: str) -> StoredReplica:
+        identity = secrets.token_hex(IDENTITY_BYTES)
+        meta = Meta(adoptable=adoptable)
+        try:
+            self._open_environment()
+            with self._environment.begin(write=True) as transaction:
+                _put(transaction, _IDENTITY, identity.encode())
+                _put(transaction, _META, _pack_meta(meta))
+            _sync_directory(self._directory)
+        except (lmdb.Error, OSError) as error:
+            raise _store_error(error) from error
+        return StoredReplica(identity=identity, meta=meta, fresh=True, damage=damage)
+
+    def _empty(self) -> None:
+        self.close()
+        try:
+            with suppress(FileNotFoundError):
+                (self._directory / FILE_NAME).unlink()
+            _sync_directory(self._directory)
+        except OSError as error:
+            raise _store_error(error) from error
+
+
+def _make_directory(directory: Path) -> None:
+    if directory.is_dir():
+        return
+    directory.mkdir(parents=True, exist_ok=True)
+    _sync_directory(directory.parent)
+
+
+def _sync_directory(directory: Path) -> None:
+    descriptor = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _store_error(error: Exception) -> StoreError:
+    text = str(error)
+    full = isinstance(error, lmdb.MapFullError) or os.strerror(errno.ENOSPC) in text
+    if isinstance(error, OSError) and error.errno in (errno.ENOSPC, errno.EDQUOT):
+        full = True
+    return StoreFull(text) if full else StoreFailed(text)
+
+
+def _put(transaction: Any, key: bytes, data: bytes) -> None:
+    transaction.put(key, _CHECKSUM.pack(zlib.crc32(data, zlib.crc32(key))) + data)
+
+
+def _checked(key: bytes, value: bytes) -> bytes:
+    data = value[_CHECKSUM.size :]
+    if value[: _CHECKSUM.size] != _CHECKSUM.pack(zlib.crc32(data, zlib.crc32(key))):
+        raise _Damaged(f"checksum of {key!r}")
+    return data
+
+
+def _get(transaction: Any, key: bytes) -> bytes | None:
+    value = transaction.get(key)
+    return None if value is None else _checked(key, value)
+
+
+def _put_record(transaction: Any, record: Record) -> None:
+    if record.meta is not None:
+        _put(transaction, _META, _pack_meta(record.meta))
+    if record.peers is not None:
+        _put(transaction, _PEERS, " ".join(record.peers).encode())
+    if record.snapshot is not None:
+        _delete_all(transaction, _SNAPSHOT)
+        _delete_all(transaction, _UPDATE)
+        _put_chunks(transaction, _SNAPSHOT, record.snapshot.seq, record.snapshot.data)
+    for update in record.updates:
+        _put_chunks(transaction, _UPDATE, update.seq, update.data)
+
+
+def _put_chunks(transaction: Any, kind: bytes, seq: int, data: bytes) -> None:
+    """Data in pieces under `kind`, sequence number, piece; the first piece tells how many there are."""
+    pieces = [data[start : start + CHUNK_BYTES] for start in range(0, len(data), CHUNK_BYTES)] or [b""]
+    prefix = kind + _SEQ.pack(seq)
+    _put(transaction, prefix + _CHUNK.pack(0), _CHUNK.pack(len(pieces)))
+    for number, piece in enumerate(pieces, 1):
+        _put(transaction, prefix + _CHUNK.pack(number), piece)
+
+
+def _delete_all(transaction: Any, kind: bytes) -> None:
+    cursor = transaction.cursor()
+    more = cursor.set_range(kind)
+    while more and cursor.key().startswith(kind):
+        more = cursor.delete()
+
+
+def _read_all(transaction: Any, kind: bytes) -> Iterator[tuple[int, bytes]]:
+    """Sequence numbers and data of all values of a kind, in order."""
+    cursor = transaction.cursor()
+    more = cursor.set_range(kind)
+    while more and cursor.key().startswith(kind):
+        key = cursor.key()
+        prefix = key[: len(kind) + _SEQ.size]
+        if key[len(prefix) :] != _CHUNK.pack(0):
+            raise _Damaged(f"the first piece of {prefix!r} is missing")
+        (count,) = _CHUNK.unpack(_checked(key, cursor.value()))
+        pieces = [_get(transaction, prefix + _CHUNK.pack(number)) for number in range(1, count + 1)]
+        whole = [piece for piece in pieces if piece is not None]
+        if len(whole) < count:
+            raise _Damaged(f"a piece of {prefix!r} is missing")
+        yield _SEQ.unpack(prefix[len(kind) :])[0], b"".join(whole)
+        more = cursor.set_range(prefix + _CHUNK.pack(count + 1))
+
+
+def _read_snapshot(transaction: Any) -> Snapshot | None:
+    found = [Snapshot(seq, data) for seq, data in _read_all(transaction, _SNAPSHOT)]
+    if len(found) > 1:
+        raise _Damaged("more than one snapshot")
+    return found[0] if found else None
+
+
+def _read_updates(transaction: Any) -> Iterator[Update]:
+    for seq, data in _read_all(transaction, _UPDATE):
+        yield Update(seq, data)
+
+
+def _check_order(snapshot: Snapshot | None, updates: tuple[Update, ...]) -> None:
+    expected = snapshot.seq if snapshot is not None else 0
+    for update in updates:
+        expected += 1
+        if update.seq != expected:
+            raise _Damaged(f"update {expected} is missing")
+
+
+def _pack_meta(meta: Meta) -> bytes:
+    proposer = meta.promised_to.encode()
+    head = _META_HEAD.pack(
+        meta.promised,
+        meta.synced,
+        meta.committed,
+        meta.view_epoch,
+        meta.settled,
+        meta.adoptable,
+        len(proposer),
+    )
+    return head + proposer + meta.view
+
+
+def _unpack_meta(data: bytes) -> Meta:
+    promised, synced, committed, view_epoch, settled, adoptable, size = _META_HEAD.unpack_from(data)
+    rest = data[_META_HEAD.size :]
+    return Meta(
+        promised=promised,
+        promised_to=rest[:size].decode(),
+        synced=synced,
+        view=rest[size:],
+        view_epoch=view_epoch,
+        settled=settled,
+        committed=committed,
+        adoptable=adoptable,
+    )
--- /dev/null
+++ b/tests/system/replica_world.py
@@ -0,0 +1,698 @@
+"""A seeded world of replicas: their network, disks, processes and clients on one simulated clock.
+
+Everything that a day may bring is here: messages late, lost or cut off one way or both, disks that are slow,
+stall, fill up or lose what was not synced, processes killed, frozen and started again, disks wiped, machines
+replaced. The world checks at every step what must hold whatever happens; see `Ledger`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+import attrs
+
+from cloverrouter.coordination.context import encode_view
+from cloverrouter.coordination.effects import (
+    Answer,
+    Committed,
+    Decision,
+    Effect,
+    Outcome,
+    Persist,
+    ReplicaConfig,
+    Restored,
+    Send,
+    ViewChanged,
+)
+from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
+from cloverrouter.coordination.messages import GENESIS_MESSAGES
+from cloverrouter.coordination.replica import Replica
+from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
+from cloverrouter.messages import Decoder, encode
+from cloverrouter.store import Meta, Record, StoredReplica
+
+TICK_S = 0.05
+DISCOVERY_S = 0.4
+KEPT_DIGESTS = 64
+ZONES = ("east", "north", "west")
+
+
+class Violation(AssertionError):
+    """Something that must always hold did not."""
+
+
+class Register:
+    """The state machine of the tests: a value, its version, and the orders that led there."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.value = ""
+        self.orders: dict[str, int] = {}
+
+    def decide(self, command: bytes) -> Decision:
+        order = json.loads(command)
+        done = self.orders.get(order["id"])
+        if done is not None:
+            return Decision(_reply("done", done), None)
+        if order["expect"] != self.version:
+            return Decision(_reply("conflict", self.version), None)
+        update = {"id": order["id"], "version": self.version + 1, "value": order["value"]}
+        return Decision(_reply("done", self.version + 1), json.dumps(update).encode())
+
+    def apply(self, update: bytes) -> None:
+        entry = json.loads(update)
+        if entry["version"] != self.version + 1:
+            raise Violation(f"update {entry['version']} applied to version {self.version}")
+        self.version = entry["version"]
+        self.value = entry["value"]
+        self.orders[entry["id"]] = self.version
+        if len(self.orders) > KEPT_DIGESTS:
+            del self.orders[next(iter(self.orders))]
+
+    def snapshot(self) -> bytes:
+        return json.dumps([self.version, self.value, self.orders]).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        self.version, self.value, self.orders = json.loads(snapshot)
+
+
+def _reply(what: str, version: int) -> bytes:
+    return json.dumps([what, version]).encode()
+
+
+@attrs.define
+class Ledger:
+    """What must hold in the whole world.
+
+    - One order: an update's number has one content, at all replicas, for ever.
+    - Nothing acknowledged is lost, and it is on enough disks when it is acknowledged.
+    - Two views in force never have the same epoch and different content.
+    - A replica's committed state goes forward only, without gaps, during its process's life.
+    - A read tells nothing older than what was acknowledged before it began.
+    """
+
+    log: dict[int, bytes] = attrs.Factory(dict)  # committed updates
+    states: dict[int, bytes] = attrs.Factory(dict)  # committed states, by the same numbers
+    acknowledged: int = 0  # newest update that a client knows of
+    active: dict[int, View] = attrs.Factory(dict)
+
+    def committed(self, seq: int, update: bytes) -> None:
+        known = self.log.setdefault(seq, update)
+        if known != update:
+            raise Violation(f"update {seq} is committed as {update!r} and as {known!r}")
+
+    def state(self, seq: int, state: bytes) -> None:
+        known = self.states.setdefault(seq, state)
+        if known != state:
+            raise Violation(f"state {seq} is {state!r} and {known!r}")
+
+    def view_in_force(self, view: Any) -> None:
+        chain = tuple(member.identity for member in view.chain)
+        found = View(view.epoch, view.voters, chain, ())
+        if self.active.setdefault(view.epoch, found) != found:
+            raise Violation(f"two views of epoch {view.epoch}")
+
+
+class Disk:
+    """A disk: what is synced, and its troubles."""
+
+    def __init__(self, adoptable: bool, random: Random) -> None:
+        self.random = random
+        identity = f"{random.getrandbits(64):016x}"
+        self.stored = StoredReplica(identity=identity, meta=Meta(adoptable=adoptable))
+        self.stalled_until = 0.0
+        self.full = False
+        self.slowness = 1.0
+        self.syncs = True  # False: a fault on purpose, of a store that does not sync
+        self.held: dict[int, bytes] = {}  # updates that were ever durable here
+        self._unsynced: StoredReplica | None = None
+
+    def sync_s(self, now: float) -> float:
+        """How long a write takes that begins now."""
+        usual = self.random.uniform(0.001, 0.004) * self.slowness
+        return max(0.0, self.stalled_until - now) + usual
+
+    def store(self, record: Record) -> None:
+        """A write is done."""
+        before = self._unsynced or self.stored
+        after = write_record(before, record)
+        if self.syncs:
+            self.stored = after
+            for update in record.updates:
+                self.held[update.seq] = update.data
+        else:
+            self._unsynced = after
+
+    def lose_power(self) -> None:
+        """What was not synced is gone."""
+        self._unsynced = None
+
+    def end_process(self) -> None:
+        """What the machine has in memory survives its process."""
+        if self._unsynced is not None:
+            self.stored = self._unsynced
+
+
+def write_record(stored: StoredReplica, record: Record) -> StoredReplica:
+    """What a disk holds after a record."""
+    changes: dict[str, Any] = {}
+    if record.meta is not None:
+        changes["meta"] = record.meta
+    if record.peers is not None:
+        changes["peers"] = record.peers
+    updates = stored.updates
+    if record.snapshot is not None:
+        changes["snapshot"] = record.snapshot
+        updates = ()
+    changes["updates"] = updates + record.updates
+    result = attrs.evolve(stored, **changes)
+    expected = result.snapshot.seq if result.snapshot is not None else 0
+    for update in result.updates:
+        expected += 1
+        if update.seq != expected:
+            raise Violation(f"update {update.seq} is written after {expected - 1}")
+    return result
+
+
+@attrs.define(eq=False)
+class Node:
+    """One machine with a disk."""
+
+    ip: str
+    name: str
+    zone: str
+    disk: Disk
+    replica: Replica | None = None
+    life: int = 0  # of its process
+    frozen_until: float = 0.0
+    committed: int = 0  # in this life
+    held_back: list[Callable[[], None]] = attrs.Factory(list)  # what came while it was frozen
+    removed: bool = False
+
+    @property
+    def member(self) -> Member:
+        return Member(self.disk.stored.identity, self.ip, self.name, self.zone)
+
+
+@attrs.define(eq=False)
+class Call:
+    """A client's call at one node."""
+
+    ticket: int
+    node: Node
+    done: Callable[[Answer], None]
+
+
+@attrs.frozen
+class Weather:
+    """The network's figures."""
+
+    least_delay_s: float = 0.0008
+    most_delay_s: float = 0.0015
+    loss: float = 0.0
+    late: float = 0.0  # share of messages that come up to a second late
+
+
+class World:
+    """The world. `run_until` moves its clock."""
+
+    def __init__(
+        self,
+        seed: int,
+        count: int,
+        tolerance: int,
+        weather: Weather = Weather(),
+        genesis: bool = False,
+        config: dict[str, Any] | None = None,
+        replica_class: type[Replica] = Replica,
+        wire: bool = False,
+    ) -> None:
+        """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
+        through their encoding."""
+        self.random = Random(seed)
+        self.now = 100.0
+        self.tolerance = tolerance
+        self.weather = weather
+        self.config = ReplicaConfig(tolerance=tolerance, **(config or {}))
+        self.replica_class = replica_class
+        self.wire = wire
+        self.ledger = Ledger()
+        self.nodes: list[Node] = []
+        self.buried: list[Disk] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.proposers: dict[str, GenesisProposer] = {}
+        self.messages = 0
+        self.messages_by_type: dict[str, int] = {}
+        self.trace: Callable[[str], None] | None = None
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        self._tickets = 0
+        self._calls: dict[int, Call] = {}
+        for place in range(count):
+            self.add_node(adoptable=genesis, start=False, place=place)
+        if genesis:
+            self._begin_genesis()
+        else:
+            self._give_first_view()
+        for node in self.nodes:
+            self.start(node)
+        self.at(self.now + DISCOVERY_S / 4, self._discover)
+
+    # -- set-up --
+
+    def add_node(
+        self, adoptable: bool = False, start: bool = True, place: int | None = None, name: str = ""
+    ) -> Node:
+        number = len(self.nodes)
+        zone = ZONES[(number if place is None else place) % len(ZONES)]
+        ip = f"10.{1 + ZONES.index(zone)}.0.{10 + number}"
+        node = Node(ip, name or f"node-{number}", zone, Disk(adoptable, self.random))
+        self.nodes.append(node)
+        if start:
+            self.start(node)
+        return node
+
+    def _give_first_view(self) -> None:
+        view = View(GENESIS_EPOCH, tuple(node.member for node in self.nodes), (), ())
+        for node in self.nodes:
+            meta = Meta(view=encode_view(view), view_epoch=GENESIS_EPOCH, settled=True)
+            node.disk.stored = attrs.evolve(node.disk.stored, meta=meta)
+
+    def _begin_genesis(self) -> None:
+        """The first three machines are seeds."""
+        seeds = [node.ip for node in self.nodes[:3]]
+        for ip in seeds:
+            self.proposers[ip] = GenesisProposer(ip, seeds, GenesisConfig(self.tolerance))
+            self.at(self.now + self.random.uniform(0, 0.3), self._starter(ip))
+
+    def _starter(self, ip: str) -> Callable[[], None]:
+        def run() -> None:
+            proposer = self.proposers.get(ip)
+            if proposer is not None:
+                self._send_all(ip, proposer.start(self.now))
+                self.at(self.now + TICK_S, tick)
+
+        def tick() -> None:
+            proposer = self.proposers.get(ip)
+            if proposer is not None:
+                self._send_all(ip, proposer.tick(self.now))
+                self.at(self.now + TICK_S, tick)
+
+        return run
+
+    def _send_all(self, ip: str, effects: Iterable[Send]) -> None:
+        for effect in effects:
+            self._send(ip, effect)
+
+    # -- clock --
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (when, self._order, action))
+
+    def run_until(self, when: float) -> None:
+        while self._queue and self._queue[0][0] <= when:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = when
+
+    def run(self, seconds: float) -> None:
+        self.run_until(self.now + seconds)
+
+    def run_while(self, condition: Callable[[], bool], most_s: float) -> bool:
+        """Run until the condition is false; gives whether that came in time."""
+        end = self.now + most_s
+        while condition():
+            if not self._queue or self._queue[0][0] > end:
+                self.now = end
+                return False
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        return True
+
+    def say(self, text: str) -> None:
+        if self.trace is not None:
+            self.trace(f"{self.now:9.4f} {text}")
+
+    # -- processes --
+
+    def start(self, node: Node, delay_s: float = 0.0) -> None:
+        """Start a node's process."""
+        node.life += 1
+        life = node.life
+        node.committed = 0
+        node.frozen_until = 0.0
+        node.held_back = []
+
+        def begin() -> None:
+            if node.life != life or node.removed:
+                return
+            self.say(f"{node.name} starts as {node.disk.stored.identity[:4]}")
+            node.replica = self.replica_class(
+                node.member, node.disk.stored, Register(), self.config, Random(self.random.random())
+            )
+            self._do(node, node.replica.start(self.now))
+            self.at(self.now + self.random.uniform(0, TICK_S), lambda: self._tick(node, life))
+
+        self.at(self.now + delay_s + self.random.uniform(0, 0.01), begin)
+
+    def _tick(self, node: Node, life: int) -> None:
+        if node.life != life or node.replica is None:
+            return
+        replica = node.replica
+        self._when_awake(node, lambda: replica.tick(self.now))
+        wait = max(TICK_S, node.frozen_until - self.now)
+        self.at(self.now + wait, lambda: self._tick(node, life))
+
+    def _when_awake(self, node: Node, event: Callable[[], list[Effect]]) -> None:
+        """Let the node's process take an event, once it is not frozen."""
+        life = node.life
+
+        def take() -> None:
+            if node.life == life and node.replica is not None:
+                self._do(node, event())
+
+        if self.now < node.frozen_until:
+            node.held_back.append(take)
+        else:
+            take()
+
+    def kill(self, node: Node, power: bool = False) -> None:
+        """End a node's process, or cut its power."""
+        self.say(f"{node.name} is killed{' (power)' if power else ''}")
+        node.life += 1
+        node.replica = None
+        if power:
+            node.disk.lose_power()
+        else:
+            node.disk.end_process()
+        self.proposers.pop(node.ip, None)
+        for ticket in [ticket for ticket, call in self._calls.items() if call.node is node]:
+            del self._calls[ticket]
+
+    def wipe(self, node: Node) -> None:
+        """Replace a node's disk by an empty one. Its process must be ended."""
+        assert node.replica is None
+        self.say(f"{node.name} is wiped")
+        self.buried.append(node.disk)
+        node.disk = Disk(False, self.random)
+
+    def remove(self, node: Node) -> None:
+        """Take a machine away for good."""
+        if node.replica is not None:
+            self.kill(node, power=True)
+        node.removed = True
+        self.buried.append(node.disk)
+
+    def freeze(self, node: Node, seconds: float) -> None:
+        """Stop a process for a while; what comes meanwhile waits."""
+        self.say(f"{node.name} freezes for {seconds:.2f}")
+        node.frozen_until = self.now + seconds
+        life = node.life
+
+        def wake() -> None:
+            if node.life != life or self.now < node.frozen_until:
+                return
+            held, node.held_back = node.held_back, []
+            self.random.shuffle(held)
+            for action in held:
+                action()
+
+        self.at(node.frozen_until, wake)
+
+    def _discover(self) -> None:
+        for node in self.running():
+            members = [other.member for other in self.running() if self._is_joined(node, other)]
+            replica = node.replica
+            assert replica is not None
+            self._do(node, replica.discovered(self.now, members))
+            if node.ip in self.proposers:
+                self._send_all(node.ip, self.proposers[node.ip].discovered(self.now, members))
+        self.at(self.now + DISCOVERY_S, self._discover)
+
+    def _is_joined(self, one: Node, other: Node) -> bool:
+        return (one.ip, other.ip) not in self.cuts and (other.ip, one.ip) not in self.cuts
+
+    def running(self) -> list[Node]:
+        """Nodes whose process runs and isn't frozen."""
+        return [node for node in self.nodes if node.replica is not None and self.now >= node.frozen_until]
+
+    # -- effects --
+
+    def _do(self, node: Node, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(node.ip, effect)
+            elif isinstance(effect, Persist):
+                self._persist(node, effect)
+            elif isinstance(effect, Answer):
+                self._answer(effect)
+            elif isinstance(effect, Committed):
+                self._on_committed(node, effect)
+            elif isinstance(effect, Restored):
+                self._on_restored(node, effect)
+            elif isinstance(effect, ViewChanged):
+                self._on_view(node, effect)
+
+    def _send(self, from_ip: str, effect: Send) -> None:
+        self.messages += 1
+        kind = type(effect.message).__name__
+        self.messages_by_type[kind] = self.messages_by_type.get(kind, 0) + 1
+        weather = self.weather
+        if (from_ip, effect.ip) in self.cuts or self.random.random() < weather.loss:
+            return
+        delay = self.random.uniform(weather.least_delay_s, weather.most_delay_s)
+        if weather.late and self.random.random() < weather.late:
+            delay += self.random.expovariate(3.0)
+        message = effect.message
+        if self.wire:
+            (message,) = Decoder().feed(encode(message))
+        self.at(self.now + delay, lambda: self._deliver(from_ip, effect.ip, message))
+
+    def _deliver(self, from_ip: str, to_ip: str, message: object) -> None:
+        if (from_ip, to_ip) in self.cuts:
+            return
+        if isinstance(message, GENESIS_MESSAGES):
+            proposer = self.proposers.get(to_ip)
+            if proposer is not None:
+                self._send_all(to_ip, proposer.receive(self.now, from_ip, message))
+            return
+        for node in self.nodes:
+            if node.ip == to_ip and node.replica is not None:
+                self._hand(node, node.replica, from_ip, message)
+
+    def _hand(self, node: Node, replica: Replica, from_ip: str, message: object) -> None:
+        self._when_awake(node, lambda: replica.receive(self.now, from_ip, message))
+
+    def _persist(self, node: Node, effect: Persist) -> None:
+        life, disk, replica = node.life, node.disk, node.replica
+        assert replica is not None
+
+        def write() -> None:
+            if node.disk is not disk or node.life != life:
+                return  # the process ended before its write was done
+            if self.now < disk.stalled_until:
+                self.at(disk.stalled_until + 0.001, write)
+                return
+            error = "no space left" if disk.full else None
+            if error is None:
+                disk.store(effect.record)
+            self._when_awake(node, lambda: replica.persisted(self.now, effect.token, error))
+
+        self.at(self.now + disk.sync_s(self.now), write)
+
+    def _on_committed(self, node: Node, effect: Committed) -> None:
+        if effect.seq != node.committed + 1:
+            raise Violation(f"{node.name} commits {effect.seq} after {node.committed}")
+        node.committed = effect.seq
+        self.ledger.committed(effect.seq, effect.update)
+
+    def _on_restored(self, node: Node, effect: Restored) -> None:
+        if effect.seq <= node.committed:
+            raise Violation(f"{node.name} goes back from {node.committed} to {effect.seq}")
+        node.committed = effect.seq
+        self.ledger.state(effect.seq, effect.snapshot)
+
+    def _on_view(self, node: Node, effect: ViewChanged) -> None:
+        view = effect.view
+        chain = " ".join(member.identity[:4] for member in view.chain)
+        force = "in force" if view.active else ""
+        self.say(f"{node.name} view {view.epoch:x} [{chain}] of {len(view.voters)} {force}")
+        if view.active and view.head == node.member:
+            self.ledger.view_in_force(view)
+
+    # -- clients --
+
+    def submit(self, node: Node, command: bytes, done: Callable[[Answer], None]) -> None:
+        """Send a command to a node. If its process ends, no answer comes."""
+        replica = node.replica
+        if replica is None:
+            return
+        self._tickets += 1
+        ticket = self._tickets
+        self._calls[ticket] = Call(ticket, node, done)
+        self._when_awake(node, lambda: replica.submit(self.now, ticket, command))
+
+    def read(self, node: Node, done: Callable[[Answer], None]) -> None:
+        """Ask a node for the committed state."""
+        replica = node.replica
+        if replica is None:
+            return
+        self._tickets += 1
+        ticket = self._tickets
+        self._calls[ticket] = Call(ticket, node, done)
+        self._when_awake(node, lambda: replica.read(self.now, ticket))
+
+    def _answer(self, answer: Answer) -> None:
+        call = self._calls.pop(answer.ticket, None)
+        if call is not None:
+            call.done(answer)
+
+    def check_acknowledged(self, seq: int, order: str) -> None:
+        """A client hears that its order was done as update `seq`."""
+        update = self.ledger.log.get(seq)
+        if update is None:
+            raise Violation(f"update {seq} is acknowledged and not committed")
+        if json.loads(update)["id"] != order:
+            raise Violation(f"order {order} is acknowledged as {seq}, which is another")
+        disks = [node.disk for node in self.nodes] + self.buried
+        holders = sum(1 for disk in disks if self._holds(disk, seq, update))
+        if holders < self.tolerance + 1:
+            raise Violation(f"update {seq} is acknowledged and on {holders} disks")
+        self.ledger.acknowledged = max(self.ledger.acknowledged, seq)
+
+    @staticmethod
+    def _holds(disk: Disk, seq: int, update: bytes) -> bool:
+        if disk.held.get(seq) == update:
+            return True
+        snapshot = disk.stored.snapshot
+        return snapshot is not None and snapshot.seq >= seq
+
+    def check_read(self, answer: Answer, least: int) -> None:
+        """A client has read; `least` was acknowledged before it asked."""
+        if answer.seq < least:
+            raise Violation(f"a read tells {answer.seq}, and {least} was acknowledged before")
+        self.ledger.state(answer.seq, answer.reply)
+
+    def head(self) -> Node | None:
+        """The node that leads with the highest epoch in force."""
+        heads = []
+        for node in self.running():
+            view = node.replica.view_info if node.replica is not None else None
+            if view is not None and view.active and view.head == node.member:
+                heads.append((view.epoch, node))
+        return max(heads, key=lambda pair: pair[0])[1] if heads else None
+
+
+class Client:
+    """An operator that sends orders on top of the version it knows, again until it hears, and reads back."""
+
+    def __init__(self, world: World, name: str, pause_s: float = 0.3, patience_s: float = 0.6) -> None:
+        self.world = world
+        self.name = name
+        self.version = 0
+        self.sent = 0
+        self.done: list[tuple[str, float]] = []  # orders and how long they took
+        self.reads = 0
+        self.stopped = False
+        self._pause_s = pause_s
+        self._patience_s = patience_s
+        self._order: dict[str, Any] | None = None
+        self._begun = 0.0
+        self._try = 0
+        world.at(world.now + world.random.uniform(0, pause_s), self._next)
+
+    def _next(self) -> None:
+        if self.stopped:
+            return
+        if self.world.random.random() < 0.25:
+            self._read()
+            return
+        self.sent += 1
+        value = f"{self.name}-{self.sent}"
+        self._order = {"id": value, "expect": self.version, "value": value}
+        self._begun = self.world.now
+        self._send()
+
+    def _send(self) -> None:
+        world = self.world
+        self._try += 1
+        number = self._try
+        order = self._order
+        node = self._choose()
+        if node is not None:
+            command = json.dumps(order).encode()
+            world.submit(node, command, lambda answer: self._on_answer(number, answer))
+        world.at(world.now + self._patience_s, lambda: self._on_silence(number))
+
+    def _choose(self) -> Node | None:
+        running = [node for node in self.world.nodes if node.replica is not None]
+        if not running:
+            return None
+        node = self.world.random.choice(running)
+        view = node.replica.view_info if node.replica is not None else None
+        if view is not None and self.world.random.random() < 0.9:
+            for other in running:
+                if other.ip == view.head_ip:
+                    return other
+        return node
+
+    def _on_silence(self, number: int) -> None:
+        if number == self._try and self._order is not None:
+            self._send()
+
+    def _on_answer(self, number: int, answer: Answer) -> None:
+        if number != self._try or self._order is None:
+            if answer.outcome is Outcome.DONE and json.loads(answer.reply)[0] == "done":
+                self._note_late(answer)
+            return
+        if answer.outcome is not Outcome.DONE:
+            self._try += 1
+            number = self._try
+            self.world.at(self.world.now + 0.03, lambda: self._on_silence(number))
+            return
+        what, version = json.loads(answer.reply)
+        if what == "done":
+            self.world.check_acknowledged(version, self._order["id"])
+            self.done.append((self._order["id"], self.world.now - self._begun))
+        self.version = max(self.version, version)
+        self._finish()
+
+    def _note_late(self, answer: Answer) -> None:
+        """An answer to an earlier try is as true as the last."""
+        version = json.loads(answer.reply)[1]
+        if version not in self.world.ledger.log:
+            raise Violation(f"update {version} is acknowledged and not committed")
+
+    def _finish(self) -> None:
+        self._order = None
+        self._try += 1
+        pause = self.world.random.expovariate(1 / self._pause_s)
+        self.world.at(self.world.now + pause, self._next)
+
+    def _read(self) -> None:
+        world = self.world
+        least = world.ledger.acknowledged
+        self._try += 1
+        number = self._try
+        node = self._choose()
+
+        def on_answer(answer: Answer) -> None:
+            if answer.outcome is Outcome.DONE:
+                world.check_read(answer, least)
+                self.version = max(self.version, answer.seq)
+                self.reads += 1
+            if number == self._try:
+                self._finish()
+
+        def on_silence() -> None:
+            if number == self._try:
+                self._finish()
+
+        if node is not None:
+            world.read(node, on_answer)
+        world.at(world.now + self._patience_s, on_silence)
--- /dev/null
+++ b/tests/system/test_replica_store.py
@@ -0,0 +1,108 @@
+"""The replica's disk: what is written is there, and what a damaged or full disk means."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from cloverrouter.store import Meta, Record, Snapshot, StoreFull, Update
+from cloverrouter.store.replica_store import FILE_NAME, ReplicaStore
+
+MAX_BYTES = 4 * 1024 * 1024
+META = Meta(promised=9, promised_to="ab", synced=7, view=b"view", view_epoch=7, settled=True, committed=3)
+
+
+def opened(directory: Path, max_bytes: int = MAX_BYTES) -> ReplicaStore:
+    return ReplicaStore.open(directory, max_bytes)
+
+
+def test_an_empty_disk_draws_an_identity_once(tmp_path: Path) -> None:
+    first = opened(tmp_path / "data" / "router").load(bootstrap=True)
+    again = opened(tmp_path / "data" / "router").load()
+    assert first.fresh and not again.fresh
+    assert first.identity == again.identity and len(first.identity) == 16
+    assert first.meta.adoptable and again.meta.adoptable
+    assert opened(tmp_path / "other").load().identity != first.identity
+    assert not opened(tmp_path / "third").load().meta.adoptable
+
+
+def test_what_is_written_is_there_after_a_start(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    identity = store.load().identity
+    big = bytes(range(256)) * 1000
+    store.write(Record(meta=META, snapshot=Snapshot(4, big), updates=(Update(5, b""), Update(6, big))))
+    store.write(Record(meta=META, updates=(Update(7, b"seven"),), peers=("10.1.0.1:7", "10.1.0.2:7")))
+    store.close()
+    stored = opened(tmp_path).load()
+    assert stored.identity == identity
+    assert stored.meta == META
+    assert stored.snapshot == Snapshot(4, big)
+    assert stored.updates == (Update(5, b""), Update(6, big), Update(7, b"seven"))
+    assert stored.peers == ("10.1.0.1:7", "10.1.0.2:7")
+
+
+def test_a_snapshot_replaces_all_that_was_before(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.load()
+    store.write(Record(updates=(Update(1, b"one"), Update(2, b"x" * 100_000))))
+    store.write(Record(meta=META, snapshot=Snapshot(2, b"two"), updates=(Update(3, b"three"),)))
+    stored = store.load()
+    assert stored.snapshot == Snapshot(2, b"two")
+    assert stored.updates == (Update(3, b"three"),)
+
+
+def test_a_full_disk_refuses_and_keeps_what_it_has(tmp_path: Path) -> None:
+    store = opened(tmp_path, 1024 * 1024)
+    store.load()
+    store.write(Record(meta=META, updates=(Update(1, b"one"),)))
+    with pytest.raises(StoreFull):
+        store.write(Record(updates=(Update(2, b"x" * 2_000_000),)))
+    store.write(Record(updates=(Update(2, b"two"),)))
+    assert store.load().updates == (Update(1, b"one"), Update(2, b"two"))
+
+
+def test_the_file_does_not_outgrow_its_room_over_many_rewrites(tmp_path: Path) -> None:
+    store = opened(tmp_path, 8 * 1024 * 1024)
+    store.load()
+    for seq in range(1, 300):
+        data = bytes([seq % 251]) * (1_000_000 + 7919 * (seq % 13))
+        store.write(Record(meta=META, snapshot=Snapshot(seq, data)))
+    assert (tmp_path / FILE_NAME).stat().st_size <= 0.7 * 8 * 1024 * 1024
+    snapshot = store.load().snapshot
+    assert snapshot is not None and snapshot.seq == 299
+
+
+@pytest.mark.parametrize("cut", [0, 100, 5000])
+def test_a_file_that_is_cut_short_is_a_lost_disk(tmp_path: Path, cut: int) -> None:
+    store = opened(tmp_path)
+    identity = store.load(bootstrap=True).identity
+    store.write(Record(meta=META, snapshot=Snapshot(1, b"x" * 100_000)))
+    store.close()
+    path = tmp_path / FILE_NAME
+    path.write_bytes(path.read_bytes()[:cut])
+    stored = opened(tmp_path).load(bootstrap=True)
+    assert stored.identity != identity
+    assert stored.fresh and stored.snapshot is None
+
+
+def test_a_value_that_was_changed_is_a_lost_disk(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    identity = store.load(bootstrap=True).identity
+    store.write(Record(meta=META, snapshot=Snapshot(1, b"x" * 100_000)))
+    store.close()
+    path = tmp_path / FILE_NAME
+    data = bytearray(path.read_bytes())
+    data[data.index(b"x" * 1000) + 500] ^= 1
+    path.write_bytes(bytes(data))
+    stored = opened(tmp_path).load(bootstrap=True)
+    assert stored.identity != identity
+    assert "checksum" in stored.damage
+    assert not stored.meta.adoptable, "a disk that held something is none of the first start"
+
+
+def test_a_gap_in_the_updates_is_a_lost_disk(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    identity = store.load().identity
+    store.write(Record(meta=META, updates=(Update(1, b"one"), Update(3, b"three"))))
+    assert store.load().identity != identity
