--- /dev/null
+++ b/tests/system/replica_chaos.py
@@ -0,0 +1,321 @@
+"""Troubled days in the world of replicas, drawn from a seed. By hand:
+
+    python -m tests.system.replica_chaos --seeds 1000 --first 1 [--trace SEED]
+"""
+
+from __future__ import annotations
+
+import argparse
+import traceback
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import attrs
+
+from cloverrouter.coordination.replica import Replica
+from tests.system.replica_world import Client, Node, Violation, Weather, World
+
+SIZES = ((1, 0), (2, 0), (2, 1), (3, 1), (3, 1), (3, 1), (3, 1), (4, 1), (5, 2), (5, 2), (6, 1), (6, 2), (8, 2))
+TROUBLED_S = 9.0
+# After the last trouble: orders are taken again within this.
+HEALED_S = 6.0
+
+
+@attrs.define
+class Day:
+    """One world with its troubles."""
+
+    world: World
+    random: Random
+    clients: list[Client]
+    count: int
+    tolerance: int
+
+    def trouble(self) -> None:
+        """Draw a trouble, and when the next one comes."""
+        kinds: list[Callable[[], None]] = [
+            self.kill,
+            self.kill,
+            self.kill_head,
+            self.kill_all,
+            self.power_all,
+            self.wipe,
+            self.wipe,
+            self.replace,
+            self.freeze,
+            self.freeze_head,
+            self.cut_one,
+            self.cut_one_way,
+            self.cut_pair,
+            self.cut_in_two,
+            self.join,
+            self.stall,
+            self.stall_head,
+            self.slow,
+            self.fill,
+            self.resign,
+        ]
+        self.random.choice(kinds)()
+
+    # -- processes --
+
+    def _any_running(self) -> Node | None:
+        running = self.world.running()
+        return self.random.choice(running) if running else None
+
+    def _restart(self, node: Node, most_s: float = 1.5) -> None:
+        self.world.start(node, self.random.uniform(0.05, most_s))
+
+    def kill(self) -> None:
+        node = self._any_running()
+        if node is not None:
+            self.world.kill(node, power=self.random.random() < 0.5)
+            self._restart(node)
+
+    def kill_head(self) -> None:
+        node = self.world.head()
+        if node is not None:
+            self.world.kill(node, power=self.random.random() < 0.5)
+            self._restart(node)
+
+    def kill_all(self) -> None:
+        self._end_all(power=False)
+
+    def power_all(self) -> None:
+        self._end_all(power=True)
+
+    def _end_all(self, power: bool) -> None:
+        for node in self.world.nodes:
+            if node.replica is not None:
+                self.world.kill(node, power=power)
+                self._restart(node, 1.0)
+
+    def resign(self) -> None:
+        """A process is told to end: it resigns, and ends a little later."""
+        node = self._any_running()
+        if node is None or node.replica is None:
+            return
+        replica, life = node.replica, node.life
+        self.world.carry_out(node, replica.resign(self.world.now))
+
+        def end() -> None:
+            if node.life == life:
+                self.world.kill(node)
+                self._restart(node)
+
+        self.world.at(self.world.now + self.random.uniform(0.2, 1.5), end)
+
+    def freeze(self) -> None:
+        node = self._any_running()
+        if node is not None:
+            self.world.freeze(node, self.random.uniform(0.1, 3.0))
+
+    def freeze_head(self) -> None:
+        node = self.world.head()
+        if node is not None:
+            self.world.freeze(node, self.random.uniform(0.3, 3.0))
+
+    # -- disks that are lost --
+
+    def _lost_now(self) -> int:
+        """How many lost disks are still voters, as far as any disk knows."""
+        known: set[str] = set()
+        lost = {disk.stored.identity for disk in self.world.buried}
+        for node in self.world.nodes:
+            if not node.removed:
+                known |= known_voters(node)
+        return len(lost & known)
+
+    def _may_lose(self) -> bool:
+        """Fewer disks than may be lost are; and there are enough to lose any."""
+        enough = self.count >= 2 * self.tolerance + 1
+        return enough and self._lost_now() < self.tolerance
+
+    def wipe(self) -> None:
+        """A disk is lost, sometimes while all others lose power."""
+        node = self._any_running()
+        if node is None or not self._may_lose():
+            return
+        if self.random.random() < 0.3:
+            self.power_all()
+        else:
+            self.world.kill(node, power=True)
+            self._restart(node)
+        self.world.wipe(node)
+
+    def replace(self) -> None:
+        """A machine is taken away, and another comes, under its name or another."""
+        node = self._any_running()
+        if node is None or not self._may_lose():
+            return
+        self.world.say(f"{node.name} is taken away")
+        self.world.remove(node)
+        name = node.name if self.random.random() < 0.5 else ""
+
+        def add() -> None:
+            self.world.add_node(name=name, place=self.world.nodes.index(node))
+
+        self.world.at(self.world.now + self.random.uniform(0.0, 1.0), add)
+
+    # -- links --
+
+    def cut_one(self) -> None:
+        node = self._any_running()
+        for other in self.world.nodes:
+            if node is not None and other is not node:
+                self.world.cuts |= {(node.ip, other.ip), (other.ip, node.ip)}
+        self.world.say(f"{node.name if node else ''} is cut off")
+
+    def cut_one_way(self) -> None:
+        node, other = self._any_running(), self._any_running()
+        if node is not None and other is not None and node is not other:
+            self.world.cuts.add((node.ip, other.ip))
+            self.world.say(f"cut from {node.name} to {other.name}")
+
+    def cut_pair(self) -> None:
+        node, other = self._any_running(), self._any_running()
+        if node is not None and other is not None and node is not other:
+            self.world.cuts |= {(node.ip, other.ip), (other.ip, node.ip)}
+            self.world.say(f"cut between {node.name} and {other.name}")
+
+    def cut_in_two(self) -> None:
+        side = {node.ip for node in self.world.nodes if self.random.random() < 0.5}
+        for node in self.world.nodes:
+            for other in self.world.nodes:
+                if (node.ip in side) != (other.ip in side):
+                    self.world.cuts.add((node.ip, other.ip))
+        self.world.say(f"cut in two: {sorted(side)}")
+
+    def join(self) -> None:
+        self.world.cuts.clear()
+        self.world.say("all links are whole")
+
+    # -- disks in trouble --
+
+    def stall(self) -> None:
+        self._stall(self._any_running())
+
+    def stall_head(self) -> None:
+        self._stall(self.world.head())
+
+    def _stall(self, node: Node | None) -> None:
+        if node is not None:
+            node.disk.stalled_until = self.world.now + self.random.uniform(0.3, 4.0)
+            self.world.say(f"{node.name}'s disk stalls until {node.disk.stalled_until:.2f}")
+
+    def slow(self) -> None:
+        node = self._any_running()
+        if node is not None:
+            node.disk.slowness = self.random.choice([1.0, 10.0, 100.0, 300.0])
+            self.world.say(f"{node.name}'s disk is slow: {node.disk.slowness}")
+
+    def fill(self) -> None:
+        node = self._any_running()
+        if node is not None:
+            node.disk.full = not node.disk.full
+            self.world.say(f"{node.name}'s disk is {'full' if node.disk.full else 'not full'}")
+
+    # -- the end --
+
+    def heal(self) -> None:
+        """All troubles are over."""
+        self.world.say("healed")
+        self.join()
+        self.world.weather = Weather()
+        for node in self.world.nodes:
+            node.disk.stalled_until = 0.0
+            node.disk.slowness = 1.0
+            node.disk.full = False
+            if node.frozen_until > self.world.now:
+                node.frozen_until = self.world.now
+                held, node.held_back = node.held_back, []
+                for action in held:
+                    action()
+
+
+def known_voters(node: Node) -> set[str]:
+    """Voters of the view that a node's disk or process knows."""
+    from cloverrouter.coordination.context import decode_view
+
+    view = decode_view(node.disk.stored.meta.view)
+    if view is None:
+        return set()
+    return {member.identity for member in view.electorate(node.disk.stored.meta.settled)}
+
+
+def play(
+    seed: int, trace: Callable[[str], None] | None = None, replica_class: type[Replica] = Replica, **options: Any
+) -> World:
+    """Play the day of a seed. Raises Violation."""
+    random = Random(f"day {seed}")
+    count, tolerance = random.choice(SIZES)
+    loss = random.choice([0.0, 0.0, 0.01, 0.1])
+    weather = Weather(loss=loss, late=random.choice([0.0, 0.0, 0.02]))
+    genesis = random.random() < 0.15 and count >= 2 * tolerance + 1
+    world = World(
+        seed, count, tolerance, weather, genesis, replica_class=replica_class, wire=seed % 16 == 0, **options
+    )
+    world.trace = trace
+    clients = [Client(world, f"client{number}") for number in range(random.choice([1, 2, 3]))]
+    day = Day(world, random, clients, count, tolerance)
+    if genesis:
+        world.run(2.5)
+    end = world.now + TROUBLED_S
+    pause_s = random.choice([0.3, 0.8, 1.5])
+    while world.now < end:
+        world.run(random.expovariate(1 / pause_s))
+        day.trouble()
+    day.heal()
+    check_healed(world, clients)
+    return world
+
+
+def check_healed(world: World, clients: list[Client]) -> None:
+    """Orders are taken again, and all that was acknowledged is read."""
+    for client in clients:
+        client.stopped = True
+    healed_at = world.now
+    probe = Client(world, "probe", pause_s=0.05)
+    if not world.run_while(lambda: not probe.done, HEALED_S):
+        raise Violation(f"no order is taken {HEALED_S} s after all is well")
+    if not world.run_while(lambda: not probe.reads, HEALED_S):
+        raise Violation("nothing is read after all is well")
+    world.healed_s = world.now - healed_at
+    probe.stopped = True
+    world.run(4.0)
+    head = world.head()
+    if head is None or head.replica is None:
+        raise Violation("there is no head after all is well")
+    view = head.replica.view_info
+    assert view is not None
+    if len(view.chain) != len(view.voters):
+        missing = {member.name for member in view.voters} - {member.name for member in view.chain}
+        raise Violation(f"{missing} did not come back into the chain")
+    buried = {disk.stored.identity for disk in world.buried}
+    if buried & {member.identity for member in view.voters}:
+        raise Violation("a lost disk is still a voter")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Play troubled days.")
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--trace", type=int)
+    arguments = parser.parse_args()
+    if arguments.trace is not None:
+        play(arguments.trace, trace=print)
+        return
+    failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        try:
+            play(seed)
+        except Exception as error:
+            failed += 1
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            print(f"seed {seed}: {type(error).__name__}: {error} ({place.name}:{place.lineno})", flush=True)
+    print(f"{arguments.seeds} days, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/system/replica_faults.py
@@ -0,0 +1,389 @@
+"""Faults put into the replica, or its disk, on purpose: the world has to find each. By hand:
+
+    python -m tests.system.replica_faults [--seeds 400] [NAME ...]
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import attrs
+
+from cloverrouter.coordination import head, proposal, roster, views
+from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.desk import Desk
+from cloverrouter.coordination.disk import DiskQueue, Durable
+from cloverrouter.coordination.effects import Answer, Outcome
+from cloverrouter.coordination.follower import Follower
+from cloverrouter.coordination.head import Head
+from cloverrouter.coordination.history import History
+from cloverrouter.coordination.proposal import Phase, Proposal
+from cloverrouter.coordination.replica import Replica
+from cloverrouter.coordination.views import Member, View
+from tests.system.replica_chaos import play
+from tests.system.replica_world import Disk, Violation, World
+
+FAULTS: dict[str, Callable[[], Any]] = {}
+
+
+def fault(function: Callable[[], Any]) -> Callable[[], Any]:
+    """Register a fault under its function's name."""
+    FAULTS[function.__name__.replace("_", " ")] = function
+    return function
+
+
+@fault
+@contextmanager
+def the_disk_does_not_sync() -> Iterator[None]:
+    with patch.object(Disk, "syncs", False, create=True), patch.object(Disk, "__init__", _unsynced_disk):
+        yield
+
+
+_disk_init = Disk.__init__
+
+
+def _unsynced_disk(self: Disk, adoptable: bool, random: Random) -> None:
+    _disk_init(self, adoptable, random)
+    self.syncs = False
+
+
+@fault
+@contextmanager
+def writes_count_before_they_are_done() -> Iterator[None]:
+    original = DiskQueue.next
+
+    def hasty(self: DiskQueue, now: float, lazy_s: float) -> Any:
+        following = original(self, now, lazy_s)
+        if following is not None:
+            self.durable = Durable(self.meta, self.seq)
+        return following
+
+    with patch.object(DiskQueue, "next", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def promises_are_told_before_they_are_stored() -> Iterator[None]:
+    original = Follower._flush_promise
+
+    def hasty(self: Follower) -> None:
+        disk = self._context.disk
+        kept = disk.durable
+        disk.durable = Durable(disk.meta, disk.seq)
+        original(self)
+        disk.durable = kept
+
+    with patch.object(Follower, "_flush_promise", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def the_head_commits_before_the_tail_has_stored() -> Iterator[None]:
+    with patch.object(Head, "_stored_by_all", Head._own_stored):
+        yield
+
+
+@fault
+@contextmanager
+def members_acknowledge_what_is_not_stored() -> Iterator[None]:
+    def hasty(self: Follower) -> int:
+        return min(self._upstream, self._context.history.newest)
+
+    with patch.object(Follower, "_stored", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def a_wiped_disk_keeps_its_identity() -> Iterator[None]:
+    original = World.wipe
+
+    def keeping(self: World, node: Any) -> None:
+        identity = node.disk.stored.identity
+        original(self, node)
+        self.buried.pop()
+        node.disk.stored = attrs.evolve(node.disk.stored, identity=identity)
+
+    with patch.object(World, "wipe", keeping):
+        yield
+
+
+@fault
+@contextmanager
+def a_minority_of_promises_is_enough() -> Iterator[None]:
+    def few(voters: tuple[Member, ...], identities: set[str]) -> bool:
+        present = sum(1 for member in voters if member.identity in identities)
+        return present >= max(1, views.majority(len(voters)) - 1)
+
+    with patch.object(views, "is_majority", few):
+        yield
+
+
+@fault
+@contextmanager
+def a_promise_does_not_fence_lower_epochs() -> Iterator[None]:
+    def unfenced(self: Follower, epoch: int) -> bool:
+        return epoch == self._context.synced
+
+    with patch.object(Follower, "_is_in_chain", unfenced):
+        yield
+
+
+@fault
+@contextmanager
+def lower_epochs_may_install() -> Iterator[None]:
+    with patch.object(Follower, "_may_take", lambda *_: True):
+        yield
+
+
+@fault
+@contextmanager
+def the_proposer_keeps_its_own_state() -> Iterator[None]:
+    original = Proposal._choose
+
+    def proud(self: Proposal, now: float) -> None:
+        original(self, now)
+        if self.phase is Phase.FETCHING:
+            self.phase = Phase.READY
+
+    with patch.object(Proposal, "_choose", proud):
+        yield
+
+
+@fault
+@contextmanager
+def the_newest_state_is_judged_by_its_number_alone() -> Iterator[None]:
+    original = Proposal._choose
+
+    def simple(self: Proposal, now: float) -> None:
+        kept = dict(self.promises)
+        for identity, promise in kept.items():
+            self.promises[identity] = attrs.evolve(promise, synced=0)
+        original(self, now)
+        for identity in self.promises:
+            self.promises[identity] = kept[identity]
+
+    with patch.object(Proposal, "_choose", simple):
+        yield
+
+
+@fault
+@contextmanager
+def a_chain_of_one_is_enough() -> Iterator[None]:
+    def one(count: int, tolerance: int) -> int:
+        return 1
+
+    with patch.object(proposal, "least_chain", one), patch.object(roster, "least_chain", one):
+        yield
+
+
+@fault
+@contextmanager
+def reads_are_not_confirmed() -> Iterator[None]:
+    original = Head.answer_asked
+
+    def trusting(self: Head) -> None:
+        for entry in self._desk.asked:
+            entry.round = 0
+        original(self)
+
+    with patch.object(Head, "answer_asked", trusting):
+        yield
+
+
+@fault
+@contextmanager
+def an_exchange_is_not_told_to_the_old_voters() -> Iterator[None]:
+    original = Proposal.new_view
+
+    def careless(self: Proposal) -> View:
+        return attrs.evolve(original(self), old_voters=())
+
+    with patch.object(Proposal, "new_view", careless):
+        yield
+
+
+@fault
+@contextmanager
+def updates_are_handed_over_on_any_state() -> Iterator[None]:
+    original = Head._install_for
+
+    def careless(self: Head, identity: str) -> Any:
+        promise = self._promises.get(identity)
+        if promise is not None:
+            self._lineage[promise.synced] = self._base
+        return original(self, identity)
+
+    with patch.object(Head, "_install_for", careless):
+        yield
+
+
+@fault
+@contextmanager
+def a_restart_forgets_the_promise() -> Iterator[None]:
+    original = Replica.__init__
+
+    def forgetful(self: Replica, me: Any, stored: Any, *rest: Any) -> None:
+        meta = attrs.evolve(stored.meta, promised=stored.meta.synced, promised_to="")
+        original(self, me, attrs.evolve(stored, meta=meta), *rest)
+
+    with patch.object(Replica, "__init__", forgetful):
+        yield
+
+
+@fault
+@contextmanager
+def a_restart_takes_all_it_has_for_committed() -> Iterator[None]:
+    original = History.start
+
+    def trusting(self: History, stored: Any) -> Any:
+        newest = stored.updates[-1].seq if stored.updates else 0
+        return original(self, attrs.evolve(stored, meta=attrs.evolve(stored.meta, committed=newest)))
+
+    with patch.object(History, "start", trusting):
+        yield
+
+
+@fault
+@contextmanager
+def a_new_head_commits_before_its_view_is_in_force() -> Iterator[None]:
+    with patch.object(Head, "_is_in_force", Head._own_is_stored):
+        yield
+
+
+@fault
+@contextmanager
+def an_epoch_is_used_twice() -> Iterator[None]:
+    original = Proposal._reserve
+
+    def same(self: Proposal) -> None:
+        original(self)
+        context = self._context
+        kept = context.disk.durable.meta
+        context.disk.durable = Durable(attrs.evolve(kept, promised=self.epoch), context.disk.durable.seq)
+
+    def shared(above: int, identity: str) -> int:
+        return (above >> 16) + 1 << 16
+
+    def any_proposer(self: Follower, now: float, ip: str, message: Any) -> bool:
+        meta = self._context.disk.meta
+        if message.epoch == meta.promised:
+            self._context.disk.change(promised_to=message.sender)
+        return _on_propose(self, now, ip, message)
+
+    with (
+        patch.object(Proposal, "_reserve", same),
+        patch.object(proposal, "next_epoch", shared),
+        patch.object(Follower, "on_propose", any_proposer),
+    ):
+        yield
+
+
+_on_propose = Follower.on_propose
+
+
+@fault
+@contextmanager
+def the_state_is_stored_without_its_epoch() -> Iterator[None]:
+    def careless(self: Context, view: View, proposer: str, synced: bool) -> None:
+        before = self.disk.meta.synced
+        _take_view(self, view, proposer, synced)
+        if synced and view.head != self.me.identity:
+            self.disk.durable = self.disk.durable
+            self.disk.meta = attrs.evolve(self.disk.meta, synced=max(before, self.disk.meta.synced))
+
+    with patch.object(Context, "take_view", careless):
+        yield
+
+
+_take_view = Context.take_view
+
+
+@fault
+@contextmanager
+def a_duplicate_is_answered_before_it_is_committed() -> Iterator[None]:
+    original = Head._decide
+
+    def hasty(self: Head, now: float, ticket: int, command: bytes) -> None:
+        count = len(self._desk.asked)
+        original(self, now, ticket, command)
+        for entry in self._desk.asked[count:]:
+            assert entry.reply is not None
+            self._context.effects.append(Answer(entry.ticket, Outcome.DONE, entry.reply, entry.seq))
+        del self._desk.asked[count:]
+
+    with patch.object(Head, "_decide", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def waiting_orders_are_answered_at_a_view_change() -> Iterator[None]:
+    original = Desk.give_up
+
+    def hopeful(self: Desk) -> list[Answer]:
+        done = [Answer(entry.ticket, Outcome.DONE, entry.reply, entry.seq) for entry in self.flying]
+        self.flying.clear()
+        return done + original(self)
+
+    with patch.object(Desk, "give_up", hopeful):
+        yield
+
+
+@fault
+@contextmanager
+def a_machine_answers_for_the_disk_that_it_has_lost() -> Iterator[None]:
+    original = Replica._take
+
+    def any_receiver(self: Replica, now: float, ip: str, message: object) -> None:
+        original(self, now, ip, message)
+
+    def receive(self: Replica, now: float, sender_ip: str, message: Any) -> Any:
+        self._look_at_clock(now)
+        old = getattr(message, "receiver", self.me.identity)
+        self._take(now, sender_ip, message)
+        if old != self.me.identity:
+            self._context.effects = [_as(effect, self.me.identity, old) for effect in self._context.effects]
+        return self._finish(now)
+
+    with patch.object(Replica, "_take", any_receiver), patch.object(Replica, "receive", receive):
+        yield
+
+
+def _as(effect: Any, identity: str, old: str) -> Any:
+    message = getattr(effect, "message", None)
+    if message is not None and getattr(message, "sender", "") == identity:
+        return attrs.evolve(effect, message=attrs.evolve(message, sender=old))
+    return effect
+
+
+def find(name: str, seeds: range) -> tuple[int, str] | None:
+    """The first seed that shows the fault, and what it shows."""
+    with FAULTS[name]():
+        for seed in seeds:
+            try:
+                play(seed)
+            except (Violation, AssertionError, ValueError, IndexError, KeyError) as error:
+                return seed, f"{type(error).__name__}: {error}"
+    return None
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Look for seeded faults.")
+    parser.add_argument("names", nargs="*")
+    parser.add_argument("--seeds", type=int, default=400)
+    arguments = parser.parse_args()
+    assert head.Head is Head
+    for name in arguments.names or FAULTS:
+        print(f"{name:55} {find(name, range(1, arguments.seeds + 1))}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -96,6 +96,7 @@
     """
 
     log: dict[int, bytes] = attrs.Factory(dict)  # committed updates
+    orders: dict[int, str] = attrs.Factory(dict)  # the order behind each, also those seen in states only
     states: dict[int, bytes] = attrs.Factory(dict)  # committed states, by the same numbers
     acknowledged: int = 0  # newest update that a client knows of
     active: dict[int, View] = attrs.Factory(dict)
@@ -104,11 +105,19 @@
         known = self.log.setdefault(seq, update)
         if known != update:
             raise Violation(f"update {seq} is committed as {update!r} and as {known!r}")
+        self.order(seq, json.loads(update)["id"])
+
+    def order(self, seq: int, order: str) -> None:
+        known = self.orders.setdefault(seq, order)
+        if known != order:
+            raise Violation(f"update {seq} is of order {order} and of {known}")
 
     def state(self, seq: int, state: bytes) -> None:
         known = self.states.setdefault(seq, state)
         if known != state:
             raise Violation(f"state {seq} is {state!r} and {known!r}")
+        for order, number in json.loads(state)[2].items():
+            self.order(number, order)
 
     def view_in_force(self, view: Any) -> None:
         chain = tuple(member.identity for member in view.chain)
@@ -244,8 +253,10 @@
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
+        self.seeds: list[str] = []
         self.proposers: dict[str, GenesisProposer] = {}
         self.messages = 0
+        self.healed_s: float | None = None  # how long it took after the last trouble
         self.messages_by_type: dict[str, int] = {}
         self.trace: Callable[[str], None] | None = None
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -284,25 +295,19 @@
 
     def _begin_genesis(self) -> None:
         """The first three machines are seeds."""
-        seeds = [node.ip for node in self.nodes[:3]]
-        for ip in seeds:
-            self.proposers[ip] = GenesisProposer(ip, seeds, GenesisConfig(self.tolerance))
-            self.at(self.now + self.random.uniform(0, 0.3), self._starter(ip))
-
-    def _starter(self, ip: str) -> Callable[[], None]:
-        def run() -> None:
-            proposer = self.proposers.get(ip)
-            if proposer is not None:
-                self._send_all(ip, proposer.start(self.now))
-                self.at(self.now + TICK_S, tick)
+        self.seeds = [node.ip for node in self.nodes[:3]]
+
+    def _start_proposer(self, ip: str) -> None:
+        proposer = GenesisProposer(ip, self.seeds, GenesisConfig(self.tolerance))
+        self.proposers[ip] = proposer
 
         def tick() -> None:
-            proposer = self.proposers.get(ip)
-            if proposer is not None:
+            if self.proposers.get(ip) is proposer and not proposer.over:
                 self._send_all(ip, proposer.tick(self.now))
                 self.at(self.now + TICK_S, tick)
 
-        return run
+        self._send_all(ip, proposer.start(self.now))
+        self.at(self.now + TICK_S, tick)
 
     def _send_all(self, ip: str, effects: Iterable[Send]) -> None:
         for effect in effects:
@@ -355,7 +360,9 @@
             node.replica = self.replica_class(
                 node.member, node.disk.stored, Register(), self.config, Random(self.random.random())
             )
-            self._do(node, node.replica.start(self.now))
+            self.carry_out(node, node.replica.start(self.now))
+            if node.ip in self.seeds and node.disk.stored.meta.adoptable:
+                self._start_proposer(node.ip)
             self.at(self.now + self.random.uniform(0, TICK_S), lambda: self._tick(node, life))
 
         self.at(self.now + delay_s + self.random.uniform(0, 0.01), begin)
@@ -374,7 +381,7 @@
 
         def take() -> None:
             if node.life == life and node.replica is not None:
-                self._do(node, event())
+                self.carry_out(node, event())
 
         if self.now < node.frozen_until:
             node.held_back.append(take)
@@ -429,7 +436,7 @@
             members = [other.member for other in self.running() if self._is_joined(node, other)]
             replica = node.replica
             assert replica is not None
-            self._do(node, replica.discovered(self.now, members))
+            self.carry_out(node, replica.discovered(self.now, members))
             if node.ip in self.proposers:
                 self._send_all(node.ip, self.proposers[node.ip].discovered(self.now, members))
         self.at(self.now + DISCOVERY_S, self._discover)
@@ -443,7 +450,8 @@
 
     # -- effects --
 
-    def _do(self, node: Node, effects: Iterable[Effect]) -> None:
+    def carry_out(self, node: Node, effects: Iterable[Effect]) -> None:
+        """Carry out what a replica asks for."""
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(node.ip, effect)
@@ -478,7 +486,7 @@
             return
         if isinstance(message, GENESIS_MESSAGES):
             proposer = self.proposers.get(to_ip)
-            if proposer is not None:
+            if proposer is not None and not proposer.over:
                 self._send_all(to_ip, proposer.receive(self.now, from_ip, message))
             return
         for node in self.nodes:
@@ -554,23 +562,22 @@
 
     def check_acknowledged(self, seq: int, order: str) -> None:
         """A client hears that its order was done as update `seq`."""
-        update = self.ledger.log.get(seq)
-        if update is None:
+        if seq not in self.ledger.orders:
             raise Violation(f"update {seq} is acknowledged and not committed")
-        if json.loads(update)["id"] != order:
-            raise Violation(f"order {order} is acknowledged as {seq}, which is another")
+        self.ledger.order(seq, order)
         disks = [node.disk for node in self.nodes] + self.buried
-        holders = sum(1 for disk in disks if self._holds(disk, seq, update))
+        holders = sum(1 for disk in disks if self._holds(disk, seq, order))
         if holders < self.tolerance + 1:
             raise Violation(f"update {seq} is acknowledged and on {holders} disks")
         self.ledger.acknowledged = max(self.ledger.acknowledged, seq)
 
     @staticmethod
-    def _holds(disk: Disk, seq: int, update: bytes) -> bool:
-        if disk.held.get(seq) == update:
+    def _holds(disk: Disk, seq: int, order: str) -> bool:
+        held = disk.held.get(seq)
+        if held is not None and json.loads(held)["id"] == order:
             return True
         snapshot = disk.stored.snapshot
-        return snapshot is not None and snapshot.seq >= seq
+        return snapshot is not None and json.loads(snapshot.data)[2].get(order) == seq
 
     def check_read(self, answer: Answer, least: int) -> None:
         """A client has read; `least` was acknowledged before it asked."""
@@ -665,7 +672,7 @@
     def _note_late(self, answer: Answer) -> None:
         """An answer to an earlier try is as true as the last."""
         version = json.loads(answer.reply)[1]
-        if version not in self.world.ledger.log:
+        if version not in self.world.ledger.orders:
             raise Violation(f"update {version} is acknowledged and not committed")
 
     def _finish(self) -> None:
