--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -368,11 +368,12 @@
         """Time has passed."""
         if now - self._beat_at >= self._context.config.heartbeat_s:
             self.beat(now)
-        self._roster.mark(now, self.view)
+        self._roster.mark(now)
 
     def plan(self, now: float) -> Plan | None:
         """The next view, if another one is called for and this disk works."""
-        if self._context.resigning or self._context.disk.trouble_s(now) > self._context.config.sticky_s:
+        context = self._context
+        if context.resigning or context.disk.trouble_s(now) >= context.config.failure_timeout_s / 2:
             return None
         return self._roster.plan(now, self.view, settled=self.active)
 
--- a/cloverrouter/coordination/history.py
+++ b/cloverrouter/coordination/history.py
@@ -79,10 +79,11 @@
     def commit(self, seq: int) -> list[Committed | Restored]:
         """The state `seq`, not over the newest, is committed. Gives what became of the committed state."""
         effects: list[Committed | Restored] = []
-        if seq <= self.committed:
-            return effects
         received = self._received
-        if received is not None and received.seq <= seq:
+        # Of what lies before a state that was taken whole nothing is known: that state's own commit follows.
+        if seq <= self.committed or (received is not None and seq < received.seq):
+            return effects
+        if received is not None:
             if received.seq > self.committed:
                 effects.append(Restored(received.seq, received.data))
                 self.committed = received.seq
--- a/cloverrouter/coordination/proposal.py
+++ b/cloverrouter/coordination/proposal.py
@@ -186,7 +186,7 @@
             return
         if self._quorum_at is None:
             self._quorum_at = now
-        is_over = now - self._quorum_at >= self._context.config.gather_s
+        is_over = now - self._quorum_at >= self._gather_s()
         if not is_over and not self._all_answered():
             return
         if len(self._chain_members()) < self._least_chain():
@@ -200,6 +200,11 @@
         self._fetch_from = best.sender
         self._ask_state(now)
 
+    def _gather_s(self) -> float:
+        """How long the slower ones are waited for: longer for those that were well a moment ago."""
+        config = self._context.config
+        return config.gather_s if self.plan is None else max(config.gather_s, config.failure_timeout_s / 2)
+
     def _all_answered(self) -> bool:
         if self.plan is not None and self._plan_holds():
             voters = {member.identity for member in self._view.voters}
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -229,7 +229,7 @@
         due = self._follower.stands_up_at(now, self._jitter)
         if due is None or now < due or now < self._not_before:
             return
-        if self._context.disk.trouble_s(now) >= self._config.sticky_s:
+        if self._context.disk.trouble_s(now) >= self._config.failure_timeout_s / 2:
             return
         self._attempts += 1
         self._note_silent_head()
--- a/cloverrouter/coordination/roster.py
+++ b/cloverrouter/coordination/roster.py
@@ -28,7 +28,8 @@
     heard: float  # when it last answered, or when this was begun
     report: Report | None = None  # of this headship
     well_since: float | None = None
-    relapses: int = 0
+    in_chain: bool = False  # of the last view that this replica led
+    relapses: int = 0  # how often it has left the chain lately
     fenced_since: float | None = None  # it has promised a higher epoch
     handed_at: float = 0.0  # when view and state were last sent to it
     repaired_at: float = 0.0  # when updates were last sent to it once more
@@ -65,10 +66,20 @@
                 peer = self._peer(now, member)
                 peer.heard = max(peer.heard, now) if member.identity in view.chain else peer.heard
         for peer in self.peers.values():
+            self._enter_view(peer, view)
             peer.report = None
             peer.fenced_since = None
             peer.handed_at = peer.repaired_at = 0.0
 
+    def _enter_view(self, peer: Peer, view: View) -> None:
+        """One that is not in the new chain has to prove itself, and longer each time."""
+        was_in_chain, peer.in_chain = peer.in_chain, peer.member.identity in view.chain
+        if peer.in_chain:
+            return
+        peer.well_since = None
+        if was_in_chain:
+            peer.relapses = min(MOST_RELAPSES, peer.relapses + 1)
+
     def _peer(self, now: float, member: Member) -> Peer:
         peer = self.peers.get(member.identity)
         if peer is None:
@@ -126,12 +137,10 @@
             peer.well_since = now
         return peer
 
-    def mark(self, now: float, view: View) -> None:
+    def mark(self, now: float) -> None:
         """Note who is not well."""
         for peer in self.peers.values():
             if not peer.is_well(now, self._config):
-                if peer.member.identity in view.chain and peer.well_since is not None:
-                    peer.relapses = min(MOST_RELAPSES, peer.relapses + 1)
                 peer.well_since = None
             elif peer.well_since is not None and now - peer.well_since > CLEAN_AFTER_S:
                 peer.relapses = 0
--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -9,15 +9,14 @@
 import traceback
 from collections.abc import Callable
 from random import Random
-from typing import Any
 
 import attrs
 
-from cloverrouter.coordination.replica import Replica
 from tests.system.replica_world import Client, Node, Violation, Weather, World
 
 SIZES = ((1, 0), (2, 0), (2, 1), (3, 1), (3, 1), (3, 1), (3, 1), (4, 1), (5, 2), (5, 2), (6, 1), (6, 2), (8, 2))
 TROUBLED_S = 9.0
+STORM_S = 3.0
 # After the last trouble: orders are taken again within this.
 HEALED_S = 6.0
 
@@ -31,6 +30,7 @@
     clients: list[Client]
     count: int
     tolerance: int
+    haste: float = 1.0  # shortens how long troubles last
 
     def trouble(self) -> None:
         """Draw a trouble, and when the next one comes."""
@@ -65,7 +65,7 @@
         return self.random.choice(running) if running else None
 
     def _restart(self, node: Node, most_s: float = 1.5) -> None:
-        self.world.start(node, self.random.uniform(0.05, most_s))
+        self.world.start(node, self.haste * self.random.uniform(0.05, most_s))
 
     def kill(self) -> None:
         node = self._any_running()
@@ -104,17 +104,17 @@
                 self.world.kill(node)
                 self._restart(node)
 
-        self.world.at(self.world.now + self.random.uniform(0.2, 1.5), end)
+        self.world.at(self.world.now + self.haste * self.random.uniform(0.2, 1.5), end)
 
     def freeze(self) -> None:
         node = self._any_running()
         if node is not None:
-            self.world.freeze(node, self.random.uniform(0.1, 3.0))
+            self.world.freeze(node, self.haste * self.random.uniform(0.1, 3.0))
 
     def freeze_head(self) -> None:
         node = self.world.head()
         if node is not None:
-            self.world.freeze(node, self.random.uniform(0.3, 3.0))
+            self.world.freeze(node, self.haste * self.random.uniform(0.3, 3.0))
 
     # -- disks that are lost --
 
@@ -156,7 +156,7 @@
         def add() -> None:
             self.world.add_node(name=name, place=self.world.nodes.index(node))
 
-        self.world.at(self.world.now + self.random.uniform(0.0, 1.0), add)
+        self.world.at(self.world.now + self.haste * self.random.uniform(0.0, 1.0), add)
 
     # -- links --
 
@@ -201,7 +201,7 @@
 
     def _stall(self, node: Node | None) -> None:
         if node is not None:
-            node.disk.stalled_until = self.world.now + self.random.uniform(0.3, 4.0)
+            node.disk.stalled_until = self.world.now + self.haste * self.random.uniform(0.3, 4.0)
             self.world.say(f"{node.name}'s disk stalls until {node.disk.stalled_until:.2f}")
 
     def slow(self) -> None:
@@ -244,18 +244,63 @@
     return {member.identity for member in view.electorate(node.disk.stored.meta.settled)}
 
 
-def play(
-    seed: int, trace: Callable[[str], None] | None = None, replica_class: type[Replica] = Replica, **options: Any
-) -> World:
+def play(seed: int, trace: Callable[[str], None] | None = None, storm: bool = False) -> World:
     """Play the day of a seed. Raises Violation."""
+    return play_storm(seed, trace) if storm else play_day(seed, trace)
+
+
+def play_storm(seed: int, trace: Callable[[str], None] | None = None) -> World:
+    """A day on which hardly anything comes in time, views change all the while, and no figure of the
+    configuration is such that time alone would keep things right."""
+    random = Random(f"storm {seed}")
+    count, tolerance = random.choice(SIZES)
+    failure_timeout_s = random.choice([0.06, 0.15, 0.3])
+    config = {
+        "heartbeat_s": failure_timeout_s / 4,
+        "failure_timeout_s": failure_timeout_s,
+        "sticky_s": random.choice([0.0, failure_timeout_s / 2]),
+        "rank_delay_s": random.choice([0.0, 0.05]),
+        "jitter_s": random.choice([0.02, 0.1]),
+        "start_delay_s": random.choice([0.0, 0.1]),
+        "retry_s": random.choice([0.03, 0.1]),
+        "gather_s": random.choice([0.0, 0.03]),
+        "lost_quorum_s": random.choice([0.3, 5.0]),
+        "exchange_after_s": random.choice([0.1, 0.4]),
+        "rejoin_s": 0.05,
+        "disk_retry_s": 0.05,
+        "settle_s": random.choice([0.01, 0.3, 100.0]),
+        "compact_bytes": random.choice([100, 1000, 256 * 1024]),
+    }
+    weather = Weather(
+        most_delay_s=random.choice([0.002, 0.02, 0.08]),
+        loss=random.choice([0.0, 0.02, 0.1]),
+        late=random.choice([0.0, 0.05, 0.2]),
+        twice=random.choice([0.0, 0.1]),
+    )
+    world = World(seed, count, tolerance, weather, config=config, tick_s=0.01)
+    world.trace = trace
+    clients = [
+        Client(world, f"client{number}", pause_s=0.03, patience_s=0.2, read_share=0.4, astray=0.4)
+        for number in range(3)
+    ]
+    day = Day(world, random, clients, count, tolerance, haste=0.2)
+    end = world.now + STORM_S
+    while world.now < end:
+        world.run(random.expovariate(1 / 0.15))
+        day.trouble()
+    day.heal()
+    check_healed(world, clients)
+    return world
+
+
+def play_day(seed: int, trace: Callable[[str], None] | None = None) -> World:
+    """An ordinary bad day."""
     random = Random(f"day {seed}")
     count, tolerance = random.choice(SIZES)
     loss = random.choice([0.0, 0.0, 0.01, 0.1])
     weather = Weather(loss=loss, late=random.choice([0.0, 0.0, 0.02]))
     genesis = random.random() < 0.15 and count >= 2 * tolerance + 1
-    world = World(
-        seed, count, tolerance, weather, genesis, replica_class=replica_class, wire=seed % 16 == 0, **options
-    )
+    world = World(seed, count, tolerance, weather, genesis, wire=seed % 16 == 0)
     world.trace = trace
     clients = [Client(world, f"client{number}") for number in range(random.choice([1, 2, 3]))]
     day = Day(world, random, clients, count, tolerance)
@@ -302,14 +347,15 @@
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--trace", type=int)
+    parser.add_argument("--storm", action="store_true")
     arguments = parser.parse_args()
     if arguments.trace is not None:
-        play(arguments.trace, trace=print)
+        play(arguments.trace, print, arguments.storm)
         return
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         try:
-            play(seed)
+            play(seed, storm=arguments.storm)
         except Exception as error:
             failed += 1
             place = traceback.extract_tb(error.__traceback__)[-1]
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -364,12 +364,12 @@
     return effect
 
 
-def find(name: str, seeds: range) -> tuple[int, str] | None:
+def find(name: str, seeds: range, storm: bool) -> tuple[int, str] | None:
     """The first seed that shows the fault, and what it shows."""
     with FAULTS[name]():
         for seed in seeds:
             try:
-                play(seed)
+                play(seed, storm=storm)
             except (Violation, AssertionError, ValueError, IndexError, KeyError) as error:
                 return seed, f"{type(error).__name__}: {error}"
     return None
@@ -379,10 +379,11 @@
     parser = argparse.ArgumentParser(description="Look for seeded faults.")
     parser.add_argument("names", nargs="*")
     parser.add_argument("--seeds", type=int, default=400)
+    parser.add_argument("--storm", action="store_true")
     arguments = parser.parse_args()
     assert head.Head is Head
     for name in arguments.names or FAULTS:
-        print(f"{name:55} {find(name, range(1, arguments.seeds + 1))}", flush=True)
+        print(f"{name:55} {find(name, range(1, arguments.seeds + 1), arguments.storm)}", flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -223,7 +223,8 @@
     least_delay_s: float = 0.0008
     most_delay_s: float = 0.0015
     loss: float = 0.0
-    late: float = 0.0  # share of messages that come up to a second late
+    late: float = 0.0  # share of messages that come about a third of a second late
+    twice: float = 0.0  # share of messages that come twice
 
 
 class World:
@@ -239,6 +240,7 @@
         config: dict[str, Any] | None = None,
         replica_class: type[Replica] = Replica,
         wire: bool = False,
+        tick_s: float = TICK_S,
     ) -> None:
         """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
         through their encoding."""
@@ -249,6 +251,7 @@
         self.config = ReplicaConfig(tolerance=tolerance, **(config or {}))
         self.replica_class = replica_class
         self.wire = wire
+        self.tick_s = tick_s
         self.ledger = Ledger()
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
@@ -363,7 +366,7 @@
             self.carry_out(node, node.replica.start(self.now))
             if node.ip in self.seeds and node.disk.stored.meta.adoptable:
                 self._start_proposer(node.ip)
-            self.at(self.now + self.random.uniform(0, TICK_S), lambda: self._tick(node, life))
+            self.at(self.now + self.random.uniform(0, self.tick_s), lambda: self._tick(node, life))
 
         self.at(self.now + delay_s + self.random.uniform(0, 0.01), begin)
 
@@ -372,7 +375,7 @@
             return
         replica = node.replica
         self._when_awake(node, lambda: replica.tick(self.now))
-        wait = max(TICK_S, node.frozen_until - self.now)
+        wait = max(self.tick_s, node.frozen_until - self.now)
         self.at(self.now + wait, lambda: self._tick(node, life))
 
     def _when_awake(self, node: Node, event: Callable[[], list[Effect]]) -> None:
@@ -480,6 +483,9 @@
         if self.wire:
             (message,) = Decoder().feed(encode(message))
         self.at(self.now + delay, lambda: self._deliver(from_ip, effect.ip, message))
+        if weather.twice and self.random.random() < weather.twice:
+            again = delay + self.random.expovariate(5.0)
+            self.at(self.now + again, lambda: self._deliver(from_ip, effect.ip, message))
 
     def _deliver(self, from_ip: str, to_ip: str, message: object) -> None:
         if (from_ip, to_ip) in self.cuts:
@@ -598,7 +604,16 @@
 class Client:
     """An operator that sends orders on top of the version it knows, again until it hears, and reads back."""
 
-    def __init__(self, world: World, name: str, pause_s: float = 0.3, patience_s: float = 0.6) -> None:
+    def __init__(
+        self,
+        world: World,
+        name: str,
+        pause_s: float = 0.3,
+        patience_s: float = 0.6,
+        read_share: float = 0.25,
+        astray: float = 0.1,
+    ) -> None:
+        """`astray`: share of calls that go to any node."""
         self.world = world
         self.name = name
         self.version = 0
@@ -608,6 +623,8 @@
         self.stopped = False
         self._pause_s = pause_s
         self._patience_s = patience_s
+        self._read_share = read_share
+        self._astray = astray
         self._order: dict[str, Any] | None = None
         self._begun = 0.0
         self._try = 0
@@ -616,7 +633,7 @@
     def _next(self) -> None:
         if self.stopped:
             return
-        if self.world.random.random() < 0.25:
+        if self.world.random.random() < self._read_share:
             self._read()
             return
         self.sent += 1
@@ -642,7 +659,7 @@
             return None
         node = self.world.random.choice(running)
         view = node.replica.view_info if node.replica is not None else None
-        if view is not None and self.world.random.random() < 0.9:
+        if view is not None and self.world.random.random() >= self._astray:
             for other in running:
                 if other.ip == view.head_ip:
                     return other
