--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -8,6 +8,7 @@
 import argparse
 import traceback
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import attrs
@@ -92,7 +93,7 @@
         ends = [other for other in self.world.nodes if other.ip == effect.ip] if kind < 0.8 else [node]
         for end in ends:
             if end.replica is not None:
-                self.world.at(self.world.now, lambda end=end: self._strike(end))
+                self.world.at(self.world.now, partial(self._strike, end))
         return 0.0
 
     def _strike(self, node: Node) -> None:
@@ -342,7 +343,7 @@
     readers = [Reader(world, node) for node in world.nodes]
     day.meanness = random.choice([0.0, 0.01, 0.03, 0.1])
     # A few kinds a day: troubles that come seldom together, or undo each other, get their turn.
-    day.kinds = random.sample(day.all_kinds(), random.randint(2, 6)) + [day.join, day.mend]
+    day.kinds = [*random.sample(day.all_kinds(), random.randint(2, 6)), day.join, day.mend]
     pause_s = random.choice([0.1, 0.3, 0.6])
     world.nemesis = day.spite
     end = world.now + STORM_S
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from random import Random
 from typing import Any
@@ -14,7 +14,7 @@
 
 import attrs
 
-from cloverrouter.coordination import head, proposal, roster, views
+from cloverrouter.coordination import proposal, roster, views
 from cloverrouter.coordination.context import Context
 from cloverrouter.coordination.desk import Desk
 from cloverrouter.coordination.disk import DiskQueue, Durable
@@ -26,8 +26,13 @@
 from cloverrouter.coordination.replica import Replica
 from cloverrouter.coordination.views import Member, View
 from tests.system.replica_chaos import play
+from tests.system.replica_scenarios import SCENARIOS
 from tests.system.replica_world import Disk, Violation, World
 
+_evolve: Any = (
+    attrs.evolve
+)  # messages are attrs classes by a decorator that the type checker can't see through
+
 FAULTS: dict[str, Callable[[], Any]] = {}
 
 
@@ -37,6 +42,20 @@
     return function
 
 
+@contextmanager
+def whole_states() -> Iterator[None]:
+    """No fault: heads always hand over the whole state. That a state handed over in part has to fit what is
+    there hides some faults."""
+    original = Head._install_for
+
+    def whole(self: Head, identity: str) -> Any:
+        self._lineage.clear()
+        return original(self, identity)
+
+    with patch.object(Head, "_install_for", whole):
+        yield
+
+
 @fault
 @contextmanager
 def the_disk_does_not_sync() -> Iterator[None]:
@@ -79,7 +98,7 @@
         original(self)
         disk.durable = kept
 
-    with patch.object(Follower, "_flush_promise", hasty):
+    with whole_states(), patch.object(Follower, "_flush_promise", hasty):
         yield
 
 
@@ -132,7 +151,7 @@
     def unfenced(self: Follower, epoch: int) -> bool:
         return epoch == self._context.synced
 
-    with patch.object(Follower, "_is_in_chain", unfenced):
+    with whole_states(), patch.object(Follower, "_is_in_chain", unfenced):
         yield
 
 
@@ -165,7 +184,7 @@
     def simple(self: Proposal, now: float) -> None:
         kept = dict(self.promises)
         for identity, promise in kept.items():
-            self.promises[identity] = attrs.evolve(promise, synced=0)
+            self.promises[identity] = _evolve(promise, synced=0)
         original(self, now)
         for identity in self.promises:
             self.promises[identity] = kept[identity]
@@ -204,7 +223,7 @@
     original = Proposal.new_view
 
     def careless(self: Proposal) -> View:
-        return attrs.evolve(original(self), old_voters=())
+        return _evolve(original(self), old_voters=())  # type: ignore[no-any-return]
 
     with patch.object(Proposal, "new_view", careless):
         yield
@@ -234,7 +253,7 @@
         meta = attrs.evolve(stored.meta, promised=stored.meta.synced, promised_to="")
         original(self, me, attrs.evolve(stored, meta=meta), *rest)
 
-    with patch.object(Replica, "__init__", forgetful):
+    with whole_states(), patch.object(Replica, "__init__", forgetful):
         yield
 
 
@@ -371,26 +390,47 @@
     return effect
 
 
-def find(name: str, seeds: range, storm: bool) -> tuple[int, str] | None:
-    """The first seed that shows the fault, and what it shows."""
+# Storms in which a fault is known to show: they are played first.
+LIKELY_SEEDS = {
+    "a wiped disk keeps its identity": 97,
+    "a minority of promises is enough": 80,
+    "lower epochs may install": 82,
+    "reads are not confirmed": 46,
+    "updates are handed over on any state": 163,
+    "waiting orders are answered at a view change": 19,
+}
+FOUND = (Violation, AssertionError, ValueError, IndexError, KeyError)
+
+
+def find(name: str, seeds: Iterable[int]) -> str | None:
+    """What shows a fault first: a scripted race, or a storm."""
     with FAULTS[name]():
+        for scenario in SCENARIOS:
+            try:
+                scenario(1)
+            except FOUND as error:
+                return f"{scenario.__name__}: {error}"
         for seed in seeds:
             try:
-                play(seed, storm=storm)
-            except (Violation, AssertionError, ValueError, IndexError, KeyError) as error:
-                return seed, f"{type(error).__name__}: {error}"
+                play(seed, storm=True)
+            except FOUND as error:
+                return f"storm {seed}: {error}"
     return None
 
 
+def likely_seeds(name: str, count: int) -> list[int]:
+    """Seeds of storms, the likeliest first."""
+    likely = [LIKELY_SEEDS[name]] if name in LIKELY_SEEDS else []
+    return likely + list(range(1, count + 1))
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description="Look for seeded faults.")
     parser.add_argument("names", nargs="*")
     parser.add_argument("--seeds", type=int, default=400)
-    parser.add_argument("--storm", action="store_true")
     arguments = parser.parse_args()
-    assert head.Head is Head
     for name in arguments.names or FAULTS:
-        print(f"{name:55} {find(name, range(1, arguments.seeds + 1), arguments.storm)}", flush=True)
+        print(f"{name:55} {find(name, likely_seeds(name, arguments.seeds))}", flush=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/system/replica_scenarios.py
@@ -0,0 +1,171 @@
+"""Scripted races among replicas: each is a few milliseconds that random days hardly ever meet."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from cloverrouter.coordination.effects import Answer, Outcome, Send
+from cloverrouter.coordination.messages import Install, Propose, State
+from tests.system.replica_chaos import check_healed
+from tests.system.replica_world import Client, Node, Violation, World
+
+# Members that can't hear the head stand up soon, and nobody waits for a head that was heard a moment ago.
+RASH = {
+    "sticky_s": 0.0,
+    "failure_timeout_s": 0.3,
+    "heartbeat_s": 0.05,
+    "start_delay_s": 0.1,
+    "gather_s": 0.01,
+}
+
+
+def leader(world: World) -> Node:
+    """The node that leads. Raises Violation if there is none."""
+    head = world.head()
+    if head is None:
+        raise Violation("nobody leads")
+    return head
+
+
+def cut(world: World, ones: list[Node], others: list[Node]) -> None:
+    """Cut two groups from each other."""
+    for one in ones:
+        for other in others:
+            world.cuts |= {(one.ip, other.ip), (other.ip, one.ip)}
+
+
+def order(world: World, node: Node, name: str) -> Callable[[], bool]:
+    """Send an order to a node; what is given tells whether it was acknowledged."""
+    answers: list[Answer] = []
+
+    def on_answer(answer: Answer) -> None:
+        answers.append(answer)
+        if answer.outcome is Outcome.DONE:
+            world.check_acknowledged(json.loads(answer.reply)[1], name)
+
+    command = json.dumps({"id": name, "expect": None, "value": name}).encode()
+    world.submit(node, command, on_answer)
+    return lambda: any(answer.outcome is Outcome.DONE for answer in answers)
+
+
+def run_to(world: World, condition: Callable[[], bool], most_s: float, what: str) -> None:
+    """Run until a condition holds. Raises Violation if it does not in time."""
+    if not world.run_while(lambda: not condition(), most_s):
+        raise Violation(f"{what} not within {most_s} s")
+
+
+def settle(world: World) -> None:
+    """All is well again: orders are taken, and what was acknowledged is read."""
+    world.cuts.clear()
+    world.nemesis = None
+    for node in world.nodes:
+        node.disk.stalled_until = 0.0
+    check_healed(world, [])
+
+
+def two_and_an_excluded(world: World) -> tuple[Node, Node, Node]:
+    """Head, follower, and a third that is outside the chain and hears the head no more."""
+    world.run(2.0)
+    head = leader(world)
+    follower, third = [node for node in world.nodes if node is not head]
+    third.disk.stalled_until = world.now + 1.5
+    run_to(world, order(world, head, "first"), 5.0, "an order without the third")
+    view = head.replica.view_info if head.replica is not None else None
+    if view is None or third.member in view.chain:
+        raise Violation("the third is still in the chain")
+    cut(world, [head], [third])
+    return head, follower, third
+
+
+def an_order_reaches_a_member_that_has_promised_more(seed: int) -> None:
+    """The head forwards to a member that has just promised a higher epoch to another and has handed over its
+    state; the other's view is late."""
+    world = World(seed, 3, 1, config=RASH)
+    head, follower, third = two_and_an_excluded(world)
+    handed: list[float] = []
+
+    def watch(node: Node, effect: Send) -> float:
+        if node is follower and isinstance(effect.message, State):
+            handed.append(world.now)
+        return 0.1 if node is third and isinstance(effect.message, Install) else 0.0
+
+    world.nemesis = watch
+    run_to(world, lambda: bool(handed), 5.0, "the third has promise and state")
+    order(world, head, "late")
+    run_to(world, lambda: world.head() is third, 5.0, "the third as head")
+    settle(world)
+
+
+def a_member_loses_power_when_it_has_promised(seed: int) -> None:
+    """The same, and the member, whose disk is slow, loses power in that moment and is back at once."""
+    world = World(seed, 3, 1, config=RASH)
+    head, follower, third = two_and_an_excluded(world)
+    follower.disk.slowness = 20.0
+    handed: list[float] = []
+
+    def strike() -> None:
+        world.kill(follower, power=True)
+        follower.disk.slowness = 1.0
+        world.start(follower)
+
+    def watch(node: Node, effect: Send) -> float:
+        if node is follower and isinstance(effect.message, State) and not handed:
+            handed.append(world.now)
+            world.at(world.now, strike)
+        return 0.1 if node is third and isinstance(effect.message, Install) else 0.0
+
+    world.nemesis = watch
+    run_to(world, lambda: bool(handed), 5.0, "the third has promise and state")
+    run_to(world, lambda: follower.replica is None, 1.0, "the loss of power")
+    run_to(world, lambda: follower.replica is not None, 1.0, "the member is back")
+    order(world, head, "late")
+    run_to(world, lambda: world.head() is third, 5.0, "the third as head")
+    settle(world)
+
+
+def the_old_voters_go_on_while_an_exchange_is_under_way(seed: int) -> None:
+    """A voter is exchanged; head and newcomer are cut from the rest, and the lost one comes back there."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    follower, lost = [node for node in world.nodes if node is not head]
+    world.kill(lost, power=True)
+    spare = world.add_node(place=1)
+
+    def watch(node: Node, effect: Send) -> float:
+        message = effect.message
+        if isinstance(message, Install) and spare.member in message.view.voters and not world.cuts:
+            cut(world, [head, spare], [follower, lost])
+            world.start(lost)
+        return 0.0
+
+    world.nemesis = watch
+    client = Client(world, "operator", pause_s=0.05)
+    run_to(world, lambda: bool(world.cuts), 5.0, "the exchange")
+    world.run(4.0)
+    client.stopped = True
+    settle(world)
+
+
+def a_second_proposer_in_the_same_moment(seed: int) -> None:
+    """Both followers propose at once when the head goes, and their questions cross."""
+    world = World(seed, 5, 2, config=RASH | {"rank_delay_s": 0.0, "jitter_s": 0.001})
+    world.run(2.0)
+    client = Client(world, "operator", pause_s=0.02)
+    for _ in range(4):
+        head = leader(world)
+        world.nemesis = lambda node, effect: 0.004 if isinstance(effect.message, Propose) else 0.0
+        world.kill(head, power=True)
+        world.start(head, 0.6)
+        world.run(2.0)
+    client.stopped = True
+    settle(world)
+
+
+SCENARIOS = (
+    an_order_reaches_a_member_that_has_promised_more,
+    a_member_loses_power_when_it_has_promised,
+    the_old_voters_go_on_while_an_exchange_is_under_way,
+    a_second_proposer_in_the_same_moment,
+)
