--- /dev/null
+++ b/cloverrouter/control/forwarding.py
@@ -0,0 +1,103 @@
+"""Calls that only the head of the chain can answer, from whichever proxy took them: sent, resent, given up.
+
+A pure core: calls come with a ticket of the caller's choosing, answers go back by it. The head may change
+while a call is under way; sending an order twice is harmless, as the head knows orders that it has taken.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from cloverrouter.messages import message
+
+RESEND_S = 0.35
+GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
+
+
+class Kind(Enum):
+    ORDER = 0
+    READ = 1
+
+
+@message(330)
+class HeadCall:
+    """A call for the head. `kind`: see `Kind`; `command`: an order's bytes, empty for a read."""
+
+    ticket: int
+    kind: int
+    command: bytes
+
+
+@message(331)
+class HeadAnswer:
+    """The head's answer. Where `done` is false it is not the head, or can't tell now: ask again later."""
+
+    ticket: int
+    done: bool
+    reply: bytes
+
+
+@attrs.frozen(slots=True)
+class SendCall:
+    ip: str
+    call: HeadCall
+
+
+@attrs.frozen(slots=True)
+class Finished:
+    """The call has its answer; `reply` is None if it was given up."""
+
+    ticket: int
+    reply: bytes | None
+
+
+@attrs.define(slots=True)
+class _Pending:
+    call: HeadCall
+    give_up_at: float
+    send_at: float
+
+
+class Forwarder:
+    """The calls of one proxy that wait for the head's answer."""
+
+    def __init__(self) -> None:
+        self._head: str | None = None
+        self._pending: dict[int, _Pending] = {}
+
+    def head_changed(self, now: float, head: str | None) -> list[SendCall | Finished]:
+        """Another machine is head now, or none is known."""
+        if head == self._head:
+            return []
+        self._head = head
+        for pending in self._pending.values():
+            pending.send_at = now
+        return self.tick(now)
+
+    def ask(self, now: float, ticket: int, kind: Kind, command: bytes) -> list[SendCall | Finished]:
+        call = HeadCall(ticket, kind.value, command)
+        self._pending[ticket] = _Pending(call, now + GIVE_UP_S, now)
+        return self.tick(now)
+
+    def answered(self, now: float, answer: HeadAnswer) -> list[SendCall | Finished]:
+        pending = self._pending.get(answer.ticket)
+        if pending is None:
+            return []
+        if not answer.done:
+            pending.send_at = min(pending.send_at, now + RESEND_S / 3)
+            return []
+        del self._pending[answer.ticket]
+        return [Finished(answer.ticket, answer.reply)]
+
+    def tick(self, now: float) -> list[SendCall | Finished]:
+        effects: list[SendCall | Finished] = []
+        for ticket, pending in list(self._pending.items()):
+            if now >= pending.give_up_at:
+                del self._pending[ticket]
+                effects.append(Finished(ticket, None))
+            elif self._head is not None and now >= pending.send_at:
+                pending.send_at = now + RESEND_S
+                effects.append(SendCall(self._head, pending.call))
+        return effects
--- /dev/null
+++ b/cloverrouter/daemon/logs.py
@@ -0,0 +1,50 @@
+"""What a process writes to its standard output: eliot's JSON lines, as many as the settings' level asks for.
+
+Levels: `off`; `errors`; `changes` (errors, and what happens to views, configurations, servers); `requests`
+(all of these, and an action for each request). Eliot is loaded only where something will be written.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from cloverrouter.daemon.settings import LOG_LEVELS
+
+Write = Callable[..., None]
+
+
+def _nothing(message_type: str, **fields: Any) -> None:
+    return None
+
+
+class Log:
+    """The three kinds of lines. Each attribute is a no-op below its level."""
+
+    def __init__(self, level: str, node_name: str) -> None:
+        rank = LOG_LEVELS.index(level)
+        self.error = self._writer(node_name) if rank >= LOG_LEVELS.index("errors") else _nothing
+        self.change = self._writer(node_name) if rank >= LOG_LEVELS.index("changes") else _nothing
+        self.logs_requests = rank >= LOG_LEVELS.index("requests")
+        self.request = self._writer(node_name) if self.logs_requests else _nothing
+
+    @staticmethod
+    def _writer(node_name: str) -> Write:
+        def write(message_type: str, **fields: Any) -> None:
+            eliot = _eliot()
+            eliot.log_message(message_type=message_type, node=node_name, **fields)
+
+        return write
+
+
+_loaded: list[Any] = []
+
+
+def _eliot() -> Any:
+    if not _loaded:
+        import eliot
+
+        eliot.to_file(sys.stdout)
+        _loaded.append(eliot)
+    return _loaded[0]
--- /dev/null
+++ b/cloverrouter/daemon/transport.py
@@ -0,0 +1,228 @@
+"""Messages between the proxies' processes over long-lived TCP connections.
+
+`send` is a datagram to the callers: a message is dropped where no connection can be had, or its peer does not
+read. Each process connects to those that it sends to, from its own address: a peer is known by its IP. A
+connection whose bytes stay unacknowledged is given up by the kernel (`TCP_USER_TIMEOUT`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+from cloverrouter.messages import Decoder, MessageError, encode
+
+CONNECT_TIMEOUT_S = 0.5
+USER_TIMEOUT_MS = 1500
+RETRY_PAUSE_S = 0.1  # after a failed connect
+MAX_RETRY_PAUSE_S = 0.4
+MAX_QUEUED_BYTES = 8 * 1024 * 1024  # for one peer
+READ_BYTES = 64 * 1024
+
+OnMessage = Callable[[str, object], None]
+
+
+def _tune(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class _Incoming(asyncio.BufferedProtocol):
+    """A connection from a peer: messages in."""
+
+    def __init__(self, owner: Transport) -> None:
+        self._owner = owner
+        self._decoder = Decoder()
+        self._transport: asyncio.BaseTransport | None = None
+        self._ip = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._ip = transport.get_extra_info("peername")[0]
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            _tune(sock)
+        self._owner.incoming.add(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._transport is not None:
+            self._owner.incoming.discard(self._transport)
+        self._transport = None
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._owner.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._owner.bytes_received += nbytes
+        data = bytes(self._owner.buffer[:nbytes])
+        try:
+            for message in self._decoder.feed(data):
+                self._owner.deliver(self._ip, message)
+        except MessageError as error:
+            self._owner.on_error(self._ip, error)
+            if self._transport is not None:
+                self._transport.close()
+
+
+class _Outgoing(asyncio.Protocol):
+    """A connection to a peer: messages out. What the peer says on it is not expected, and ignored."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._link.lost()
+
+
+class Link:
+    """Everything that goes to one peer."""
+
+    def __init__(self, owner: Transport, ip: str) -> None:
+        self._owner = owner
+        self.ip = ip
+        self._transport: asyncio.Transport | None = None
+        self._queue: list[bytes] = []
+        self._queued_bytes = 0
+        self._opening: asyncio.Task[None] | None = None
+        self._pause_s = RETRY_PAUSE_S
+        self._not_before_s = 0.0
+
+    @property
+    def connected(self) -> bool:
+        return self._transport is not None
+
+    def send(self, frame: bytes) -> None:
+        if self._transport is not None:
+            if self._transport.get_write_buffer_size() < MAX_QUEUED_BYTES:
+                self._owner.bytes_sent += len(frame)
+                self._transport.write(frame)
+            return
+        self.open()
+        if self._opening is not None and self._queued_bytes < MAX_QUEUED_BYTES:
+            self._queue.append(frame)
+            self._queued_bytes += len(frame)
+
+    def open(self) -> None:
+        """Begin to connect, unless that is under way, done, or was tried just now."""
+        loop = self._owner.loop
+        if self._transport is None and self._opening is None and loop.time() >= self._not_before_s:
+            self._opening = loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        loop, owner = self._owner.loop, self._owner
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, _ = await loop.create_connection(
+                    lambda: _Outgoing(self), self.ip, owner.port, local_addr=(owner.ip, 0)
+                )
+        except (OSError, TimeoutError):
+            self._not_before_s = loop.time() + self._pause_s
+            self._pause_s = min(MAX_RETRY_PAUSE_S, 2 * self._pause_s)
+            self._drop_queue()
+            return
+        finally:
+            self._opening = None
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            _tune(sock)
+        self._transport = transport
+        self._pause_s = RETRY_PAUSE_S
+        owner.on_link(self.ip, True)
+        for frame in self._queue:
+            owner.bytes_sent += len(frame)
+            transport.write(frame)
+        self._drop_queue()
+
+    def _drop_queue(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+
+    def lost(self) -> None:
+        if self._transport is not None:
+            self._transport = None
+            self._owner.on_link(self.ip, False)
+
+    def close(self) -> None:
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Transport:
+    """All links of this process, and the listener for those of others."""
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        on_message: OnMessage,
+        on_link: Callable[[str, bool], None],
+        on_error: Callable[[str, Exception], None],
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.ip = ip
+        self.port = port
+        self.on_link = on_link
+        self.on_error = on_error
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.incoming: set[asyncio.BaseTransport] = set()
+        self.bytes_sent = self.bytes_received = 0
+        self.messages_sent = self.messages_received = 0
+        self._on_message = on_message
+        self._links: dict[str, Link] = {}
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Raises OSError if the port is taken."""
+        self._server = await self.loop.create_server(
+            lambda: _Incoming(self), self.ip, self.port, reuse_address=True, backlog=256
+        )
+
+    def send(self, ip: str, message: object) -> None:
+        """Send, or drop. To oneself: delivered in the loop's next turn."""
+        self.messages_sent += 1
+        if ip == self.ip:
+            self.loop.call_soon(self.deliver, ip, message)
+            return
+        self._link(ip).send(encode(message))
+
+    def send_to_all(self, ips: list[str], message: object) -> None:
+        """The same message to several, encoded once."""
+        frame = encode(message)
+        for ip in ips:
+            self.messages_sent += 1
+            if ip == self.ip:
+                self.loop.call_soon(self.deliver, ip, message)
+            else:
+                self._link(ip).send(frame)
+
+    def open(self, ip: str) -> None:
+        """Have a connection there, for messages to come."""
+        if ip != self.ip:
+            self._link(ip).open()
+
+    def connected(self, ip: str) -> bool:
+        link = self._links.get(ip)
+        return ip == self.ip or (link is not None and link.connected)
+
+    def deliver(self, ip: str, message: object) -> None:
+        self.messages_received += 1
+        self._on_message(ip, message)
+
+    def _link(self, ip: str) -> Link:
+        link = self._links.get(ip)
+        if link is None:
+            link = self._links[ip] = Link(self, ip)
+        return link
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for link in self._links.values():
+            link.close()
+        for transport in list(self.incoming):
+            with contextlib.suppress(Exception):
+                transport.close()
--- /dev/null
+++ b/tests/system/test_forwarding.py
@@ -0,0 +1,50 @@
+"""Calls for the head of the chain: resent, moved to another head, given up in time."""
+
+from __future__ import annotations
+
+from cloverrouter.control.forwarding import (
+    GIVE_UP_S,
+    RESEND_S,
+    Finished,
+    Forwarder,
+    HeadAnswer,
+    HeadCall,
+    Kind,
+    SendCall,
+)
+
+CALL = HeadCall(1, Kind.ORDER.value, b"order")
+
+
+def test_a_call_waits_for_a_head_to_be_known() -> None:
+    forwarder = Forwarder()
+    assert forwarder.ask(0.0, 1, Kind.ORDER, b"order") == []
+    assert forwarder.head_changed(0.2, "10.0.0.1") == [SendCall("10.0.0.1", CALL)]
+    assert forwarder.answered(0.3, HeadAnswer(1, True, b"reply")) == [Finished(1, b"reply")]
+    assert forwarder.tick(10.0) == []
+
+
+def test_a_call_without_an_answer_is_sent_again_and_to_a_new_head_at_once() -> None:
+    forwarder = Forwarder()
+    forwarder.head_changed(0.0, "10.0.0.1")
+    assert forwarder.ask(0.0, 1, Kind.ORDER, b"order") == [SendCall("10.0.0.1", CALL)]
+    assert forwarder.tick(RESEND_S / 2) == []
+    assert forwarder.tick(RESEND_S) == [SendCall("10.0.0.1", CALL)]
+    assert forwarder.head_changed(RESEND_S + 0.01, "10.0.0.2") == [SendCall("10.0.0.2", CALL)]
+
+
+def test_one_who_is_not_the_head_is_asked_again_after_a_pause() -> None:
+    forwarder = Forwarder()
+    forwarder.head_changed(0.0, "10.0.0.1")
+    forwarder.ask(0.0, 1, Kind.ORDER, b"order")
+    assert forwarder.answered(0.01, HeadAnswer(1, False, b"")) == []
+    assert forwarder.tick(0.02) == []
+    assert forwarder.tick(0.01 + RESEND_S / 3) == [SendCall("10.0.0.1", CALL)]
+
+
+def test_a_call_is_given_up_once() -> None:
+    forwarder = Forwarder()
+    forwarder.ask(0.0, 1, Kind.READ, b"")
+    assert forwarder.tick(GIVE_UP_S) == [Finished(1, None)]
+    assert forwarder.tick(GIVE_UP_S + 1) == []
+    assert forwarder.answered(GIVE_UP_S + 1, HeadAnswer(1, True, b"late")) == []
--- /dev/null
+++ b/tests/system/test_transport.py
@@ -0,0 +1,97 @@
+"""Messages between processes on real sockets of the loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from cloverrouter.daemon.transport import Transport
+from cloverrouter.messages import message
+
+HOSTS = ("127.31.9.1", "127.31.9.2")
+
+
+@message(65010)
+class Ping:
+    number: int
+    padding: bytes
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((HOSTS[0], 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class Peer:
+    """A transport that keeps what it hears."""
+
+    def __init__(self, ip: str, port: int) -> None:
+        self.heard: asyncio.Queue[tuple[str, object]] = asyncio.Queue()
+        self.links: list[tuple[str, bool]] = []
+        self.errors: asyncio.Queue[Exception] = asyncio.Queue()
+        self.transport = Transport(
+            ip,
+            port,
+            lambda sender, found: self.heard.put_nowait((sender, found)),
+            lambda ip, up: self.links.append((ip, up)),
+            lambda ip, error: self.errors.put_nowait(error),
+        )
+
+
+def test_messages_arrive_in_order_and_their_sender_is_known() -> None:
+    async def run() -> None:
+        port = free_port()
+        one, two = (Peer(host, port) for host in HOSTS)
+        await one.transport.listen()
+        await two.transport.listen()
+        sent = [Ping(number, b"x" * 100_000) for number in range(5)]
+        for ping in sent:
+            one.transport.send(HOSTS[1], ping)
+        async with asyncio.timeout(10):
+            heard = [await two.heard.get() for _ in sent]
+        assert heard == [(HOSTS[0], ping) for ping in sent]
+        assert one.links == [(HOSTS[1], True)]
+        one.transport.send(HOSTS[0], sent[0])
+        async with asyncio.timeout(10):
+            assert await one.heard.get() == (HOSTS[0], sent[0])
+        await one.transport.close()
+        await two.transport.close()
+
+    asyncio.run(run())
+
+
+def test_a_peer_that_is_not_there_costs_the_message_only() -> None:
+    async def run() -> None:
+        port = free_port()
+        one = Peer(HOSTS[0], port)
+        await one.transport.listen()
+        one.transport.send(HOSTS[1], Ping(1, b""))
+        assert not one.transport.connected(HOSTS[1])
+        two = Peer(HOSTS[1], port)
+        await two.transport.listen()
+        async with asyncio.timeout(10):
+            while two.heard.empty():
+                one.transport.send(HOSTS[1], Ping(2, b""))
+                await asyncio.sleep(0.01)
+        await one.transport.close()
+        await two.transport.close()
+
+    asyncio.run(run())
+
+
+def test_bytes_that_are_no_message_end_the_connection() -> None:
+    async def run() -> None:
+        port = free_port()
+        one = Peer(HOSTS[0], port)
+        await one.transport.listen()
+        reader, writer = await asyncio.open_connection(HOSTS[0], port)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(10):
+            await one.errors.get()
+            assert await reader.read() == b""
+        writer.close()
+        await one.transport.close()
+
+    asyncio.run(run())
