--- /dev/null
+++ b/cloverrouter/control/orders.py
@@ -0,0 +1,225 @@
+"""The replicated state of the configuration: what an order of the operator is answered, and what it changes.
+
+A pure state machine for the chain of replicas to embed. The head decides on orders; every replica, the head
+too, applies the updates that this gives, in their order. A reply without an update rests on all updates that
+were applied before it, so it may only go out once those are committed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import struct
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from cloverrouter.control.document import ConfigurationState, compact
+from cloverrouter.control.errors import ConfigurationInvalid
+from cloverrouter.control.updates import (
+    ConfigurationPatched,
+    ConfigurationReplaced,
+    Update,
+    applied,
+    decoded,
+    decoded_update,
+)
+from cloverrouter.messages.codec import encode, message
+
+MAX_TAKEN_ORDERS = 4096
+DIGEST_BYTES = 16
+
+_TAKEN = struct.Struct(f">{DIGEST_BYTES}sQ")
+
+
+class Status:
+    """Answers to orders, as in HTTP."""
+
+    TAKEN = 200
+    INVALID = 400
+    OTHER_METHOD = 405
+    OTHER_VERSION = 412
+    NO_BASE = 428
+
+
+@message(300)
+class Order:
+    """An order of the operator, as it came."""
+
+    method: str
+    """PUT or PATCH."""
+    if_match: str | None
+    body: bytes
+
+
+@message(301)
+class OrderReply:
+    """The answer to an order."""
+
+    status: int
+    body: bytes
+    """JSON for the operator."""
+    version: int
+    """The version that is current after the order."""
+
+
+@message(302)
+class MachineSnapshot:
+    """The whole state of a `ConfigurationMachine`."""
+
+    version: int
+    document: bytes
+    """JSON; empty while there is no configuration."""
+    taken: bytes
+    """Digests of orders with the versions that they brought, oldest first."""
+
+
+@attrs.frozen(slots=True)
+class Decision:
+    """What is answered, and the update to be replicated before that; None where nothing changes."""
+
+    reply: bytes
+    update: bytes | None
+
+
+class ReplicatedMachine(Protocol):
+    """What the chain of replicas embeds."""
+
+    def decide(self, command: bytes) -> Decision:
+        """The answer to a command on the present state, which stays as it is."""
+
+    def apply(self, update: bytes) -> None:
+        """Makes an update's change; the same on every replica."""
+
+    def snapshot(self) -> bytes:
+        """The whole state."""
+
+    def restore(self, snapshot: bytes) -> None:
+        """Takes over a whole state."""
+
+
+Review = Callable[[bytes, ConfigurationState], tuple[dict[str, Any], ConfigurationState]]
+
+
+class ConfigurationMachine:
+    """The configuration in force with the orders that were taken, the newest `MAX_TAKEN_ORDERS` of them."""
+
+    def __init__(self) -> None:
+        self._state = ConfigurationState()
+        self._taken: dict[bytes, int] = {}
+        self._prepared: tuple[bytes, ConfigurationState] | None = None
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The configuration in force; a new object after each change."""
+        return self._state
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first configuration."""
+        return self._state.version
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The document in force."""
+        return self._state.document()
+
+    def decide(self, command: bytes) -> Decision:
+        """The answer to an encoded `Order`, and the update that it brings where it is taken."""
+        order = decoded(command, Order)
+        digest = order_digest(order)
+        taken = self._taken.get(digest)
+        if taken is not None:
+            return Decision(self._reply(Status.TAKEN, {"version": taken}), None)
+        refusal = self._refusal(order)
+        if refusal is not None:
+            return Decision(refusal, None)
+        return self._reviewed(order, digest)
+
+    def _refusal(self, order: Order) -> bytes | None:
+        """The answer to an order that needs no reading to be refused."""
+        if order.method not in ("PUT", "PATCH"):
+            return self._refused(Status.OTHER_METHOD, f"no order is given by {order.method}")
+        if order.if_match is None:
+            return self._refused(Status.NO_BASE, "If-Match has to name the version that the order builds on")
+        if base_version(order.if_match) != self.version:
+            text = f"version {self.version} is current; the order builds on {order.if_match[:40]}"
+            return self._refused(Status.OTHER_VERSION, text)
+        return None
+
+    def _reviewed(self, order: Order, digest: bytes) -> Decision:
+        from cloverrouter.control.review import review_document, review_patch  # only the head ever checks
+
+        review: Review = review_document if order.method == "PUT" else review_patch
+        kind: Callable[..., Update] = ConfigurationReplaced if order.method == "PUT" else ConfigurationPatched
+        try:
+            content, candidate = review(order.body, self._state)
+        except ConfigurationInvalid as error:
+            return Decision(self._reply(Status.INVALID, error.body()), None)
+        update = encode(kind(candidate.version, self.version, digest, compact(content).encode("ascii")))
+        self._prepared = (update, candidate)
+        reply = OrderReply(Status.TAKEN, _json({"version": candidate.version}), candidate.version)
+        return Decision(encode(reply), update)
+
+    def _refused(self, status: int, text: str) -> bytes:
+        return self._reply(status, {"error-message": text, "version": self.version})
+
+    def _reply(self, status: int, body: dict[str, Any]) -> bytes:
+        return encode(OrderReply(status, _json(body), self.version))
+
+    def apply(self, update: bytes) -> None:
+        """Makes an update's change. Raises `UpdateOutOfOrder` where it builds on another version."""
+        prepared, self._prepared = self._prepared, None
+        change = decoded_update(update)
+        if prepared is not None and prepared[0] == update and change.base == self.version:
+            self._state = prepared[1]
+        else:
+            self._state = applied(self._state, change)
+        self._remember(change.digest, change.version)
+
+    def _remember(self, digest: bytes, version: int) -> None:
+        self._taken[digest] = version
+        while len(self._taken) > MAX_TAKEN_ORDERS:
+            del self._taken[next(iter(self._taken))]
+
+    def snapshot(self) -> bytes:
+        """The whole state, as an encoded `MachineSnapshot`."""
+        document = self._state.json() if self.version else b""
+        taken = b"".join(_TAKEN.pack(digest, version) for digest, version in self._taken.items())
+        return encode(MachineSnapshot(self.version, document, taken))
+
+    def restore(self, snapshot: bytes) -> None:
+        """Takes over a whole state. Empty bytes are the state before the first order."""
+        self._prepared = None
+        self._state, self._taken = ConfigurationState(), {}
+        if not snapshot:
+            return
+        found = decoded(snapshot, MachineSnapshot)
+        self._taken = dict(_TAKEN.iter_unpack(found.taken))
+        if found.document:
+            self._state = self._state.replaced(json.loads(found.document))
+
+
+def order_digest(order: Order) -> bytes:
+    """What two sendings of the same order share, and no other order."""
+    hashed = hashlib.sha256()
+    for part in (order.method.encode(), normal_match(order.if_match).encode("utf-8", "replace"), order.body):
+        hashed.update(struct.pack(">Q", len(part)))
+        hashed.update(part)
+    return hashed.digest()[:DIGEST_BYTES]
+
+
+def normal_match(if_match: str | None) -> str:
+    """The value of If-Match without blanks and quotes; an entity tag is the version in quotes."""
+    return "" if if_match is None else if_match.strip().strip('"')
+
+
+def base_version(if_match: str) -> int | None:
+    """The version that an If-Match names, or None for what is no version."""
+    text = normal_match(if_match)
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 18 else None
+
+
+def _json(body: dict[str, Any]) -> bytes:
+    return compact(body).encode("ascii")
--- /dev/null
+++ b/cloverrouter/control/schemas.py
@@ -0,0 +1,174 @@
+"""The rules for single items of the configuration and for registrations, as cerberus schemas.
+
+Each field's ``meta`` says in words what is wanted there. Validators are reused and run without normalization,
+which makes them eight times as fast. This module is imported only where something is to be checked.
+"""
+
+from __future__ import annotations
+
+from functools import cache
+from typing import Any
+
+import cerberus
+
+from cloverrouter.control.configuration import ROUTE_KINDS, ROUTES, SERVICES, TENANTS, VERSION
+
+Schema = dict[str, Any]
+MAX_VERSION = 2**53
+
+
+class Rules(cerberus.Validator):  # type: ignore[misc]
+    """cerberus with the rules `above` and `whole`. Fields that no schema names are allowed."""
+
+    # cerberus reads the docstrings of rules as the schemas of their arguments, and goes on to further rules
+    # after a null that isn't allowed.
+
+    def _validate_above(self, bound: float, field: str, value: float | None) -> None:
+        """{'type': 'number'}"""
+        if value is not None and not value > bound:
+            self._error(field, f"not above {bound}")
+
+    def _validate_whole(self, wanted: bool, field: str, value: float | None) -> None:
+        """{'type': 'boolean'}"""
+        if wanted and value is not None and value != int(value):
+            self._error(field, "not a whole number")
+
+
+def _field(wanted: str, **rules: Any) -> Schema:
+    return {**rules, "meta": wanted}
+
+
+def _optional(wanted: str, **rules: Any) -> Schema:
+    return _field(wanted, nullable=True, **rules)
+
+
+NAME = _field("a name", type="string", required=True, empty=False)
+FLAG = _optional("true or false", type="boolean")
+ABOVE_ZERO = _optional("a number above 0", type="number", above=0)
+ZERO_OR_MORE = _optional("a number, 0 or more", type="number", min=0)
+COUNT = _optional("a whole number, 0 or more", type="number", min=0, whole=True)
+WORD = _optional("a string", type="string")
+MODELS = _optional(
+    "a list of models",
+    type="list",
+    schema=_field("a model", type="dict", schema={"name": NAME}),
+)
+
+TARGET: Schema = {
+    "backend": _field("the name of a service", type="string", required=True, empty=False),
+    "weight": _field("a number, 0 or more", type="number", required=True, min=0),
+}
+ROUTE: Schema = {
+    "name": NAME,
+    "hostname": _field("a host", type="string", required=True, empty=False),
+    "path-prefix": _field(
+        "a path that begins and ends with /", type="string", required=True, regex=r"/(.*/)?\Z"
+    ),
+    "route-type": _optional(f"one of {', '.join(ROUTE_KINDS)}", type="string", allowed=ROUTE_KINDS),
+    "timeout-ms": _field("a number above 0", type="number", above=0),
+    "target-latency-ms": ZERO_OR_MORE,
+    "priority": COUNT,
+    "backend": _optional("the name of a service", type="string", empty=False),
+    "traffic-split": _optional(
+        "a list of services with weights",
+        type="list",
+        schema=_field("a service with a weight", type="dict", schema=TARGET),
+    ),
+    "attempt-limit": _optional("a whole number, 1 or more", type="number", min=1, whole=True),
+    "anonymous-access": FLAG,
+    "session-affinity": FLAG,
+    "stream-resumption": FLAG,
+    "gap_aim_ms": ZERO_OR_MORE,
+}
+ENGINE: Schema = {
+    "capacity": COUNT,
+    "kv-cache-tokens": COUNT,
+    "stride": COUNT,
+    "kv-bytes": ZERO_OR_MORE,
+    "bandwidth-mbps": ZERO_OR_MORE,
+    "model-list": MODELS,
+}
+SERVICE: Schema = {
+    "name": NAME,
+    "health-check": _optional("a path that begins with /", type="string", regex=r"/.*\Z"),
+    "connection-limit": COUNT,
+    "inference-engine": _optional("an object", type="dict", schema=ENGINE),
+}
+LIMITS: Schema = {
+    "header-limit-bytes": ABOVE_ZERO,
+    "body-limit-bytes": ABOVE_ZERO,
+    "header-timeout-ms": ABOVE_ZERO,
+    "idle-timeout-ms": ABOVE_ZERO,
+}
+TENANT: Schema = {
+    "name": _field(
+        "a name without control characters", type="string", required=True, regex=r"[^\x00-\x1f\x7f]+\Z"
+    ),
+    "api-keys": _optional(
+        "a list of keys",
+        type="list",
+        schema=_field("a key", type="string", empty=False),
+    ),
+    "priority": COUNT,
+    "unit": WORD,
+    "uncached-tokens": ZERO_OR_MORE,
+    "rate-per-s": ZERO_OR_MORE,
+    "burst-size": ZERO_OR_MORE,
+}
+_VERSION = _field(
+    "a whole number, 1 or more", type="number", required=True, min=1, max=MAX_VERSION, whole=True
+)
+_ITEMS = _field("a list of objects", type="list", required=True)
+DOCUMENT: Schema = {
+    VERSION: _VERSION,
+    ROUTES: _ITEMS,
+    SERVICES: _ITEMS,
+    TENANTS: _optional("a list of objects", type="list"),
+    "limits": _optional("an object", type="dict", schema=LIMITS),
+}
+PATCH: Schema = {
+    VERSION: _VERSION,
+    "upsert": _optional(
+        "an object of lists of objects",
+        type="dict",
+        valuesrules=_field("a list of objects", type=["list", "dict"]),
+    ),
+    "delete": _optional(
+        "an object of lists of names",
+        type="dict",
+        valuesrules=_field("a list of names", type="list", schema=_field("a name", type="string")),
+    ),
+}
+REGISTRATION: Schema = {
+    "backend": _field("the name of a service", type="string", required=True, empty=False),
+    "address": _field("an address, HOST:PORT", type="string", required=True, regex=r".+:\d{1,5}"),
+    "availability-zone": _optional("the name of a zone", type="string"),
+    "version": WORD,
+    "capacity": COUNT,
+    "lifecycle-state": _field("ready or draining", type="string", allowed=("ready", "draining")),
+    "warmup-remaining-ms": ZERO_OR_MORE,
+    "sequence-number": _field(
+        "a whole number, 0 or more", type="number", required=True, min=0, max=MAX_VERSION, whole=True
+    ),
+    "phase": WORD,
+    "model-list": MODELS,
+}
+
+ITEM: Schema = {"name": NAME}
+"""An item of a list that no schema names."""
+
+SCHEMAS = {
+    "document": DOCUMENT,
+    "patch": PATCH,
+    ROUTES: ROUTE,
+    SERVICES: SERVICE,
+    TENANTS: TENANT,
+    "limits": LIMITS,
+    "registration": REGISTRATION,
+}
+
+
+@cache
+def validator(schema: str) -> Rules:
+    """The validator of one of `SCHEMAS`; for any other name, of an item with a name."""
+    return Rules(SCHEMAS.get(schema, ITEM), allow_unknown=True)
