--- /dev/null
+++ b/cloverrouter/placement/first_token.py
@@ -0,0 +1,57 @@
+"""How long a server takes to its first token: a line over the tokens read, learnt from the answers."""
+
+from __future__ import annotations
+
+FORGETTING = 0.98
+"""What an old answer still weighs after the next one."""
+FIRST_MS_PER_TOKEN = 0.004
+FIRST_USUAL_MS = 20.0
+MIN_USUAL_MS = 2.0
+MAX_MS_PER_TOKEN = 1.0
+MIN_WEIGHT = 5.0
+"""Answers that must have come before the line is believed."""
+
+
+class FirstTokenModel:
+    """Weighted least squares of the time to the first token over the tokens that had to be read."""
+
+    def __init__(self) -> None:
+        self._weight = 0.0
+        self._tokens = self._ms = self._tokens_squared = self._product = 0.0
+
+    def learn(self, tokens: float, ms: float) -> None:
+        """An answer began after that time, with that many tokens to be read."""
+        self._weight = self._weight * FORGETTING + 1.0
+        self._tokens = self._tokens * FORGETTING + tokens
+        self._ms = self._ms * FORGETTING + ms
+        self._tokens_squared = self._tokens_squared * FORGETTING + tokens * tokens
+        self._product = self._product * FORGETTING + tokens * ms
+
+    @property
+    def ms_per_token(self) -> float:
+        """Time that a token of the prompt takes to be read."""
+        if self._weight < MIN_WEIGHT:
+            return FIRST_MS_PER_TOKEN
+        spread = self._tokens_squared - self._tokens**2 / self._weight
+        if spread < self._weight:
+            return FIRST_MS_PER_TOKEN
+        slope = (self._product - self._tokens * self._ms / self._weight) / spread
+        return min(MAX_MS_PER_TOKEN, max(0.0, slope))
+
+    @property
+    def usual_ms(self) -> float:
+        """Mean time to the first token: the unit in which expected times count as requests."""
+        if self._weight < MIN_WEIGHT:
+            return FIRST_USUAL_MS
+        return max(MIN_USUAL_MS, self._ms / self._weight)
+
+    def reading_ms(self, tokens: float) -> float:
+        """Time that so many tokens take to be read."""
+        return tokens * self.ms_per_token
+
+    def expected_ms(self, tokens: float) -> float:
+        """Time to the first token at a server that is as busy as usual."""
+        if self._weight < MIN_WEIGHT:
+            return FIRST_USUAL_MS + self.reading_ms(tokens)
+        mean_tokens = self._tokens / self._weight
+        return max(0.0, self.usual_ms + (tokens - mean_tokens) * self.ms_per_token)
--- /dev/null
+++ b/cloverrouter/placement/pick.py
@@ -0,0 +1,155 @@
+"""Which server a request goes to.
+
+The base is the design's comparison of two draws by payoff / (1 + own in flight). Where requests share parts
+of their prompts, the two candidates are not drawn but come from an order of the servers, by rendezvous
+hashing of the last shared part, on which all proxies agree without talking. The comparison then counts the
+time that the missing part of the prompt takes to read, and the first of the order, which keeps what is
+shared, has an advantage.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Collection
+from zlib import crc32
+
+from cloverrouter.placement.first_token import FirstTokenModel
+from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
+from cloverrouter.placement.servers import Server, ServiceServers, Standing
+
+HOME_ADVANTAGE = 2.0
+"""How many times better the second of the order must look to get the request."""
+ROOM_BASE = 2
+ROOM_FACTOR = 1.5
+"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there."""
+ORDERS_KEPT = 2_048
+ORDER_LENGTH = 8
+"""Servers of an order that are kept for the next request of the same subject."""
+DEFAULT_KV_TOKENS = 200_000
+
+Random = Callable[[], float]
+"""A number from 0 up to 1."""
+
+
+class ServicePlacement:
+    """Places the requests of one service.
+
+    `random` gives numbers from 0 up to 1; `zone` is the proxy's own; `kv_tokens` is what one server's memory
+    holds, None for servers without a model.
+    """
+
+    def __init__(self, random: Random, zone: str, kv_tokens: int | None = None) -> None:
+        self.servers = ServiceServers()
+        self.first_token = FirstTokenModel()
+        self._random = random
+        self._zone = zone
+        self._kv_tokens = kv_tokens
+        self._caches: dict[str, PrefixCache] = {}
+        self._orders: OrderedDict[int, list[Standing]] = OrderedDict()
+        self._orders_of = -1
+
+    def configure(self, kv_tokens: int | None) -> None:
+        """The service's settings changed."""
+        self._kv_tokens = kv_tokens
+        for cache in self._caches.values():
+            cache.capacity_tokens = kv_tokens or DEFAULT_KV_TOKENS
+
+    def told(self, server: Server) -> None:
+        """A server of this service was added or changed."""
+        self.servers.told(server)
+        self._forget()
+
+    def pick(self, prompt: Prompt, tried: Collection[str], now: float) -> Standing | None:
+        """The server for a request, none of those already tried; None if there is no other."""
+        ready = [one for one in self.servers.ready if one.server.id not in tried]
+        if len(ready) < 2:
+            return ready[0] if ready else None
+        subject = prompt.subject
+        if subject is None:
+            usable = [one for one in ready if not one.avoided(now)]
+            return self._draw(usable or ready, now)
+        candidates = self._candidates(subject.key, tried, now)
+        if not candidates:
+            return self._draw(ready, now)
+        return self._better(candidates, prompt, now)
+
+    def sent(self, standing: Standing, prompt: Prompt) -> None:
+        """The prompt went to that server, which will keep its parts."""
+        if prompt.parts:
+            self._cache(standing).sent(prompt)
+
+    def missing_tokens(self, standing: Standing, prompt: Prompt) -> int:
+        """Tokens of the prompt that the server would have to read, as far as is known here."""
+        if not prompt.parts:
+            return 0
+        return self._cache(standing).missing_tokens(prompt)
+
+    def order(self, key: int) -> list[Standing]:
+        """The first servers of the order of that key, the same at all proxies that know the same servers."""
+        if self._orders_of != self.servers.generation:
+            self._orders.clear()
+            self._orders_of = self.servers.generation
+        known = self._orders.get(key)
+        if known is not None:
+            self._orders.move_to_end(key)
+            return known
+        ranked = sorted(self.servers.ready, key=lambda one: mix(key ^ _seed(one.server.id)), reverse=True)
+        order = self._orders[key] = ranked[:ORDER_LENGTH]
+        if len(self._orders) > ORDERS_KEPT:
+            self._orders.popitem(last=False)
+        return order
+
+    def _candidates(self, key: int, tried: Collection[str], now: float) -> list[Standing]:
+        """The first two of the order that have room; if none has, the first two that may be used at all."""
+        usable = [one for one in self.order(key) if one.server.id not in tried and not one.avoided(now)]
+        ready = len(self.servers.ready)
+        room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
+        with_room = [one for one in usable if one.in_flight < room]
+        return (with_room or usable)[:2]
+
+    def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
+        home = candidates[0]
+        if len(candidates) == 1:
+            return home
+        other = candidates[1]
+        ahead = self._value(other, prompt, now) > HOME_ADVANTAGE * self._value(home, prompt, now)
+        return other if ahead else home
+
+    def _value(self, standing: Standing, prompt: Prompt, now: float) -> float:
+        """The design's payoff / (1 + own in flight), where the expected time to the first token counts as
+        further requests under way."""
+        load = 1.0 + standing.in_flight
+        model = self.first_token
+        expected_ms = model.reading_ms(self.missing_tokens(standing, prompt)) + standing.delay_ms(now)
+        return standing.worth(now) / (load + expected_ms / model.usual_ms)
+
+    def _draw(self, among: list[Standing], now: float) -> Standing:
+        """The better of two draws; of equals, the one in the proxy's own zone."""
+        if len(among) == 1:
+            return among[0]
+        first = self._drawn(among)
+        second = self._drawn([one for one in among if one is not first])
+        one, other = self._drawn_value(first, now), self._drawn_value(second, now)
+        return second if other > one else first
+
+    def _drawn(self, among: list[Standing]) -> Standing:
+        return among[int(self._random() * len(among))]
+
+    def _drawn_value(self, standing: Standing, now: float) -> tuple[float, bool]:
+        load = 1.0 + standing.in_flight + standing.delay_ms(now) / self.first_token.usual_ms
+        return round(standing.worth(now) / load, 2), standing.server.zone == self._zone
+
+    def _cache(self, standing: Standing) -> PrefixCache:
+        cache = self._caches.get(standing.server.id)
+        if cache is None:
+            cache = self._caches[standing.server.id] = PrefixCache(self._kv_tokens or DEFAULT_KV_TOKENS)
+        return cache
+
+    def _forget(self) -> None:
+        self.servers.forget_idle()
+        for gone in self._caches.keys() - self.servers.standings.keys():
+            del self._caches[gone]
+
+
+def _seed(server_id: str) -> int:
+    return mix(crc32(server_id.encode()))
--- /dev/null
+++ b/cloverrouter/placement/servers.py
@@ -0,0 +1,181 @@
+"""What one proxy knows of the servers: what is told of them, and what its own requests have shown.
+
+Nobody tells how busy a server is in time to be of use, so its standing comes from the requests that this
+proxy sent: how many are under way, how they ended, and how long they took to begin.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+PAYOFF_WEIGHT = 0.2
+"""How far one outcome moves the smoothed payoff."""
+PAUSE_BASE_S = 0.25
+PAUSE_CAP_S = 4.0
+DELAY_WEIGHT = 0.3
+DELAY_HALF_LIFE_S = 1.5
+"""Old knowledge of a server's delay fades: a server that nobody tries is tried again."""
+SILENCE_S = 0.35
+"""A server that has sent nothing for this long while a request waits for its first byte is doubted."""
+COLD_FACTOR = 0.5
+"""What a server that still warms up is worth."""
+
+
+@attrs.frozen(slots=True)
+class Server:
+    """One instance of a service, as the list of servers tells it."""
+
+    id: str
+    service: str
+    address: tuple[str, int]
+    zone: str
+    capacity: int
+    ready: bool
+    """False once it is draining or gone; such an instance never becomes ready again."""
+    warm_at: float = 0.0
+    """When it is at its full speed."""
+    silent: bool = False
+    """It has not announced itself for a while."""
+
+
+@attrs.define(slots=True, eq=False)
+class Standing:
+    """A server and what this proxy's own requests have shown of it."""
+
+    server: Server
+    payoff: float
+    """Smoothed worth of its outcomes, 0 to 1."""
+    in_flight: int = 0
+    ready: bool = True
+    misplaced: bool = False
+    """Another instance answered at its address: this one is gone, whatever is told."""
+    paused_until: float = 0.0
+    _failures: int = 0
+    _delay_ms: float = 0.0
+    _delay_at: float = 0.0
+    _heard_at: float = 0.0
+    _unanswered: dict[int, float] = attrs.field(factory=dict)
+
+    def told(self, server: Server) -> None:
+        """Take over what the list of servers says now."""
+        if server.address != self.server.address:
+            self.paused_until = 0.0
+        self.server = server
+        self.ready = server.ready and not self.misplaced and self.ready
+
+    def displaced(self) -> None:
+        """Another instance answered in its place."""
+        self.misplaced = True
+        self.ready = False
+
+    def sent(self, attempt: int, now: float) -> None:
+        """An attempt is on its way."""
+        self.in_flight += 1
+        self._unanswered[attempt] = now
+
+    def heard(self, attempt: int, now: float) -> None:
+        """The first byte of an answer to that attempt came."""
+        self._unanswered.pop(attempt, None)
+        self._heard_at = now
+
+    def finished(self, attempt: int) -> None:
+        """The attempt is over, in whatever way."""
+        self.in_flight -= 1
+        self._unanswered.pop(attempt, None)
+
+    def succeeded(self) -> None:
+        """An answer of worth came."""
+        self.payoff += PAYOFF_WEIGHT * (1.0 - self.payoff)
+        self._failures = 0
+        self.paused_until = 0.0
+
+    def failed(self) -> None:
+        """An answer without worth came: an error or a refusal."""
+        self.payoff -= PAYOFF_WEIGHT * self.payoff
+
+    def lost(self, now: float) -> None:
+        """No connection came up, or one broke, or nothing came: leave it alone for a growing while."""
+        self.failed()
+        pause = min(PAUSE_CAP_S, PAUSE_BASE_S * 2.0**self._failures)
+        self.paused_until = now + pause
+        self._failures += 1
+
+    def delayed(self, excess_ms: float, now: float) -> None:
+        """An answer began this much later than its work explains (less than 0: earlier)."""
+        known = self.delay_ms(now)
+        self._delay_ms = max(0.0, known + DELAY_WEIGHT * (excess_ms - known))
+        self._delay_at = now
+
+    def delay_ms(self, now: float) -> float:
+        """How much later than its work explains an answer is expected to begin."""
+        if self._delay_ms < 0.1:
+            return 0.0
+        return float(self._delay_ms * 0.5 ** ((now - self._delay_at) / DELAY_HALF_LIFE_S))
+
+    def doubted(self, now: float) -> bool:
+        """Whether a request has been waiting there while nothing at all came from the server."""
+        if not self._unanswered:
+            return False
+        oldest = next(iter(self._unanswered.values()))
+        return now - max(oldest, self._heard_at) > SILENCE_S
+
+    def avoided(self, now: float) -> bool:
+        """Whether others are to be preferred for the time being."""
+        return self.server.silent or now < self.paused_until or self.doubted(now)
+
+    def worth(self, now: float) -> float:
+        """Payoff, less while it is not at its full speed."""
+        return self.payoff * (COLD_FACTOR if now < self.server.warm_at else 1.0)
+
+
+class ServiceServers:
+    """The servers of one service."""
+
+    def __init__(self) -> None:
+        self.standings: dict[str, Standing] = {}
+        self.ready: list[Standing] = []
+        self.generation = 0
+        """Rises whenever the set of ready servers changes."""
+
+    def told(self, server: Server) -> None:
+        """Add or change a server."""
+        standing = self.standings.get(server.id)
+        if standing is None:
+            if not server.ready:
+                return
+            self.standings[server.id] = Standing(server, self._mean_payoff())
+        else:
+            standing.told(server)
+        self._refresh()
+
+    def displaced(self, standing: Standing) -> None:
+        """Another instance answered at its address."""
+        standing.displaced()
+        self._refresh()
+
+    def total_in_flight(self) -> int:
+        """This proxy's requests under way at the ready servers."""
+        return sum(standing.in_flight for standing in self.ready)
+
+    def addresses(self) -> Iterable[tuple[str, int]]:
+        """Where the known servers listen."""
+        return (standing.server.address for standing in self.standings.values())
+
+    def forget_idle(self) -> None:
+        """Drop the servers that have gone and have nothing under way."""
+        gone = [key for key, one in self.standings.items() if not one.ready and not one.in_flight]
+        for key in gone:
+            del self.standings[key]
+
+    def _mean_payoff(self) -> float:
+        if not self.ready:
+            return 1.0
+        return sum(standing.payoff for standing in self.ready) / len(self.ready)
+
+    def _refresh(self) -> None:
+        before = {standing.server.id for standing in self.ready}
+        self.ready = [standing for standing in self.standings.values() if standing.ready]
+        if before != {standing.server.id for standing in self.ready}:
+            self.generation += 1
--- /dev/null
+++ b/cloverrouter/router/headers.py
@@ -0,0 +1,121 @@
+"""The fields of a request on its way to a server, and what a proxy reads of them."""
+
+from __future__ import annotations
+
+import math
+
+from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields
+from cloverrouter.http.request import Request
+
+ATTEMPT_ID = b"cypresswinch-attempt-id"
+DEADLINE = b"cypresswinch-deadline-ms"
+EXPECTED_INSTANCE = b"cypresswinch-expected-instance"
+TENANT = b"cypresswinch-tenant"
+SIGNATURE = b"cypresswinch-server-signature"
+NOT_EXECUTED = b"cypresswinch-not-executed"
+MODEL = b"cypresswinch-model"
+TOKEN_USAGE = b"cypresswinch-token-usage"
+PROMPT_PREFIX = b"cypresswinch-prompt-prefix"
+LAST_EVENT_ID = b"last-event-id"
+PRIORITY = b"priority"
+AUTHORIZATION = b"authorization"
+CONTENT_ENCODING = b"content-encoding"
+CONTENT_TYPE = b"content-type"
+RETRY_AFTER = b"retry-after"
+
+EVENT_STREAM = b"text/event-stream"
+BEARER = b"bearer "
+MAX_DEADLINE_MS = 86_400_000.0
+# Told anew by the router, or about this connection, or a secret.
+_OWN = frozenset(
+    (
+        AUTHORIZATION,
+        TENANT,
+        EXPECTED_INSTANCE,
+        DEADLINE,
+        PRIORITY,
+        LAST_EVENT_ID,
+        b"content-length",
+        b"expect",
+    )
+)
+_DROPPED = HOP_BY_HOP | _OWN | {b"http2-settings"}
+_ALWAYS_KEPT = frozenset((b"host", ATTEMPT_ID))
+_METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+def bearer_key(request: Request) -> bytes | None:
+    """The key that the request carries, if it carries one."""
+    value = request.header(AUTHORIZATION)
+    if value is None or value[: len(BEARER)].lower() != BEARER:
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def has_one_id(request: Request) -> bool:
+    """Whether the request names itself, once."""
+    return request.count(ATTEMPT_ID) == 1 and bool(request.header(ATTEMPT_ID))
+
+
+def deadline_ms(request: Request) -> float | None:
+    """How long the client will wait; None where it doesn't say so in a way that can be read."""
+    value = request.header(DEADLINE)
+    if value is None:
+        return None
+    try:
+        found = float(value)
+    except ValueError:
+        return None
+    if not math.isfinite(found) or found < 0:
+        return None
+    return min(found, MAX_DEADLINE_MS)
+
+
+def used_tokens(request: Request) -> int | None:
+    """Tokens in and out that the request says it uses; None where that cannot be read."""
+    value = request.header(TOKEN_USAGE)
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) != 2:
+        return None
+    counts = [part.strip() for part in parts]
+    if not all(count.isdigit() and len(count) <= 12 for count in counts):
+        return None
+    return int(counts[0]) + int(counts[1])
+
+
+def text(request: Request, name: bytes) -> str | None:
+    """A field as text."""
+    value = request.header(name)
+    return None if value is None else value.decode("latin-1")
+
+
+def is_event_stream(headers: Headers) -> bool:
+    """Whether an answer is a series of events."""
+    return any(
+        name == CONTENT_TYPE and value[: len(EVENT_STREAM)].lower() == EVENT_STREAM for name, value in headers
+    )
+
+
+def encode_request(request: Request, tenant: str | None, priority: int | None) -> tuple[bytes, bytes]:
+    """What all sends of a request have in common: the head up to where the fields of one send follow, and the
+    rest. All is unchanged but the fields of one connection, secrets and what the router tells itself."""
+    dropped = _dropped(request.headers)
+    fields = [field for field in request.headers if field[0] not in dropped]
+    if tenant is not None:
+        fields.append((TENANT, tenant.encode("latin-1", "replace")))
+    if priority is not None:
+        fields.append((PRIORITY, b"%d" % priority))
+    if request.body or request.method in _METHODS_WITH_BODY or request.header(b"content-length") is not None:
+        fields.append((b"content-length", b"%d" % len(request.body)))
+    head = b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, encode_fields(fields))
+    return head, b"\r\n" + request.body
+
+
+def _dropped(headers: Headers) -> frozenset[bytes]:
+    named = [value for name, value in headers if name == b"connection"]
+    if not named:
+        return _DROPPED
+    tokens = {token.strip().lower() for token in b",".join(named).split(b",")}
+    return _DROPPED | (tokens - _ALWAYS_KEPT)
--- /dev/null
+++ b/cloverrouter/router/router.py
@@ -0,0 +1,266 @@
+"""The data plane of one proxy: requests come in as exchanges and go out to servers by a connection pool."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from random import Random
+
+from cloverrouter.control.configuration import Configuration, Route, Tenant
+from cloverrouter.control.routing import RoutingTable
+from cloverrouter.http.client import Call
+from cloverrouter.http.server import Exchange, Request
+from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
+from cloverrouter.placement.servers import Server
+from cloverrouter.router import answers
+from cloverrouter.router.attempt import Attempt
+from cloverrouter.router.bounds import RouterBounds
+from cloverrouter.router.flight import Admitted, Flight
+from cloverrouter.router.headers import (
+    ATTEMPT_ID,
+    MODEL,
+    PROMPT_PREFIX,
+    bearer_key,
+    deadline_ms,
+    has_one_id,
+    text,
+    used_tokens,
+)
+from cloverrouter.router.ports import Budget, CallLater, Clock, Log, Pool, Quota, no_log
+from cloverrouter.router.ranks import Ranks
+from cloverrouter.router.verdict import End, Verdict
+
+UNCONFIGURED_WAIT_S = 0.3
+SPLIT_SALT = 0x5DEECE66D
+
+
+class Router:
+    """Handles the requests of clients. Everything that it needs from outside is handed to it.
+
+    `zone` is the proxy's own; `random` is used for draws and jitter only.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        call_later: CallLater,
+        random: Random,
+        pool: Pool,
+        zone: str,
+        bounds: RouterBounds,
+        quota: Quota,
+        budget: Budget,
+        log: Log = no_log,
+    ) -> None:
+        self.clock = clock
+        self.call_later = call_later
+        self.random = random
+        self.zone = zone
+        self.bounds = bounds
+        self.budget = budget
+        self.draining = False
+        """Set once the process is to end: answers then end their connections."""
+        self._pool = pool
+        self._quota = quota
+        self._log = log
+        self._configuration: Configuration | None = None
+        self._table: RoutingTable | None = None
+        self._ranks: Ranks | None = None
+        self._placements: dict[str, ServicePlacement] = {}
+        self._flights: set[Flight] = set()
+        self._waiting: dict[str, dict[Flight, None]] = {}
+        self._keys = 0
+
+    # What the daemon tells and asks
+
+    def configure(self, configuration: Configuration, table: RoutingTable | None = None) -> None:
+        """A configuration is in force from now on; requests under way keep the route that they have."""
+        self._configuration = configuration
+        self._table = table if table is not None else RoutingTable(configuration)
+        self._ranks = Ranks(configuration)
+        for service in configuration.services:
+            kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
+            self.placement(service.name).configure(kv_tokens)
+
+    def servers_changed(self, servers: Iterable[Server]) -> None:
+        """Servers were added or changed. Nothing new goes to one that isn't ready, from now on."""
+        for server in servers:
+            self.placement(server.service).told(server)
+        self._pool.keep_only(
+            {address for one in self._placements.values() for address in one.servers.addresses()}
+        )
+
+    def quota_woken(self, tenant: str) -> None:
+        """Something came for the quota of a tenant: requests that wait for it ask again."""
+        for flight in self._waiting.pop(tenant, {}):
+            flight.quota_woken()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are not answered yet."""
+        return len(self._flights)
+
+    def ready(self) -> bool:
+        """Whether clients should come here: configured, and with servers for most services with routes."""
+        if self._configuration is None or self.draining:
+            return False
+        services = {
+            name for route in self._configuration.routes for name, weight in route.targets if weight > 0
+        }
+        usable = sum(1 for name in services if self._usable(name))
+        return usable * 2 >= len(services)
+
+    def _usable(self, service: str) -> bool:
+        placement = self._placements.get(service)
+        return placement is not None and bool(placement.servers.ready)
+
+    # A request's way: route, tenant, admission; the rest is the flight's
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer an exchange, now or later."""
+        request = exchange.request
+        if not has_one_id(request):
+            self._respond(exchange, answers.BAD_REQUEST)
+            return
+        if self._table is None:
+            exchange.respond(
+                answers.UNAVAILABLE, answers.retry_after(UNCONFIGURED_WAIT_S), b"", self.draining
+            )
+            return
+        route = self._table.match(request.header(b"host") or b"", request.target.partition(b"?")[0])
+        if route is None:
+            self._respond(exchange, answers.NOT_FOUND)
+            return
+        tenant = self._tenant(request)
+        if tenant is None and self._table.needs_key and not route.anonymous:
+            self._respond(exchange, answers.UNAUTHORIZED)
+            return
+        flight = Flight(self, exchange, self._admit(request, route, tenant))
+        self._flights.add(flight)
+        flight.start()
+
+    def _tenant(self, request: Request) -> Tenant | None:
+        key = bearer_key(request)
+        if key is None or self._table is None:
+            return None
+        return self._table.tenant_of(key)
+
+    def _admit(self, request: Request, route: Route, tenant: Tenant | None) -> Admitted:
+        prompt = NO_PROMPT
+        if route.affinity:
+            prompt = parse_prompt(text(request, PROMPT_PREFIX), text(request, MODEL) or "")
+        told_ms = deadline_ms(request)
+        wait_ms = route.timeout_ms if told_ms is None else min(told_ms, route.timeout_ms)
+        return Admitted(
+            route=route,
+            service=self._service(route, prompt),
+            tenant=tenant,
+            tokens=_tokens(request, tenant),
+            prompt=prompt,
+            priority=self._ranks.of(tenant, route) if self._ranks is not None else None,
+            deadline=request.arrived_s + wait_ms / 1000,
+        )
+
+    def _service(self, route: Route, prompt: Prompt) -> str:
+        """One of the route's services by weight: the same for all requests of a subject. One without a ready
+        server gets nothing while another has some."""
+        targets = [(name, weight) for name, weight in route.targets if weight > 0]
+        if len(targets) == 1:
+            return targets[0][0]
+        targets = [target for target in targets if self._usable(target[0])] or targets
+        subject = prompt.subject
+        draw = mix(subject.key ^ SPLIT_SALT) / 2.0**64 if subject is not None else self.random.random()
+        mark = draw * sum(weight for _, weight in targets)
+        for name, weight in targets:
+            mark -= weight
+            if mark < 0:
+                return name
+        return targets[-1][0]
+
+    def _respond(self, exchange: Exchange, status: int) -> None:
+        exchange.respond(status, [], b"", self.draining)
+
+    # For flights
+
+    def placement(self, service: str) -> ServicePlacement:
+        """The servers of a service."""
+        found = self._placements.get(service)
+        if found is None:
+            found = self._placements[service] = ServicePlacement(self.random.random, self.zone)
+        return found
+
+    def next_key(self) -> int:
+        """A number for an attempt."""
+        self._keys += 1
+        return self._keys
+
+    def send(self, attempt: Attempt, message: bytes, request_id: bytes, wanted: Callable[[], bool]) -> Call:
+        """Start a send."""
+        address = attempt.standing.server.address
+        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, wanted)
+
+    def quota_wait(self, admitted: Admitted, again: bool) -> float:
+        """Count a request for its tenant, if it has a quota: 0.0, or seconds after which to ask again."""
+        tenant = admitted.tenant
+        if tenant is None or tenant.rate_per_s is None:
+            return 0.0
+        return self._quota.admit(tenant.name, admitted.tokens, self.clock(), again=again)
+
+    def waits_for_quota(self, flight: Flight, tenant: Tenant) -> None:
+        """The flight is to hear of news about its tenant's quota."""
+        self._waiting.setdefault(tenant.name, {})[flight] = None
+
+    def refund(self, admitted: Admitted) -> None:
+        """A request that was counted for its tenant never ran."""
+        tenant = admitted.tenant
+        if tenant is not None and tenant.rate_per_s is not None:
+            self._quota.refund(tenant.name, admitted.tokens)
+
+    def began(self, attempt: Attempt, admitted: Admitted) -> None:
+        """The first part of an answer's body came: how long did the server take?"""
+        if attempt.sent_at is None or not admitted.prompt.parts:
+            return
+        now = self.clock()
+        took_ms = (now - attempt.sent_at) * 1000
+        model = self.placement(admitted.service).first_token
+        attempt.standing.delayed(took_ms - model.expected_ms(attempt.missing_tokens), now)
+        model.learn(attempt.missing_tokens, took_ms)
+
+    def succeeded(self, attempt: Attempt, admitted: Admitted) -> None:
+        """The server's own answer is whole."""
+        attempt.standing.succeeded()
+        self.budget.earn(admitted.service)
+
+    def failed(self, attempt: Attempt, end: End, admitted: Admitted) -> None:
+        """An attempt ended without an answer of worth."""
+        standing = attempt.standing
+        if attempt.verdict is Verdict.MISPLACED:
+            self._log("another instance has the address", instance=standing.server.id)
+            self.placement(admitted.service).servers.displaced(standing)
+        elif end in (End.UNREACHED, End.LOST, End.SPOILT):
+            standing.lost(self.clock())
+        elif end is not End.UNSENT:
+            standing.failed()
+
+    def timed_out(self, attempt: Attempt) -> None:
+        """A server did not answer in time."""
+        if attempt.heard_at is None:
+            attempt.standing.lost(self.clock())
+        else:
+            attempt.standing.failed()
+
+    def landed(self, flight: Flight) -> None:
+        """A flight is over."""
+        self._flights.discard(flight)
+        tenant = flight.admitted.tenant
+        if tenant is not None and tenant.name in self._waiting:
+            self._waiting[tenant.name].pop(flight, None)
+
+
+def _tokens(request: Request, tenant: Tenant | None) -> int:
+    """What a request counts for its tenant's quota."""
+    if tenant is None or not tenant.counts_tokens:
+        return 1
+    used = used_tokens(request)
+    return used if used is not None else math.ceil(tenant.uncached_tokens)
