--- a/cloverrouter/router/events.py
+++ b/cloverrouter/router/events.py
@@ -10,7 +10,7 @@
 # A blank line, whatever ends its lines. After LF CR an LF may follow: it then begins the next event, where
 # it says nothing.
 _BLANK_LINE = re.compile(rb"\n\r?\n|\r\r|\n\r")
-_ID_LINE = re.compile(rb"(?:^|[\r\n])id:? ?([^\r\n]*)")
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 _SAYS_SOMETHING = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 
 
@@ -59,7 +59,7 @@
 def event_id(event: bytes) -> bytes | None:
     """The id of a whole event, None if it has none."""
     found = _ID_LINE.findall(event)
-    return found[-1].strip() if found else None
+    return (found[-1].strip() or None) if found else None
 
 
 def is_after(event: bytes, last_id: bytes | None) -> bool:
--- /dev/null
+++ b/tests/system/test_placement_pick.py
@@ -0,0 +1,212 @@
+"""Which server is picked: agreement between proxies, affinity, its bound, and what failures do."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+import pytest
+
+from cloverrouter.placement.admission import has_time, retry_after_s
+from cloverrouter.placement.first_token import FirstTokenModel
+from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.prefix import NO_PROMPT, Prompt, parse_prompt
+from cloverrouter.placement.servers import SILENCE_S, Server, Standing
+
+NOW = 100.0
+
+
+def placement(count: int = 6, seed: int = 1, **changes: Any) -> ServicePlacement:
+    made = ServicePlacement(Random(seed).random, "east", kv_tokens=50_000)
+    for place in range(count):
+        made.told(server(place, **changes))
+    return made
+
+
+def server(place: int, **changes: Any) -> Server:
+    plain: dict[str, Any] = {
+        "id": f"i-{place}",
+        "service": "model",
+        "address": ("10.0.0.1", place + 1),
+        "zone": ("east", "west", "north")[place % 3],
+        "capacity": 12,
+        "ready": True,
+    }
+    return Server(**(plain | changes))
+
+
+def subject(number: int) -> Prompt:
+    return parse_prompt(f"aa:800,{number + 4096:x}:400,{number + 90000:x}:200")
+
+
+def pick(made: ServicePlacement, prompt: Prompt = NO_PROMPT, now: float = NOW) -> Standing:
+    found = made.pick(prompt, (), now)
+    assert found is not None
+    return found
+
+
+def test_proxies_agree_on_the_home_of_a_subject() -> None:
+    one, other = placement(seed=1), placement(seed=2)
+    homes: Counter[str] = Counter()
+    for number in range(300):
+        home = pick(one, subject(number)).server.id
+        assert home == pick(other, subject(number)).server.id
+        homes[home] += 1
+    assert len(homes) == 6
+    assert max(homes.values()) < 2 * min(homes.values())
+
+
+def test_a_subject_s_home_does_not_depend_on_the_request_s_own_part() -> None:
+    made = placement()
+    homes = {pick(made, parse_prompt(f"aa:8,bb:4,{own:x}:2")).server.id for own in range(1, 20)}
+    assert len(homes) == 1
+
+
+def test_few_subjects_move_when_a_server_goes() -> None:
+    made = placement()
+    before = {number: pick(made, subject(number)).server.id for number in range(200)}
+    made.told(server(2, ready=False))
+    for number, home in before.items():
+        found = pick(made, subject(number)).server.id
+        assert found != "i-2"
+        assert found == home or home == "i-2"
+
+
+def test_a_home_without_room_hands_on() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    for key in range(8):
+        home.sent(key, NOW)
+        home.heard(key, NOW)
+    assert pick(made, subject(1)) is not home
+
+
+def test_a_home_that_is_a_little_busier_keeps_its_subject() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    made.sent(home, subject(1))
+    home.sent(1, NOW)
+    assert pick(made, subject(1)) is home
+
+
+def test_a_slow_home_loses_its_subject_for_a_while() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    for _ in range(10):
+        home.delayed(800.0, NOW)
+    assert pick(made, subject(1)) is not home
+    assert pick(made, subject(1), NOW + 20) is home
+
+
+def test_an_unreachable_server_pauses_for_a_growing_while() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    home.lost(NOW)
+    first = home.paused_until - NOW
+    assert pick(made, subject(1)) is not home
+    home.lost(NOW)
+    assert home.paused_until - NOW > first
+    assert pick(made, subject(1), home.paused_until + 1) is home
+    home.succeeded()
+    assert not home.avoided(NOW)
+
+
+def test_a_silent_server_is_doubted_while_a_request_waits_there() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    home.sent(1, NOW)
+    assert not home.doubted(NOW + SILENCE_S / 2)
+    assert home.doubted(NOW + SILENCE_S * 2)
+    home.heard(1, NOW + SILENCE_S * 2)
+    assert not home.doubted(NOW + SILENCE_S * 3)
+
+
+def test_if_all_are_to_be_avoided_one_is_picked_all_the_same() -> None:
+    made = placement(2, silent=True)
+    assert pick(made, subject(1))
+    assert pick(made)
+
+
+def test_none_is_picked_twice_for_a_request() -> None:
+    made = placement(3)
+    tried: set[str] = set()
+    for _ in range(3):
+        found = made.pick(subject(1), tried, NOW)
+        assert found is not None
+        tried.add(found.server.id)
+    assert len(tried) == 3
+    assert made.pick(subject(1), tried, NOW) is None
+    assert made.pick(NO_PROMPT, tried, NOW) is None
+
+
+def test_without_a_prompt_the_less_loaded_of_two_is_picked() -> None:
+    made = placement(2)
+    busy, idle = made.servers.ready
+    busy.sent(1, NOW)
+    assert all(pick(made) is idle for _ in range(20))
+
+
+def test_of_equals_the_own_zone_is_preferred() -> None:
+    made = placement(3)
+    found = Counter(pick(made).server.zone for _ in range(300))
+    assert found["east"] > found["west"] + found["north"]
+
+
+def test_a_server_that_warms_up_gets_less() -> None:
+    made = placement(2)
+    cold = made.servers.ready[0]
+    made.told(server(0, warm_at=NOW + 5))
+    assert all(pick(made) is not cold for _ in range(20))
+    assert all(pick(made, now=NOW + 6) is cold for _ in range(20))  # it is in the own zone
+
+
+def test_a_new_server_begins_at_the_mean_of_the_others() -> None:
+    made = placement(2)
+    for one in made.servers.ready:
+        for _ in range(3):
+            one.failed()
+    made.told(server(5))
+    assert made.servers.standings["i-5"].payoff == pytest.approx(0.8**3)
+
+
+def test_a_displaced_instance_never_comes_back() -> None:
+    made = placement(2)
+    gone = made.servers.ready[0]
+    made.servers.displaced(gone)
+    made.told(server(0))
+    assert gone not in made.servers.ready
+
+
+def test_what_a_server_keeps_is_not_missing() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    assert made.missing_tokens(home, subject(1)) == 1400
+    made.sent(home, subject(1))
+    assert made.missing_tokens(home, subject(1)) == 0
+    assert made.missing_tokens(home, parse_prompt("aa:800,1001:400,ff:77")) == 77
+
+
+def test_the_time_to_the_first_token_is_learnt() -> None:
+    model = FirstTokenModel()
+    for step in range(100):
+        tokens = (step % 10) * 1000
+        model.learn(tokens, 8.0 + tokens * 0.003)
+    assert model.ms_per_token == pytest.approx(0.003)
+    assert model.expected_ms(2000) == pytest.approx(14.0)
+
+
+def test_the_time_to_the_first_token_is_learnt_from_equal_prompts_too() -> None:
+    model = FirstTokenModel()
+    for _ in range(50):
+        model.learn(100, 12.0)
+    assert model.expected_ms(100) == pytest.approx(12.0)
+    assert model.usual_ms == pytest.approx(12.0)
+
+
+def test_clients_are_told_to_come_back_within_the_time_that_they_have() -> None:
+    assert 0.01 <= retry_after_s(20, 600, 0.5) <= 0.2
+    assert retry_after_s(20, -5, 0.5) == pytest.approx(0.01)
+    assert retry_after_s(20, 5000, 0.0) < retry_after_s(400, 5000, 0.0)
+    assert not has_time(0)
+    assert has_time(100)
