--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -40,6 +40,7 @@
     __slots__ = (
         "_data",
         "_exchange",
+        "_held",
         "_pending",
         "_reader",
         "_reading_paused",
@@ -60,6 +61,7 @@
         self._exchange: Exchange | None = None
         self._pending: list[bytes] = []  # goes out together at the end of this turn of the loop
         self._reading_paused = False
+        self._held = 0  # bytes of a body that is not whole yet
         self._data: dict[str, Any] | None = None
         self.paused = False  # the client does not read its answers
         self.until_close = False  # the connection's end is the answer's
@@ -138,8 +140,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        if self._reader is not None:
-            self._reader.close()
+        self._drop_reader()
         self._server.remove(self)
         self._lose_exchange()
 
@@ -155,6 +156,8 @@
         if not reader.begun:
             reader.limits = self._server.limits
         reader.feed(self._server.buffer[:nbytes])
+        if reader.body_size != self._held:
+            self._hold(reader.body_size)
         if reader.error:
             self.refuse(reader.error)
             return
@@ -248,6 +251,20 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def _drop_reader(self) -> None:
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.close()
+        self._hold(0)
+
+    def _hold(self, size: int) -> None:
+        """Danger: many large bodies at once, none of them whole, would take all memory."""
+        server = self._server
+        server.held_bytes += size - self._held
+        grows, self._held = size > self._held, size
+        if grows and server.held_bytes > server.limits.held_bytes and self._reader is not None:
+            self._reader.error = self._reader.error or 503
+
     def _lose_exchange(self) -> None:
         """The client has gone: nothing is owed to it any more."""
         exchange, self._exchange = self._exchange, None
@@ -281,6 +298,7 @@
         """Our end of the connection ends; what still comes is read and dropped for a while. Danger: an end
         over unread bytes is a reset, which overtakes the answer."""
         self._move(Stage.LINGERING)
+        self._drop_reader()
         if self._reading_paused:
             self._resume_reading()
         if self._transport is not None and self._transport.can_write_eof():
--- a/cloverrouter/http/request.py
+++ b/cloverrouter/http/request.py
@@ -27,6 +27,7 @@
     body_timeout_s: float = 10.0  # from there to the end of its body
     idle_timeout_s: float = 15.0  # with nothing asked
     max_connections: int = 3000
+    held_bytes: int = 48 * 1024 * 1024  # of all bodies together that are not whole yet
 
 
 @attrs.define(slots=True)
@@ -180,5 +181,5 @@
             keep_alive,
         )
         self._headers, self._body = [], []
-        self._unended = 0
+        self._unended = self.body_size = 0
         self.ready.append(request)
--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -43,6 +43,7 @@
         self.handle = handle
         self.limits = limits  # may be replaced: counts from the next request on
         self.buffer = memoryview(bytearray(READ_BYTES))
+        self.held_bytes = 0  # of bodies that are not whole yet
         self.deaf: set[ServerConnection] = set()  # of which nothing is read for now
         self._draining = False
         self._acceptor: Acceptor | None = None
--- /dev/null
+++ b/tests/system/test_http_server.py
@@ -0,0 +1,883 @@
+"""The HTTP server over sockets: what is handed over, what is refused, and who is told of an end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from cloverrouter.http.connection import Stage
+from cloverrouter.http.server import Exchange, ServerLimits
+from tests.system.peers import Peer, play, serve, until
+
+GET = b"GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"
+CHUNKED = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+MANY = 10_000_000
+
+
+def post(body: bytes, head: bytes = b"") -> bytes:
+    return b"POST /a HTTP/1.1\r\nHost: x\r\n%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
+
+
+def echo(exchange: Exchange) -> None:
+    exchange.respond(200, [(b"x-target", exchange.request.target)], exchange.request.body)
+
+
+# Requests
+
+
+def test_whole_request_is_handed_over_and_answered() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo)
+        peer = await Peer.connect(address)
+        peer.send(post(b"body", b"X-One:  1 \r\nx-one: 2\r\n"))
+        status, head, body = await peer.answer()
+        assert (status, body) == (200, b"body")
+        assert b"x-target: /a\r\n" in head and b"Connection" not in head
+        request = handler.seen[0].request
+        assert request.method == b"POST" and request.target == b"/a" and not request.http_1_0
+        assert request.headers[:3] == [(b"host", b"x"), (b"x-one", b"1"), (b"x-one", b"2")]
+        assert request.header(b"x-one") == b"1" and request.count(b"x-one") == 2
+        assert request.header(b"x-two") is None
+        assert request.arrived_s <= server.loop.time()
+        assert handler.seen[0].done
+        server.close()
+
+    play(scene())
+
+
+def test_target_is_as_received() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo)
+        peer = await Peer.connect(address)
+        peer.send(b"GET /%7Ea//b/../c?d=%20&e?f HTTP/1.1\r\nHost: x\r\n\r\n")
+        await peer.answer()
+        assert handler.seen[0].request.target == b"/%7Ea//b/../c?d=%20&e?f"
+        server.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    "message", [post(b"hello"), CHUNKED + b"2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: v\r\n\r\n"]
+)
+def test_bytes_may_be_split_anywhere(message: bytes) -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo)
+        for at in range(1, len(message)):
+            peer = await Peer.connect(address)
+            sock = peer.writer.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            peer.send(message[:at])
+            await until(lambda: server.connections == 1)
+            peer.send(message[at:])
+            assert (await peer.answer())[2] == b"hello"
+            peer.close()
+            await until(lambda: server.connections == 0)
+        assert all(exchange.request.body == b"hello" for exchange in handler.seen)
+        assert all(exchange.request.header(b"t") is None for exchange in handler.seen)  # a trailer
+        server.close()
+
+    play(scene())
+
+
+def test_byte_by_byte() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo)
+        peer = await Peer.connect(address)
+        for byte in CHUNKED + b"5\r\nhello\r\n0\r\n\r\n":
+            peer.send(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await peer.answer())[2] == b"hello"
+        server.close()
+
+    play(scene())
+
+
+def test_pipelined_requests_are_handed_over_one_at_a_time() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(post(b"1") + post(b"2") + post(b"3"))
+        first = await handler.request()
+        assert len(handler.seen) == 1 and server.open_exchanges == 1
+        for number in range(3):
+            exchange = await handler.request(number)
+            assert exchange.request.body == b"%d" % (number + 1)
+            assert len(handler.seen) == number + 1
+            exchange.respond(200, [], exchange.request.body)
+            assert (await peer.answer())[2] == b"%d" % (number + 1)
+        assert first.done and server.open_exchanges == 0
+        server.close()
+
+    play(scene())
+
+
+def test_pipelined_requests_past_the_bound_wait_in_the_kernel() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        body = b"x" * 60_000
+        for _ in range(200):
+            peer.send(post(body))
+        await handler.request()
+        await until(lambda: server.deaf)
+        (connection,) = server.deaf
+        reader = connection._reader
+        assert reader is not None
+        assert sum(len(request.body) for request in reader.ready) < 4 * len(body)
+        handler.act = echo
+        handler.seen[0].respond(200)
+        for _ in range(200):
+            await peer.answer()
+        assert len(handler.seen) == 200
+        server.close()
+
+    play(scene())
+
+
+def test_client_that_leaves_while_nothing_is_read_is_noticed() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET * 1000)
+        await until(lambda: server.deaf)
+        peer.close()
+        await handler.tells("gone")
+        assert len(handler.seen) == 1
+        await until(lambda: server.connections == 0)
+        server.close()
+
+    play(scene())
+
+
+def test_expected_continue_is_told_before_the_body() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo)
+        peer = await Peer.connect(address)
+        peer.send(b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        assert await peer.head() == b"HTTP/1.1 100 Continue\r\n\r\n"
+        peer.send(b"ok")
+        assert (await peer.answer())[2] == b"ok"
+        server.close()
+
+    play(scene())
+
+
+def test_expected_continue_waits_for_the_answer_before() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        peer.send(GET + head)
+        (await handler.request()).respond(200, [], b"first")
+        assert (await peer.answer())[2] == b"first"
+        assert await peer.head() == b"HTTP/1.1 100 Continue\r\n\r\n"
+        server.close()
+
+    play(scene())
+
+
+# What can't be valid
+
+FRAMINGS = b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+BAD = {
+    "noise": (b"\x00\xff nonsense\r\n\r\n", 400),
+    "tls": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),
+    "no version": (b"GET /a\r\n\r\n", 400),
+    "later version": (b"GET /a HTTP/2.0\r\nHost: x\r\n\r\n", 400),
+    "preface of HTTP/2": (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400),
+    "unknown method": (b"FROB /a HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    "no path": (b"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    "tunnel": (b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    "upgrade": (b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", 400),
+    "folded field": (b"GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n", 400),
+    "bare line feeds": (b"GET /a HTTP/1.1\nHost: x\n\n", 400),
+    "space before the colon": (b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", 400),
+    "zero byte in a field": (b"GET /a HTTP/1.1\r\nHost: x\r\nA: b\x00c\r\n\r\n", 400),
+    "two hosts": (b"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+    "two framings": (b"POST /a HTTP/1.1\r\nHost: x\r\n" + FRAMINGS + b"\r\n0\r\n\r\n", 400),
+    "two lengths": (post(b"ab", b"Content-Length: 3\r\n"), 400),
+    "the same length twice": (post(b"ab", b"Content-Length: 2\r\n"), 400),
+    "list of lengths": (b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2, 2\r\n\r\nab", 400),
+    "signed length": (b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +2\r\n\r\nab", 400),
+    "unknown coding": (b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400),
+    "chunked twice": (b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, chunked\r\n\r\n", 400),
+    "chunked not last": (b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n", 400),
+    "bad chunk size": (CHUNKED + b"xyz\r\nhello\r\n0\r\n\r\n", 400),
+    "chunk longer than said": (CHUNKED + b"5\r\nhello!\r\n0\r\n\r\n", 400),
+    "chunk size past all bounds": (CHUNKED + b"fffffffffffffffff\r\nhello\r\n", 400),
+    "noise behind a request": (GET + b"\x00\x01\x02", 400),
+    "head over the limit": (b"GET /a HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 2000 + b"\r\n\r\n", 431),
+    "target over the limit": (b"GET /" + b"a" * 2000 + b" HTTP/1.1\r\nHost: x\r\n\r\n", 431),
+    "field without end": (b"GET /a HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 2000, 431),
+    "announced body over the limit": (b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3001\r\n\r\n", 413),
+    "chunked body over the limit": (CHUNKED + b"bb9\r\n" + b"a" * 3001, 413),
+    "announced body past all bounds": (b"POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", 413),
+    "body over the limit that waits": (
+        b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3001\r\n\r\n",
+        413,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_cannot_be_valid_ends_with_an_error(name: str) -> None:
+    message, expected = BAD[name]
+
+    async def scene() -> None:
+        server, handler, address = await serve(echo, head_bytes=1000, body_bytes=3000)
+        peer = await Peer.connect(address)
+        peer.send(message)
+        status, head, _ = await peer.answer()
+        assert status == expected and b"Connection: close\r\n" in head
+        assert await peer.rest() == b""
+        assert handler.seen == []
+        peer.close()
+        await until(lambda: server.connections == 0)
+        server.close()
+
+    play(scene())
+
+
+def test_largest_that_is_allowed_is_taken() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo, head_bytes=1000, body_bytes=3000)
+        peer = await Peer.connect(address)
+        peer.send(post(b"a" * 3000, b"A: %b\r\n" % (b"a" * 900)))
+        assert len((await peer.answer())[2]) == 3000
+        assert handler.seen[0].request.header(b"a") == b"a" * 900
+        server.close()
+
+    play(scene())
+
+
+def test_limits_are_replaceable() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo, body_bytes=10)
+        peer = await Peer.connect(address)
+        peer.send(post(b"a" * 10))
+        assert (await peer.answer())[0] == 200
+        server.limits = ServerLimits(body_bytes=5)
+        peer.send(post(b"a" * 10))
+        assert (await peer.answer())[0] == 413
+        server.close()
+
+    play(scene())
+
+
+def test_error_reaches_a_client_that_is_still_sending() -> None:
+    """An end over unread bytes would be a reset, which overtakes the error."""
+
+    async def scene() -> None:
+        server, _, address = await serve(echo, body_bytes=10)
+        peer = await Peer.connect(address)
+        peer.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % MANY)
+        assert (await peer.answer())[0] == 413
+        for _ in range(20):
+            peer.send(b"a" * (MANY // 20))
+            await peer.writer.drain()
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_error_behind_an_open_request_is_its_answer() -> None:
+    """Nobody could tell the answer from the error's any more: the request is withdrawn."""
+
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        peer.send(b"\x00\x01")
+        assert (await peer.answer())[0] == 400
+        assert handler.told == ["gone"] and exchange.done
+        exchange.respond(200)
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_nothing_is_written_behind_a_part_of_an_answer() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], None)
+        exchange.write(b"part")
+        await peer.head()
+        peer.send(b"\x00\x01")
+        await handler.tells("gone")
+        assert b"HTTP" not in await peer.rest()
+        server.close()
+
+    play(scene())
+
+
+def test_bytes_behind_a_last_request_do_not_spoil_it() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo)
+        peer = await Peer.connect(address)
+        peer.send(post(b"last", b"Connection: close\r\n") + GET + b"\x00")
+        status, head, body = await peer.answer()
+        assert (status, body) == (200, b"last") and b"Connection: close\r\n" in head
+        assert await peer.rest() == b""
+        assert len(handler.seen) == 1
+        server.close()
+
+    play(scene())
+
+
+def test_unfinished_bodies_are_bounded_together() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo, held_bytes=50_000)
+        first, second = await Peer.connect(address), await Peer.connect(address)
+        message = post(b"a" * 40_000)
+        first.send(message[:-1])
+        await until(lambda: server.held_bytes == 39_999)
+        second.send(message[:-1])
+        assert (await second.answer())[0] == 503
+        assert server.held_bytes == 39_999
+        first.send(message[-1:])
+        assert (await first.answer())[0] == 200
+        assert server.held_bytes == 0 and len(handler.seen) == 1
+        server.close()
+
+    play(scene())
+
+
+# Time
+
+
+def test_slow_head_ends_with_408() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo, head_timeout_s=0.01)
+        peer = await Peer.connect(address)
+        peer.send(GET[:-2])
+        status, head, _ = await peer.answer()
+        assert status == 408 and b"Connection: close\r\n" in head
+        assert await peer.rest() == b"" and handler.seen == []
+        server.close()
+
+    play(scene())
+
+
+def test_slow_head_of_a_later_request_ends_with_408() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo, head_timeout_s=0.01)
+        peer = await Peer.connect(address)
+        peer.send(GET + GET[:5])
+        assert (await peer.answer())[0] == 200
+        assert (await peer.answer())[0] == 408
+        server.close()
+
+    play(scene())
+
+
+def test_slow_body_ends_with_408() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo, body_timeout_s=0.01)
+        peer = await Peer.connect(address)
+        peer.send(post(b"body")[:-1])
+        assert (await peer.answer())[0] == 408
+        assert await peer.rest() == b"" and handler.seen == []
+        server.close()
+
+    play(scene())
+
+
+def test_idle_connections_are_closed_without_a_word() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo, idle_timeout_s=0.01)
+        silent, asked = await Peer.connect(address), await Peer.connect(address)
+        asked.send(GET)
+        assert (await asked.answer())[0] == 200
+        assert await asked.rest() == b"" and await silent.rest() == b""
+        await until(lambda: server.connections == 0)
+        server.close()
+
+    play(scene())
+
+
+def test_open_request_is_bounded_by_no_time_here() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(
+            None, idle_timeout_s=0.01, head_timeout_s=0.01, body_timeout_s=0.01
+        )
+        peer, silent = await Peer.connect(address), await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        assert await silent.rest() == b""  # the server has looked at its connections
+        exchange.respond(200)
+        assert (await peer.answer())[0] == 200
+        server.close()
+
+    play(scene())
+
+
+# Answers
+
+
+def test_answer_of_known_length_in_pieces() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [(b"x-a", b"b")], 4)
+        exchange.write(b"ab")
+        exchange.write(b"cd")
+        exchange.end()
+        status, head, body = await peer.answer()
+        assert (status, body) == (200, b"abcd") and b"x-a: b\r\n" in head and b"chunked" not in head
+        peer.send(GET)
+        (await handler.request(1)).respond(204)
+        assert (await peer.answer())[0] == 204
+        server.close()
+
+    play(scene())
+
+
+def test_answer_of_unknown_length_comes_in_chunks() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], None)
+        assert b"Transfer-Encoding: chunked\r\n" in await peer.head()  # goes out before there is a body
+        exchange.write(b"one")
+        assert await peer.reader.readexactly(8) == b"3\r\none\r\n"
+        exchange.write(b"")  # danger: an empty chunk would be the end
+        exchange.write(b"x" * 26)
+        exchange.end()
+        assert await peer.reader.readexactly(37) == b"1a\r\n" + b"x" * 26 + b"\r\n0\r\n\r\n"
+        peer.send(GET)
+        (await handler.request(1)).respond(200)
+        assert (await peer.answer())[0] == 200
+        server.close()
+
+    play(scene())
+
+
+def test_answer_of_unknown_length_to_an_old_client_ends_with_the_connection() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(b"GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+        exchange = await handler.request()
+        assert exchange.request.http_1_0
+        exchange.begin(200, [], None)
+        exchange.write(b"one")
+        exchange.end()
+        assert b"Connection: close\r\n" in await peer.head()
+        assert await peer.rest() == b"one"
+        server.close()
+
+    play(scene())
+
+
+def test_half_an_answer_to_an_old_client_ends_with_a_reset() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(b"GET /a HTTP/1.0\r\n\r\n")
+        exchange = await handler.request()
+        exchange.begin(200, [], None)
+        exchange.write(b"one")
+        await peer.head()
+        assert await peer.reader.readexactly(3) == b"one"
+        exchange.abort()
+        with pytest.raises(ConnectionResetError):
+            await peer.rest()
+        assert handler.told == []  # whoever aborts knows
+        server.close()
+
+    play(scene())
+
+
+def test_half_an_answer_in_chunks_has_no_last_chunk() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], None)
+        exchange.write(b"one")
+        await peer.head()
+        exchange.write(b"two")
+        exchange.abort()
+        exchange.end()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await peer.reader.readuntil(b"0\r\n\r\n")
+        server.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("pieces", [[b"abc"], [b"abcd", b"e"]])
+def test_answer_of_another_length_than_told_is_cut(pieces: list[bytes]) -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET + GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], 4)
+        for piece in pieces:
+            exchange.write(piece)
+        exchange.end()
+        assert len(await peer.rest()) < 200
+        assert exchange.done and len(handler.seen) == 1
+        server.close()
+
+    play(scene())
+
+
+def test_old_client_that_keeps_its_connection_is_told_so() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo)
+        peer = await Peer.connect(address)
+        for _ in range(2):
+            peer.send(b"GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            assert b"Connection: keep-alive\r\n" in (await peer.answer())[1]
+        peer.send(b"GET /a HTTP/1.0\r\n\r\n")
+        assert b"Connection: close\r\n" in (await peer.answer())[1]
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_no_body_where_none_may_come() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        head = b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        peer.send(head * 3 + GET)
+        (await handler.request(0)).respond(200, [], b"body")
+        assert b"Content-Length: 4\r\n" in await peer.head()
+        exchange = await handler.request(1)
+        exchange.begin(200, [], 4)
+        exchange.write(b"body")
+        exchange.end()
+        assert b"Content-Length: 4\r\n" in await peer.head()
+        exchange = await handler.request(2)
+        exchange.begin(200, [], None)
+        exchange.write(b"body")
+        exchange.end()
+        assert b"chunked" not in await peer.head()
+        exchange = await handler.request(3)
+        exchange.begin(204, [], None)
+        exchange.end()
+        assert b"204" in await peer.head()
+        server.close()
+
+    play(scene())
+
+
+def test_only_one_answer_goes_out() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.respond(200, [], b"one", close=True)
+        exchange.respond(500)
+        exchange.begin(500, [], None)
+        exchange.write(b"x")
+        exchange.end()
+        assert (await peer.answer())[2] == b"one"
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_handler_that_fails_is_a_500() -> None:
+    def fail(exchange: Exchange) -> None:
+        raise RuntimeError("a fault of the handler's")
+
+    async def scene() -> None:
+        server, _, address = await serve(fail)
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        assert (await peer.answer())[0] == 500
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_handler_that_fails_in_an_answer_cuts_it() -> None:
+    def fail(exchange: Exchange) -> None:
+        exchange.begin(200, [], 10)
+        raise RuntimeError("a fault of the handler's")
+
+    async def scene() -> None:
+        server, _, address = await serve(fail)
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        assert b"500" not in await peer.rest()
+        server.close()
+
+    play(scene())
+
+
+def test_back_pressure_of_the_client_is_told() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], MANY)
+        exchange.write(b"a" * (MANY - 1))
+        await until(lambda: exchange.paused)
+        assert handler.told == ["pause"]
+        assert server.open_exchanges == 1
+        await peer.head()
+        assert len(await peer.reader.readexactly(MANY - 1)) == MANY - 1
+        await handler.tells("pause", "resume")
+        assert not exchange.paused
+        exchange.write(b"a")
+        exchange.end()
+        assert await peer.reader.readexactly(1) == b"a"
+        server.close()
+
+    play(scene())
+
+
+def test_next_request_waits_until_the_answer_is_taken_up() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        (await handler.request()).respond(200, [], b"a" * MANY)
+        peer.send(GET)
+        await until(lambda: server.open_exchanges == 1)
+        assert len(handler.seen) == 1
+        assert len((await peer.answer())[2]) == MANY
+        (await handler.request(1)).respond(200)
+        assert (await peer.answer())[0] == 200
+        server.close()
+
+    play(scene())
+
+
+# Clients that leave
+
+
+@pytest.mark.parametrize("leave", [Peer.close, Peer.reset, Peer.half_close])
+@pytest.mark.parametrize("begun", [False, True])
+def test_client_that_leaves_is_told_once(leave: object, begun: bool) -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET + GET)
+        exchange = await handler.request()
+        if begun:
+            exchange.begin(200, [], None)
+            await peer.head()
+        assert not exchange.gone()
+        leave(peer)  # type: ignore[operator]
+        await handler.tells("gone")
+        assert exchange.gone() and exchange.done
+        exchange.write(b"x")
+        exchange.end()
+        exchange.respond(200)
+        exchange.abort()
+        await until(lambda: server.connections == 0)
+        assert handler.told == ["gone"] and len(handler.seen) == 1 and server.open_exchanges == 0
+        server.close()
+
+    play(scene())
+
+
+def test_leaving_is_seen_before_the_loop_tells_it() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        with socket.create_connection(address) as client:
+            client.sendall(GET)
+            exchange = await handler.request()
+            assert not exchange.gone()
+            client.sendall(b"G")  # its end stands behind bytes that nobody has read
+            client.shutdown(socket.SHUT_WR)
+            assert exchange.gone() and handler.told == []
+            await handler.tells("gone")
+        server.close()
+
+    play(scene())
+
+
+def test_client_that_leaves_after_its_answer_is_nobodys_business() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(echo)
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        await peer.answer()
+        peer.close()
+        await until(lambda: server.connections == 0)
+        assert handler.told == []
+        server.close()
+
+    play(scene())
+
+
+def test_data_of_a_connection_stays_with_it() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET + GET)
+        exchange = await handler.request()
+        exchange.data["key"] = "value"
+        own = peer.writer.get_extra_info("sockname")
+        assert exchange.peer == own[:2]
+        exchange.respond(200)
+        assert (await handler.request(1)).data == {"key": "value"}
+        server.close()
+
+    play(scene())
+
+
+# The server's own end
+
+
+def test_drain_ends_connections_with_their_answers() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        busy, half, idle = [await Peer.connect(address) for _ in range(3)]
+        busy.send(GET)
+        exchange = await handler.request()
+        half.send(GET[:20])
+        idle.send(GET)
+        (await handler.request(1)).respond(200)
+        assert b"Connection" not in (await idle.answer())[1]
+        server.drain()
+        assert await idle.rest() == b""
+        exchange.respond(200)
+        assert b"Connection: close\r\n" in (await busy.answer())[1]
+        assert await busy.rest() == b""
+        half.send(GET[20:])
+        (await handler.request(2)).respond(200)
+        assert b"Connection: close\r\n" in (await half.answer())[1]
+        late = await Peer.connect(address)  # new ones are served for as long as they come
+        late.send(GET)
+        (await handler.request(3)).respond(200)
+        assert b"Connection: close\r\n" in (await late.answer())[1]
+        server.stop_listening()
+        with pytest.raises(ConnectionRefusedError):
+            await Peer.connect(address)
+        for peer in (busy, half, late):
+            peer.close()
+        await until(lambda: server.connections == 0)
+        server.close()
+
+    play(scene())
+
+
+def test_drain_ends_a_connection_with_the_last_of_what_waits_on_it() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET + GET)
+        exchange = await handler.request()
+        server.drain()
+        exchange.respond(200)
+        assert b"Connection" not in (await peer.answer())[1]
+        (await handler.request(1)).respond(200)
+        assert b"Connection: close\r\n" in (await peer.answer())[1]
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_drain_closes_what_never_says_a_word() -> None:
+    async def scene() -> None:
+        server, _, address = await serve()
+        peer = await Peer.connect(address)
+        await until(lambda: server.connections == 1)
+        server.drain()
+        assert await peer.rest() == b""
+        server.close()
+
+    play(scene())
+
+
+def test_close_ends_everything_at_once() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer, silent = await Peer.connect(address), await Peer.connect(address)
+        peer.send(GET)
+        await handler.request()
+        await until(lambda: server.connections == 2)
+        server.close()
+        assert await peer.rest() == b"" and await silent.rest() == b""
+        assert handler.told == ["gone"] and server.connections == 0
+
+    play(scene())
+
+
+def test_idle_connection_makes_room_for_a_new_one() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo, max_connections=2)
+        idle, other = await Peer.connect(address), await Peer.connect(address)
+        idle.send(GET)
+        await idle.answer()
+        await until(lambda: server.connections == 2)
+        new = await Peer.connect(address)
+        new.send(GET)
+        assert (await new.answer())[0] == 200
+        assert await idle.rest() == b""
+        other.send(GET)
+        assert (await other.answer())[0] == 200
+        server.close()
+
+    play(scene())
+
+
+def test_who_finds_no_room_is_told() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve(max_connections=1)
+        busy = await Peer.connect(address)
+        busy.send(GET)
+        exchange = await handler.request()
+        turned_away = await Peer.connect(address)
+        status, head, _ = await turned_away.answer()
+        assert status == 503 and b"Connection: close\r\n" in head
+        exchange.respond(200)
+        assert (await busy.answer())[0] == 200
+        server.close()
+
+    play(scene())
+
+
+def test_many_idle_connections_end_with_their_answers() -> None:
+    async def scene() -> None:
+        server, _, address = await serve(echo, max_connections=4)
+        peers = [await Peer.connect(address) for _ in range(3)]
+        heads = []
+        for peer in peers:
+            peer.send(GET)
+            heads.append((await peer.answer())[1])
+        assert [b"Connection: close" in head for head in heads] == [False, False, True]
+        server.close()
+
+    play(scene())
+
+
+def test_connections_that_say_nothing_hold_no_parser() -> None:
+    async def scene() -> None:
+        server, _, address = await serve()
+        peer = await Peer.connect(address)
+        await until(lambda: server._stages[Stage.FRESH])
+        (connection,) = server._stages[Stage.FRESH]
+        assert connection._reader is None
+        peer.close()
+        server.close()
+
+    play(scene())
