--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -77,9 +77,16 @@
         """Cancel it: its server stops working on it, and nothing more is heard."""
         if self.over:
             return
+        call = self.call
         self._finish()
-        if self.call is not None:
-            self.call.cancel()
+        if call is not None:
+            call.cancel()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether its server may have begun to work on the request, as far as is known now."""
+        promised = self.verdict in (Verdict.NOT_EXECUTED, Verdict.MISPLACED)
+        return self.sent_at is not None and not promised
 
     def on_written(self) -> None:
         """The request went out."""
@@ -168,4 +175,5 @@
 
     def _finish(self) -> None:
         self.over = True
+        self.call = None  # danger: the two hold each other, and would wait for the cycle collector
         self.standing.finished(self.key)
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -23,7 +23,7 @@
 from cloverrouter.router.headers import ATTEMPT_ID, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, encode_request
 from cloverrouter.router.ports import Timer
 from cloverrouter.router.relay import StreamRelay
-from cloverrouter.router.verdict import Answer, End, Verdict
+from cloverrouter.router.verdict import Answer, End
 
 if TYPE_CHECKING:
     from cloverrouter.router.router import Router
@@ -311,15 +311,17 @@
         """Nobody waits any longer: the server may stop, and the client gets what is true."""
         attempt = self._attempt
         if attempt is not None:
-            sent = attempt.call is not None and attempt.call.written
-            rejected = attempt.verdict in (Verdict.NOT_EXECUTED, Verdict.MISPLACED)
-            self._may_have_run = self._may_have_run or (sent and not rejected)
-            if sent:
+            self._may_have_run = self._may_have_run or attempt.may_have_run
+            if attempt.sent_at is not None:
                 self._router.timed_out(attempt)
         self._finish_failed()
 
     def _client_gone(self) -> None:
+        attempt = self._attempt
+        never_ran = not self._may_have_run and (attempt is None or not attempt.may_have_run)
         self._close()
+        if never_ran and self._charged:
+            self._router.refund(self.admitted)
 
     def _pause(self) -> None:
         if self._attempt is not None and self._attempt.call is not None:
--- a/tests/system/test_router_failures.py
+++ b/tests/system/test_router_failures.py
@@ -286,3 +286,12 @@
     world.last.fail(Failure.BROKEN)
     assert exchange.status == 502
     assert len(world.calls) == 1
+
+
+def test_a_client_that_leaves_before_anything_was_sent_costs_no_quota(world: World) -> None:
+    world.ask("/once/x").leave()
+    assert world.quota.refunded == [("a", 200)]
+    exchange = world.ask("/once/x")
+    world.last.write()
+    exchange.leave()
+    assert world.quota.refunded == [("a", 200)]
