The command line on cyclopts; click goes

One library for arguments, as the house has it. Options and exit codes stay: 0 done, 1 something found, 2 the call or a file is wrong. click's CliRunner is replaced by tests/command_line.py, which calls main with both outputs in one buffer; it is stricter, as an exception that is not an exit fails the test instead of becoming code 1. Lazy commands of cyclopts itself were ruled out: its help and its unknown-command error import every one of them, so main loads the called command only and registers the others by name. check knows deploy/system.toml now (tests/test_cli.py's shipped files failed on it).

--- a/cloverrouter/__main__.py
+++ b/cloverrouter/__main__.py
@@ -3,4 +3,4 @@
 from cloverrouter.cli.main import main
 
 if __name__ == "__main__":
-    main(prog_name="cypresswinch")
+    main()
--- a/cloverrouter/cli/check.py
+++ b/cloverrouter/cli/check.py
@@ -6,10 +6,12 @@
 import tomllib
 from collections.abc import Callable
 from pathlib import Path
+from typing import Annotated
 
-import click
 import msgspec
+from cyclopts import Parameter
 
+from cloverrouter.cli import usage
 from cloverrouter.proxy import config
 from cloverrouter.proxy.checked import ConfigError
 
@@ -25,6 +27,24 @@
     packages: list[str]
 
 
+class Role(msgspec.Struct, forbid_unknown_fields=True):
+    """One role of deploy/system.toml."""
+
+    run: str
+    on: str
+    serves: list[str] = msgspec.field(default_factory=list)
+    share: float | None = None
+    count: int | None = None
+    apart: bool = False
+
+
+class System(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/system.toml: the fleet's build, and which program runs on which machines."""
+
+    build: str
+    roles: dict[str, Role]
+
+
 class Wrong(Exception):
     """What is wrong with a file, and where."""
 
@@ -50,6 +70,46 @@
     return f"deploy file, {lines} lines of policy"
 
 
+def _system(path: Path) -> str:
+    try:
+        told = msgspec.toml.decode(path.read_bytes(), type=System)
+    except msgspec.MsgspecError as error:
+        raise Wrong(str(error)) from error
+    findings = [text for name, role in told.roles.items() for text in _role_findings(f"roles.{name}", role)]
+    findings += _overlaps(told.roles)
+    if findings:
+        raise Wrong("; ".join(findings))
+    return f"deploy file of the fleet, {len(told.roles)} roles"
+
+
+def _role_findings(place: str, role: Role) -> list[str]:
+    findings = []
+    if (role.share is None) == (role.count is None):
+        findings.append(f"{place}: found share {role.share} and count {role.count}, allowed is one of them")
+    if role.share is not None and not 0 < role.share <= 1:
+        findings.append(f"{place}.share: found {role.share}, allowed is above 0, at most 1")
+    if role.count is not None and role.count < 1:
+        findings.append(f"{place}.count: found {role.count}, allowed is 1 or more")
+    unknown = [name for name in role.serves if name not in SERVICES]
+    if unknown:
+        findings.append(f"{place}.serves: found {', '.join(unknown)}, allowed are {', '.join(SERVICES)}")
+    return findings
+
+
+def _overlaps(roles: dict[str, Role]) -> list[str]:
+    """At most two roles on a class of machines, and none serves there what another serves."""
+    findings = []
+    for machines in {role.on: None for role in roles.values()}:
+        there = {name: role for name, role in roles.items() if role.on == machines}
+        if len(there) > MOST_ROLES:
+            findings.append(f"roles: found {len(there)} on {machines}, allowed {MOST_ROLES}")
+        for service in SERVICES:
+            serving = [name for name, role in there.items() if service in role.serves]
+            if len(serving) > 1:
+                findings.append(f"roles: {service} on {machines}: found {', '.join(serving)}, allowed is one")
+    return findings
+
+
 def _scenario(path: Path) -> str:
     from cloverrouter.lab import scenario
 
@@ -98,9 +158,12 @@
 
 
 MOST_LINES = 1200
+MOST_ROLES = 2
+SERVICES = ("edge", "control_plane")
 # Which key tells what a file is.
 KINDS: dict[str, Callable[[Path], str]] = {
     "policy": _deploy,
+    "roles": _system,
     "family": _site,
     "load": _scenario,
     "steps": _history,
@@ -124,13 +187,21 @@
     raise Wrong(f"found keys {', '.join(keys) or 'none'}; allowed is a file with one of {', '.join(KINDS)}")
 
 
-@click.command()
-@click.argument("files", type=click.Path(path_type=Path), nargs=-1, required=True)
-@click.option(
-    "--json", "as_json", is_flag=True, help="One JSON object: by file, what it is or what is wrong."
-)
-def check(files: tuple[Path, ...], as_json: bool) -> None:
-    """Check configuration files of any kind; nothing is started. Exits 2 if one is wrong."""
+def check(
+    files: tuple[Path, ...],
+    /,
+    *,
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> None:
+    """Check configuration files of any kind; nothing is started. Exits 2 if one is wrong.
+
+    Parameters
+    ----------
+    files
+        The files, TOML or JSON.
+    as_json
+        One JSON object: by file, what it is or what is wrong.
+    """
     found: dict[str, dict[str, str]] = {}
     for path in files:
         try:
@@ -140,10 +211,11 @@
         except ModuleNotFoundError as error:
             found[str(path)] = {"wrong": f"{error.name} is not installed"}
     if as_json:
-        click.echo(msgspec.json.encode(found))
+        usage.say(msgspec.json.encode(found).decode())
     else:
         for name, said in found.items():
             for word, text in said.items():
-                click.echo(f"{name}: {word}: {text}", err=word == "wrong")
+                tell = usage.error_line if word == "wrong" else usage.say
+                tell(f"{name}: {word}: {text}")
     if any("wrong" in said for said in found.values()):
-        raise SystemExit(2)
+        raise SystemExit(usage.WRONG)
--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -5,9 +5,12 @@
 import asyncio
 import sys
 from collections import Counter
+from typing import Annotated
 
-import click
+from cyclopts import Parameter
+from cyclopts.validators import Number
 
+from cloverrouter.cli import usage
 from cloverrouter.lab import log
 from cloverrouter.lab.real import RealWorld, play
 from cloverrouter.lab.scenario import Class, Fault, Fleet, Kind, Load, Member, Scenario
@@ -46,12 +49,15 @@
     return Scenario(**{**told, "seconds": seconds, "faults": faults})
 
 
-@click.command()
-@click.option("--seconds", type=click.FloatRange(min=3.0), default=20.0, show_default=True)
-def demo(seconds: float) -> None:
+def demo(*, seconds: Annotated[float, Parameter(validator=Number(gte=3.0))] = 20.0) -> None:
     """Play the proxy on this machine: 4 proxies, 10 stand-in servers, two classes, and some trouble.
 
     Exits 0 if no rule was broken, 1 otherwise, or if the machine was too busy to tell.
+
+    Parameters
+    ----------
+    seconds
+        How long the load goes on.
     """
     told = scenario(seconds)
     log.configure(told.log)
@@ -66,20 +72,20 @@
         before = now
         busy = " ".join(f"{s.bridge.held:3}" for s in world.servers.values())
         at_s = max(0.0, world.clock.now_ms / 1000 - 1)
-        click.echo(
+        usage.say(
             f"{at_s:5.1f} s  served {new['served']:4}  refused {new['refused']:3}"
             f"  failed {new['failed']:3}  held by each server {busy}"
         )
         for when_s, text in world.log[seen:]:
-            click.echo(f"{when_s:5.1f} s  {text}")
+            usage.say(f"{when_s:5.1f} s  {text}")
         seen = len(world.log)
 
     try:
         played = asyncio.run(play(told, 1, watch))
     except RuntimeError as error:
-        raise click.ClickException(str(error)) from error
+        raise usage.CommandFailed(str(error)) from error
     verdict = played.verdict
-    click.echo(
+    usage.say(
         f"\nasked {verdict.asked}, answers {verdict.answers}\n"
         f"worth answered in time {verdict.worth:.3f} (worst ten seconds {verdict.worst:.3f}); "
         + ", ".join(
@@ -89,5 +95,5 @@
         f"\nrules broken: {len(verdict.broken)}; the proxies took {played.decided_us:.0f} us a request"
     )
     for text in played.amiss(5):
-        click.echo(text)
+        usage.say(text)
     sys.exit(1 if verdict.broken or played.died or played.void else 0)
--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -7,39 +7,79 @@
 from __future__ import annotations
 
 import importlib
+import sys
+from collections.abc import Sequence
+from typing import Any, NoReturn
+
+import attrs
+from cyclopts import App, CycloptsError
+
+import cloverrouter
+from cloverrouter.cli import usage
+
+
+@attrs.frozen(slots=True)
+class Command:
+    """Where a command is, which extra of the package it needs, and its line in the overview."""
+
+    module: str
+    extra: str
+    help: str
 
-import click
 
 COMMANDS = {
-    "check": ("cloverrouter.cli.check", "lab"),
-    "demo": ("cloverrouter.cli.demo", "lab"),
-    "explore": ("cloverrouter.cli.explore", "explore"),
-    "lab": ("cloverrouter.cli.lab", "lab"),
+    "check": Command("cloverrouter.cli.check", "lab", "Check configuration files of any kind."),
+    "demo": Command("cloverrouter.cli.demo", "lab", "Play the client proxy on this machine."),
+    "explore": Command("cloverrouter.cli.explore", "explore", "Play every ordering of events."),
+    "lab": Command("cloverrouter.cli.lab", "lab", "Emulated servers and clients: try a configuration."),
 }
+HELP = """Tools of the router fleet and of the client proxy.
+
+A node of the fleet is started by python -m cloverrouter.daemon, the client proxy by
+python -m cloverrouter.proxy."""
 
 
-class Commands(click.Group):
-    """The commands by name, each in a module of its own."""
+def _load(name: str) -> Any:
+    """The command: a function or an app, in its module under its own name."""
+    command = COMMANDS[name]
+    try:
+        return getattr(importlib.import_module(command.module), name)
+    except ModuleNotFoundError as error:
+        if error.name is None or error.name.startswith("cloverrouter"):
+            raise
+        raise usage.UsageError(
+            f"{name}: {error.name} is not installed; pip install 'cloverrouter[{command.extra}]'"
+        ) from error
 
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted(COMMANDS)
 
-    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if cmd_name not in COMMANDS:
-            return None
-        module, extra = COMMANDS[cmd_name]
-        try:
-            command = getattr(importlib.import_module(module), module.rpartition(".")[2])
-        except ModuleNotFoundError as error:
-            if error.name is None or error.name.startswith("cloverrouter"):
-                raise
-            raise click.UsageError(
-                f"{cmd_name}: {error.name} is not installed; pip install 'cloverrouter[{extra}]'"
-            ) from error
-        assert isinstance(command, click.Command)
-        return command
+def _application(called: str | None) -> App:
+    """The command line in which one command is there, and the others only by name."""
+    app = App(
+        name="cypresswinch",
+        help=HELP,
+        version=cloverrouter.__version__,
+        print_error=False,
+        exit_on_error=False,
+        result_action="return_none",
+    )
+    for name, command in COMMANDS.items():
+        loaded = _load(name) if name == called else App(name=name, help=command.help)
+        if isinstance(loaded, App):
+            app.command(loaded)
+        else:
+            app.command(loaded, name=name)
+    return app
 
 
-@click.command(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
-def main() -> None:
-    """The client proxy's tools. The proxy itself is started by `python -m cloverrouter.proxy`."""
+def main(tokens: Sequence[str] | None = None) -> NoReturn:
+    """Carries out one command line, without the program's name; default: the process's own. Always exits."""
+    words = list(sys.argv[1:] if tokens is None else tokens)
+    try:
+        _application(words[0] if words and words[0] in COMMANDS else None)(words)
+    except (CycloptsError, usage.UsageError) as error:
+        usage.error_line(f"Error: {error}")
+        sys.exit(usage.WRONG)
+    except usage.CommandFailed as error:
+        usage.error_line(f"Error: {error}")
+        sys.exit(usage.FOUND)
+    sys.exit(usage.DONE)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,20 +9,15 @@
 from pathlib import Path
 
 import pytest
-from click.testing import CliRunner
 
 from cloverrouter.cli import main as commands
 from cloverrouter.explore import trace
+from tests.command_line import run
 from tests.sockets import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 
 
-def run(*args: str) -> tuple[int, str]:
-    done = CliRunner().invoke(commands.main, list(args))
-    return done.exit_code, done.output
-
-
 def test_shipped_files_are_good() -> None:
     files = [str(path) for path in sorted((ROOT / "deploy").rglob("*.toml"))]
     code, text = run("check", *files)
@@ -40,8 +35,25 @@
         ("a.toml", "load = 3", "wrong: Expected `object`, got `int` - at `$.load`"),
         ("a.toml", "policy = 3", "wrong: Expected `array`, got `int` - at `$.policy`"),
         ("a.toml", "policy = []", "wrong: Object missing required field `build`"),
+        ("a.toml", "roles = 3", "wrong: Expected `object`, got `int` - at `$.roles`"),
+        (
+            "a.toml",
+            'build = ""\n[roles.a]\nrun = "x"\non = "edge"',
+            "roles.a: found share None and count None",
+        ),
+        (
+            "a.toml",
+            'build = ""\n[roles.a]\nrun = "x"\non = "edge"\nshare = 2.0\nserves = ["front"]',
+            "roles.a.share: found 2.0, allowed is above 0, at most 1; roles.a.serves: found front, allowed",
+        ),
+        (
+            "a.toml",
+            'build = ""\n[roles]\na = {run = "x", on = "edge", count = 1, serves = ["edge"]}\n'
+            'b = {run = "x", on = "edge", share = 1.0, serves = ["edge"]}',
+            "roles: edge on edge: found a, b, allowed is one",
+        ),
         ("a.toml", "x = ", "wrong: no TOML"),
-        ("a.toml", "x = 1", "found keys x; allowed is a file with one of policy, family, load, steps, lis"),
+        ("a.toml", "x = 1", "found keys x; allowed is a file with one of policy, roles, family, load, steps"),
         ("a.toml", 'family = "mesh"', "wrong: Object missing required field `name`"),
         ("a.json", "{", "wrong: no JSON"),
         ("a.json", '{"steps": 1}', "wrong: no counterexample"),
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -7,9 +7,7 @@
 from pathlib import Path
 
 import pytest
-from click.testing import CliRunner
 
-from cloverrouter.cli.main import main
 from cloverrouter.core.connection import Event, Machine, State
 from cloverrouter.explore import connections, trace
 from cloverrouter.explore.canon import digest
@@ -20,6 +18,7 @@
 from cloverrouter.explore.search import Report, Search
 from cloverrouter.explore.trace import Step, TraceError
 from cloverrouter.explore.world import World
+from tests import command_line
 
 LONG_S = 600.0  # never reached by what is bounded
 
@@ -128,8 +127,7 @@
 
 
 def run(*args: str) -> tuple[int, str]:
-    done = CliRunner().invoke(main, ["explore", *args])
-    return done.exit_code, done.output
+    return command_line.run("explore", *args)
 
 
 def test_command_line(tmp_path: Path) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -19,11 +19,9 @@
 
 import msgspec
 import pytest
-from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverrouter.cli.main import main
 from cloverrouter.core.states import Effect, GiveFailure, GiveRefusal, Serve
 from cloverrouter.interface import Action, EndpointState, Event, Fail, ListedEndpoint, ListKind, Refuse
 from cloverrouter.lab import load, real, runner, scenario
@@ -35,6 +33,7 @@
 from cloverrouter.lab.runner import Store, StoreError
 from cloverrouter.lab.scenario import Class, Clients, Fault, Fleet, Load, Scenario, ScenarioError
 from cloverrouter.lab.simulate import Proxy, Simulation
+from tests import command_line
 
 FOLDER = Path(__file__).parent.parent / "deploy" / "lab"
 SCENARIOS = sorted(FOLDER.glob("*.toml"))
@@ -504,8 +503,7 @@
 
 
 def run(*args: str) -> tuple[int, str]:
-    done = CliRunner().invoke(main, ["lab", *args])
-    return done.exit_code, done.output
+    return command_line.run("lab", *args)
 
 
 def test_shipped_scenarios_are_good() -> None:
@@ -684,8 +682,8 @@
 
 
 def test_demo() -> None:
-    done = CliRunner().invoke(main, ["demo", "--seconds", "4"])
-    assert "rules broken: 0" in done.output and "drain begins on 3 servers" in done.output
+    _, text = command_line.run("demo", "--seconds", "4")
+    assert "rules broken: 0" in text and "drain begins on 3 servers" in text
 
 
 def test_table(tmp_path: Path) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -96,7 +96,7 @@
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     loaded = set(done.stdout.split())
     assert (
-        not {"click", "msgspec", "xxhash", "cloverrouter.explore", "cloverrouter.lab", "cloverrouter.cli"}
+        not {"cyclopts", "msgspec", "xxhash", "cloverrouter.explore", "cloverrouter.lab", "cloverrouter.cli"}
         & loaded
     )
     assert "cloverrouter.core.engine" in loaded
