--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -115,6 +115,11 @@
         self._asks[self._number] = now
         return [Send(self._head, QuotaAsk(self._epoch, self._incarnation, self._number, now, tokens))]
 
+    @property
+    def wants_credit(self) -> bool:
+        """Whether `flush` has something to ask for, once it may."""
+        return bool(self._wanting)
+
     def tick(self, now: float) -> list[Effect]:
         """Call each 10 ms to `REPORT_S`: reports that are due, asks that were put off."""
         self._now = now
