Registry: the servers' list on every machine, merged, acknowledged by a majority of the voters

Ruled out: marking the superseded instance at a reused address as gone for good (a late call of the dead one would have ended the living one); a generation that the living one raises heals itself.

--- /dev/null
+++ b/cloverrouter/control/instances.py
@@ -0,0 +1,128 @@
+"""One start of a server, and how two pieces of news about it merge.
+
+Merging is commutative, associative and idempotent, so the order in which news arrive does not matter, nor
+how often: the state, the generation and the lost generation each only rise; the rest comes from the highest
+sequence number.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from hashlib import blake2b
+
+import attrs
+
+from cloverrouter.control.registry_messages import InstanceRecord, ModelOnServer
+
+WARMUP_NEWS = 1.0
+
+
+class InstanceState(IntEnum):
+    """What a server said of itself; it never falls."""
+
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+@attrs.frozen(slots=True)
+class Instance:
+    """One start of a server. `warm_at`: when its warm-up ends, on the local steady clock; 0 if it was warm.
+
+    `generation`: of two instances at one address the one with the higher generation is there now. `lost`: the
+    generation that was given up for silence; a later heartbeat makes a new generation.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    capacity: int = 0
+    state: InstanceState = InstanceState.READY
+    warm_at: float = 0.0
+    sequence: int = 0
+    phase: str = ""
+    models: tuple[ModelOnServer, ...] = ()
+    generation: int = 1
+    lost: int = 0
+
+    @property
+    def is_live(self) -> bool:
+        """Neither gone nor given up."""
+        return self.state is not InstanceState.GONE and self.lost < self.generation
+
+    def facts(self) -> tuple[object, ...]:
+        """What the server says of itself beside its state, its warm-up and its sequence number."""
+        models = tuple((model.name, model.version, model.adapters) for model in self.models)
+        return (self.service, self.address, self.zone, self.version, self.capacity, self.phase, models)
+
+    def fingerprint(self) -> int:
+        """63 bits over all but the sequence number and the warm-up, the same on every machine."""
+        text = repr((self.id, int(self.state), self.generation, self.lost, self.facts()))
+        return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
+
+    def to_record(self, now: float, age: float) -> InstanceRecord:
+        """The record of it that is sent now."""
+        return InstanceRecord(
+            id=self.id,
+            service=self.service,
+            address=self.address,
+            zone=self.zone,
+            version=self.version,
+            capacity=self.capacity,
+            state=int(self.state),
+            warmup_ms=max(0, round((self.warm_at - now) * 1000)),
+            sequence=self.sequence,
+            phase=self.phase,
+            models=self.models,
+            generation=self.generation,
+            lost=self.lost,
+            age_ms=max(0, int(age * 1000)),
+        )
+
+
+def from_record(now: float, record: InstanceRecord) -> Instance:
+    """The instance that a record received now tells of."""
+    return Instance(
+        id=record.id,
+        service=record.service,
+        address=record.address,
+        zone=record.zone,
+        version=record.version,
+        capacity=record.capacity,
+        state=InstanceState(min(max(record.state, 0), int(InstanceState.GONE))),
+        warm_at=now + record.warmup_ms / 1000 if record.warmup_ms > 0 else 0.0,
+        sequence=record.sequence,
+        phase=record.phase,
+        models=record.models,
+        generation=record.generation,
+        lost=record.lost,
+    )
+
+
+def merge(one: Instance, other: Instance) -> Instance:
+    """What both pieces of news about the same instance say together."""
+    newer = other if _order(other) > _order(one) else one
+    warm_at = newer.warm_at
+    if _order(one) == _order(other):
+        warm_at = min(one.warm_at, other.warm_at)
+    return attrs.evolve(
+        newer,
+        state=max(one.state, other.state),
+        generation=max(one.generation, other.generation),
+        lost=max(one.lost, other.lost),
+        warm_at=warm_at,
+    )
+
+
+def differs(now: float, before: Instance, after: Instance) -> bool:
+    """True if others have to be told: anything but the sequence number, and the warm-up only if by much."""
+    if (before.state, before.generation, before.lost) != (after.state, after.generation, after.lost):
+        return True
+    longer_by = abs(max(before.warm_at, now) - max(after.warm_at, now))
+    return longer_by > WARMUP_NEWS or before.facts() != after.facts()
+
+
+def _order(instance: Instance) -> tuple[int, str]:
+    return (instance.sequence, repr(instance.facts()))
--- /dev/null
+++ b/cloverrouter/control/registry_voter.py
@@ -0,0 +1,123 @@
+"""The voter's part of the registry: takes news, passes them on to all, tracks heartbeats, and as head
+judges silence.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from cloverrouter.control.list_exchange import in_parts
+from cloverrouter.control.registry_messages import (
+    Announce,
+    AnnounceTaken,
+    Beat,
+    Compare,
+    News,
+    Same,
+    SilenceReport,
+    UnknownInstances,
+)
+from cloverrouter.control.servers_list import ListEffect, ServersList
+from cloverrouter.control.silence import SilenceJudge
+from cloverrouter.control.subscribers import Batch, Subscribers
+from cloverrouter.messages.sending import Send
+
+JUDGE_PERIOD = 0.5
+REPORT_FOR = 10.0
+
+
+class RegistryVoter:
+    """What a machine does for the others while it is a voter."""
+
+    def __init__(self, servers: ServersList, heartbeat_interval: float) -> None:
+        self.is_head = False
+        self._servers = servers
+        self._subscribers = Subscribers()
+        self._judge = SilenceJudge(heartbeat_interval)
+        self._next_judgement = 0.0
+        self._report_until = 0.0
+
+    def resign(self) -> None:
+        """This machine is no voter any more."""
+        self._subscribers.clear()
+        self.is_head = False
+
+    def set_head(self, now: float, is_head: bool) -> None:
+        """As head it judges silence, taking over the marks that it knows."""
+        if is_head and not self.is_head:
+            self._judge.became_head(now)
+            self._report_until = now + REPORT_FOR
+        self.is_head = is_head
+
+    def taken(self, now: float, ip: str, message: Announce) -> list[Send]:
+        """The answer to an origin whose news were merged and passed on."""
+        record = message.record
+        newer = () if self._servers.holds(now, record) else tuple(self._servers.records(now, [record.id]))
+        return [Send(ip, AnnounceTaken(message.number, newer))] if message.number or newer else []
+
+    def take_beats(self, now: float, ip: str, beats: Iterable[Beat]) -> list[Send]:
+        """Heartbeats; the origin is asked for what is not known here."""
+        unknown = []
+        for beat in beats:
+            if self._servers.table.beat(beat.id, beat.sequence):
+                self._servers.liveness.heard(beat.id, now)
+            else:
+                unknown.append(beat.id)
+        return [Send(ip, UnknownInstances(tuple(unknown)))] if unknown else []
+
+    def pass_on(self, now: float, ids: Iterable[str], source: str) -> list[Send]:
+        """Changed records, to all subscribers but the source."""
+        return [self._news(now, ip, batch) for ip, batch in self._subscribers.queue(now, ids, source)]
+
+    def news_taken(self, ip: str, number: int) -> None:
+        """A subscriber has news."""
+        self._subscribers.taken(ip, number)
+
+    def answer_compare(self, now: float, ip: str, message: Compare) -> list[Send]:
+        """A subscriber's list may differ."""
+        table = self._servers.table
+        agrees = message.digest == table.digest and message.count == table.live_count
+        wants_list = self._subscribers.heard(now, ip, agrees=agrees)
+        sends: list[Send] = []
+        if self.is_head and (self._servers.silent or now < self._report_until):
+            sends.append(self._silence_report(ip))
+        if agrees:
+            sends.append(Send(ip, Same(message.digest, round(self._subscribers.compare_period * 1000))))
+        elif wants_list:
+            records = self._servers.records(now, [each.id for each in self._servers])
+            sends += [Send(ip, part) for part in in_parts(records, wants_answer=True)]
+        return sends
+
+    def tick(self, now: float) -> list[Send | ListEffect]:
+        """News not taken in time, and as head the judgement on silence."""
+        self._judge.ticked(now)
+        self._subscribers.expire(now)
+        effects: list[Send | ListEffect] = []
+        effects += [self._news(now, ip, batch) for ip, batch in self._subscribers.to_resend(now)]
+        if self.is_head and now >= self._next_judgement:
+            self._next_judgement = now + JUDGE_PERIOD
+            effects += self._judge_silence(now)
+        return effects
+
+    def _judge_silence(self, now: float) -> list[Send | ListEffect]:
+        servers = self._servers
+        judgement = self._judge.judge(now, list(servers), servers.liveness, servers.silent)
+        effects: list[Send | ListEffect] = [*servers.mark(judgement.silent)]
+        if effects:
+            self._report_until = now + REPORT_FOR
+            effects += [self._silence_report(ip) for ip in self._subscribers]
+        lost: list[str] = []
+        for instance in (servers.table.get(each) for each in judgement.given_up):
+            if instance is not None:
+                lost += servers.merge(now, attrs.evolve(instance, lost=instance.generation))
+        if lost:
+            effects += [servers.changed_effect(lost), *self.pass_on(now, lost, source="")]
+        return effects
+
+    def _news(self, now: float, ip: str, batch: Batch) -> Send:
+        return Send(ip, News(batch.number, tuple(self._servers.records(now, batch.ids))))
+
+    def _silence_report(self, ip: str) -> Send:
+        return Send(ip, SilenceReport(tuple(sorted(self._servers.silent))))
