--- a/cloverrouter/placement/admission.py
+++ b/cloverrouter/placement/admission.py
@@ -6,6 +6,9 @@
 """A request with less time left cannot be answered in time by anyone."""
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 2.0
+ABSENT_S = 0.4
+"""A service without servers gets some again when one starts, which takes a while."""
+CLIENT_PATIENCE = 0.3
 
 
 def has_time(left_ms: float) -> bool:
@@ -14,8 +17,17 @@
 
 
 def retry_after_s(usual_ms: float, left_ms: float, draw: float) -> float:
-    """When a place is likely free: after about two usual answers, spread by `draw` (0 to 1) so that those who
-    are refused together don't come back together, and within a third of the time that the client has left."""
+    """When a place is likely free at servers that are full: after about two usual answers, spread by `draw`
+    (0 to 1) so that those who are refused together don't come back together."""
     wait = usual_ms / 1000 * (1.0 + 2.0 * draw)
-    wait = min(max(wait, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-    return max(0.01, min(wait, left_ms / 1000 / 3))
+    return _within(min(max(wait, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S), left_ms)
+
+
+def absent_retry_after_s(left_ms: float, draw: float) -> float:
+    """When a server may be there again, with none that can be reached now."""
+    return _within(ABSENT_S * (1.0 + draw), left_ms)
+
+
+def _within(wait_s: float, left_ms: float) -> float:
+    """Clients wait up to a third of the time that they have left."""
+    return max(0.01, min(wait_s, left_ms / 1000 * CLIENT_PATIENCE))
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -80,6 +80,10 @@
         self._unanswered.pop(attempt, None)
         self._heard_at = now
 
+    def alive(self, now: float) -> None:
+        """Anything came from the server."""
+        self._heard_at = now
+
     def finished(self, attempt: int) -> None:
         """The attempt is over, in whatever way."""
         self.in_flight -= 1
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -113,6 +113,7 @@
         if self.over:
             return
         if self._streaming:
+            self.standing.alive(self.owner.now())
             self.owner.stream_data(self, data)
             return
         self._size += len(data)
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -15,7 +15,7 @@
 from cloverrouter.decide.budget import BACKOFF_BASE_MS, DEADLINE_MARGIN_MS, backoff_ms
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange
-from cloverrouter.placement.admission import has_time, retry_after_s
+from cloverrouter.placement.admission import absent_retry_after_s, has_time, retry_after_s
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt
 from cloverrouter.placement.servers import Standing
 from cloverrouter.router import answers
@@ -287,11 +287,12 @@
         """Tell the client that the request has not run, and when to come back."""
         if self._charged:
             self._router.refund(self.admitted)
-        wait = retry_after_s(
-            self._router.placement(self.admitted.service).first_token.usual_ms,
-            self._left_ms(),
-            self._router.random.random(),
-        )
+        draw = self._router.random.random()
+        if self._arrivals:
+            usual_ms = self._router.placement(self.admitted.service).first_token.usual_ms
+            wait = retry_after_s(usual_ms, self._left_ms(), draw)
+        else:
+            wait = absent_retry_after_s(self._left_ms(), draw)
         self._respond(answers.UNAVAILABLE, answers.retry_after(wait))
 
     def _pass_on(self, answer: Answer) -> None:
--- a/cloverrouter/router/verdict.py
+++ b/cloverrouter/router/verdict.py
@@ -10,6 +10,8 @@
 from cloverrouter.router.headers import CONTENT_ENCODING, NOT_EXECUTED, SIGNATURE
 
 MISDIRECTED = 421
+PROMISES = frozenset((408, 429, 503))
+"""Statuses that promise a client that its request has not run."""
 _IDENTITY = b"identity"
 
 
@@ -34,8 +36,10 @@
         return Verdict.MISPLACED
     if first(headers, NOT_EXECUTED) is not None and status >= 400:
         return Verdict.NOT_EXECUTED
-    if not first(headers, SIGNATURE):
-        return Verdict.SPOILT
+    if not first(headers, SIGNATURE) or status in PROMISES:
+        return (
+            Verdict.SPOILT
+        )  # danger: without the server's own word that it did not run, no promise may go back
     encoding = first(headers, CONTENT_ENCODING)
     if encoding is not None and encoding.lower() != _IDENTITY:
         return Verdict.SPOILT
--- a/tests/system/test_placement_pick.py
+++ b/tests/system/test_placement_pick.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cloverrouter.placement.admission import has_time, retry_after_s
+from cloverrouter.placement.admission import absent_retry_after_s, has_time, retry_after_s
 from cloverrouter.placement.first_token import FirstTokenModel
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, parse_prompt
@@ -122,6 +122,15 @@
     assert not home.doubted(NOW + SILENCE_S * 3)
 
 
+def test_a_server_that_sends_other_answers_is_not_doubted() -> None:
+    made = placement()
+    home = pick(made, subject(1))
+    home.sent(1, NOW)
+    home.alive(NOW + 1)
+    assert not home.doubted(NOW + 1 + SILENCE_S / 2)
+    assert home.doubted(NOW + 1 + SILENCE_S * 2)
+
+
 def test_if_all_are_to_be_avoided_one_is_picked_all_the_same() -> None:
     made = placement(2, silent=True)
     assert pick(made, subject(1))
@@ -208,5 +217,7 @@
     assert 0.01 <= retry_after_s(20, 600, 0.5) <= 0.2
     assert retry_after_s(20, -5, 0.5) == pytest.approx(0.01)
     assert retry_after_s(20, 5000, 0.0) < retry_after_s(400, 5000, 0.0)
+    assert retry_after_s(20, 5000, 0.0) < absent_retry_after_s(5000, 0.0) < absent_retry_after_s(5000, 1.0)
+    assert absent_retry_after_s(600, 1.0) < 0.2
     assert not has_time(0)
     assert has_time(100)
--- a/tests/system/test_router_failures.py
+++ b/tests/system/test_router_failures.py
@@ -120,6 +120,9 @@
         (500, ()),
         (503, ()),
         (404, ()),
+        (503, (SIGNED,)),
+        (429, (SIGNED,)),
+        (408, (SIGNED,)),
     ],
 )
 def test_what_is_not_the_server_s_answer_does_not_reach_the_client(
