The system's whole path: settings, membership, chain, registrations, distribution, traffic in one process

Ruled out: learning the view by peer sampling alone (seconds after a fail-over), so replicas push it to their subscribers. Before: no system.

--- /dev/null
+++ b/cloverrouter/daemon/configuration_feed.py
@@ -0,0 +1,55 @@
+"""The configuration in force in this process, folded from what the subscriber is handed."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cloverrouter.control.document import ConfigurationState
+from cloverrouter.control.errors import ControlError
+from cloverrouter.control.orders import ConfigurationMachine
+from cloverrouter.control.subscriber import Apply, Replace
+from cloverrouter.control.updates import applied_frame
+from cloverrouter.messages import MessageError
+
+HISTORY = 64
+
+
+class ConfigurationFeed:
+    """`configure` hears of each configuration that comes into force."""
+
+    def __init__(
+        self, configure: Callable[[ConfigurationState], None], on_error: Callable[..., None]
+    ) -> None:
+        self._configure = configure
+        self._on_error = on_error
+        self.state = ConfigurationState()
+        self.history: deque[dict[str, Any]] = deque(maxlen=HISTORY)
+
+    def take(self, effect: Apply | Replace) -> None:
+        """Put it in force."""
+        try:
+            state = self._after(effect)
+        except (ControlError, MessageError) as error:
+            self._on_error("configuration-not-applied", sequence=effect.sequence, error=str(error))
+            return
+        if state.version == self.state.version:
+            return
+        self.state = state
+        self.history.append({"sequence": effect.sequence, "version": state.version, "at": time.time()})
+        self._configure(state)
+
+    def _after(self, effect: Apply | Replace) -> ConfigurationState:
+        if isinstance(effect, Replace):
+            machine = ConfigurationMachine()
+            machine.restore(effect.snapshot)
+            return machine.state
+        return _folded(self.state, effect.updates)
+
+
+def _folded(state: ConfigurationState, updates: Iterable[bytes]) -> ConfigurationState:
+    for update in updates:
+        state = applied_frame(state, update)
+    return state
--- /dev/null
+++ b/cloverrouter/daemon/control_calls.py
@@ -0,0 +1,191 @@
+"""What the calls of operators and servers do in this process: the backend of the control API."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+from cloverrouter.control.api import RegisterReply
+from cloverrouter.control.errors import Unavailable
+from cloverrouter.control.forwarding import Kind
+from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.control.metrics import Figure
+from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
+from cloverrouter.control.registry_messages import ModelOnServer
+from cloverrouter.control.updates import decoded
+from cloverrouter.messages import encode
+
+if TYPE_CHECKING:
+    from cloverrouter.daemon.control_plane import ControlPlane
+
+
+class ControlCalls:
+    """Implements `control.api.ControlBackend` on a process's control plane."""
+
+    def __init__(self, plane: ControlPlane, loop: asyncio.AbstractEventLoop) -> None:
+        self._plane = plane
+        self._loop = loop
+        self._tickets = itertools.count(1)
+        self._calls: dict[int, asyncio.Future[bytes | None]] = {}
+        self._changes: dict[int, asyncio.Future[bool]] = {}
+
+    @property
+    def under_way(self) -> int:
+        """Calls that wait for their answer."""
+        return len(self._calls) + len(self._changes)
+
+    # What the cores tell
+
+    def call_ended(self, ticket: int, reply: bytes | None) -> None:
+        """The head has answered, or the call was given up."""
+        future = self._calls.pop(ticket, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def change_ended(self, change: int, acknowledged: bool) -> None:
+        """News of a server is with the voters, or found no majority."""
+        future = self._changes.pop(change, None)
+        if future is not None and not future.done():
+            future.set_result(acknowledged)
+
+    # ControlBackend
+
+    async def order(self, method: str, if_match: str | None, body: bytes) -> OrderReply:
+        reply = await self._ask(Kind.ORDER, encode(Order(method, if_match, body)))
+        return decoded(reply, OrderReply)
+
+    async def read(self) -> bytes | None:
+        snapshot = await self._ask(Kind.READ, b"")
+        if not snapshot:
+            return None
+        return decoded(snapshot, MachineSnapshot).document or None
+
+    async def _ask(self, kind: Kind, command: bytes) -> bytes:
+        ticket = next(self._tickets)
+        future: asyncio.Future[bytes | None] = self._loop.create_future()
+        self._calls[ticket] = future
+        try:
+            self._plane.ask_head(ticket, kind, command)
+            reply = await future
+        finally:
+            self._calls.pop(ticket, None)
+        if reply is None:
+            raise Unavailable("the head of the chain did not answer; the order may still be taken")
+        return reply
+
+    async def register(self, instance_id: str, body: dict[str, Any]) -> RegisterReply:
+        instance = _instance_of(instance_id, body, self._loop.time())
+        change, effects = self._plane.registry.announced(self._loop.time(), instance)
+        await self._change(change, effects)
+        return RegisterReply()
+
+    async def withdraw(self, instance_id: str) -> bool:
+        known = self._plane.registry.find(instance_id) is not None
+        change, effects = self._plane.registry.withdrawn(self._loop.time(), instance_id)
+        await self._change(change, effects)
+        return known
+
+    async def _change(self, change: int, effects: Iterable[Any]) -> None:
+        future: asyncio.Future[bool] = self._loop.create_future()
+        self._changes[change] = future
+        try:
+            self._plane.note(effects)
+            acknowledged = await future
+        finally:
+            self._changes.pop(change, None)
+        if not acknowledged:
+            raise Unavailable("no majority of the replicas has taken it")
+
+    # For people
+
+    def instances(self) -> dict[str, Any]:
+        registry = self._plane.registry
+        return {
+            service: [
+                _shown(instance, registry.is_silent(instance.id)) for instance in registry.instances(service)
+            ]
+            for service in registry.services()
+        }
+
+    def status(self) -> dict[str, Any]:
+        plane, now = self._plane, self._loop.time()
+        return {
+            "process": os.getpid(),
+            "configuration-version": plane.feed.state.version,
+            "sequence": plane.subscriber.have,
+            "current": plane.subscriber.current(now),
+            "fleet-size": plane.subscriber.fleet_size(),
+            "ready": plane.traffic.router.ready(),
+            "in-flight": plane.traffic.router.in_flight,
+            "replica": plane.role.identity if plane.role is not None else None,
+            "view": self.view(),
+        }
+
+    def view(self) -> dict[str, Any]:
+        summary = self._plane.summary
+        if summary is None:
+            return {}
+        return {
+            "epoch": summary.epoch,
+            "active": summary.active,
+            "head": summary.head,
+            "voters": [{"ip": place.ip, "identity": place.identity} for place in summary.voters],
+            "committed": summary.committed,
+        }
+
+    def history(self) -> list[dict[str, Any]]:
+        return list(self._plane.feed.history)
+
+    def trace(self, request_id: str) -> dict[str, Any] | None:
+        return None
+
+    def figures(self) -> Iterable[Figure]:
+        plane = self._plane
+        transport = plane.transport
+        yield Figure.single(
+            "cypresswinch_in_flight", "gauge", "Requests under way.", plane.traffic.router.in_flight
+        )
+        yield Figure.single(
+            "cypresswinch_configuration_version", "gauge", "Version in force.", plane.feed.state.version
+        )
+        yield Figure.single(
+            "cypresswinch_peer_sent_bytes_total", "counter", "Bytes sent to peers.", transport.bytes_sent
+        )
+        yield Figure.single(
+            "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
+        )
+
+
+def _instance_of(instance_id: str, fields: dict[str, Any], now: float) -> Instance:
+    warmup_ms = fields.get("warmup-remaining-ms") or 0
+    state = InstanceState.DRAINING if fields["lifecycle-state"] == "draining" else InstanceState.READY
+    return Instance(
+        id=instance_id,
+        service=fields["backend"],
+        address=fields["address"],
+        zone=fields.get("availability-zone", ""),
+        version=fields.get("version", ""),
+        capacity=fields["capacity"],
+        state=state,
+        warm_at=now + warmup_ms / 1000 if warmup_ms > 0 else 0.0,
+        sequence=fields["sequence-number"],
+        phase=fields.get("phase", ""),
+        models=tuple(
+            ModelOnServer(model["name"], int(model.get("version", 0)), tuple(model.get("lora-adapters", ())))
+            for model in fields.get("model-list", ())
+        ),
+    )
+
+
+def _shown(instance: Instance, silent: bool) -> dict[str, Any]:
+    return {
+        "id": instance.id,
+        "address": instance.address,
+        "zone": instance.zone,
+        "state": instance.state.name.lower(),
+        "capacity": instance.capacity,
+        "silent": silent,
+    }
--- /dev/null
+++ b/cloverrouter/daemon/control_plane.py
@@ -0,0 +1,337 @@
+"""The control plane of one process: its cores, their clock, and the messages to and from other machines."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from random import Random
+
+from cloverrouter.control import distribution_messages, registry_messages
+from cloverrouter.control.announcements import Acknowledged, Failed
+from cloverrouter.control.api import ControlApi
+from cloverrouter.control.document import ConfigurationState
+from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, SendCall
+from cloverrouter.control.quota_allocator import QuotaAllocator
+from cloverrouter.control.registry import Effect as RegistryEffect
+from cloverrouter.control.registry import Registry
+from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
+from cloverrouter.control.subscriber import Apply, Replace, Subscriber, VoterAddress
+from cloverrouter.control.subscriber import Effect as SubscriberEffect
+from cloverrouter.coordination import messages as chain_messages
+from cloverrouter.coordination import sampling_messages, views
+from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
+from cloverrouter.coordination.messages import GENESIS_MESSAGES
+from cloverrouter.coordination.sampling import DiskMemberLearned, PeerSampler, ViewLearned
+from cloverrouter.coordination.sampling import Effect as SamplerEffect
+from cloverrouter.coordination.sampling_messages import PeerRecord, ViewSummary
+from cloverrouter.coordination.views import Member
+from cloverrouter.daemon.configuration_feed import ConfigurationFeed
+from cloverrouter.daemon.control_calls import ControlCalls
+from cloverrouter.daemon.logs import Log
+from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
+from cloverrouter.daemon.settings import Settings
+from cloverrouter.daemon.traffic import Traffic
+from cloverrouter.daemon.transport import Transport
+from cloverrouter.daemon.view_notice import ViewNotice
+from cloverrouter.messages import messages_of
+from cloverrouter.messages.sending import Send
+from cloverrouter.placement import quota_messages
+
+FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
+LOOK_S = 0.2  # between looks at what peer sampling has found
+
+Handler = Callable[[float, str, object], None]
+
+
+class ControlPlane:
+    """All cores of the control plane in this process."""
+
+    def __init__(self, settings: Settings, random: Random, traffic: Traffic, log: Log) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._random = random
+        self.traffic = traffic
+        self._log = log
+        self.transport = Transport(
+            settings.ip, settings.internal_ports[0], self._receive, self._link, self._peer_error
+        )
+        traffic.send_with(self.transport.send)
+        incarnation = int(time.time() * 1000)
+        self._record = PeerRecord(settings.ip, settings.name, settings.zone, incarnation=incarnation)
+        self.sampler = PeerSampler(self._record, settings.seeds, random)
+        self.registry = Registry(settings.ip, settings.heartbeat_s)
+        self.subscriber = Subscriber(settings.ip, settings.zone, random)
+        self.feed = ConfigurationFeed(self._configured, log.error)
+        self._forwarder = Forwarder()
+        self.role: ReplicaRole | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._genesis = self._genesis_proposer()
+        self._allocator: QuotaAllocator | None = None
+        self._allocator_epoch = -1
+        self.summary: ViewSummary | None = None
+        self._calls = ControlCalls(self, self._loop)
+        self.api = ControlApi(self._calls)
+        self._handlers = self._handler_table()
+        self._next_look = 0.0
+
+    def _genesis_proposer(self) -> GenesisProposer | None:
+        settings = self._settings
+        if not settings.bootstrap or settings.ip not in settings.seeds:
+            return None
+        return GenesisProposer(settings.ip, settings.seeds, GenesisConfig(settings.tolerated_machines))
+
+    # Coming and going
+
+    async def open(self) -> None:
+        """Begin to listen and to look for others."""
+        await self.transport.listen()
+        now = self._loop.time()
+        if self._settings.is_replica:
+            self._opening = self._loop.create_task(self._open_role())
+        self._sampled(now, self.sampler.start(now))
+        self._registered(self.registry.start(now))
+        self._subscribed(self.subscriber.start(now))
+        if self._genesis is not None:
+            self._send_all(self._genesis.start(now))
+
+    async def _open_role(self) -> None:
+        ports = RolePorts(self.transport.send, self._own_view, self._log.error, self._log.change)
+        role = await ReplicaRole.open(self._settings, ports, self._random)
+        now = self._loop.time()
+        self.sampler.describe(now, identity=role.identity, counts=True)
+        self.role = role
+        role.start(now)
+
+    def seeds_changed(self, seeds: tuple[str, ...]) -> None:
+        """The settings file names other seeds."""
+        now = self._loop.time()
+        self._sampled(now, self.sampler.seeds_changed(now, seeds))
+
+    def resign(self) -> None:
+        """The process is about to end."""
+        if self.role is not None:
+            self.role.resign(self._loop.time())
+
+    @property
+    def calls_under_way(self) -> int:
+        """Calls of operators and servers that wait for their answer."""
+        return self._calls.under_way
+
+    async def close(self) -> None:
+        """The end."""
+        if self._opening is not None:
+            self._opening.cancel()
+        if self.role is not None:
+            self.role.close()
+        await self.transport.close()
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Time has passed; called every 50 ms."""
+        if self.role is not None:
+            self.role.tick(now)
+        self._sampled(now, self.sampler.tick(now))
+        if now >= self._next_look:
+            self._next_look = now + LOOK_S
+            self._look(now)
+        if self._genesis is not None:
+            self._send_all(self._genesis.tick(now))
+            if self._genesis.over:
+                self._genesis = None
+        self._registered(self.registry.tick(now))
+        self._subscribed(self.subscriber.tick(now))
+        self._forwarded(self._forwarder.tick(now))
+        self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
+        self._tick_allocator(now)
+
+    def _look(self, now: float) -> None:
+        """Pass on what was discovered, and how many proxies there are."""
+        members = [
+            Member(found.record.identity, found.record.ip, found.record.name, found.record.zone)
+            for found in self.sampler.discovered(now)
+            if found.silent_for < FRESH_MEMBER_S
+        ]
+        if self.role is not None:
+            self.role.discovered(now, members)
+        if self._genesis is not None:
+            self._send_all(self._genesis.discovered(now, members))
+        size = self.subscriber.fleet_size()
+        if size:
+            self.traffic.fleet_changed(size)
+
+    # Messages
+
+    def _handler_table(self) -> dict[type, Handler]:
+        table: dict[type, Handler] = {
+            HeadCall: self._on_head_call,
+            HeadAnswer: self._on_head_answer,
+            ViewNotice: self._on_view_notice,
+        }
+        for module, handler in (
+            (sampling_messages, self._on_sampling),
+            (registry_messages, self._on_registry),
+            (distribution_messages, self._on_distribution),
+            (quota_messages, self._on_quota),
+            (chain_messages, self._on_chain),
+            (views, self._on_chain),
+        ):
+            table.update(dict.fromkeys(messages_of(module.__name__), handler))
+        table.update(dict.fromkeys(GENESIS_MESSAGES, self._on_genesis))
+        return table
+
+    def _receive(self, ip: str, message: object) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(self._loop.time(), ip, message)
+
+    def _link(self, ip: str, up: bool) -> None:
+        now = self._loop.time()
+        if up:
+            self._registered(self.registry.link_up(now, ip))
+            self._subscribed(self.subscriber.link_up(now, ip))
+        else:
+            self._registered(self.registry.link_down(now, ip))
+
+    def _peer_error(self, ip: str, error: Exception) -> None:
+        self._log.error("peer-malformed", peer=ip, error=str(error))
+
+    def _send_all(self, effects: Iterable[object]) -> None:
+        for effect in effects:
+            self.transport.send(effect.ip, effect.message)  # type: ignore[attr-defined]
+
+    def _on_sampling(self, now: float, ip: str, message: object) -> None:
+        self._sampled(now, self.sampler.receive(now, ip, message))
+
+    def _on_registry(self, now: float, ip: str, message: object) -> None:
+        self._registered(self.registry.receive(now, ip, message))
+
+    def _on_distribution(self, now: float, ip: str, message: object) -> None:
+        if self.role is not None:
+            self.role.subscriber_says(now, ip, message)
+        self._subscribed(self.subscriber.receive(now, ip, message))
+
+    def _on_chain(self, now: float, ip: str, message: object) -> None:
+        if self.role is not None:
+            self.role.receive(now, ip, message)
+
+    def _on_genesis(self, now: float, ip: str, message: object) -> None:
+        if self._genesis is not None:
+            self._send_all(self._genesis.receive(now, ip, message))
+
+    def _on_head_call(self, now: float, ip: str, message: object) -> None:
+        assert isinstance(message, HeadCall)
+        if self.role is not None:
+            self.role.called(now, ip, message)
+        else:
+            self.transport.send(ip, HeadAnswer(message.ticket, False, b""))
+
+    def _on_head_answer(self, now: float, ip: str, message: object) -> None:
+        assert isinstance(message, HeadAnswer)
+        self._forwarded(self._forwarder.answered(now, message))
+
+    def _on_view_notice(self, now: float, ip: str, message: object) -> None:
+        assert isinstance(message, ViewNotice)
+        self.sampler.view_changed(now, message.summary)
+        self._view_learned(now, message.summary)
+
+    def _on_quota(self, now: float, ip: str, message: object) -> None:
+        if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
+            if self._allocator is not None and self.role is not None and self.role.leads(now):
+                self._send_all(self._allocator.receive(now, ip, message))
+        else:
+            self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
+
+    # What the cores ask for
+
+    def _sampled(self, now: float, effects: Iterable[SamplerEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.transport.send(effect.ip, effect.message)
+            elif isinstance(effect, ViewLearned):
+                self._view_learned(now, effect.summary)
+            elif isinstance(effect, DiskMemberLearned):
+                self._next_look = 0.0
+
+    def _registered(self, effects: Iterable[RegistryEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.transport.send(effect.ip, effect.message)
+            elif isinstance(effect, Acknowledged | Failed):
+                self._calls.change_ended(effect.change, isinstance(effect, Acknowledged))
+            elif isinstance(effect, InstancesChanged):
+                self.traffic.instances_changed(effect.instances, self.registry.is_silent)
+            elif isinstance(effect, InstancesSilent | InstancesHeard):
+                found = (self.registry.find(instance_id) for instance_id in effect.ids)
+                known = [instance for instance in found if instance is not None]
+                self.traffic.instances_changed(known, self.registry.is_silent)
+
+    def _subscribed(self, effects: Iterable[SubscriberEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.transport.send(effect.ip, effect.message)
+            elif isinstance(effect, Apply | Replace):
+                self.feed.take(effect)
+
+    def _forwarded(self, effects: Iterable[SendCall | Finished]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendCall):
+                self.transport.send(effect.ip, effect.call)
+            else:
+                self._calls.call_ended(effect.ticket, effect.reply)
+
+    def ask_head(self, ticket: int, kind: object, command: bytes) -> None:
+        """Have the head answer a call; `ControlCalls.call_ended` hears of it."""
+        self._forwarded(self._forwarder.ask(self._loop.time(), ticket, kind, command))  # type: ignore[arg-type]
+
+    def note(self, effects: Iterable[RegistryEffect]) -> None:
+        """Carry out what a call of the registry gave."""
+        self._registered(effects)
+
+    # The view
+
+    def _own_view(self, summary: ViewSummary) -> None:
+        now = self._loop.time()
+        self.sampler.view_changed(now, summary)
+        self._view_learned(now, summary)
+
+    def _view_learned(self, now: float, summary: ViewSummary) -> None:
+        before = self.summary
+        if before is not None and summary.order() < before.order():
+            return
+        self.summary = summary
+        ips = [place.ip for place in summary.voters]
+        if before is None or [place.ip for place in before.voters] != ips:
+            zones = {found.record.ip: found.record.zone for found in self.sampler.discovered(now)}
+            addresses = [VoterAddress(ip, zones.get(ip, "")) for ip in ips]
+            for ip in ips:
+                self.transport.open(ip)
+            self._registered(self.registry.voters_changed(now, ips))
+            self._subscribed(self.subscriber.voters_changed(now, addresses))
+        head = summary.head if summary.active else None
+        self._forwarded(self._forwarder.head_changed(now, head))
+        self.registry.set_head(now, head == self._settings.ip)
+        self.traffic.quota.holder.head_changed(head, summary.epoch)
+        self._choose_allocator(now, summary, head)
+
+    # Quotas
+
+    def _choose_allocator(self, now: float, summary: ViewSummary, head: str | None) -> None:
+        if head != self._settings.ip:
+            self._allocator = None
+            self._allocator_epoch = -1
+        elif self._allocator_epoch != summary.epoch:
+            self._allocator_epoch = summary.epoch
+            self._allocator = QuotaAllocator(summary.epoch, now, self.traffic.quota_rules)
+            self._allocator.configure(self.traffic.limits, self.traffic.fleet_size)
+
+    def _tick_allocator(self, now: float) -> None:
+        if self._allocator is not None and self.role is not None and self.role.leads(now):
+            self._send_all(self._allocator.tick(now))
+
+    def _configured(self, state: ConfigurationState) -> None:
+        self._log.change("configuration", version=state.version)
+        self.traffic.configure(state.configuration())
+        if self._allocator is not None:
+            self._allocator.configure(self.traffic.limits, self.traffic.fleet_size)
--- /dev/null
+++ b/cloverrouter/daemon/node.py
@@ -0,0 +1,112 @@
+"""One process of the system: its parts put together, its clock, and how it comes and goes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from random import Random
+
+from cloverrouter.daemon import settings as settings_file
+from cloverrouter.daemon.control_plane import ControlPlane
+from cloverrouter.daemon.errors import SettingsError
+from cloverrouter.daemon.logs import Log
+from cloverrouter.daemon.settings import Address, Settings
+from cloverrouter.daemon.traffic import Traffic
+from cloverrouter.http.exchange import Exchange
+from cloverrouter.http.server import Server, ServerLimits
+
+TICK_S = 0.05
+END_MARGIN_S = 0.7  # before the platform would kill the process
+END_LOOK_S = 0.05
+QUIET_LOOKS = 6  # so many looks in a row without an open request end a process that was told to end
+CONTROL_CONNECTIONS = 512
+READINESS_CONNECTIONS = 64
+MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
+
+log = logging.getLogger(__name__)
+
+
+class Node:
+    """Runs until it is told to stop."""
+
+    def __init__(self, settings: Settings, path: str) -> None:
+        self._settings = settings
+        self._path = path
+        self._loop = asyncio.get_running_loop()
+        self._stopping = asyncio.Event()
+        self._log = Log(settings.log_level, settings.name)
+        self._random = Random(int.from_bytes(os.urandom(8), "big"))
+        self._traffic = Traffic(settings, self._random, self._log)
+        self._control = ControlPlane(settings, self._random, self._traffic, self._log)
+        self._servers: list[Server] = []
+        self._frontend: Server | None = None
+
+    async def run(self) -> int:
+        """The exit code."""
+        await self._control.open()
+        await self._listen()
+        self._tick()
+        self._log.change("started", ip=self._settings.ip, replica=self._settings.is_replica)
+        await self._stopping.wait()
+        await self._drain()
+        for server in self._servers:
+            server.close()
+        await self._control.close()
+        return 0
+
+    def stop(self) -> None:
+        """SIGTERM."""
+        self._stopping.set()
+
+    def reload(self) -> None:
+        """SIGHUP: the settings file has changed. Danger: a bad file must not cost what works."""
+        try:
+            found = settings_file.read(self._path)
+        except SettingsError as error:
+            self._log.error("settings-refused", findings=list(error.findings))
+            return
+        self._control.seeds_changed(found.seeds)
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        most = max(64, settings.file_descriptors // 2 - CONTROL_CONNECTIONS)
+        if settings.readiness is not None:
+            await self._serve(settings.readiness, self._readiness, READINESS_CONNECTIONS)
+        if settings.control is not None:
+            await self._serve(settings.control, self._control.api.handle, CONTROL_CONNECTIONS)
+        if settings.frontend is not None:
+            self._frontend = await self._serve(settings.frontend, self._traffic.router.handle, most)
+            self._traffic.frontend = self._frontend
+
+    async def _serve(self, address: Address, handle: object, connections: int) -> Server:
+        limits = ServerLimits(max_connections=connections, body_bytes=MAX_CONTROL_BODY_BYTES)
+        server = Server(handle, limits)  # type: ignore[arg-type]
+        await server.listen(*address)
+        self._servers.append(server)
+        return server
+
+    def _readiness(self, exchange: Exchange) -> None:
+        ready = self._traffic.router.ready() and not self._stopping.is_set()
+        body = b"ready\n" if ready else b"not ready\n"
+        exchange.respond(200 if ready else 503, [], body)
+
+    def _tick(self) -> None:
+        self._control.tick(self._loop.time())
+        self._loop.call_later(TICK_S, self._tick)
+
+    async def _drain(self) -> None:
+        """Leave without losing what was taken, within the grace period."""
+        self._log.change("draining", in_flight=self._traffic.router.in_flight)
+        router, frontend = self._traffic.router, self._frontend
+        router.draining = True
+        self._control.resign()
+        if frontend is None:
+            return
+        frontend.drain()
+        end_s = self._loop.time() + self._settings.bounds.grace_period_s - END_MARGIN_S
+        quiet = 0
+        while self._loop.time() < end_s and quiet < QUIET_LOOKS:
+            await asyncio.sleep(END_LOOK_S)
+            busy = frontend.open_exchanges or frontend.connections or self._control.calls_under_way
+            quiet = 0 if busy else quiet + 1
--- /dev/null
+++ b/cloverrouter/daemon/replica_role.py
@@ -0,0 +1,149 @@
+"""What a machine with a disk that counts does: its replica, its desk, and publishing what is committed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+
+import attrs
+
+from cloverrouter.control.forwarding import HeadCall
+from cloverrouter.control.orders import ConfigurationMachine
+from cloverrouter.control.publisher import Publisher, SnapshotWanted
+from cloverrouter.coordination.effects import Committed, ReplicaConfig, Restored, ViewChanged, ViewInfo
+from cloverrouter.coordination.replica import Replica
+from cloverrouter.coordination.sampling_messages import ViewSummary, VoterPlace
+from cloverrouter.coordination.views import Member
+from cloverrouter.daemon.head_desk import HeadDesk
+from cloverrouter.daemon.replica_driver import ReplicaDriver, ReplicaListener
+from cloverrouter.daemon.settings import Settings
+from cloverrouter.daemon.view_notice import ViewNotice
+from cloverrouter.messages.sending import Send
+from cloverrouter.store.errors import StoreError
+from cloverrouter.store.records import StoredReplica
+from cloverrouter.store.replica_store import ReplicaStore
+
+MEGABYTE = 1024 * 1024
+DISK_RETRY_S = 0.3
+
+
+@attrs.frozen(slots=True)
+class RolePorts:
+    """What the role needs of the process. `on_view` hears of the view as the replica knows it."""
+
+    send: Callable[[str, object], None]
+    on_view: Callable[[ViewSummary], None]
+    log_error: Callable[..., None]
+    log_change: Callable[..., None]
+
+
+class ReplicaRole:
+    """One replica with all that hangs on it."""
+
+    def __init__(self, settings: Settings, store: ReplicaStore, stored: StoredReplica, ports: RolePorts,
+                 random: Random) -> None:  # fmt: skip
+        self._loop = asyncio.get_running_loop()
+        self._ports = ports
+        self.identity = stored.identity
+        self.publisher = Publisher()
+        me = Member(stored.identity, settings.ip, settings.name, settings.zone)
+        config = ReplicaConfig(settings.tolerated_machines)
+        self.replica = Replica(me, stored, ConfigurationMachine(), config, random)
+        self._desk = HeadDesk(self.replica, ports.send)
+        listener = ReplicaListener(
+            ports.send, self._desk.answered, self._committed, self._restored, self._view_changed
+        )
+        self._driver = ReplicaDriver(self.replica, store, listener)
+        self._snapshot_wanted = False
+
+    @staticmethod
+    async def open(settings: Settings, ports: RolePorts, random: Random) -> ReplicaRole:
+        """Read the disk and begin. Waits for a disk that gives nothing: nothing can be said without it."""
+        assert settings.data_directory is not None
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                store = ReplicaStore.open(settings.data_directory, int(settings.disk_mb * MEGABYTE))
+                stored = await loop.run_in_executor(None, store.load, settings.bootstrap)
+                return ReplicaRole(settings, store, stored, ports, random)
+            except StoreError as error:
+                ports.log_error("disk-unusable", error=str(error))
+                await asyncio.sleep(DISK_RETRY_S)
+
+    def start(self, now: float) -> None:
+        """The process starts."""
+        self._publish(self.publisher.start(now))
+        self._driver.carry_out(self.replica.start(now))
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        self._driver.carry_out(self.replica.tick(now))
+        if self._snapshot_wanted:
+            self._give_snapshot(now)
+        self._publish(self.publisher.tick(now))
+
+    def receive(self, now: float, ip: str, message: object) -> None:
+        """A message of another replica."""
+        self._driver.carry_out(self.replica.receive(now, ip, message))
+
+    def subscriber_says(self, now: float, ip: str, message: object) -> None:
+        """A message of a proxy's subscriber."""
+        self._publish(self.publisher.receive(now, ip, message))
+
+    def called(self, now: float, ip: str, call: HeadCall) -> None:
+        """A proxy's call to the head."""
+        self._driver.carry_out(self._desk.called(now, ip, call))
+
+    def discovered(self, now: float, members: Iterable[Member]) -> None:
+        """Disks that peer sampling knows."""
+        self._driver.carry_out(self.replica.discovered(now, members))
+
+    def resign(self, now: float) -> None:
+        """The process is about to end."""
+        self._driver.carry_out(self.replica.resign(now))
+
+    def close(self) -> None:
+        self._driver.close()
+
+    def leads(self, now: float) -> bool:
+        """Is this surely the head, and nobody else?"""
+        until = self.replica.lead_until
+        return until is not None and now < until
+
+    def _committed(self, event: Committed) -> None:
+        self._publish(self.publisher.committed(self._loop.time(), event.seq, event.update))
+
+    def _restored(self, event: Restored) -> None:
+        self._publish(self.publisher.restored(self._loop.time(), event.seq, event.snapshot))
+
+    def _publish(self, effects: Iterable[Send | SnapshotWanted]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._ports.send(effect.ip, effect.message)
+            else:
+                self._snapshot_wanted = True
+
+    def _give_snapshot(self, now: float) -> None:
+        seq, snapshot = self.replica.committed
+        if snapshot is not None:
+            self._snapshot_wanted = False
+            self._publish(self.publisher.restored(now, seq, snapshot))
+
+    def _view_changed(self, event: ViewChanged) -> None:
+        summary = summary_of(event.view, self.replica.committed[0])
+        self._ports.log_change(
+            "view", epoch=summary.epoch, active=summary.active, head=summary.head,
+            chain=[member.ip for member in event.view.chain],
+        )  # fmt: skip
+        if all(place.identity != self.identity for place in summary.voters):
+            self.publisher.resign()
+        self._ports.on_view(summary)
+        for ip in self.publisher.acknowledged():
+            self._ports.send(ip, ViewNotice(summary))
+
+
+def summary_of(view: ViewInfo, committed: int) -> ViewSummary:
+    """What other machines are told of a view."""
+    voters = tuple(VoterPlace(member.ip, member.identity) for member in view.voters)
+    return ViewSummary(view.epoch, "", view.active, view.head_ip or "", voters, committed)
--- /dev/null
+++ b/cloverrouter/daemon/traffic.py
@@ -0,0 +1,128 @@
+"""The data plane of one process: router, connections to servers, quotas and retry budgets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Iterable
+from random import Random
+
+from cloverrouter.control.configuration import Configuration
+from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.daemon.logs import Log
+from cloverrouter.daemon.quota_port import QuotaPort
+from cloverrouter.daemon.settings import Settings, parse_address
+from cloverrouter.http.client import ConnectionPool
+from cloverrouter.http.server import Server as HttpServer
+from cloverrouter.http.server import ServerLimits
+from cloverrouter.placement.quota import QuotaHolder
+from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
+from cloverrouter.placement.retries import RetryBudgets
+from cloverrouter.placement.servers import Server
+from cloverrouter.router.bounds import RouterBounds
+from cloverrouter.router.router import Router
+
+CONNECT_TIMEOUT_S = 0.4
+UPSTREAM_IDLE_S = 10.0
+BODY_TIMEOUT_S = 3.0
+STARTING_FLEET = 16  # proxies there may be, until the control plane tells
+
+
+class Traffic:
+    """The data plane. What it needs of the control plane is handed to it."""
+
+    def __init__(self, settings: Settings, random: Random, log: Log) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._sender: Callable[[str, object], None] | None = None
+        bounds = settings.bounds
+        self.quota_rules = QuotaRules(bounds.quota_period_s, bounds.quota_overshoot, bounds.quota_tolerance)
+        incarnation = int.from_bytes(os.urandom(6), "big")
+        holder = QuotaHolder(incarnation, self._loop.time(), self.quota_rules)
+        self.quota = QuotaPort(holder, self._send, self._quota_woken)
+        self.budgets = RetryBudgets(
+            bounds.retry_allowance,
+            bounds.retry_budget_ratio,
+            bounds.retry_window_s,
+            STARTING_FLEET,
+            self._loop.time,
+            random,
+        )
+        self._pool = ConnectionPool(
+            max_connections=settings.file_descriptors // 2,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            idle_timeout_s=UPSTREAM_IDLE_S,
+        )
+        self.router = Router(
+            self._loop.time,
+            self._loop.call_later,
+            random,
+            self._pool,
+            settings.zone,
+            RouterBounds(pass_ms=bounds.pass_s * 1000),
+            self.quota,
+            self.budgets,
+            log.request,
+        )
+        self.frontend: HttpServer | None = None
+        self.limits: dict[str, TenantLimit] = {}
+        self.fleet_size = STARTING_FLEET
+
+    def send_with(self, send: Callable[[str, object], None]) -> None:
+        """Messages to other machines go out by this from now on."""
+        self._sender = send
+
+    def _send(self, ip: str, message: object) -> None:
+        if self._sender is not None:
+            self._sender(ip, message)
+
+    def _quota_woken(self, tenant: str) -> None:
+        self.router.quota_woken(tenant)
+
+    def configure(self, configuration: Configuration) -> None:
+        """A configuration is in force from now on."""
+        self.router.configure(configuration)
+        self.limits = {
+            tenant.name: TenantLimit(tenant.rate_per_s or 0.0, tenant.burst_size or 0.0)
+            for tenant in configuration.tenants
+        }
+        self.quota.holder.configure(self.limits, self.fleet_size)
+        if self.frontend is not None:
+            told = configuration.limits
+            self.frontend.limits = ServerLimits(
+                head_bytes=told.header_bytes,
+                body_bytes=told.body_bytes,
+                head_timeout_s=told.header_timeout_ms / 1000,
+                body_timeout_s=BODY_TIMEOUT_S,
+                idle_timeout_s=told.idle_timeout_ms / 1000,
+                max_connections=self.frontend.limits.max_connections,
+            )
+
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies there are, as the control plane knows."""
+        if size != self.fleet_size:
+            self.fleet_size = size
+            self.quota.holder.configure(self.limits, size)
+            self.budgets.resize(size)
+
+    def instances_changed(self, instances: Iterable[Instance], is_silent: Callable[[str], bool]) -> None:
+        """Servers are new, changed or gone."""
+        servers = (_server(instance, is_silent(instance.id)) for instance in instances)
+        self.router.servers_changed([server for server in servers if server is not None])
+
+
+def _server(instance: Instance, silent: bool) -> Server | None:
+    try:
+        address = parse_address(instance.address)
+    except ValueError:
+        return None
+    return Server(
+        id=instance.id,
+        service=instance.service,
+        address=address,
+        zone=instance.zone,
+        capacity=instance.capacity,
+        ready=instance.is_live and instance.state is InstanceState.READY,
+        warm_at=instance.warm_at,
+        silent=silent,
+    )
--- a/cloverrouter/decide/budget.py
+++ b/cloverrouter/decide/budget.py
@@ -14,18 +14,18 @@
 class RetryBudget:
     """The paper's token bucket: served answers earn, retries spend."""
 
-    def __init__(self) -> None:
-        self.tokens = BUDGET_CAPACITY
+    def __init__(self, capacity: float = BUDGET_CAPACITY, ratio: float = RETRY_RATIO) -> None:
+        self.tokens = self.capacity = capacity
+        self.cost = 1 / ratio  # tokens that one retry spends
 
     def earn(self) -> None:
-        self.tokens = min(BUDGET_CAPACITY, self.tokens + 1)
+        self.tokens = min(self.capacity, self.tokens + 1)
 
     def spend(self) -> bool:
         """Pay for one retry; False, and nothing spent, if the tokens do not reach."""
-        cost = 1 / RETRY_RATIO
-        if self.tokens < cost:
+        if self.tokens < self.cost:
             return False
-        self.tokens -= cost
+        self.tokens -= self.cost
         return True
 
 
--- a/cloverrouter/messages/__init__.py
+++ b/cloverrouter/messages/__init__.py
@@ -1,6 +1,15 @@
 """The internal protocol between the proxies: typed messages, their Avro encoding, and framing."""
 
-from cloverrouter.messages.codec import Decoder, encode, message, nested
+from cloverrouter.messages.codec import Decoder, encode, message, messages_of, nested
 from cloverrouter.messages.errors import FrameTooLarge, MalformedFrame, MessageError
 
-__all__ = ["Decoder", "FrameTooLarge", "MalformedFrame", "MessageError", "encode", "message", "nested"]
+__all__ = [
+    "Decoder",
+    "FrameTooLarge",
+    "MalformedFrame",
+    "MessageError",
+    "encode",
+    "message",
+    "messages_of",
+    "nested",
+]
--- a/cloverrouter/messages/codec.py
+++ b/cloverrouter/messages/codec.py
@@ -183,3 +183,8 @@
             found = _decode(type_id, body)
             if found is not None:
                 yield found
+
+
+def messages_of(module: str) -> tuple[type, ...]:
+    """The message classes that a module defines, by its full name."""
+    return tuple(cls for cls in _kinds_by_class if cls.__module__ == module)
--- /dev/null
+++ b/cloverrouter/placement/retries.py
@@ -0,0 +1,152 @@
+"""What one proxy of a fleet may spend on retries, and how long a retry waits.
+
+The rule: over all proxies, in each sliding window, the arrivals at a service beyond the first of each
+request are at most ratio x requests + allowance, where the requests of the window, of the one before or
+of the one half-way count, whichever are most. Proxies don't talk about it. Each has the design's token
+bucket: an answer earns half the ratio, a retry spends one whole. Its capacity is what it earned in the
+last window, and beside that a part of `FLOOR_PART` of the allowance. So what N proxies spend in a
+window is at most what they stored (FLOOR_PART x allowance + ratio/2 x answers of the window before) and
+what they earn (ratio/2 x answers of the window); a restart adds `START_PART` of a floor. The rest of
+the allowance is left for restarts, and for answers that come a window after their requests.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from cloverrouter.decide.budget import (
+    BACKOFF_BASE_MS,
+    BACKOFF_CAP_MS,
+    DEADLINE_MARGIN_MS,
+    RetryBudget,
+    backoff_ms,
+)
+
+FLOOR_PART = 0.5  # of the allowance: what all proxies together may store without having earned it lately
+START_PART = 0.2  # of its floor: what a proxy has at its start
+EARNED_PART = 0.5  # of the rule's ratio: what an answer earns
+SLOTS = 10  # of a window: how finely what was earned in it is known
+
+
+class FleetRetryBudget:
+    """One service's retries at one proxy of at most `fleet_size`. `ratio` and `window_s` are the rule's.
+
+    A bucket that holds less than one retry is spent whole for the chance of one, so that proxies with few
+    requests retry as often as they may together.
+    """
+
+    def __init__(
+        self, allowance: float, ratio: float, window_s: float, fleet_size: int, now: float, random: Random
+    ) -> None:
+        self._random = random
+        self._slot_s = window_s / SLOTS
+        self._slots: deque[int] = deque([0] * SLOTS, maxlen=SLOTS)  # answers, newest last
+        self._slot_ends = now + self._slot_s
+        earned = max(ratio * EARNED_PART, 1e-9)
+        self._bucket = RetryBudget(0.0, earned)
+        self.resize(allowance, fleet_size)
+        self._bucket.tokens = self._floor * START_PART
+
+    def resize(self, allowance: float, fleet_size: int) -> None:
+        """The fleet has grown, or shrunk."""
+        self._floor = allowance * FLOOR_PART / max(fleet_size, 1) * self._bucket.cost
+        self._set_capacity()
+
+    def earn(self, now: float) -> None:
+        """A request of the service was answered."""
+        self._advance(now)
+        self._slots[-1] += 1
+        self._set_capacity()
+        self._bucket.earn()
+
+    def spend(self, now: float) -> bool:
+        """Pay for one arrival beyond a request's first. False: it may not be made."""
+        self._advance(now)
+        if self._bucket.spend():
+            return True
+        chance = self._bucket.tokens / self._bucket.cost
+        self._bucket.tokens = 0.0
+        return self._random.random() < chance
+
+    def retries(self, now: float) -> float:
+        """How many are there to spend."""
+        self._advance(now)
+        return self._bucket.tokens / self._bucket.cost
+
+    def _advance(self, now: float) -> None:
+        if now < self._slot_ends:
+            return
+        passed = int((now - self._slot_ends) / self._slot_s) + 1
+        self._slots.extend([0] * min(passed, SLOTS))
+        self._slot_ends += passed * self._slot_s
+        self._set_capacity()
+
+    def _set_capacity(self) -> None:
+        self._bucket.capacity = self._floor + sum(self._slots)
+        self._bucket.tokens = min(self._bucket.tokens, self._bucket.capacity)
+
+
+@attrs.define(slots=True)
+class RetryBudgets:
+    """The budgets of all services at one proxy, made as services are met."""
+
+    allowance: float
+    ratio: float
+    window_s: float
+    fleet_size: int
+    clock: Callable[[], float]
+    random: Random
+    _by_service: dict[str, FleetRetryBudget] = attrs.field(factory=dict)
+
+    def earn(self, service: str) -> None:
+        """A request was answered."""
+        self._of(service).earn(self.clock())
+
+    def spend(self, service: str) -> bool:
+        """Pay for one more arrival of a request; False if that is not covered."""
+        return self._of(service).spend(self.clock())
+
+    def resize(self, fleet_size: int) -> None:
+        """How many proxies there may be now, at most."""
+        if fleet_size == self.fleet_size:
+            return
+        self.fleet_size = fleet_size
+        for budget in self._by_service.values():
+            budget.resize(self.allowance, fleet_size)
+
+    def keep_only(self, services: set[str]) -> None:
+        """Services that are configured; others are forgotten."""
+        for name in self._by_service.keys() - services:
+            del self._by_service[name]
+
+    def _of(self, service: str) -> FleetRetryBudget:
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = self._by_service[service] = FleetRetryBudget(
+                self.allowance, self.ratio, self.window_s, self.fleet_size, self.clock(), self.random
+            )
+        return budget
+
+
+@attrs.define(slots=True)
+class Backoff:
+    """The waits of one request's retries: decorrelated jitter inside its deadline. In milliseconds."""
+
+    deadline_ms: float
+    base_ms: float = BACKOFF_BASE_MS
+    cap_ms: float = BACKOFF_CAP_MS
+    previous_ms: float = attrs.field(default=attrs.Factory(lambda self: self.base_ms, takes_self=True))
+
+    def next_ms(self, now_ms: float, random: Random) -> float | None:
+        """How long to wait before the next attempt; None if nothing useful is left of the time."""
+        remaining = self.deadline_ms - now_ms - DEADLINE_MARGIN_MS
+        if remaining <= 0:
+            return None
+        scale = self.base_ms / BACKOFF_BASE_MS
+        wait = min(backoff_ms(self.previous_ms / scale, random) * scale, self.cap_ms)
+        self.previous_ms = wait
+        return min(wait, remaining)
