--- a/cloverrouter/control/quota_pool.py
+++ b/cloverrouter/control/quota_pool.py
@@ -9,6 +9,9 @@
 from cloverrouter.placement.quota_messages import SHARE_UNIT
 from cloverrouter.placement.quota_plan import TenantPlan
 
+KEPT_PART = 0.5  # of the room: for requests that wait
+SHORTEST_DRY_S = 0.03
+
 
 @attrs.define(slots=True)
 class Share:
@@ -41,28 +44,35 @@
             self.updated_at = now
         while self._credits and self._credits[0][0] <= now:
             self._credit_out -= self._credits.popleft()[1]
-        self.level = min(self.level, self.plan.room * self._idle_part() - self._credit_out)
+        self.level = min(self.level, self.plan.room * self.idle_part() - self._credit_out)
 
     def _rate(self) -> float:
-        return self.plan.rate * self._idle_part()
+        return self.plan.rate * self.idle_part()
 
-    def _idle_part(self) -> float:
+    def idle_part(self) -> float:
+        """The part of the tenant's rate that no proxy may be using by itself."""
         return 1 - (self.silent + self.unknown) / SHARE_UNIT
 
     def lend(self, wanted: int, until: float) -> int:
         """Any size is served while there is anything: large requests wait no longer than small ones."""
         if self.level <= 0:
             return 0
-        tokens = min(wanted, int(self.level + self.plan.debt))
+        return self._lend(min(wanted, int(self.level + self.plan.debt)), until)
+
+    def lend_spare(self, wanted: int, until: float) -> int:
+        """What no request waits for: only out of what the pool has beyond `KEPT_PART`."""
+        beyond = int(self.level - self.plan.room * KEPT_PART)
+        return self._lend(min(wanted, beyond), until) if beyond > 0 else 0
+
+    def _lend(self, tokens: int, until: float) -> int:
         self.level -= tokens
         self._credits.append((until, tokens))
         self._credit_out += tokens
         return tokens
 
     def dry_s(self) -> float:
-        """How long until the pool holds something again."""
-        rate = self._rate()
-        return max(-self.level / rate, 0.0) if rate > 0 else float("inf")
+        """How long until the pool may hold something again; longer if proxies stand by then, too."""
+        return max(-self.level / self.plan.rate, SHORTEST_DRY_S)
 
     def offer(self, ip: str, offered: int, silent: bool) -> None:
         """A share that the proxy will be told. Call this and all below after `advance`."""
@@ -77,11 +87,12 @@
         if not share.offered:
             del self.shares[ip]
 
-    def take_over(self, ip: str, held: int) -> None:
-        """A share leased by an earlier allocator; its proxy counts as silent."""
-        self.unknown -= held
+    def take_over(self, ip: str, held: int, unknown: bool, silent: bool) -> None:
+        """A share that the proxy announced. `unknown`: an earlier allocator leased it."""
+        if unknown:
+            self.unknown -= held
         self.shares[ip] = Share(offered=held)
-        self._set_bound(self.shares[ip], held, silent=True)
+        self._set_bound(self.shares[ip], held, silent)
 
     def settle(self) -> None:
         """All leases of earlier allocators are known, or have run out."""
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -12,8 +12,11 @@
 
 from collections.abc import Iterator, Mapping
 
+import attrs
+
 from cloverrouter.placement.quota_account import Account, Standby
 from cloverrouter.placement.quota_messages import (
+    SHARE_UNIT,
     QuotaAsk,
     QuotaCredit,
     QuotaForgotten,
@@ -26,17 +29,29 @@
 )
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit, plan_tenant
 
-REPORT_S = 0.2
-CONTACT_S = 0.7  # how long an answer to a report keeps the proxy from standing by
+REPORT_S = 0.15  # until the allocator has said how long contact lasts
+REPORTS_IN_CONTACT = 3.5
 ASK_SPACING_S = 0.005  # asks closer than this are put together
 ASK_WAIT_S = 0.02  # a round trip to the allocator, and its turn
 ANSWER_EXPECTED_S = 0.1  # an ask unanswered for so long is lost
+SILENT_SPACING_S = 0.2  # between asks while they are lost
+TICK_SLACK_S = 0.005
 LONGEST_WAIT_S = 3.0
 SHORTEST_REFUSAL_S = 0.05
 
 Effect = Send | Wake
 
 
+@attrs.frozen(slots=True)
+class HolderFigures:
+    """One tenant at one proxy: tokens at hand, tokens a second asked, its share, and if that is in use."""
+
+    tokens: float
+    demand: float
+    share: float
+    stands_by: bool
+
+
 class QuotaHolder:
     """The quotas of one process. `incarnation`: drawn at random at its start."""
 
@@ -52,11 +67,12 @@
         self._applied = 0
         self._standby = Standby(now, now)
         self._leased = False
+        self._report_s = REPORT_S
         self._number = 0
         self._reported_at = now
         self._wanting: set[str] = set()
         self._asks: dict[int, float] = {}  # number to when it was sent
-        self._asked_at = now - REPORT_S
+        self._asked_at = now - SILENT_SPACING_S
 
     def configure(self, tenants: Mapping[str, TenantLimit], fleet_size: int) -> None:
         """Limits in force from now on, and how many proxies there may be at most (1 or more)."""
@@ -111,44 +127,40 @@
     def flush(self, now: float) -> list[Effect]:
         """What `admit` wants to be asked for; empty if the last ask was a moment ago."""
         self._now = now
-        if not self._wanting or self._head is None or now - self._asked_at < ASK_SPACING_S:
+        if not self._wanting or now - self._asked_at < ASK_SPACING_S:
             return []
         tokens = dict(self._asked_for(now))
         self._wanting.clear()
-        self._number += 1
-        self._asked_at = now
-        self._asks[self._number] = now
-        return [Send(self._head, QuotaAsk(self._epoch, self._incarnation, self._number, now, tokens))]
-
-    @property
-    def wants_credit(self) -> bool:
-        """Whether `flush` has something to ask for, once it may."""
-        return bool(self._wanting)
+        return self._ask(now, tokens, {})
 
     def tick(self, now: float) -> list[Effect]:
-        """Call each 10 ms to `REPORT_S`: reports that are due, asks that were put off."""
+        """Call each 10 to 50 ms: reports that are due, asks that were put off."""
         self._now = now
         self._end_lease(now)
         effects = self.flush(now)
         elapsed = now - self._reported_at
-        if elapsed < REPORT_S:
+        if elapsed < self._report_s - TICK_SLACK_S:
             return effects
         self._reported_at = now
         for account in self._accounts.values():
+            account.advance(now, self._standby)
             account.smooth(elapsed)
         self._asks = {number: at for number, at in self._asks.items() if now - at < LONGEST_WAIT_S}
-        return effects + self._report(now)
+        return effects + self._report(now) + self._ask_in_advance(now)
 
     def head_changed(self, ip: str | None, epoch: int) -> None:
-        """The allocator now is at `ip` (None: unknown). Shares are held on, and announced to it at once."""
-        if epoch < self._epoch or (epoch == self._epoch and ip == self._head):
+        """The allocator now is at `ip`. Shares are held on, and announced to it at once.
+
+        While it is unknown (None) the one before is asked on: it may be there still, or come back.
+        """
+        if ip is None or epoch < self._epoch or (epoch == self._epoch and ip == self._head):
             return
         self._head = ip
         self._asks.clear()
         if epoch > self._epoch:
             self._epoch = epoch
             self._begin_term()
-        self._reported_at = min(self._reported_at, self._now - REPORT_S)
+        self._reported_at = min(self._reported_at, self._now - self._report_s)
 
     def receive(self, now: float, ip: str, message: object) -> list[Effect]:
         """A datagram of the allocator."""
@@ -167,11 +179,42 @@
             self._take_grant(now, message)
         return []
 
+    def figures(self, now: float) -> dict[str, HolderFigures]:
+        """For operators, by tenant."""
+        self._now = now
+        self._end_lease(now)
+        stands_by = self._standby.since <= now < self._standby.until
+        found = {}
+        for name, account in self._accounts.items():
+            account.advance(now, self._standby)
+            share = account.share / SHARE_UNIT
+            found[name] = HolderFigures(account.available(), account.tokens_per_s, share, stands_by)
+        return found
+
     def _allocator_is_silent(self, now: float) -> bool:
         if self._head is None:
             return True
         unanswered = any(now - at > ANSWER_EXPECTED_S for at in self._asks.values())
-        return unanswered and now - self._asked_at < REPORT_S
+        return unanswered and now - self._asked_at < SILENT_SPACING_S
+
+    def _ask(self, now: float, tokens: dict[str, int], spare: dict[str, int]) -> list[Effect]:
+        if self._head is None:
+            return []
+        self._number += 1
+        self._asked_at = now
+        self._asks[self._number] = now
+        return [Send(self._head, QuotaAsk(self._epoch, self._incarnation, self._number, now, tokens, spare))]
+
+    def _ask_in_advance(self, now: float) -> list[Effect]:
+        if now >= self._standby.since or self._allocator_is_silent(now):
+            return []
+        spare = {
+            tenant: account.to_fill(now, self._standby)
+            for tenant, account in self._accounts.items()
+            if account.share and now >= account.dry_until and now >= account.asking_until
+        }
+        spare = {tenant: tokens for tenant, tokens in spare.items() if tokens > 0}
+        return self._ask(now, {}, spare) if spare else []
 
     def _asked_for(self, now: float) -> Iterator[tuple[str, int]]:
         """By tenant: what waits, less what is there."""
@@ -215,7 +258,8 @@
         self._applied = grant.serial
         self._heard = max(self._heard, grant.number)
         self._leased = True
-        self._standby = Standby(now + CONTACT_S, max(until, self._standby.until))
+        self._standby = Standby(now + grant.contact_for_s, max(until, self._standby.until))
+        self._report_s = grant.contact_for_s / REPORTS_IN_CONTACT
 
     def _end_lease(self, now: float) -> None:
         if self._leased and now >= self._standby.until:
--- a/cloverrouter/placement/quota_account.py
+++ b/cloverrouter/placement/quota_account.py
@@ -8,6 +8,7 @@
 from cloverrouter.placement.quota_plan import TenantPlan
 
 DEMAND_MEMORY_S = 8.0
+FILLED_PART = 0.7  # of the room: more is asked for in advance when there is less
 DEMAND_NEWS_PART = 0.2  # a demand is told again once it has changed by so much
 
 
@@ -21,7 +22,10 @@
 
 @attrs.define(slots=True)
 class Account:
-    """Fills at the base rate, and while standing by at the share's; holds as much as their rooms."""
+    """Fills at the base rate, and while standing by at the share's; holds as much as their rooms.
+
+    What is left of credit when it runs out stays, as far as there is room for it: more by its share.
+    """
 
     plan: TenantPlan
     updated_at: float
@@ -41,28 +45,39 @@
         """Fill up to `now`."""
         if self.credit and now >= self.credit_until:
             self._fill_to(self.credit_until, standby)
-            self.level = min(self.level + self.credit, self._room(self.credit_until, standby))
+            self.level = min(self.level + self.credit, self.room(self.credit_until, standby))
             self.credit = 0.0
         self._fill_to(now, standby)
 
     def _fill_to(self, now: float, standby: Standby) -> None:
-        if self.share and self.updated_at < standby.until:
-            self._fill(min(now, standby.since), 0.0)
-            self._fill(min(now, standby.until), self.share / SHARE_UNIT)
-        self._fill(now, 0.0)
-        self.level = min(self.level, self._room(now, standby))
-
-    def _fill(self, until: float, part: float) -> None:
+        for moment in (standby.since, standby.until):
+            if self.share and self.updated_at < moment < now:
+                self._fill(moment, standby)
+        self._fill(now, standby)
+        self.level = min(self.level, self.room(now, standby))
+
+    def _fill(self, until: float, standby: Standby) -> None:
+        """Over a span in which the rate is the same."""
         elapsed = until - self.updated_at
         if elapsed <= 0:
             return
-        gained = elapsed * (self.plan.base_rate + part * self.plan.rate)
-        self.level = min(self.level + gained, self.plan.base_room + part * self.plan.room)
+        room = self.room(self.updated_at, standby)
+        self.level = min(self.level + elapsed * self._rate(self.updated_at, standby), room)
         self.updated_at = until
 
-    def _room(self, now: float, standby: Standby) -> float:
-        part = self.share / SHARE_UNIT if standby.since <= now < standby.until else 0.0
-        return self.plan.base_room + part * self.plan.room
+    def _rate(self, now: float, standby: Standby) -> float:
+        if not self.share or not standby.since <= now < standby.until:
+            return self.plan.base_rate
+        return self.plan.base_rate + self.plan.rate * self.share / SHARE_UNIT
+
+    def room(self, now: float, standby: Standby) -> float:
+        """How much the bucket may hold."""
+        if not self.share or now >= standby.until:
+            return self.plan.base_room
+        shared = self.plan.line_room
+        if now >= standby.since:
+            shared += self.plan.room
+        return self.plan.base_room + shared * self.share / SHARE_UNIT
 
     def available(self) -> float:
         return self.level + self.credit
@@ -80,10 +95,14 @@
         self.credit_until = min(until, self.credit_until) if self.credit else until
         self.credit += tokens
 
+    def to_fill(self, now: float, standby: Standby) -> int:
+        """Tokens to ask for in advance; 0 while there are enough."""
+        room = self.room(now, standby)
+        return int(room - self.available()) if self.available() < room * FILLED_PART else 0
+
     def filling_s(self, tokens: float, now: float, standby: Standby) -> float:
         """How long until the bucket alone holds so many tokens, as it fills now."""
-        part = self.share / SHARE_UNIT if standby.since <= now < standby.until else 0.0
-        return (tokens - self.available()) / (self.plan.base_rate + part * self.plan.rate)
+        return (tokens - self.available()) / self._rate(now, standby)
 
     def smooth(self, interval: float) -> None:
         """Take the last interval into the demand."""
--- a/cloverrouter/placement/quota_messages.py
+++ b/cloverrouter/placement/quota_messages.py
@@ -33,7 +33,7 @@
 
 @message(350)
 class QuotaReport:
-    """Proxy to allocator, each `REPORT_S`: renews the lease, confirms grants, tells changed demand."""
+    """Proxy to allocator, several in each `contact_for_s`: renews the lease, confirms, tells new demand."""
 
     epoch: int
     incarnation: int  # drawn at the start of the process
@@ -57,6 +57,7 @@
     number: int  # of the report
     sent_at: float  # of the report
     valid_for_s: float  # from `sent_at`
+    contact_for_s: float  # from when it arrives: the proxy does not stand by for so long
     serial: int
     shares: tuple[TenantShare, ...]
 
@@ -72,13 +73,14 @@
 
 @message(353)
 class QuotaAsk:
-    """Proxy to allocator: requests wait for these tokens, by tenant."""
+    """Proxy to allocator: tokens by tenant that requests wait for, and that could be held in advance."""
 
     epoch: int
     incarnation: int
     number: int
     sent_at: float
     tokens: dict[str, int]
+    spare: dict[str, int]
 
 
 @message(354)
--- a/cloverrouter/placement/quota_plan.py
+++ b/cloverrouter/placement/quota_plan.py
@@ -12,10 +12,11 @@
 
 SAFETY = 0.01  # of the allowed tokens: clocks that run at slightly different rates
 BASE_RATE_PART = 0.05  # of the rate, on top of it: what proxies may run unasked, all together
-BASE_ROOM_PART = 0.1  # of the store
+BASE_ROOM_PART = 0.05  # of the store
+LINE_ROOM_PART = 0.3  # of the store: what proxies may hold in advance by their shares, all together
 LEAST_STORE_PART = 0.1  # of the allowed tokens: what buckets can store at least, at the rate's expense
 POOL_DEBT_TOKENS = 40_000.0  # largest request that the pool serves when it holds next to nothing
-POOL_DEBT_PART = 0.4  # of the store: what the pool may owe at most
+POOL_DEBT_PART = 0.3  # of the store: what the pool may owe at most
 
 
 @attrs.frozen(slots=True)
@@ -42,6 +43,7 @@
     rate: float  # of the pool, and of the proxies that stand by for it
     room: float  # likewise
     debt: float  # of the pool
+    line_room: float  # of all proxies, by their shares
     base_rate: float  # of one proxy
     base_room: float  # of one proxy
 
@@ -62,8 +64,9 @@
     debt = min(POOL_DEBT_TOKENS, store * POOL_DEBT_PART)
     return TenantPlan(
         rate=rate,
-        room=store * (1 - BASE_ROOM_PART) - debt,
+        room=store * (1 - BASE_ROOM_PART - LINE_ROOM_PART) - debt,
         debt=debt,
+        line_room=store * LINE_ROOM_PART,
         base_rate=(all_rate - rate) / fleet_size,
         base_room=store * BASE_ROOM_PART / fleet_size,
     )
