--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -5,6 +5,9 @@
 import pytest
 
 from cloverrouter.control.configuration import Configuration
+from cloverrouter.http.client import ConnectionPool
+from cloverrouter.placement.quota import QuotaHolder
+from cloverrouter.router.ports import Pool, Quota
 from tests.system.router_world import CONFIGURATION, EVENTS, KEY, SIGNED, World, event, tenant
 
 
@@ -227,3 +230,11 @@
     bare = World()
     bare.router.configure(CONFIGURATION)
     assert not bare.router.ready()
+
+
+def test_what_the_router_is_handed_fits() -> None:
+    """Checked by mypy: the ports are those of the pool and of the quota."""
+    pool: type[Pool] = ConnectionPool
+    quota: Quota = QuotaHolder(1, 0.0)
+    assert pool
+    assert quota.admit("nobody", 1, 0.0) == 0.0
