--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -11,7 +11,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Collection
-from zlib import crc32
 
 from cloverrouter.placement.first_token import FirstTokenModel
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
@@ -57,7 +56,11 @@
     def told(self, server: Server) -> None:
         """A server of this service was added or changed."""
         self.servers.told(server)
-        self._forget()
+
+    def settle(self) -> None:
+        """After one or more servers were told: forget those that have gone."""
+        for gone in self.servers.forget_idle():
+            self._caches.pop(gone, None)
 
     def pick(self, prompt: Prompt, tried: Collection[str], now: float) -> Standing | None:
         """The server for a request, none of those already tried; None if there is no other."""
@@ -65,12 +68,10 @@
         if len(ready) < 2:
             return ready[0] if ready else None
         subject = prompt.subject
-        if subject is None:
+        candidates = self._candidates(subject.key, tried, now) if subject is not None else []
+        if not candidates:
             usable = [one for one in ready if not one.avoided(now)]
             return self._draw(usable or ready, now)
-        candidates = self._candidates(subject.key, tried, now)
-        if not candidates:
-            return self._draw(ready, now)
         return self._better(candidates, prompt, now)
 
     def sent(self, standing: Standing, prompt: Prompt) -> None:
@@ -93,7 +94,7 @@
         if known is not None:
             self._orders.move_to_end(key)
             return known
-        ranked = sorted(self.servers.ready, key=lambda one: mix(key ^ _seed(one.server.id)), reverse=True)
+        ranked = sorted(self.servers.ready, key=lambda one: mix(key ^ one.seed), reverse=True)
         order = self._orders[key] = ranked[:ORDER_LENGTH]
         if len(self._orders) > ORDERS_KEPT:
             self._orders.popitem(last=False)
@@ -144,12 +145,3 @@
         if cache is None:
             cache = self._caches[standing.server.id] = PrefixCache(self._kv_tokens or DEFAULT_KV_TOKENS)
         return cache
-
-    def _forget(self) -> None:
-        self.servers.forget_idle()
-        for gone in self._caches.keys() - self.servers.standings.keys():
-            del self._caches[gone]
-
-
-def _seed(server_id: str) -> int:
-    return mix(crc32(server_id.encode()))
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from zlib import crc32
 
 import attrs
 
+from cloverrouter.placement.prefix import mix
+
 PAYOFF_WEIGHT = 0.2
 """How far one outcome moves the smoothed payoff."""
 PAUSE_BASE_S = 0.25
@@ -49,8 +52,8 @@
     """Smoothed worth of its outcomes, 0 to 1."""
     in_flight: int = 0
     ready: bool = True
-    misplaced: bool = False
-    """Another instance answered at its address: this one is gone, whatever is told."""
+    seed: int = attrs.field(init=False)
+    """Of the server's place in the orders of subjects: the same in every process."""
     paused_until: float = 0.0
     _failures: int = 0
     _delay_ms: float = 0.0
@@ -58,17 +61,15 @@
     _heard_at: float = 0.0
     _unanswered: dict[int, float] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.seed = mix(crc32(self.server.id.encode()))
+
     def told(self, server: Server) -> None:
         """Take over what the list of servers says now."""
         if server.address != self.server.address:
             self.paused_until = 0.0
         self.server = server
-        self.ready = server.ready and not self.misplaced and self.ready
-
-    def displaced(self) -> None:
-        """Another instance answered in its place."""
-        self.misplaced = True
-        self.ready = False
+        self.ready = server.ready and self.ready
 
     def sent(self, attempt: int, now: float) -> None:
         """An attempt is on its way."""
@@ -142,44 +143,53 @@
         self.ready: list[Standing] = []
         self.generation = 0
         """Rises whenever the set of ready servers changes."""
+        self._displaced: set[str] = set()
 
     def told(self, server: Server) -> None:
         """Add or change a server."""
         standing = self.standings.get(server.id)
         if standing is None:
-            if not server.ready:
-                return
-            self.standings[server.id] = Standing(server, self._mean_payoff())
-        else:
-            standing.told(server)
-        self._refresh()
+            self._told_of_unknown(server)
+            return
+        standing.told(server)
+        if not standing.ready:
+            self._leave(standing)
 
     def displaced(self, standing: Standing) -> None:
-        """Another instance answered at its address."""
-        standing.displaced()
-        self._refresh()
+        """Another instance answered at its address: it is gone, also if the list of servers lags behind."""
+        standing.ready = False
+        self._displaced.add(standing.server.id)
+        self._leave(standing)
 
     def total_in_flight(self) -> int:
         """This proxy's requests under way at the ready servers."""
-        return sum(standing.in_flight for standing in self.ready)
+        return sum([standing.in_flight for standing in self.ready])
 
     def addresses(self) -> Iterable[tuple[str, int]]:
         """Where the known servers listen."""
         return (standing.server.address for standing in self.standings.values())
 
-    def forget_idle(self) -> None:
-        """Drop the servers that have gone and have nothing under way."""
+    def forget_idle(self) -> list[str]:
+        """Drop the servers that have gone and have nothing under way; their ids."""
         gone = [key for key, one in self.standings.items() if not one.ready and not one.in_flight]
         for key in gone:
             del self.standings[key]
+        return gone
+
+    def _told_of_unknown(self, server: Server) -> None:
+        if not server.ready:
+            self._displaced.discard(server.id)  # the list has caught up
+        elif server.id not in self._displaced:
+            standing = self.standings[server.id] = Standing(server, self._mean_payoff())
+            self.ready.append(standing)
+            self.generation += 1
+
+    def _leave(self, standing: Standing) -> None:
+        if standing in self.ready:
+            self.ready.remove(standing)
+            self.generation += 1
 
     def _mean_payoff(self) -> float:
         if not self.ready:
             return 1.0
-        return sum(standing.payoff for standing in self.ready) / len(self.ready)
-
-    def _refresh(self) -> None:
-        before = {standing.server.id for standing in self.ready}
-        self.ready = [standing for standing in self.standings.values() if standing.ready]
-        if before != {standing.server.id for standing in self.ready}:
-            self.generation += 1
+        return sum([standing.payoff for standing in self.ready]) / len(self.ready)
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -87,6 +87,8 @@
         """Servers were added or changed. Nothing new goes to one that isn't ready, from now on."""
         for server in servers:
             self.placement(server.service).told(server)
+        for placement in self._placements.values():
+            placement.settle()
         self._pool.keep_only(
             {address for one in self._placements.values() for address in one.servers.addresses()}
         )
--- a/tests/system/test_placement_pick.py
+++ b/tests/system/test_placement_pick.py
@@ -183,8 +183,10 @@
     made = placement(2)
     gone = made.servers.ready[0]
     made.servers.displaced(gone)
-    made.told(server(0))
-    assert gone not in made.servers.ready
+    for _ in range(3):
+        made.told(server(0))
+        made.settle()
+    assert [one.server.id for one in made.servers.ready] == ["i-1"]
 
 
 def test_what_a_server_keeps_is_not_missing() -> None:
--- a/tests/system/test_router_failures.py
+++ b/tests/system/test_router_failures.py
@@ -158,7 +158,8 @@
     assert len(world.calls) == 2
     world.last.answer(200, SIGNED)
     assert exchange.status == 200
-    world.router.servers_changed([world.server("desk", int(misplaced[-1]))])
+    for _ in range(3):
+        world.router.servers_changed([world.server("desk", int(misplaced[-1]))])
     for _ in range(30):
         world.ask("/once/x")
         assert world.last.instance != misplaced
