--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -103,6 +103,9 @@
     def _try(self) -> None:
         """Send the request to a server, if there is one and it may be sent."""
         self._retry_timer = None
+        if self._sends and self.exchange.gone():
+            self._client_gone()
+            return
         if not has_time(self._left_ms()):
             self._finish_failed()
             return
--- a/tests/system/test_router_failures.py
+++ b/tests/system/test_router_failures.py
@@ -217,6 +217,8 @@
     exchange = world.ask("/once/x")
     exchange.left = True
     assert not world.last.write()
+    assert len(world.calls) == 1
+    assert world.router.in_flight == 0
 
 
 def test_at_the_deadline_what_may_run_is_answered_with_504(world: World) -> None:
