Placement: the home's knowledge and waiting requests count; a home keeps its subject at 1.2, not 2 times

Cause: with two times, a home kept its subject while its queue grew. Ruled out: three or four candidates, and a random one among them (parts are read again two to five times as much, and in a burst the servers clog).

--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -16,8 +16,13 @@
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
-HOME_ADVANTAGE = 2.0
+HOME_ADVANTAGE = 1.2
 """How many times better the second of the order must look to get the request."""
+HOME_MISSING = 0.2
+"""Part of the shared tokens that the first of the order is expected to lack where this proxy sent none there:
+others did."""
+EXPECTED_WEIGHT = 2.0
+"""How many requests under way a wait of the usual time to the first token counts as."""
 ROOM_BASE = 2
 ROOM_FACTOR = 1.5
 """A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there."""
@@ -80,10 +85,15 @@
             self._cache(standing).sent(prompt)
 
     def missing_tokens(self, standing: Standing, prompt: Prompt) -> int:
-        """Tokens of the prompt that the server would have to read, as far as is known here."""
+        """Tokens of the prompt that the server is expected to have to read."""
         if not prompt.parts:
             return 0
-        return self._cache(standing).missing_tokens(prompt)
+        missing = self._cache(standing).missing_tokens(prompt)
+        subject = prompt.subject
+        own = prompt.parts[-1].tokens
+        if missing > own and subject is not None and standing is self.order(subject.key)[0]:
+            return own + int(HOME_MISSING * (missing - own))
+        return missing
 
     def order(self, key: int) -> list[Standing]:
         """The first servers of the order of that key, the same at all proxies that know the same servers."""
@@ -120,9 +130,10 @@
         """The design's payoff / (1 + own in flight), where the expected time to the first token counts as
         further requests under way."""
         load = 1.0 + standing.in_flight
-        model = self.first_token
-        expected_ms = model.reading_ms(self.missing_tokens(standing, prompt)) + standing.delay_ms(now)
-        return standing.worth(now) / (load + expected_ms / model.usual_ms)
+        usual_ms = self.first_token.usual_ms
+        reading_ms = self.first_token.reading_ms(self.missing_tokens(standing, prompt))
+        delay_ms = max(standing.delay_ms(now), standing.waited_ms(now) - usual_ms)
+        return standing.worth(now) / (load + EXPECTED_WEIGHT * (reading_ms + delay_ms) / usual_ms)
 
     def _draw(self, among: list[Standing], now: float) -> Standing:
         """The better of two draws; of equals, the one in the proxy's own zone."""
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -119,6 +119,12 @@
             return 0.0
         return float(self._delay_ms * 0.5 ** ((now - self._delay_at) / DELAY_HALF_LIFE_S))
 
+    def waited_ms(self, now: float) -> float:
+        """How long the oldest request has been waiting there for its answer to begin."""
+        if not self._unanswered:
+            return 0.0
+        return (now - next(iter(self._unanswered.values()))) * 1000
+
     def doubted(self, now: float) -> bool:
         """Whether a request has been waiting there while nothing at all came from the server."""
         if not self._unanswered:
