--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -29,10 +29,18 @@
 
 COMMANDS = {
     "check": Command("cloverrouter.cli.check", "lab", "Check configuration files of any kind."),
-    "demo": Command("cloverrouter.cli.demo", "lab", "Play the client proxy on this machine."),
+    "config": Command("cloverrouter.cli.config", "system", "The configuration in force: show, diff, apply."),
+    "demo": Command("cloverrouter.cli.demo", "demo", "Play a small fleet on this machine."),
     "explore": Command("cloverrouter.cli.explore", "explore", "Play every ordering of events."),
+    "history": Command("cloverrouter.cli.fleet", "system", "The latest changes of the configuration."),
     "lab": Command("cloverrouter.cli.lab", "lab", "Emulated servers and clients: try a configuration."),
+    "logs": Command("cloverrouter.cli.logs", "cli", "What nodes have written; one request as a tree."),
+    "servers": Command("cloverrouter.cli.fleet", "system", "The list of servers, as a node knows it."),
+    "status": Command("cloverrouter.cli.fleet", "system", "What a node tells of itself."),
+    "trace": Command("cloverrouter.cli.fleet", "system", "What a node remembers of a request."),
+    "view": Command("cloverrouter.cli.fleet", "system", "The chain of replicas, as a node knows it."),
 }
+
 HELP = """Tools of the router fleet and of the client proxy.
 
 A node of the fleet is started by python -m cloverrouter.daemon, the client proxy by
--- /dev/null
+++ b/cloverrouter/cli/tables.py
@@ -0,0 +1,52 @@
+"""JSON values as text for people."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+
+def text_of(value: Any) -> str:
+    """Objects as NAME  VALUE lines, lists of objects as tables, anything else as JSON."""
+    if isinstance(value, dict):
+        return "\n".join(_object_lines(value))
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        return "\n".join(_table_lines(value))
+    if isinstance(value, list) and not value:
+        return "(none)"
+    return json.dumps(value)
+
+
+def _object_lines(value: dict[str, Any]) -> list[str]:
+    width = max((len(str(key)) for key in value), default=0)
+    lines = []
+    for key, inner in value.items():
+        if _is_deep(inner):
+            lines.append(f"{key}:")
+            lines.extend("  " + line for line in text_of(inner).splitlines())
+        else:
+            lines.append(f"{key!s:{width}}  {_cell(inner)}")
+    return lines
+
+
+def _is_deep(value: Any) -> bool:
+    if isinstance(value, dict):
+        return bool(value)
+    return isinstance(value, list) and any(isinstance(item, dict) for item in value)
+
+
+def _table_lines(rows: list[dict[str, Any]]) -> list[str]:
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[_cell(row.get(name, "")) for name in names] for row in rows]
+    widths = [max(len(name), *(len(row[at]) for row in cells)) for at, name in enumerate(names)]
+    lines = [names, *cells]
+    return ["  ".join(f"{cell:{width}}" for cell, width in zip(line, widths, strict=True)).rstrip()
+            for line in lines]  # fmt: skip
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    if isinstance(value, list) and not _is_deep(value):
+        return ", ".join(_cell(item) for item in value) or "-"
+    return json.dumps(value)
--- a/cloverrouter/lab/fleet/judge.py
+++ b/cloverrouter/lab/fleet/judge.py
@@ -1,7 +1,7 @@
 """What clients, servers and operator have seen, and which rules it breaks. Pure: it is told everything.
 
 One try of a client, with an attempt id of its own, is a *request*; the tries for one thing that a client
-wants make up an *ask*. Rules are named as in the fleet's contract: MIXED, UNASKED, TWICE, REFUSED, ROUTE, ORDER,
+wants make up an *ask*. Rules are named as in the contract: MIXED, UNASKED, TWICE, REFUSED, ROUTE, ORDER,
 CONFIG, DRAIN.
 """
 
--- /dev/null
+++ b/tests/test_control_commands.py
@@ -0,0 +1,192 @@
+"""Commands against a node's control-plane address: what they send, what they show, how they fail."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverrouter.cli import config
+from tests.command_line import run
+
+CURRENT = {
+    "version": 5,
+    "route-table": [{"name": "r1", "timeout-ms": 100}, {"name": "r2", "timeout-ms": 200}],
+    "backends": [{"name": "b"}],
+}
+
+
+class ScriptedNode:
+    """Answers each call with the next of its script, or with what stands under the path."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str, str | None, Any]] = []
+        self.script: list[tuple[int, Any]] = []
+        self.told: dict[str, Any] = {"/-/configuration": CURRENT}
+        node = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def answer(self) -> None:
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                read = json.loads(body) if body else None
+                node.calls.append((self.command, self.path, self.headers.get("If-Match"), read))
+                if self.command != "GET" and node.script:
+                    status, told = node.script.pop(0)
+                else:
+                    known = self.path in node.told
+                    status, told = (200, node.told[self.path]) if known else (404, {"error-message": "no"})
+                raw = json.dumps(told).encode()
+                self.send_response(status)
+                if status == 307:
+                    self.send_header("Location", told)
+                self.send_header("Content-Length", str(len(raw)))
+                self.end_headers()
+                self.wfile.write(raw)
+
+            do_GET = do_PUT = do_PATCH = answer
+
+            def log_message(self, format: str, *args: Any) -> None:
+                pass
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        self._thread = threading.Thread(target=self._server.serve_forever, kwargs={"poll_interval": 0.01})
+        self._thread.start()
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._thread.join()
+        self._server.server_close()
+
+
+@pytest.fixture
+def node(monkeypatch: pytest.MonkeyPatch) -> Iterator[ScriptedNode]:
+    monkeypatch.setattr(config, "PAUSE_S", 0.0)
+    scripted = ScriptedNode()
+    yield scripted
+    scripted.close()
+
+
+def write(path: Path, value: Any) -> str:
+    path.write_text(json.dumps(value))
+    return str(path)
+
+
+def test_status_and_view_are_shown(node: ScriptedNode) -> None:
+    node.told["/-/status"] = {"name": "edge-1", "ready": True, "figures": {"requests": 3}}
+    code, text = run("status", "--node", node.address)
+    assert code == 0 and text.splitlines() == [
+        "name     edge-1",
+        "ready    true",
+        "figures:",
+        "  requests  3",
+    ]
+    code, text = run("status", "--node", node.address, "--json")
+    assert json.loads(text) == node.told["/-/status"]
+    node.told["/-/view"] = {"epoch": [3, "a"], "chain": ["a", "b"]}
+    assert "chain  a, b" in run("view", "--node", node.address)[1]
+
+
+def test_the_address_may_come_from_the_environment(
+    node: ScriptedNode, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    node.told["/-/history"] = [{"version": 3, "at": "now"}, {"version": 5, "at": "then"}]
+    monkeypatch.setenv("CYPRESSWINCH_NODE", node.address)
+    code, text = run("history")
+    assert code == 0 and text.splitlines() == ["version  at", "3        now", "5        then"]
+    monkeypatch.delenv("CYPRESSWINCH_NODE")
+    code, text = run("history")
+    assert code == 2 and "--node" in text
+
+
+def test_servers_are_a_table(node: ScriptedNode) -> None:
+    node.told["/-/instances"] = {"i-1": {"backend": "b", "state": "ready"}}
+    code, text = run("servers", "--node", node.address)
+    assert code == 0 and text.splitlines()[1].split() == ["i-1", "b", "ready"]
+
+
+def test_a_request_is_traced_or_not_known(node: ScriptedNode) -> None:
+    node.told["/-/trace/a%2F1"] = {"request": "a/1", "attempts": [{"instance": "i-1", "status": 200}]}
+    code, text = run("trace", "a/1", "--node", node.address)
+    assert code == 0 and "i-1" in text
+    code, text = run("trace", "other", "--node", node.address)
+    assert code == 1 and "status 404: no" in text
+
+
+def test_configuration_is_shown_and_compared(node: ScriptedNode, tmp_path: Path) -> None:
+    code, text = run("config", "show", "--node", node.address, "--json")
+    assert code == 0 and json.loads(text) == CURRENT
+    same = write(tmp_path / "same.json", {**CURRENT, "version": 9})
+    code, text = run("config", "diff", same, "--node", node.address)
+    assert code == 0 and text == "version: 5 -> 9\n"
+    other = {**CURRENT, "route-table": [{"name": "r2", "timeout-ms": 250}, {"name": "r3"}]}
+    code, text = run("config", "diff", write(tmp_path / "other.json", other), "--node", node.address)
+    assert code == 1 and text.splitlines() == [
+        "- route-table r1",
+        '+ route-table r3: {"name": "r3"}',
+        "~ route-table r2: timeout-ms 200 -> 250",
+    ]
+
+
+def test_a_whole_file_is_put_and_a_change_is_patched(node: ScriptedNode, tmp_path: Path) -> None:
+    whole, change = {**CURRENT, "version": 7}, {"version": 8, "delete": {"route-table": ["r1"]}}
+    node.script = [(200, None), (200, None)]
+    code, text = run("config", "apply", write(tmp_path / "w.json", whole), "--node", node.address)
+    assert code == 0 and "version 7 is in force" in text
+    assert node.calls[-1] == ("PUT", "/-/configuration", "5", whole)
+    file = write(tmp_path / "c.json", change)
+    assert run("config", "apply", file, "--node", node.address, "--if-match", "7")[0] == 0
+    assert node.calls[-1] == ("PATCH", "/-/configuration", "7", change)
+
+
+def test_the_first_configuration_builds_on_nothing(node: ScriptedNode, tmp_path: Path) -> None:
+    node.told.clear()
+    node.script = [(200, None)]
+    assert run("config", "apply", write(tmp_path / "w.json", CURRENT), "--node", node.address)[0] == 0
+    assert node.calls[-1][2] == "0"
+
+
+@pytest.mark.parametrize(
+    ("script", "code", "said"),
+    [
+        ([(412, {"error-message": "5 is current"})], 1, "another version than 5 is in force"),
+        (
+            [(400, {"error-message": "2 findings", "findings": ["route-table[0]: a", "backends: b"]})],
+            2,
+            "status 400: 2 findings\n  route-table[0]: a\n  backends: b",
+        ),
+        ([(503, None), (503, None), (200, None)], 0, "version 5 is in force"),
+        ([(503, {"error-message": "no head"})] * 4, 1, "may or may not be in force"),
+    ],
+)
+def test_orders_that_fail_are_told(
+    node: ScriptedNode, tmp_path: Path, script: list[tuple[int, Any]], code: int, said: str
+) -> None:
+    node.script = list(script)
+    found, text = run("config", "apply", write(tmp_path / "w.json", CURRENT), "--node", node.address)
+    assert found == code and said in text
+    assert node.script == []
+
+
+def test_redirects_are_followed_with_the_same_order(node: ScriptedNode, tmp_path: Path) -> None:
+    node.script = [(307, f"http://{node.address}/-/configuration"), (200, None)]
+    assert run("config", "apply", write(tmp_path / "w.json", CURRENT), "--node", node.address)[0] == 0
+    assert node.calls[-1] == node.calls[-2] == ("PUT", "/-/configuration", "5", CURRENT)
+
+
+def test_what_can_not_be_reached_or_read_is_told(node: ScriptedNode, tmp_path: Path) -> None:
+    node.close()
+    code, text = run("status", "--node", node.address)
+    assert code == 1 and f"{node.address}: nothing listens there" in text
+    code, text = run("status", "--node", "nowhere")
+    assert code == 2 and "found 'nowhere', allowed is HOST:PORT" in text
+    code, text = run("config", "diff", str(tmp_path / "none.json"), "--node", node.address)
+    assert code in (1, 2)
+    (tmp_path / "bad.json").write_text("{")
+    code, text = run("config", "apply", str(tmp_path / "bad.json"), "--node", node.address)
+    assert code == 2 and "no JSON" in text
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -682,7 +682,7 @@
 
 
 def test_demo() -> None:
-    _, text = command_line.run("demo", "--seconds", "4")
+    _, text = command_line.run("demo", "--proxy", "--seconds", "4")
     assert "rules broken: 0" in text and "drain begins on 3 servers" in text
 
 
