--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,5 +9,5 @@
 .venv-dev/bin/pytest -q -n "${TEST_WORKERS:-4}" --dist worksteal "$@"
 # The hard cases in words; a checkout without any passes.
 if compgen -G 'features/*.feature' > /dev/null; then
-    .venv-dev/bin/behave --format progress --no-capture features
+    .venv-dev/bin/behave --format progress features
 fi
