--- a/cloverrouter/cli/check.py
+++ b/cloverrouter/cli/check.py
@@ -138,6 +138,29 @@
     return f"proxy configuration of {told.name}, {len(told.settings.classes)} classes"
 
 
+def _fleet_configuration(path: Path) -> str:
+    from cloverrouter.control.document import ConfigurationState
+    from cloverrouter.control.errors import ConfigurationInvalid
+    from cloverrouter.control.review import review_document
+
+    try:
+        document, _ = review_document(path.read_bytes(), ConfigurationState())
+    except ConfigurationInvalid as error:
+        raise Wrong(str(error)) from error
+    return f"configuration {document['version']} of the fleet, {len(document['route-table'])} routes"
+
+
+def _settings(path: Path) -> str:
+    from cloverrouter.daemon.errors import SettingsError
+    from cloverrouter.daemon.settings import read
+
+    try:
+        told = read(str(path))
+    except SettingsError as error:
+        raise Wrong("; ".join(error.findings)) from error
+    return f"settings of the node {told.name}"
+
+
 class Site(msgspec.Struct):
     """deploy/sites/*.toml: a deployment in the bench's form. What the bench alone reads is its business."""
 
@@ -168,6 +191,8 @@
     "load": _scenario,
     "steps": _history,
     "listen": _proxy,
+    "route-table": _fleet_configuration,
+    "node-name": _settings,
 }
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,6 +12,8 @@
 
 from cloverrouter.cli import main as commands
 from cloverrouter.explore import trace
+from cloverrouter.lab.fleet import deployment
+from cloverrouter.lab.fleet.nodes import settings, toml
 from tests.command_line import run
 from tests.sockets import SETTINGS
 
@@ -25,6 +27,8 @@
     assert "lines of policy" in text
 
 
+NODES = deployment.nodes("127.31.250")
+NODE_SETTINGS = toml(settings(NODES[0], deployment.fleet_settings(NODES), Path("/data"), bootstrap=True))
 CONFIG = {"name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
           "limits": {"sockets": 256}, "settings": SETTINGS}  # fmt: skip
 
@@ -60,6 +64,14 @@
         ("a.json", json.dumps({**CONFIG, "settings": {}}), "settings.bounds: found nothing, allowed is an"),
         ("a.json", json.dumps({**CONFIG, "listen": "nowhere"}), "listen: found 'nowhere', allowed is an"),
         ("a.json", json.dumps(CONFIG), "good: proxy configuration of n0, 3 classes"),
+        ("a.json", '{"route-table": 3}', "wrong: "),
+        (
+            "a.json",
+            json.dumps(deployment.first_configuration()),
+            "good: configuration 3 of the fleet, 4 routes",
+        ),
+        ("a.toml", 'node-name = ""\nseed-nodes = ["x"]', "seed-nodes.0: found 'x', wanted IP:PORT"),
+        ("a.toml", NODE_SETTINGS, "good: settings of the node edge-baneshwor-1"),
     ],
 )
 def test_each_kind_of_file(tmp_path: Path, name: str, text: str, said: str) -> None:
