Distribution: committed configurations to every machine, pushed, pulled, in parts, never backwards

Cause: nobody outside hands out settings any more; a committed configuration has to be in force everywhere in touch within two seconds, on links down to 5 Mbit/s.

--- /dev/null
+++ b/cloverrouter/control/publisher.py
@@ -0,0 +1,256 @@
+"""The voter's side of distribution: what is committed, and who has it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+from cloverrouter.control.distribution_messages import (
+    NOTHING,
+    Acknowledge,
+    Delta,
+    Offer,
+    Pull,
+    PullPart,
+    Subscribe,
+)
+from cloverrouter.control.transfer import PART_BYTES, Package, pack
+from cloverrouter.messages.sending import Send
+
+WINDOW_COUNT = 256
+WINDOW_BYTES = 2 * 1024 * 1024
+PUSH_BYTES = 256 * 1024
+SHORTEST_OFFER_PERIOD = 0.5
+LONGEST_OFFER_PERIOD = 1.0
+OFFERS_A_SECOND = 200
+SUBSCRIPTION_EXPIRES = 7.0
+COUNTING_TIME = 3.0
+PACKAGES_KEPT = 3
+
+
+@attrs.frozen(slots=True)
+class SnapshotWanted:
+    """The replica is to call `restored` with the newest committed state: the last snapshot is too old to
+    build on.
+    """
+
+
+@attrs.define(slots=True)
+class _Subscription:
+    heard_at: float
+    acknowledged: int = NOTHING
+    wants_push: bool = False
+    pushed: int = NOTHING
+
+
+Effect = Send | SnapshotWanted
+
+
+class Publisher:
+    """The pure core on each replica. It holds the newest snapshot and a window of recent updates."""
+
+    def __init__(self) -> None:
+        self._snapshot: tuple[int, bytes] | None = None
+        self._updates: deque[tuple[int, bytes]] = deque()
+        self._window_bytes = 0
+        self._newest = NOTHING
+        self._subscriptions: dict[str, _Subscription] = {}
+        self._packages: dict[tuple[int, bool], Package] = {}
+        self._wait_for_snapshot: set[str] = set()
+        self._counts_from = 0.0
+        self._next_offer = 0.0
+
+    @property
+    def newest(self) -> int:
+        """The newest committed sequence number, or `NOTHING`."""
+        return self._newest
+
+    def acknowledged(self) -> dict[str, int]:
+        """What each subscribed machine is known to have in force."""
+        return {ip: each.acknowledged for ip, each in self._subscriptions.items()}
+
+    def fleet_size(self, now: float) -> int:
+        """How many machines subscribe; 0 for a while after the start."""
+        return len(self._subscriptions) if now >= self._counts_from else 0
+
+    def start(self, now: float) -> list[Effect]:
+        """Subscribers are counted from here on."""
+        self._counts_from = now + COUNTING_TIME
+        return []
+
+    def resign(self) -> None:
+        """This machine is no voter any more."""
+        self._subscriptions.clear()
+
+    def committed(self, now: float, sequence: int, update: bytes) -> list[Effect]:
+        """An update was committed. One that does not follow the last asks for a snapshot."""
+        if sequence <= self._newest:
+            return []
+        if sequence != self._newest + 1:
+            return [SnapshotWanted()]
+        self._updates.append((sequence, update))
+        self._window_bytes += len(update)
+        self._newest = sequence
+        effects = self._trim()
+        return effects + [self._tell(now, ip, each) for ip, each in self._subscriptions.items()]
+
+    def restored(self, now: float, sequence: int, snapshot: bytes) -> list[Effect]:
+        """The committed state as of `sequence`, at the start, after a transfer, or because it was wanted."""
+        if self._snapshot is not None and sequence <= self._snapshot[0]:
+            return []
+        self._snapshot = (sequence, snapshot)
+        waiting, self._wait_for_snapshot = self._wait_for_snapshot, set()
+        effects: list[Effect] = []
+        if sequence > self._newest:
+            self._updates.clear()
+            self._window_bytes = 0
+            self._newest = sequence
+            effects += [self._offer(now, ip) for ip in self._subscriptions if ip not in waiting]
+        for ip in waiting:
+            effects += self._snapshot_pulled(ip)
+        return effects
+
+    def tick(self, now: float) -> list[Effect]:
+        """Offers to all now and then, which also tell them that they are in touch."""
+        if now < self._next_offer:
+            return []
+        self._next_offer = now + self._offer_period()
+        self._expire(now)
+        return [self._offer(now, ip) for ip in self._subscriptions]
+
+    def receive(self, now: float, ip: str, message: object) -> list[Effect]:
+        """A subscriber's message."""
+        match message:
+            case Subscribe():
+                return self._subscribed(now, ip, message)
+            case Acknowledge():
+                subscription = self._subscription(now, ip)
+                subscription.acknowledged = max(subscription.acknowledged, message.sequence)
+            case Pull():
+                self._subscription(now, ip)
+                return self._pulled(now, ip, message.have)
+            case PullPart():
+                self._subscription(now, ip)
+                return self._part_pulled(now, ip, message)
+        return []
+
+    def _subscribed(self, now: float, ip: str, message: Subscribe) -> list[Effect]:
+        subscription = self._subscription(now, ip)
+        if message.have < subscription.acknowledged:
+            subscription.pushed = NOTHING
+        subscription.acknowledged = message.have
+        subscription.wants_push = message.wants_push
+        return [self._offer(now, ip)]
+
+    def _subscription(self, now: float, ip: str) -> _Subscription:
+        subscription = self._subscriptions.setdefault(ip, _Subscription(now))
+        subscription.heard_at = now
+        return subscription
+
+    def _tell(self, now: float, ip: str, subscription: _Subscription) -> Send:
+        """The newest update itself to those who have all before it and want it, an offer to the others."""
+        sequence, update = self._updates[-1]
+        has_last = sequence - 1 in (subscription.acknowledged, subscription.pushed)
+        if not (subscription.wants_push and has_last and len(update) <= PART_BYTES):
+            return self._offer(now, ip)
+        if self._bytes_after(subscription.acknowledged) > PUSH_BYTES:
+            return self._offer(now, ip)
+        subscription.pushed = sequence
+        return Send(ip, Delta(sequence, (update,), sequence))
+
+    def _pulled(self, now: float, ip: str, have: int) -> list[Effect]:
+        if have >= self._newest:
+            return [self._offer(now, ip)]
+        following = self._updates_after(have)
+        if have == NOTHING or not following or self._is_snapshot_shorter(have):
+            return self._snapshot_pulled(ip)
+        if len(following[0][1]) > PART_BYTES:
+            return [Send(ip, self._package(following[0][0], False, following[0][1]).part(0))]
+        subscription = self._subscriptions[ip]
+        updates, size = [], 0
+        for sequence, update in following:
+            size += len(update)
+            if size > PART_BYTES:
+                break
+            updates.append(update)
+            subscription.pushed = sequence
+        return [Send(ip, Delta(have + 1, tuple(updates), self._newest))]
+
+    def _snapshot_pulled(self, ip: str) -> list[Effect]:
+        if self._snapshot is None or not self._is_base(self._snapshot[0]):
+            self._wait_for_snapshot.add(ip)
+            return [SnapshotWanted()]
+        sequence, snapshot = self._snapshot
+        return [Send(ip, self._package(sequence, True, snapshot).part(0))]
+
+    def _part_pulled(self, now: float, ip: str, message: PullPart) -> list[Effect]:
+        package = self._packages.get((message.sequence, message.is_snapshot))
+        if package is None:
+            package = self._package_again(message.sequence, message.is_snapshot)
+        if package is None or not 0 <= message.offset < max(1, len(package.data)):
+            return self._pulled(now, ip, self._subscriptions[ip].acknowledged)
+        return [Send(ip, package.part(message.offset))]
+
+    def _package_again(self, sequence: int, is_snapshot: bool) -> Package | None:
+        if is_snapshot:
+            if self._snapshot is not None and self._snapshot[0] == sequence:
+                return self._package(sequence, True, self._snapshot[1])
+            return None
+        for number, update in self._updates_after(sequence - 1)[:1]:
+            return self._package(number, False, update)
+        return None
+
+    def _package(self, sequence: int, is_snapshot: bool, data: bytes) -> Package:
+        key = (sequence, is_snapshot)
+        package = self._packages.pop(key, None) or pack(sequence, is_snapshot, data)
+        self._packages[key] = package
+        while len(self._packages) > PACKAGES_KEPT:
+            del self._packages[next(iter(self._packages))]
+        return package
+
+    def _updates_after(self, have: int) -> list[tuple[int, bytes]]:
+        """The updates that follow `have` without a gap; empty if the window does not reach back so far."""
+        if not self._updates or have < self._updates[0][0] - 1:
+            return []
+        return [each for each in self._updates if each[0] > have]
+
+    def _bytes_after(self, have: int) -> int:
+        size = 0
+        for sequence, update in reversed(self._updates):
+            if sequence <= have:
+                break
+            size += len(update)
+        return size
+
+    def _is_snapshot_shorter(self, have: int) -> bool:
+        if self._snapshot is None or self._snapshot[0] <= have or not self._is_base(self._snapshot[0]):
+            return False
+        sequence, snapshot = self._snapshot
+        return len(snapshot) + self._bytes_after(sequence) < self._bytes_after(have)
+
+    def _is_base(self, sequence: int) -> bool:
+        """True if the window holds everything after that."""
+        return sequence == self._newest or bool(self._updates_after(sequence))
+
+    def _trim(self) -> list[Effect]:
+        had_base = self._snapshot is not None and self._is_base(self._snapshot[0])
+        while len(self._updates) > WINDOW_COUNT or (
+            self._window_bytes > WINDOW_BYTES and len(self._updates) > 1
+        ):
+            self._window_bytes -= len(self._updates.popleft()[1])
+        has_base = self._snapshot is not None and self._is_base(self._snapshot[0])
+        return [SnapshotWanted()] if had_base and not has_base else []
+
+    def _offer(self, now: float, ip: str) -> Send:
+        every_ms = round(self._offer_period() * 1000)
+        return Send(ip, Offer(self._newest, self.fleet_size(now), every_ms))
+
+    def _offer_period(self) -> float:
+        period = len(self._subscriptions) / OFFERS_A_SECOND
+        return min(LONGEST_OFFER_PERIOD, max(SHORTEST_OFFER_PERIOD, period))
+
+    def _expire(self, now: float) -> None:
+        late = [ip for ip, each in self._subscriptions.items() if now - each.heard_at > SUBSCRIPTION_EXPIRES]
+        for ip in late:
+            del self._subscriptions[ip]
--- /dev/null
+++ b/cloverrouter/control/subscriber.py
@@ -0,0 +1,310 @@
+"""Every machine's side of distribution: hears of changes from all voters, fetches them from one."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from random import Random
+
+import attrs
+
+from cloverrouter.control.distribution_messages import (
+    NOTHING,
+    Acknowledge,
+    Delta,
+    Offer,
+    Part,
+    Pull,
+    PullPart,
+    Subscribe,
+)
+from cloverrouter.control.transfer import PART_BYTES, PARTS_IN_FLIGHT, Assembly, is_sensible
+from cloverrouter.messages.sending import Send
+
+LEASE = 1.5
+LEASE_PERIODS = 2.5
+SUBSCRIBE_PERIOD = 2.0
+PUSH_PATIENCE = 0.15
+ANSWER_TIMEOUT = 0.3
+SLOWEST_BYTES_A_SECOND = 250_000
+LONGEST_PATIENCE = 8
+PENALTY = 5.0
+HELD_FOR = 1.0
+FLEET_SIZE_HELD = 15.0
+
+
+@attrs.frozen(slots=True)
+class VoterAddress:
+    """A voter, and the zone that it is in."""
+
+    ip: str
+    zone: str
+
+
+@attrs.frozen(slots=True)
+class Apply:
+    """Put these committed updates in force, in order; the last of them has the sequence number `sequence`."""
+
+    sequence: int
+    updates: tuple[bytes, ...]
+
+
+@attrs.frozen(slots=True)
+class Replace:
+    """Put this committed state in force instead of all before."""
+
+    sequence: int
+    snapshot: bytes
+
+
+Effect = Send | Apply | Replace
+
+
+@attrs.define(slots=True)
+class _Voter:
+    zone: str
+    rank: float
+    newest: int = NOTHING
+    heard_at: float = -math.inf
+    lease: float = LEASE
+    penalty_until: float = -math.inf
+
+
+@attrs.define(slots=True)
+class _Fetch:
+    """What the subscriber waits for, from whom, and until when."""
+
+    source: str
+    deadline: float
+    assembly: Assembly | None = None
+    in_flight: set[int] = attrs.field(factory=set)
+
+
+class Subscriber:
+    """The pure core on every machine. What it has put in force never goes backwards within its life."""
+
+    def __init__(self, own_ip: str, own_zone: str, random: Random) -> None:
+        self._own_ip = own_ip
+        self._own_zone = own_zone
+        self._random = random
+        self._voters: dict[str, _Voter] = {}
+        self._source: str | None = None
+        self._have = NOTHING
+        self._fetch: _Fetch | None = None
+        self._unfinished: Assembly | None = None
+        self._patience = 1
+        self._behind_since: float | None = None
+        self._held: list[Apply | Replace] | None = []
+        self._held_until = math.inf
+        self._next_subscribe = math.inf
+        self._fleet_sizes: list[tuple[float, int]] = []
+
+    @property
+    def have(self) -> int:
+        """The sequence number of the newest state here, or `NOTHING`."""
+        return self._have
+
+    @property
+    def source(self) -> str | None:
+        """The voter that updates are fetched from."""
+        return self._source
+
+    def current(self, now: float) -> bool:
+        """True if a majority of the voters was heard of lately: what they have committed is known here."""
+        heard = sum(1 for voter in self._voters.values() if _is_live(now, voter))
+        return heard > len(self._voters) // 2
+
+    def newest_offered(self) -> int:
+        """The newest committed sequence number heard of."""
+        return max((voter.newest for voter in self._voters.values()), default=NOTHING)
+
+    def fleet_size(self) -> int:
+        """How many machines there are, as the voters count; 0 while unknown. It falls slowly."""
+        return max((size for _, size in self._fleet_sizes), default=0)
+
+    def start(self, now: float) -> list[Effect]:
+        """Nothing to do before the voters are known."""
+        return self.tick(now)
+
+    def voters_changed(self, now: float, voters: Sequence[VoterAddress]) -> list[Effect]:
+        """The voters of the chain's view, as far as this machine knows."""
+        known = self._voters
+        self._voters = {
+            each.ip: known.get(each.ip) or _Voter(each.zone, self._random.random()) for each in voters
+        }
+        if self._fetch is not None and self._fetch.source not in self._voters:
+            self._fetch = None
+        self._source = self._best(now)
+        return self._subscribe_all(now)
+
+    def link_up(self, now: float, ip: str) -> list[Effect]:
+        """The link to a machine is up (again): what was under way may be lost."""
+        if ip not in self._voters:
+            return []
+        return [self._subscribe(ip)]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Whatever is due by the clock."""
+        effects = self._change_source(now)
+        if now >= self._next_subscribe:
+            effects += self._subscribe_all(now)
+        if self._held and now >= self._held_until:
+            effects += self._release()
+        if self._fetch is not None and now >= self._fetch.deadline:
+            effects += self._give_up(now)
+        is_late = self._behind_since is not None and now - self._behind_since >= PUSH_PATIENCE
+        if self._fetch is None and is_late:
+            effects += self._pull(now)
+        return effects
+
+    def receive(self, now: float, ip: str, message: object) -> list[Effect]:
+        """A voter's message."""
+        voter = self._voters.get(ip)
+        if voter is None:
+            return []
+        voter.heard_at = now
+        match message:
+            case Offer():
+                return self._offered(now, ip, voter, message)
+            case Delta():
+                return self._take_delta(now, ip, message)
+            case Part():
+                return self._take_part(now, ip, message)
+        return []
+
+    def _offered(self, now: float, ip: str, voter: _Voter, offer: Offer) -> list[Effect]:
+        voter.newest = max(voter.newest, offer.newest)
+        voter.lease = max(LEASE, LEASE_PERIODS * offer.every_ms / 1000)
+        self._note_fleet_size(now, offer.fleet_size)
+        if offer.newest <= self._have:
+            if self._fetch is not None and self._fetch.source == ip:
+                self._fetch = None
+            return []
+        if self._behind_since is None:
+            self._behind_since = now
+        if self._fetch is None and ip == self._source:
+            return self._pull(now)
+        return []
+
+    def _pull(self, now: float) -> list[Effect]:
+        """Asks the source, or whoever offers more than it has if the source lags behind."""
+        ahead = [ip for ip, voter in self._voters.items() if voter.newest > self._have]
+        if not ahead:
+            self._behind_since = None
+            return []
+        source = self._source if self._source in ahead else min(ahead, key=lambda ip: self._order(now, ip))
+        if source is None:
+            return []
+        self._fetch = _Fetch(source, now + ANSWER_TIMEOUT * self._patience, self._unfinished)
+        return [Send(source, Pull(self._have))]
+
+    def _take_delta(self, now: float, ip: str, delta: Delta) -> list[Effect]:
+        self._voters[ip].newest = max(self._voters[ip].newest, delta.newest)
+        if delta.first > self._have + 1 or self._have == NOTHING:
+            return self._pull(now) if self._fetch is None else []
+        updates = delta.updates[self._have + 1 - delta.first :]
+        if not updates:
+            return []
+        self._have += len(updates)
+        return self._went_on(now, ip, Apply(self._have, updates))
+
+    def _take_part(self, now: float, ip: str, part: Part) -> list[Effect]:
+        fetch = self._fetch
+        if fetch is None or fetch.source != ip or not is_sensible(part) or part.sequence <= self._have:
+            return []
+        if fetch.assembly is None or not fetch.assembly.takes(part):
+            fetch.assembly = Assembly(part)
+            fetch.in_flight = set()
+        fetch.assembly.add(part)
+        fetch.in_flight.discard(part.offset)
+        if not fetch.assembly.is_whole:
+            return self._pull_parts(now, fetch, fetch.assembly)
+        content = fetch.assembly.content()
+        is_next = fetch.assembly.is_snapshot or part.sequence == self._have + 1
+        if content is None or not is_next:
+            fetch.assembly = None
+            return self._give_up(now)
+        self._have = part.sequence
+        effect = Replace(part.sequence, content) if part.is_snapshot else Apply(part.sequence, (content,))
+        return self._went_on(now, ip, effect)
+
+    def _pull_parts(self, now: float, fetch: _Fetch, assembly: Assembly) -> list[Effect]:
+        wanted = [offset for offset in assembly.missing() if offset not in fetch.in_flight]
+        free = PARTS_IN_FLIGHT - len(fetch.in_flight)
+        fetch.in_flight.update(wanted[:free])
+        transfer_time = len(fetch.in_flight) * PART_BYTES / SLOWEST_BYTES_A_SECOND
+        fetch.deadline = now + (ANSWER_TIMEOUT + transfer_time) * self._patience
+        return [
+            Send(fetch.source, PullPart(assembly.sequence, assembly.is_snapshot, offset))
+            for offset in wanted[:free]
+        ]
+
+    def _went_on(self, now: float, ip: str, change: Apply | Replace) -> list[Effect]:
+        """Something new is here: puts it in force, tells the voter, and asks for what follows."""
+        self._fetch = self._unfinished = None
+        self._patience = 1
+        is_behind = self.newest_offered() > self._have
+        self._behind_since = now if is_behind else None
+        effects: list[Effect] = []
+        if self._held is None:
+            effects.append(change)
+        else:
+            self._held.append(change)
+            self._held_until = min(self._held_until, now + HELD_FOR)
+            if not is_behind:
+                effects += self._release()
+        effects.append(Send(ip, Acknowledge(self._have)))
+        if is_behind and self._voters[ip].newest > self._have:
+            effects += self._pull(now)
+        return effects
+
+    def _release(self) -> list[Effect]:
+        """The first state is put in force with all that followed it, so that nothing old is ever served."""
+        held, self._held = self._held, None
+        return [*(held or ())]
+
+    def _give_up(self, now: float) -> list[Effect]:
+        """The source did not answer in time: another one next."""
+        assert self._fetch is not None
+        failed = self._voters.get(self._fetch.source)
+        if failed is not None:
+            failed.penalty_until = now + PENALTY
+        self._patience = min(LONGEST_PATIENCE, 2 * self._patience)
+        self._unfinished = self._fetch.assembly
+        self._fetch = None
+        return self._change_source(now) + self._pull(now)
+
+    def _change_source(self, now: float) -> list[Effect]:
+        best = self._best(now)
+        if best == self._source:
+            return []
+        old, self._source = self._source, best
+        return [self._subscribe(ip) for ip in (old, best) if ip is not None and ip in self._voters]
+
+    def _best(self, now: float) -> str | None:
+        return min(self._voters, key=lambda ip: self._order(now, ip), default=None)
+
+    def _order(self, now: float, ip: str) -> tuple[bool, bool, bool, bool, float]:
+        """Voters in touch first, then this machine itself, its zone, and whatever rank each drew."""
+        voter = self._voters[ip]
+        is_punished = now < voter.penalty_until
+        is_far = voter.zone != self._own_zone
+        return (is_punished, not _is_live(now, voter), ip != self._own_ip, is_far, voter.rank)
+
+    def _subscribe_all(self, now: float) -> list[Effect]:
+        self._next_subscribe = now + SUBSCRIBE_PERIOD
+        return [self._subscribe(ip) for ip in self._voters]
+
+    def _subscribe(self, ip: str) -> Send:
+        return Send(ip, Subscribe(self._have, ip == self._source))
+
+    def _note_fleet_size(self, now: float, size: int) -> None:
+        kept = [(at, old) for at, old in self._fleet_sizes if now - at < FLEET_SIZE_HELD and old > size]
+        if size > 0:
+            kept.append((now, size))
+        if kept:
+            self._fleet_sizes = kept
+
+
+def _is_live(now: float, voter: _Voter) -> bool:
+    return now - voter.heard_at <= voter.lease
