--- a/cloverrouter/coordination/sampling.py
+++ b/cloverrouter/coordination/sampling.py
@@ -133,7 +133,7 @@
         """The chain's view as this machine itself knows it."""
         if self._summary is not None and summary.order() <= self._summary.order():
             return
-        is_new_epoch = self._summary is None or summary.order()[:3] > self._summary.order()[:3]
+        is_new_epoch = self._summary is None or summary.order()[:2] > self._summary.order()[:2]
         self._summary = summary
         if is_new_epoch:
             self._hurry(now)
--- a/cloverrouter/coordination/sampling_messages.py
+++ b/cloverrouter/coordination/sampling_messages.py
@@ -56,6 +56,7 @@
 
     ip: str
     identity: str
+    zone: str
 
 
 @nested
@@ -63,15 +64,14 @@
     """The chain's membership view, as much of it as a machine needs to find the head and the voters."""
 
     epoch: int
-    proposer: str
     active: bool
     head: str
     voters: tuple[VoterPlace, ...]
     committed: int
 
-    def order(self) -> tuple[int, str, bool, int]:
-        """A summary with a higher order is newer."""
-        return (self.epoch, self.proposer, self.active, self.committed)
+    def order(self) -> tuple[int, bool, int]:
+        """A summary with a higher order is newer. Epochs are unique to their proposers."""
+        return (self.epoch, self.active, self.committed)
 
 
 @message(150)
--- a/tests/system/test_sampling.py
+++ b/tests/system/test_sampling.py
@@ -191,7 +191,7 @@
 
 
 def summary(epoch: int, committed: int = 0) -> ViewSummary:
-    return ViewSummary(epoch, "p", True, ip_of(0), (VoterPlace(ip_of(0), "d0"),), committed)
+    return ViewSummary(epoch, True, ip_of(0), (VoterPlace(ip_of(0), "d0", "zone"),), committed)
 
 
 def test_the_newest_view_reaches_all_and_an_older_one_does_not_come_back() -> None:
