--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -216,6 +216,7 @@
             fetch.assembly = Assembly(part)
             fetch.in_flight = set()
         fetch.assembly.add(part)
+        self._patience = 1
         fetch.in_flight.discard(part.offset)
         if not fetch.assembly.is_whole:
             return self._pull_parts(now, fetch, fetch.assembly)
