--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -17,6 +17,8 @@
 MAX_DEPTH = 32
 
 Findings = list[Finding]
+KnownValues = set[tuple[str, type, Any]]
+"""Fields with plain values that were found sound."""
 
 
 class _NotJson(ValueError):
@@ -92,21 +94,49 @@
     return value if isinstance(value, list) else ()
 
 
-def check_fields(schema: str, value: Any, place: str, findings: Findings) -> bool:
-    """Whether a value keeps one of `schemas.SCHEMAS`."""
+def check_fields(
+    schema: str, value: Any, place: str, findings: Findings, known: KnownValues | None = None
+) -> bool:
+    """Whether a value keeps one of `schemas.SCHEMAS`.
+
+    Fields have no rules for one another, so that values in `known`, which were sound in other items of the
+    same schema, aren't checked again; most fields of a long list are spared by that.
+    """
     from cloverrouter.control.schemas import validator  # what only applies updates never pays for cerberus
 
     if not isinstance(value, dict):
         findings.append(Finding(place, f"found {shown(value)}, wanted an object"))
         return False
     rules = validator(schema)
+    if known is not None and _are_known(rules, value, known):
+        return True
     if rules.validate(value, normalize=False):
+        if known is not None:
+            known.update(_values(value))
         return True
     for error in _leaves(rules._errors):
         findings.append(_finding(error, rules.schema, value, place))
     return False
 
 
+def _are_known(rules: Any, item: dict[str, Any], known: KnownValues) -> bool:
+    """Whether all values are known or sound. Required fields are always looked at."""
+    rest = dict(item)
+    for field, kind, value in _values(item):
+        if (field, kind, value) in known and field not in rules.required_fields:
+            del rest[field]
+    if len(rest) == len(item) or not rules.validate(rest, normalize=False):
+        return False
+    known.update(_values(rest))
+    return True
+
+
+def _values(item: dict[str, Any]) -> Iterable[tuple[str, type, Any]]:
+    return [
+        (field, type(value), value) for field, value in item.items() if not isinstance(value, list | dict)
+    ]
+
+
 def _leaves(errors: Iterable[Any]) -> Iterable[Any]:
     for error in errors:
         if error.child_errors:
--- a/cloverrouter/control/orders.py
+++ b/cloverrouter/control/orders.py
@@ -192,13 +192,18 @@
     def restore(self, snapshot: bytes) -> None:
         """Takes over a whole state. Empty bytes are the state before the first order."""
         self._prepared = None
-        self._state, self._taken = ConfigurationState(), {}
-        if not snapshot:
-            return
-        found = decoded(snapshot, MachineSnapshot)
-        self._taken = dict(_TAKEN.iter_unpack(found.taken))
-        if found.document:
-            self._state = self._state.replaced(json.loads(found.document))
+        self._taken = {}
+        self._state = state_of_snapshot(snapshot, self._state)
+        if snapshot:
+            self._taken = dict(_TAKEN.iter_unpack(decoded(snapshot, MachineSnapshot).taken))
+
+
+def state_of_snapshot(snapshot: bytes, known: ConfigurationState | None = None) -> ConfigurationState:
+    """The configuration of a machine's snapshot. Typed items that are the same in `known` are shared."""
+    document = decoded(snapshot, MachineSnapshot).document if snapshot else b""
+    if not document:
+        return ConfigurationState()
+    return (known or ConfigurationState()).replaced(json.loads(document))
 
 
 def order_digest(order: Order) -> bytes:
--- a/cloverrouter/control/review.py
+++ b/cloverrouter/control/review.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 from cloverrouter.control.checks import (
     Findings,
+    KnownValues,
     check_fields,
     check_routes,
     check_tenants,
@@ -65,6 +67,7 @@
     findings: Findings = attrs.field(factory=list)
     _places: dict[tuple[str, str], str] = attrs.field(factory=dict)
     _faulty_services: set[str] = attrs.field(factory=set)
+    _known: dict[str, KnownValues] = attrs.field(factory=lambda: defaultdict(set))
 
     def read(self, schema: str, body: bytes) -> dict[str, Any]:
         """The object of a body, its own fields checked, and that its version rises."""
@@ -95,7 +98,7 @@
         if first != place:
             self.findings.append(Finding(f"{place}.name", f"the same name as {first}"))
         unchanged = self.current.holds(section, name, compact(item))
-        sound = unchanged or check_fields(section, item, place, self.findings)
+        sound = unchanged or check_fields(section, item, place, self.findings, self._known[section])
         if section == SERVICES and not sound:
             self._faulty_services.add(name)
         return sound and first == place
--- a/cloverrouter/control/schemas.py
+++ b/cloverrouter/control/schemas.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from functools import cache
+from functools import cache, cached_property
 from typing import Any
 
 import cerberus
@@ -20,6 +20,11 @@
 class Rules(cerberus.Validator):  # type: ignore[misc]
     """cerberus with the rules `above` and `whole`. Fields that no schema names are allowed."""
 
+    @cached_property
+    def required_fields(self) -> frozenset[str]:
+        """Fields that have to be there."""
+        return frozenset(field for field, rules in self.schema.items() if rules.get("required"))
+
     # cerberus reads the docstrings of rules as the schemas of their arguments, and goes on to further rules
     # after a null that isn't allowed.
 
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cloverrouter.control.errors import UpdateOutOfOrder
-from cloverrouter.control.orders import MAX_TAKEN_ORDERS, ConfigurationMachine, Order
+from cloverrouter.control.orders import MAX_TAKEN_ORDERS, ConfigurationMachine, Order, state_of_snapshot
 from cloverrouter.control.updates import applied_frame, whole
 from cloverrouter.messages.codec import encode
 
@@ -332,7 +332,16 @@
         machine.apply(update)
 
 
+def test_the_state_of_a_snapshot_shares_what_is_the_same(machine: ConfigurationMachine) -> None:
+    before = machine.state
+    assert send(machine, "PATCH", "5", patch(upsert={"route-table": [route("r0", priority=3)]})).status == 200
+    after = state_of_snapshot(machine.snapshot(), before)
+    assert after.configuration() == machine.state.configuration()
+    assert after.routes["r1"] is before.routes["r1"]
+
+
 def test_a_snapshot_of_nothing() -> None:
+    assert state_of_snapshot(b"").version == state_of_snapshot(ConfigurationMachine().snapshot()).version == 0
     machine = ConfigurationMachine()
     machine.restore(ConfigurationMachine().snapshot())
     machine.restore(b"")
--- a/tests/system/test_configuration_patch.py
+++ b/tests/system/test_configuration_patch.py
@@ -9,6 +9,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from cloverrouter.control.checks import Findings, KnownValues, check_fields
 from cloverrouter.control.configuration import Configuration
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.errors import ConfigurationInvalid
@@ -203,6 +204,22 @@
     assert follower.state.configuration() == machine.state.configuration()
 
 
+@settings(max_examples=100, deadline=None)
+@given(st.sampled_from(["route-table", "backends", "tenants"]), st.data())
+def test_known_values_change_no_verdict(section: str, data: st.DataObject) -> None:
+    known: KnownValues = set()
+    for _ in range(4):
+        item = WHOLE[section][0]
+        for _ in range(data.draw(st.integers(0, 2))):
+            path = data.draw(st.sampled_from(places(item)[1:]))
+            item = altered(item, path, data.draw(CHANGES))
+        apart: Findings = []
+        together: Findings = []
+        sound = check_fields(section, item, "x", apart)
+        assert check_fields(section, item, "x", together, known) == sound
+        assert together == apart
+
+
 @settings(max_examples=150, deadline=None)
 @given(st.sampled_from([json.dumps(WHOLE).encode(), json.dumps(PATCH).encode()]), st.data())
 def test_altered_bytes_never_crash(body: bytes, data: st.DataObject) -> None:
