The chain embeds the configuration machine; registrations become instances of the list

Decision and the protocol of the state machine now come from coordination, where the chain defines them. The API is tried over a socket of the shared server as well.

--- a/cloverrouter/control/orders.py
+++ b/cloverrouter/control/orders.py
@@ -11,9 +11,7 @@
 import json
 import struct
 from collections.abc import Callable
-from typing import Any, Protocol
-
-import attrs
+from typing import Any
 
 from cloverrouter.control.document import ConfigurationState, compact
 from cloverrouter.control.errors import ConfigurationInvalid
@@ -25,6 +23,7 @@
     decoded,
     decoded_update,
 )
+from cloverrouter.coordination.effects import Decision
 from cloverrouter.messages.codec import encode, message
 
 MAX_TAKEN_ORDERS = 4096
@@ -75,30 +74,6 @@
     """Digests of orders with the versions that they brought, oldest first."""
 
 
-@attrs.frozen(slots=True)
-class Decision:
-    """What is answered, and the update to be replicated before that; None where nothing changes."""
-
-    reply: bytes
-    update: bytes | None
-
-
-class ReplicatedMachine(Protocol):
-    """What the chain of replicas embeds."""
-
-    def decide(self, command: bytes) -> Decision:
-        """The answer to a command on the present state, which stays as it is."""
-
-    def apply(self, update: bytes) -> None:
-        """Makes an update's change; the same on every replica."""
-
-    def snapshot(self) -> bytes:
-        """The whole state."""
-
-    def restore(self, snapshot: bytes) -> None:
-        """Takes over a whole state."""
-
-
 Review = Callable[[bytes, ConfigurationState], tuple[dict[str, Any], ConfigurationState]]
 
 
--- a/cloverrouter/control/registration.py
+++ b/cloverrouter/control/registration.py
@@ -10,6 +10,8 @@
 
 from cloverrouter.control.checks import Findings, check_fields, is_number, read_object
 from cloverrouter.control.errors import Finding, RegistrationInvalid
+from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.control.registry_messages import ModelOnServer
 
 MAX_ID_CHARACTERS = 200
 
@@ -32,6 +34,30 @@
     return fields
 
 
+def instance_from(now: float, instance_id: str, fields: dict[str, Any]) -> Instance:
+    """The instance that checked fields tell of, received at `now` on the local steady clock."""
+    warmup_ms = fields.get("warmup-remaining-ms") or 0
+    is_draining = fields.get("lifecycle-state") == "draining"
+    return Instance(
+        id=instance_id,
+        service=fields["backend"],
+        address=fields["address"],
+        zone=fields.get("availability-zone") or "",
+        version=fields.get("version") or "",
+        capacity=int(fields.get("capacity") or 0),
+        state=InstanceState.DRAINING if is_draining else InstanceState.READY,
+        warm_at=now + warmup_ms / 1000 if warmup_ms > 0 else 0.0,
+        sequence=int(fields["sequence-number"]),
+        phase=fields.get("phase") or "",
+        models=tuple(_model_from(model) for model in fields.get("model-list") or ()),
+    )
+
+
+def _model_from(fields: dict[str, Any]) -> ModelOnServer:
+    adapters = tuple(fields.get("lora-adapters") or ())
+    return ModelOnServer(fields["name"], int(fields.get("version") or 0), adapters)
+
+
 def is_plain(fields: dict[str, Any]) -> bool:
     """Whether the fields are sound beyond doubt. Where this is false they may still be."""
     return (
@@ -65,6 +91,11 @@
 
 
 def _are_models(value: Any) -> bool:
-    return isinstance(value, list) and all(
-        isinstance(model, dict) and _is_name(model.get("name")) for model in value
-    )
+    return isinstance(value, list) and all(_is_model(model) for model in value)
+
+
+def _is_model(value: Any) -> bool:
+    if not isinstance(value, dict) or not _is_count(value.get("version", 0)):
+        return False
+    adapters = value.get("lora-adapters", [])
+    return _is_name(value.get("name")) and isinstance(adapters, list) and all(map(_is_name, adapters))
--- a/cloverrouter/control/schemas.py
+++ b/cloverrouter/control/schemas.py
@@ -144,6 +144,11 @@
         valuesrules=_field("a list of names", type="list", schema=_field("a name", type="string")),
     ),
 }
+SERVED_MODEL: Schema = {
+    "name": NAME,
+    "version": COUNT,
+    "lora-adapters": _optional("a list of names", type="list", schema=NAME),
+}
 REGISTRATION: Schema = {
     "backend": _field("the name of a service", type="string", required=True, empty=False),
     "address": _field("an address, HOST:PORT", type="string", required=True, regex=r".+:\d{1,5}"),
@@ -156,7 +161,11 @@
         "a whole number, 0 or more", type="number", required=True, min=0, max=MAX_VERSION, whole=True
     ),
     "phase": WORD,
-    "model-list": MODELS,
+    "model-list": _optional(
+        "a list of models",
+        type="list",
+        schema=_field("a model", type="dict", schema=SERVED_MODEL),
+    ),
 }
 
 ITEM: Schema = {"name": NAME}
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -10,6 +10,7 @@
 from cloverrouter.control.errors import UpdateOutOfOrder
 from cloverrouter.control.orders import MAX_TAKEN_ORDERS, ConfigurationMachine, Order, state_of_snapshot
 from cloverrouter.control.updates import applied_frame, whole
+from cloverrouter.coordination.effects import StateMachine
 from cloverrouter.messages.codec import encode
 
 from .configurations import document, findings, route, send, service, split, tenant
@@ -22,6 +23,11 @@
     return found
 
 
+def test_the_chain_can_embed_the_machine() -> None:
+    machine: StateMachine = ConfigurationMachine()
+    assert machine.snapshot()
+
+
 def test_the_first_configuration_builds_on_version_0() -> None:
     machine = ConfigurationMachine()
     reply = send(machine, "PUT", "0", document(5))
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -12,10 +12,13 @@
 
 from cloverrouter.control.api import MAX_BODY_BYTES, MAX_ORDERS_UNDER_WAY, Answer, ControlApi, RegisterReply
 from cloverrouter.control.errors import Redirected, Unavailable
+from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.control.metrics import Figure
 from cloverrouter.control.orders import ConfigurationMachine, OrderReply
-from cloverrouter.control.registration import is_plain, read_registration
+from cloverrouter.control.registration import instance_from, is_plain, read_registration
+from cloverrouter.control.registry_messages import ModelOnServer
 from cloverrouter.control.schemas import validator
+from cloverrouter.http.server import Server, ServerLimits
 
 from .configurations import document, send
 
@@ -255,6 +258,43 @@
     assert read_registration("i-1", json.dumps(body).encode()) == body
 
 
+def test_the_instance_of_a_registration() -> None:
+    models = [{"name": "m", "version": 2, "lora-adapters": ["a"]}, {"name": "n"}]
+    fields = {
+        **ANNOUNCEMENT,
+        "lifecycle-state": "draining",
+        "warmup-remaining-ms": 1500,
+        "model-list": models,
+    }
+    assert instance_from(7.0, "i-1", fields) == Instance(
+        id="i-1",
+        service="model",
+        address="10.128.0.9:8080",
+        zone="hall-a",
+        version="v1",
+        capacity=48,
+        state=InstanceState.DRAINING,
+        warm_at=8.5,
+        sequence=4,
+        phase="bidirectional",
+        models=(ModelOnServer("m", 2, ("a",)), ModelOnServer("n", 0, ())),
+    )
+
+
+def test_the_instance_of_a_registration_of_few_fields() -> None:
+    nulls = dict.fromkeys(ANNOUNCEMENT, None)
+    fields = {
+        **nulls,
+        "backend": "model",
+        "address": "h:1",
+        "sequence-number": 3.0,
+        "lifecycle-state": "ready",
+    }
+    body = json.dumps(fields).encode()
+    expected = Instance(id="i", service="model", address="h:1", sequence=3)
+    assert instance_from(7.0, "i", read_registration("i", body)) == expected
+
+
 def test_what_is_plain_keeps_the_schema() -> None:
     odd: list[Any] = [
         None,
@@ -272,6 +312,10 @@
         [{"name": "m"}],
         {},
     ]
+    versions: list[Any] = [None, True, -1, 1.5, 2, "2"]
+    odd += [[{"name": "m", "version": version}] for version in versions]
+    adapters: list[Any] = [None, [3], [""], ["a"], "a", {}]
+    odd += [[{"name": "m", "lora-adapters": names}] for names in adapters]
     for field in ANNOUNCEMENT:
         for value in odd:
             body = {**ANNOUNCEMENT, field: value}
@@ -301,3 +345,22 @@
         "# HELP taken orders\\nby kind\n# TYPE taken counter\n"
         'taken{kind="a\\"b"} 2.5\ntaken{kind="c"} 3\n'
     )
+
+
+def test_a_call_over_a_socket() -> None:
+    async def run() -> bytes:
+        server = Server(ControlApi(Backend()).handle, ServerLimits())
+        host, port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        body = json.dumps(document(3)).encode()
+        head = b"PUT /-/configuration HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\nConnection: close\r\n"
+        writer.write(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        answer = await reader.read()
+        writer.close()
+        server.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert b"Content-Type: application/json\r\n" in answer
+    assert answer.endswith(b'\r\n\r\n{"version":3}')
