--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -23,7 +23,7 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_ORDERS_UNDER_WAY = 8
-ORDER_TIMEOUT_S = 8.0
+ORDER_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 3.0
 RETRY_AFTER_S = 0.5
 
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -301,6 +302,15 @@
     assert machine.document == document(5)
 
 
+def test_the_example_of_the_operators_page_is_taken() -> None:
+    page = (Path(__file__).parents[2] / "docs/operate/configuration.md").read_text()
+    body = page[page.index("-d '") + 4 : page.index("}'", page.index("-d '")) + 1]
+    machine = ConfigurationMachine()
+    send(machine, "PUT", "0", document(7, **{"backends": [service("model"), service("desk")]}))
+    assert send(machine, "PATCH", "7", body.encode()).status == 200
+    assert machine.state.routes["r-new"].targets == (("desk", 1),)
+
+
 def test_a_service_and_its_routes_may_go_together(machine: ConfigurationMachine) -> None:
     sent = patch(delete={"route-table": ["r0", "r1"], "backends": ["model"]})
     assert send(machine, "PATCH", "5", sent).status == 200
