--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -11,10 +11,10 @@
 from cloverrouter.control.api import RegisterReply
 from cloverrouter.control.errors import Unavailable
 from cloverrouter.control.forwarding import Kind
-from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.control.instances import Instance
 from cloverrouter.control.metrics import Figure
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
-from cloverrouter.control.registry_messages import ModelOnServer
+from cloverrouter.control.registration import instance_from
 from cloverrouter.control.updates import decoded
 from cloverrouter.messages import encode
 
@@ -77,7 +77,7 @@
         return reply
 
     async def register(self, instance_id: str, body: dict[str, Any]) -> RegisterReply:
-        instance = _instance_of(instance_id, body, self._loop.time())
+        instance = instance_from(self._loop.time(), instance_id, body)
         change, effects = self._plane.registry.announced(self._loop.time(), instance)
         await self._change(change, effects)
         return RegisterReply()
@@ -159,27 +159,6 @@
         )
 
 
-def _instance_of(instance_id: str, fields: dict[str, Any], now: float) -> Instance:
-    warmup_ms = fields.get("warmup-remaining-ms") or 0
-    state = InstanceState.DRAINING if fields["lifecycle-state"] == "draining" else InstanceState.READY
-    return Instance(
-        id=instance_id,
-        service=fields["backend"],
-        address=fields["address"],
-        zone=fields.get("availability-zone", ""),
-        version=fields.get("version", ""),
-        capacity=fields["capacity"],
-        state=state,
-        warm_at=now + warmup_ms / 1000 if warmup_ms > 0 else 0.0,
-        sequence=fields["sequence-number"],
-        phase=fields.get("phase", ""),
-        models=tuple(
-            ModelOnServer(model["name"], int(model.get("version", 0)), tuple(model.get("lora-adapters", ())))
-            for model in fields.get("model-list", ())
-        ),
-    )
-
-
 def _shown(instance: Instance, silent: bool) -> dict[str, Any]:
     return {
         "id": instance.id,
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -303,8 +303,7 @@
         self.summary = summary
         ips = [place.ip for place in summary.voters]
         if before is None or [place.ip for place in before.voters] != ips:
-            zones = {found.record.ip: found.record.zone for found in self.sampler.discovered(now)}
-            addresses = [VoterAddress(ip, zones.get(ip, "")) for ip in ips]
+            addresses = [VoterAddress(place.ip, place.zone) for place in summary.voters]
             for ip in ips:
                 self.transport.open(ip)
             self._registered(self.registry.voters_changed(now, ips))
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -145,5 +145,5 @@
 
 def summary_of(view: ViewInfo, committed: int) -> ViewSummary:
     """What other machines are told of a view."""
-    voters = tuple(VoterPlace(member.ip, member.identity) for member in view.voters)
-    return ViewSummary(view.epoch, "", view.active, view.head_ip or "", voters, committed)
+    voters = tuple(VoterPlace(member.ip, member.identity, member.zone) for member in view.voters)
+    return ViewSummary(view.epoch, view.active, view.head_ip or "", voters, committed)
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -103,11 +103,6 @@
         if account is not None:
             account.level += tokens  # `advance` keeps it within the room
 
-    @property
-    def wants_credit(self) -> bool:
-        """Whether `flush` has something to ask for."""
-        return bool(self._wanting) and self._head is not None
-
     def flush(self, now: float) -> list[Effect]:
         """What `admit` wants to be asked for; empty if the last ask was a moment ago."""
         self._now = now
