A request that waited for quota and went out isn't sent again when news of the quota come

Ruled out: retries of the client (one id), a hedge (there is none). The test fails without the mend.

--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -137,11 +137,13 @@
         return False
 
     def quota_woken(self) -> None:
-        """News of the tenant's quota came."""
+        """News of the tenant's quota came. Danger: a request whose turn came by its timer was counted and sent
+        meanwhile; tried again here, it would run twice."""
+        if self._over or self._charged:
+            return
         if self._retry_timer is not None:
             self._retry_timer.cancel()
-        if not self._over:
-            self._try()
+        self._try()
 
     def _paid_for(self) -> bool:
         """Pay for an arrival beyond the first. What was paid for and didn't arrive stays paid."""
--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -151,6 +151,16 @@
     assert len(world.quota.taken) == 1
 
 
+def test_news_of_the_quota_after_the_request_went_out_sends_it_no_second_time(world: World) -> None:
+    world.quota.waits = [0.02]
+    world.ask()
+    world.clock.pass_ms(25)
+    assert len(world.calls) == 1
+    world.router.quota_woken("a")
+    assert len(world.calls) == 1
+    assert len(world.quota.taken) == 1
+
+
 def test_a_request_does_not_wait_for_its_quota_for_long(world: World) -> None:
     world.quota.waits = [0.02] * 10
     exchange = world.ask("/once/x")
