--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -153,7 +153,7 @@
 
 def test_news_of_the_quota_after_the_request_went_out_sends_it_no_second_time(world: World) -> None:
     world.quota.waits = [0.02]
-    world.ask()
+    world.ask("/once/x")
     world.clock.pass_ms(25)
     assert len(world.calls) == 1
     world.router.quota_woken("a")
