--- a/cloverrouter/control/distribution.py
+++ b/cloverrouter/control/distribution.py
@@ -19,6 +19,7 @@
 
 from cloverrouter.control.distribution_messages import NOTHING
 from cloverrouter.control.publisher import Publisher, SnapshotWanted
-from cloverrouter.control.subscriber import Apply, Replace, Subscriber, VoterAddress
+from cloverrouter.control.subscriber import Apply, Replace, Subscriber
+from cloverrouter.control.voter_choice import VoterAddress
 
 __all__ = ["NOTHING", "Apply", "Publisher", "Replace", "SnapshotWanted", "Subscriber", "VoterAddress"]
--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -19,28 +19,18 @@
     Subscribe,
 )
 from cloverrouter.control.transfer import PART_BYTES, PARTS_IN_FLIGHT, Assembly, is_sensible
+from cloverrouter.control.voter_choice import VoterAddress, VoterChoice
 from cloverrouter.messages.sending import Send
 
-LEASE = 1.5
-LEASE_PERIODS = 2.5
 SUBSCRIBE_PERIOD = 2.0
 PUSH_PATIENCE = 0.15
 ANSWER_TIMEOUT = 0.3
 SLOWEST_BYTES_A_SECOND = 250_000
 LONGEST_PATIENCE = 8
-PENALTY = 5.0
 HELD_FOR = 1.0
 FLEET_SIZE_HELD = 15.0
 
 
-@attrs.frozen(slots=True)
-class VoterAddress:
-    """A voter, and the zone that it is in."""
-
-    ip: str
-    zone: str
-
-
 @attrs.frozen(slots=True)
 class Apply:
     """Put these committed updates in force, in order; the last of them has the sequence number `sequence`."""
@@ -60,16 +50,6 @@
 Effect = Send | Apply | Replace
 
 
-@attrs.define(slots=True)
-class _Voter:
-    zone: str
-    rank: float
-    newest: int = NOTHING
-    heard_at: float = -math.inf
-    lease: float = LEASE
-    penalty_until: float = -math.inf
-
-
 @attrs.define(slots=True)
 class _Fetch:
     """What the subscriber waits for, from whom, and until when."""
@@ -84,10 +64,7 @@
     """The pure core on every machine. What it has put in force never goes backwards within its life."""
 
     def __init__(self, own_ip: str, own_zone: str, random: Random) -> None:
-        self._own_ip = own_ip
-        self._own_zone = own_zone
-        self._random = random
-        self._voters: dict[str, _Voter] = {}
+        self._voters = VoterChoice(own_ip, own_zone, random)
         self._source: str | None = None
         self._have = NOTHING
         self._fetch: _Fetch | None = None
@@ -111,12 +88,11 @@
 
     def current(self, now: float) -> bool:
         """True if a majority of the voters was heard of lately: what they have committed is known here."""
-        heard = sum(1 for voter in self._voters.values() if _is_live(now, voter))
-        return heard > len(self._voters) // 2
+        return self._voters.majority_is_live(now)
 
     def newest_offered(self) -> int:
         """The newest committed sequence number heard of."""
-        return max((voter.newest for voter in self._voters.values()), default=NOTHING)
+        return self._voters.newest_of_all()
 
     def fleet_size(self) -> int:
         """How many machines there are, as the voters count; 0 while unknown. It falls slowly."""
@@ -128,13 +104,10 @@
 
     def voters_changed(self, now: float, voters: Sequence[VoterAddress]) -> list[Effect]:
         """The voters of the chain's view, as far as this machine knows."""
-        known = self._voters
-        self._voters = {
-            each.ip: known.get(each.ip) or _Voter(each.zone, self._random.random()) for each in voters
-        }
+        self._voters.change(voters)
         if self._fetch is not None and self._fetch.source not in self._voters:
             self._fetch = None
-        self._source = self._best(now)
+        self._source = self._voters.best(now)
         return self._subscribe_all(now)
 
     def link_up(self, now: float, ip: str) -> list[Effect]:
@@ -159,22 +132,20 @@
 
     def receive(self, now: float, ip: str, message: object) -> list[Effect]:
         """A voter's message."""
-        voter = self._voters.get(ip)
-        if voter is None:
+        if ip not in self._voters:
             return []
-        voter.heard_at = now
+        self._voters.heard(now, ip)
         match message:
             case Offer():
-                return self._offered(now, ip, voter, message)
+                return self._offered(now, ip, message)
             case Delta():
                 return self._take_delta(now, ip, message)
             case Part():
                 return self._take_part(now, ip, message)
         return []
 
-    def _offered(self, now: float, ip: str, voter: _Voter, offer: Offer) -> list[Effect]:
-        voter.newest = max(voter.newest, offer.newest)
-        voter.lease = max(LEASE, LEASE_PERIODS * offer.every_ms / 1000)
+    def _offered(self, now: float, ip: str, offer: Offer) -> list[Effect]:
+        self._voters.offered(ip, offer)
         self._note_fleet_size(now, offer.fleet_size)
         if offer.newest <= self._have:
             if self._fetch is not None and self._fetch.source == ip:
@@ -188,18 +159,17 @@
 
     def _pull(self, now: float) -> list[Effect]:
         """Asks the source, or whoever offers more than it has if the source lags behind."""
-        ahead = [ip for ip, voter in self._voters.items() if voter.newest > self._have]
-        if not ahead:
-            self._behind_since = None
-            return []
-        source = self._source if self._source in ahead else min(ahead, key=lambda ip: self._order(now, ip))
+        source = self._source
+        if source is None or self._voters.newest(source) <= self._have:
+            source = self._voters.best(now, above=self._have)
         if source is None:
+            self._behind_since = None
             return []
         self._fetch = _Fetch(source, now + ANSWER_TIMEOUT * self._patience, self._unfinished)
         return [Send(source, Pull(self._have))]
 
     def _take_delta(self, now: float, ip: str, delta: Delta) -> list[Effect]:
-        self._voters[ip].newest = max(self._voters[ip].newest, delta.newest)
+        self._voters.has(ip, delta.newest)
         if delta.first > self._have + 1 or self._have == NOTHING:
             return self._pull(now) if self._fetch is None else []
         updates = delta.updates[self._have + 1 - delta.first :]
@@ -255,7 +225,7 @@
             if not is_behind:
                 effects += self._release()
         effects.append(Send(ip, Acknowledge(self._have)))
-        if is_behind and self._voters[ip].newest > self._have:
+        if is_behind and self._voters.newest(ip) > self._have:
             effects += self._pull(now)
         return effects
 
@@ -267,31 +237,19 @@
     def _give_up(self, now: float) -> list[Effect]:
         """The source did not answer in time: another one next."""
         assert self._fetch is not None
-        failed = self._voters.get(self._fetch.source)
-        if failed is not None:
-            failed.penalty_until = now + PENALTY
+        self._voters.failed(now, self._fetch.source)
         self._patience = min(LONGEST_PATIENCE, 2 * self._patience)
         self._unfinished = self._fetch.assembly
         self._fetch = None
         return self._change_source(now) + self._pull(now)
 
     def _change_source(self, now: float) -> list[Effect]:
-        best = self._best(now)
+        best = self._voters.best(now)
         if best == self._source:
             return []
         old, self._source = self._source, best
         return [self._subscribe(ip) for ip in (old, best) if ip is not None and ip in self._voters]
 
-    def _best(self, now: float) -> str | None:
-        return min(self._voters, key=lambda ip: self._order(now, ip), default=None)
-
-    def _order(self, now: float, ip: str) -> tuple[bool, bool, bool, bool, float]:
-        """Voters in touch first, then this machine itself, its zone, and whatever rank each drew."""
-        voter = self._voters[ip]
-        is_punished = now < voter.penalty_until
-        is_far = voter.zone != self._own_zone
-        return (is_punished, not _is_live(now, voter), ip != self._own_ip, is_far, voter.rank)
-
     def _subscribe_all(self, now: float) -> list[Effect]:
         self._next_subscribe = now + SUBSCRIBE_PERIOD
         return [self._subscribe(ip) for ip in self._voters]
@@ -305,7 +263,3 @@
             kept.append((now, size))
         if kept:
             self._fleet_sizes = kept
-
-
-def _is_live(now: float, voter: _Voter) -> bool:
-    return now - voter.heard_at <= voter.lease
--- /dev/null
+++ b/cloverrouter/control/voter_choice.py
@@ -0,0 +1,105 @@
+"""The voters as a subscriber sees them: who is in touch, what each offers, and which one to fetch from."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator, Sequence
+from random import Random
+
+import attrs
+
+from cloverrouter.control.distribution_messages import NOTHING, Offer
+
+LEASE = 1.5
+LEASE_PERIODS = 2.5
+PENALTY = 5.0
+
+
+@attrs.frozen(slots=True)
+class VoterAddress:
+    """A voter, and the zone that it is in."""
+
+    ip: str
+    zone: str
+
+
+@attrs.define(slots=True)
+class _Voter:
+    zone: str
+    rank: float
+    newest: int = NOTHING
+    heard_at: float = -math.inf
+    lease: float = LEASE
+    penalty_until: float = -math.inf
+
+
+class VoterChoice:
+    """All voters with what was heard of them. One that failed to answer is avoided for a while."""
+
+    def __init__(self, own_ip: str, own_zone: str, random: Random) -> None:
+        self._own_ip = own_ip
+        self._own_zone = own_zone
+        self._random = random
+        self._voters: dict[str, _Voter] = {}
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._voters)
+
+    def __contains__(self, ip: object) -> bool:
+        return ip in self._voters
+
+    def change(self, voters: Sequence[VoterAddress]) -> None:
+        """These are the voters now."""
+        known = self._voters
+        self._voters = {
+            each.ip: known.get(each.ip) or _Voter(each.zone, self._random.random()) for each in voters
+        }
+
+    def heard(self, now: float, ip: str) -> None:
+        """A message of the voter came."""
+        self._voters[ip].heard_at = now
+
+    def offered(self, ip: str, offer: Offer) -> None:
+        """The voter tells what it has, and how often it tells."""
+        self.has(ip, offer.newest)
+        self._voters[ip].lease = max(LEASE, LEASE_PERIODS * offer.every_ms / 1000)
+
+    def has(self, ip: str, newest: int) -> None:
+        """The voter has committed that much."""
+        self._voters[ip].newest = max(self._voters[ip].newest, newest)
+
+    def failed(self, now: float, ip: str) -> None:
+        """The voter did not answer in time."""
+        if ip in self._voters:
+            self._voters[ip].penalty_until = now + PENALTY
+
+    def newest(self, ip: str) -> int:
+        """What the voter has committed, as far as was heard."""
+        return self._voters[ip].newest
+
+    def newest_of_all(self) -> int:
+        """The newest committed sequence number heard of."""
+        return max((voter.newest for voter in self._voters.values()), default=NOTHING)
+
+    def majority_is_live(self, now: float) -> bool:
+        """True if more than half of the voters were heard of within their leases."""
+        return 2 * sum(self._is_live(now, voter) for voter in self._voters.values()) > len(self._voters)
+
+    def best(self, now: float, above: int | None = None) -> str | None:
+        """The voter to fetch from: one in touch first, then this machine itself, its zone, and the rank it
+        drew.
+
+        With `above`, only of those that have committed more than that.
+        """
+        candidates = [ip for ip, voter in self._voters.items() if above is None or voter.newest > above]
+        return min(candidates, key=lambda ip: self._order(now, ip), default=None)
+
+    def _order(self, now: float, ip: str) -> tuple[bool, bool, bool, bool, float]:
+        voter = self._voters[ip]
+        is_punished = now < voter.penalty_until
+        is_far = voter.zone != self._own_zone
+        return (is_punished, not self._is_live(now, voter), ip != self._own_ip, is_far, voter.rank)
+
+    @staticmethod
+    def _is_live(now: float, voter: _Voter) -> bool:
+        return now - voter.heard_at <= voter.lease
--- a/tests/system/registry_fleet.py
+++ b/tests/system/registry_fleet.py
@@ -19,8 +19,10 @@
         self.fleet = fleet
         self.ip = ip
         self.registry = Registry(ip, INTERVAL)
+        self.started_at = 0.0
 
     def start(self, now: float) -> list[Effect]:
+        self.started_at = now
         effects = self.registry.voters_changed(now, self.fleet.voters)
         self.registry.set_head(now, self.ip == self.fleet.head)
         return effects
@@ -121,11 +123,17 @@
 
     def was_acknowledged(self, ip: str, change: int) -> bool:
         """True if the change's server may be answered 200."""
-        return Acknowledged(change) in self.world.seen(ip, Acknowledged)
+        return Acknowledged(change) in self._of_this_life(ip)
 
     def has_failed(self, ip: str, change: int) -> bool:
         """True if the change's server is to be answered 503."""
-        return Failed(change) in self.world.seen(ip, Failed)
+        return Failed(change) in self._of_this_life(ip)
+
+    def _of_this_life(self, ip: str) -> list[object]:
+        machine = self.world.cores.get(ip)
+        if not isinstance(machine, Machine):
+            return []
+        return [each for at, where, each in self.world.effects if where == ip and at >= machine.started_at]
 
     def _link_up(self, ip: str, peer: str) -> None:
         if ip in self.world.cores:
