--- a/cloverrouter/lab/fleet/client.py
+++ b/cloverrouter/lab/fleet/client.py
@@ -8,13 +8,11 @@
 
 import attrs
 
-from cloverrouter.lab.fleet.exchange import subject_of
+from cloverrouter.lab.fleet.contract import PROMISES, Event, subject_of
 from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, Request
 from cloverrouter.lab.fleet.load import Draws, Kind, Wish
 from cloverrouter.lab.fleet.platform import Platform
 from cloverrouter.lab.fleet.wire import (
-    PROMISES,
-    Event,
     EventParser,
     Head,
     WireError,
--- a/cloverrouter/lab/fleet/exchange.py
+++ b/cloverrouter/lab/fleet/exchange.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import random
 from collections.abc import Callable
 from enum import Enum
 
 import attrs
 
+from cloverrouter.lab.fleet.contract import subject_of
 from cloverrouter.lab.fleet.engine import EngineShape
 from cloverrouter.lab.fleet.judge import Judge, Run
 from cloverrouter.lab.fleet.wire import Head, render
@@ -81,11 +81,6 @@
         await self.reply(status, [("Cypresswinch-Attempt-Id", self.attempt_id), NOT_EXECUTED])
 
 
-def subject_of(method: str, path: str, body: bytes) -> str:
-    """What a request is about, as one word: the same at client and server if nothing was changed."""
-    return hashlib.sha256(b"%s %s " % (method.encode(), path.encode()) + body).hexdigest()[:16]
-
-
 class RunBook:
     """Makes a server's runs, each with its own stamp, and tells the judge of them. `clock` gives seconds."""
 
--- a/cloverrouter/lab/fleet/judge.py
+++ b/cloverrouter/lab/fleet/judge.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cloverrouter.lab.fleet.wire import PROMISES, Event
+from cloverrouter.lab.fleet.contract import PROMISES, Event
 
 MOST_NAMED = 20  # findings of one rule that are kept in words; all are counted
 
@@ -90,11 +90,6 @@
         return 1000 * ((self.first_at or self.served_at) - self.asked_at)
 
 
-def event_data(subject: str, event_id: int, stamp: str) -> str:
-    """What a server writes into an event: whose it is, which one, and which run made it."""
-    return f"{subject} {event_id} {stamp}"
-
-
 class Judge:
     """Collects what is seen, and says what is wrong with it."""
 
--- a/cloverrouter/lab/fleet/wire.py
+++ b/cloverrouter/lab/fleet/wire.py
@@ -10,10 +10,10 @@
 import attrs
 
 from cloverrouter.errors import CypresswinchError
+from cloverrouter.lab.fleet.contract import Event
 
 HEAD_LIMIT_BYTES = 64 * 1024
 CHUNK_SIZE_LINE_BYTES = 1024
-PROMISES = frozenset({408, 421, 429, 503})  # statuses that promise: the request has not run and never will
 
 
 class WireError(CypresswinchError):
@@ -132,14 +132,6 @@
     return b"".join([part async for part in body_parts(reader, head, is_answer)])
 
 
-@attrs.frozen(slots=True)
-class Event:
-    """One event of a stream."""
-
-    event_id: int
-    data: str
-
-
 def render_event(event: Event) -> bytes:
     return f"id: {event.event_id}\ndata: {event.data}\n\n".encode()
 
--- a/cloverrouter/lab/fleet/work.py
+++ b/cloverrouter/lab/fleet/work.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from cloverrouter.lab.fleet.contract import Event, event_data
 from cloverrouter.lab.fleet.engine import (
     Admission,
     Engine,
@@ -13,8 +14,8 @@
     parse_prefix,
 )
 from cloverrouter.lab.fleet.exchange import FULL, Exchange, RunBook
-from cloverrouter.lab.fleet.judge import Run, event_data
-from cloverrouter.lab.fleet.wire import Event, render, render_chunk, render_event
+from cloverrouter.lab.fleet.judge import Run
+from cloverrouter.lab.fleet.wire import render, render_chunk, render_event
 
 
 class Application:
--- a/tests/system/test_fleet_judge.py
+++ b/tests/system/test_fleet_judge.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, Request, Run, event_data
-from cloverrouter.lab.fleet.wire import Event
+from cloverrouter.lab.fleet.contract import Event, event_data
+from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, Request, Run
 
 
 class Story:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -41,6 +41,10 @@
     "handed",
     "fleet/limits",
     "lab/bridge",
+    "lab/fleet/contract",
+    "lab/fleet/engine",
+    "lab/fleet/figures",
+    "lab/fleet/judge",
     "lab/judge",
     "lab/scenario",
 )
