--- a/cloverrouter/cli/fleet.py
+++ b/cloverrouter/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from datetime import UTC, datetime
 from typing import Any
 from urllib.parse import quote
 
@@ -72,7 +73,21 @@
     as_json
         The node's own JSON.
     """
-    _tell(node_calls.read(node, "/-/history"), as_json)
+    told = node_calls.read(node, "/-/history")
+    _tell(told if as_json else _dated(told), as_json)
+
+
+def _dated(told: Any) -> Any:
+    """Changes with their time as a date, UTC, where it is in seconds since 1970."""
+    if not isinstance(told, list):
+        return told
+    return [{**item, "at": _date(item.get("at"))} for item in told if isinstance(item, dict)]
+
+
+def _date(at: Any) -> Any:
+    if not isinstance(at, int | float):
+        return at
+    return datetime.fromtimestamp(at, UTC).isoformat(sep=" ", timespec="seconds").removesuffix("+00:00")
 
 
 def trace(request_id: str, /, *, node: Node, as_json: Json = False) -> None:
--- a/cloverrouter/lab/fleet/nodes.py
+++ b/cloverrouter/lab/fleet/nodes.py
@@ -62,6 +62,7 @@
     heartbeat_ms: int
     machines_lost_at_once: int
     timing_bounds: Mapping[str, float | bool]
+    log_level: str = "changes"
 
 
 def settings(spec: NodeSpec, fleet: FleetSettings, folder: Path, bootstrap: bool) -> dict[str, Any]:
@@ -103,6 +104,7 @@
         },
         "fault-tolerance": {"machines": fleet.machines_lost_at_once, "zones": 0, "regions": 0},
         "timing-bounds": dict(fleet.timing_bounds),
+        "logging": {"level": fleet.log_level},
     }
 
 
--- /dev/null
+++ b/tests/system/test_demo.py
@@ -0,0 +1,24 @@
+"""The fleet's demo: real nodes, a load, a kill, a change. On a busy machine it may be slow, never wrong."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tests.command_line import run
+
+
+def test_a_short_demo_keeps_every_rule(tmp_path: Path) -> None:
+    _, text = run("demo", "--seconds", "5", "--keep", str(tmp_path / "kept"))
+    assert "broken" not in text and "ended with" not in text, text
+    assert "edge-lalitpur-1 is killed" in text and "edge-lalitpur-1 is started again" in text
+    assert "configuration 5, with one more route, is acknowledged" in text
+    logs = sorted(str(path) for path in (tmp_path / "kept").glob("*/log"))
+    code, text = run("logs", *logs)
+    assert code == 0 and len(logs) == 5 and "configuration  version=5" in text
+    code, text = run("check", *(log.removesuffix("log") + "node.toml" for log in logs))
+    assert code == 0 and text.count("good: settings of the node edge-") == 5
+
+
+def test_a_folder_that_is_there_is_left_alone(tmp_path: Path) -> None:
+    code, text = run("demo", "--keep", str(tmp_path))
+    assert code == 2 and "is there already" in text
--- a/tests/test_control_commands.py
+++ b/tests/test_control_commands.py
@@ -95,10 +95,10 @@
 def test_the_address_may_come_from_the_environment(
     node: ScriptedNode, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    node.told["/-/history"] = [{"version": 3, "at": "now"}, {"version": 5, "at": "then"}]
+    node.told["/-/history"] = [{"version": 3, "at": 1796187846.5}, {"version": 5, "at": "then"}]
     monkeypatch.setenv("CYPRESSWINCH_NODE", node.address)
     code, text = run("history")
-    assert code == 0 and text.splitlines() == ["version  at", "3        now", "5        then"]
+    assert code == 0 and text.splitlines() == ["version  at", "3        2026-12-02 05:04:06", "5        then"]
     monkeypatch.delenv("CYPRESSWINCH_NODE")
     code, text = run("history")
     assert code == 2 and "--node" in text
