--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -12,7 +12,7 @@
 from cloverrouter.control.api import ControlApi
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, SendCall
-from cloverrouter.control.quota_allocator import QuotaAllocator
+from cloverrouter.control.quota_duty import QuotaDuty
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
@@ -67,8 +67,7 @@
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
         self._genesis = self._genesis_proposer()
-        self._allocator: QuotaAllocator | None = None
-        self._allocator_epoch = -1
+        self._quota_duty = QuotaDuty(settings.ip, traffic.quota_rules)
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
         self.api = ControlApi(self._calls)
@@ -144,7 +143,7 @@
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
-        self._tick_allocator(now)
+        self._send_all(self._quota_duty.tick(now, self._lead_until()))
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -238,8 +237,7 @@
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
         if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
-            if self._allocator is not None and self.role is not None and self.role.leads(now):
-                self._send_all(self._allocator.receive(now, ip, message))
+            self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
@@ -312,25 +310,13 @@
         self._forwarded(self._forwarder.head_changed(now, head))
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
-        self._choose_allocator(now, summary, head)
+        self._quota_duty.view_changed(now, summary.epoch, head)
 
-    # Quotas
-
-    def _choose_allocator(self, now: float, summary: ViewSummary, head: str | None) -> None:
-        if head != self._settings.ip:
-            self._allocator = None
-            self._allocator_epoch = -1
-        elif self._allocator_epoch != summary.epoch:
-            self._allocator_epoch = summary.epoch
-            self._allocator = QuotaAllocator(summary.epoch, now, self.traffic.quota_rules)
-            self._allocator.configure(self.traffic.limits, self.traffic.fleet_size)
-
-    def _tick_allocator(self, now: float) -> None:
-        if self._allocator is not None and self.role is not None and self.role.leads(now):
-            self._send_all(self._allocator.tick(now))
+    def _lead_until(self) -> float | None:
+        """Until when no other machine can become head."""
+        return self.role.replica.lead_until if self.role is not None else None
 
     def _configured(self, state: ConfigurationState) -> None:
         self._log.change("configuration", version=state.version)
         self.traffic.configure(state.configuration())
-        if self._allocator is not None:
-            self._allocator.configure(self.traffic.limits, self.traffic.fleet_size)
+        self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -106,11 +106,6 @@
     def close(self) -> None:
         self._driver.close()
 
-    def leads(self, now: float) -> bool:
-        """Is this surely the head, and nobody else?"""
-        until = self.replica.lead_until
-        return until is not None and now < until
-
     def _committed(self, event: Committed) -> None:
         self._publish(self.publisher.committed(self._loop.time(), event.seq, event.update))
 
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -128,6 +128,11 @@
         self._wanting.clear()
         return self._ask(now, tokens, {})
 
+    @property
+    def wants_credit(self) -> bool:
+        """Whether `flush` has something to ask for, once it may."""
+        return bool(self._wanting) and self._head is not None
+
     def tick(self, now: float) -> list[Effect]:
         """Call each 10 to 50 ms: reports that are due, asks that were put off."""
         self._now = now
--- /dev/null
+++ b/tests/system/test_quota_duty.py
@@ -0,0 +1,60 @@
+"""Who hands out quotas when the view changes."""
+
+from __future__ import annotations
+
+from cloverrouter.control.quota_duty import QuotaDuty
+from cloverrouter.placement.quota_messages import QuotaAsk
+from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
+
+ME, OTHER = "10.0.0.1", "10.0.0.2"
+
+
+def duty() -> QuotaDuty:
+    made = QuotaDuty(ME, QuotaRules())
+    made.configure({"a": TenantLimit(100_000, 100_000)}, 4)
+    made.view_changed(0.0, 3, ME)
+    return made
+
+
+def ask(epoch: int) -> QuotaAsk:
+    return QuotaAsk(epoch, 7, 1, 55.5, {"a": 500}, {})
+
+
+def test_the_head_answers_while_it_is_sure() -> None:
+    one = duty()
+    one.tick(19.9, 20.3)
+    assert one.receive(20.0, 20.3, OTHER, ask(3))
+    assert one.receive(20.4, 20.3, OTHER, ask(3)) == []
+    assert one.receive(20.4, None, OTHER, ask(3)) == []
+
+
+def test_another_head_ends_it() -> None:
+    one = duty()
+    one.view_changed(5.0, 4, OTHER)
+    assert one.receive(20.0, 20.3, OTHER, ask(3)) == []
+    assert one.receive(20.0, 20.3, OTHER, ask(4)) == []
+
+
+def test_a_head_that_was_sure_all_the_time_goes_on() -> None:
+    one = duty()
+    one.tick(20.0, 20.4)
+    one.view_changed(20.1, 4, None)
+    one.view_changed(20.2, 4, ME)
+    assert one.receive(20.2, 20.6, OTHER, ask(3))
+    assert one.receive(20.2, 20.6, OTHER, ask(4))
+
+
+def test_a_head_that_was_not_begins_anew() -> None:
+    one = duty()
+    one.tick(20.0, 20.4)
+    one.view_changed(20.5, 4, ME)
+    assert one.receive(20.5, 20.9, OTHER, ask(4)) == []
+    assert one.receive(20.7, 20.9, OTHER, ask(4))
+    assert one.receive(20.7, 20.9, OTHER, ask(3)) == []
+
+
+def test_a_machine_that_never_was_head_is_silent() -> None:
+    one = QuotaDuty(OTHER, QuotaRules())
+    one.view_changed(0.0, 3, ME)
+    assert one.receive(1.0, 1.4, ME, ask(3)) == []
+    assert one.tick(1.0, 1.4) == []
