--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,20 +9,17 @@
 from pathlib import Path
 
 import pytest
-from click.testing import CliRunner
 
 from cloverrouter.cli import main as commands
 from cloverrouter.explore import trace
+from cloverrouter.lab.fleet import deployment
+from cloverrouter.lab.fleet.nodes import settings, toml
+from tests.command_line import run
 from tests.sockets import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 
 
-def run(*args: str) -> tuple[int, str]:
-    done = CliRunner().invoke(commands.main, list(args))
-    return done.exit_code, done.output
-
-
 def test_shipped_files_are_good() -> None:
     files = [str(path) for path in sorted((ROOT / "deploy").rglob("*.toml"))]
     code, text = run("check", *files)
@@ -30,6 +27,8 @@
     assert "lines of policy" in text
 
 
+NODES = deployment.nodes("127.31.250")
+NODE_SETTINGS = toml(settings(NODES[0], deployment.fleet_settings(NODES), Path("/data"), bootstrap=True))
 CONFIG = {"name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "8c1f",
           "limits": {"sockets": 256}, "settings": SETTINGS}  # fmt: skip
 
@@ -40,14 +39,39 @@
         ("a.toml", "load = 3", "wrong: Expected `object`, got `int` - at `$.load`"),
         ("a.toml", "policy = 3", "wrong: Expected `array`, got `int` - at `$.policy`"),
         ("a.toml", "policy = []", "wrong: Object missing required field `build`"),
+        ("a.toml", "roles = 3", "wrong: Expected `object`, got `int` - at `$.roles`"),
+        (
+            "a.toml",
+            'build = ""\n[roles.a]\nrun = "x"\non = "edge"',
+            "roles.a: found share None and count None",
+        ),
+        (
+            "a.toml",
+            'build = ""\n[roles.a]\nrun = "x"\non = "edge"\nshare = 2.0\nserves = ["front"]',
+            "roles.a.share: found 2.0, allowed is above 0, at most 1; roles.a.serves: found front, allowed",
+        ),
+        (
+            "a.toml",
+            'build = ""\n[roles]\na = {run = "x", on = "edge", count = 1, serves = ["edge"]}\n'
+            'b = {run = "x", on = "edge", share = 1.0, serves = ["edge"]}',
+            "roles: edge on edge: found a, b, allowed is one",
+        ),
         ("a.toml", "x = ", "wrong: no TOML"),
-        ("a.toml", "x = 1", "found keys x; allowed is a file with one of policy, family, load, steps, lis"),
+        ("a.toml", "x = 1", "found keys x; allowed is a file with one of policy, roles, family, load, steps"),
         ("a.toml", 'family = "mesh"', "wrong: Object missing required field `name`"),
         ("a.json", "{", "wrong: no JSON"),
         ("a.json", '{"steps": 1}', "wrong: no counterexample"),
         ("a.json", json.dumps({**CONFIG, "settings": {}}), "settings.bounds: found nothing, allowed is an"),
         ("a.json", json.dumps({**CONFIG, "listen": "nowhere"}), "listen: found 'nowhere', allowed is an"),
         ("a.json", json.dumps(CONFIG), "good: proxy configuration of n0, 3 classes"),
+        ("a.json", '{"route-table": 3}', "wrong: "),
+        (
+            "a.json",
+            json.dumps(deployment.first_configuration()),
+            "good: configuration 3 of the fleet, 4 routes",
+        ),
+        ("a.toml", 'node-name = ""\nseed-nodes = ["x"]', "seed-nodes.0: found 'x', wanted IP:PORT"),
+        ("a.toml", NODE_SETTINGS, "good: settings of the node edge-baneshwor-1"),
     ],
 )
 def test_each_kind_of_file(tmp_path: Path, name: str, text: str, said: str) -> None:
