Chain: slow disks are tried again before they come back; nobody else is head while one is sure to be

The last write's duration counts as trouble until a shorter one. Lease: a restarted voter holds its promise back if it ever promised; the world checks that no two are sure.

--- a/cloverrouter/coordination/disk.py
+++ b/cloverrouter/coordination/disk.py
@@ -29,15 +29,23 @@
     """The writes of one replica."""
 
     def __init__(
-        self, stored: StoredReplica, newest: Callable[[], Snapshot], retry_s: float, compact_bytes: int
+        self,
+        stored: StoredReplica,
+        newest: Callable[[], Snapshot],
+        retry_s: float,
+        slow_s: float,
+        compact_bytes: int,
     ) -> None:
-        """`newest` gives the newest state, with all updates that were appended."""
+        """`newest` gives the newest state, with all updates that were appended. A disk that has refused, or whose
+        last write took `slow_s`, is tried again every `retry_s`."""
         self.meta = stored.meta
         seq = stored.snapshot.seq if stored.snapshot is not None else 0
         self.seq = stored.updates[-1].seq if stored.updates else seq
         self.durable = Durable(self.meta, self.seq)
         self._newest = newest
         self._retry_s = retry_s
+        self._slow_s = slow_s
+        self._took_s = 0.0  # the last write
         self._compact_bytes = compact_bytes
         self._snapshot: Snapshot | None = None
         self._updates: list[Update] = []
@@ -83,10 +91,16 @@
         self._dirty = True
 
     def trouble_s(self, now: float) -> float:
-        """For how long the disk has been busy with one record, or has refused."""
+        """For how long the disk has been busy with one record, or has refused. Of a disk at rest: how long its
+        last write took, if that was long."""
         if self._failing_since is not None:
             return FAILING_S + now - self._failing_since
-        return now - self._begun if self._flying is not None else 0.0
+        busy_s = now - self._begun if self._flying is not None else 0.0
+        return max(busy_s, self._took_s) if self._took_s >= self._slow_s else busy_s
+
+    @property
+    def _is_doubtful(self) -> bool:
+        return self._failing_since is not None or self._took_s >= self._slow_s
 
     def forgive(self, now: float) -> None:
         """The process was frozen: the time that passed says nothing about the disk."""
@@ -97,7 +111,7 @@
         if self._flying is not None or now < self._retry_at:
             return None
         lazy_due = self._lazy_since is not None and now - self._lazy_since >= lazy_s
-        if not self._dirty and not lazy_due and self._failing_since is None:
+        if not self._dirty and not lazy_due and not self._is_doubtful:
             return None
         self._compact()
         record = Record(meta=self.meta, snapshot=self._snapshot, updates=tuple(self._updates))
@@ -113,9 +127,12 @@
         if self._flying is None or token != self._token:
             return
         (record, durable), self._flying = self._flying, None
+        self._took_s = now - self._begun
         if error is None:
             self.durable = durable
             self._failing_since = None
+            if self._is_doubtful and not self._dirty:
+                self._retry_at = now + self._retry_s
             return
         if self._failing_since is None:
             self._failing_since = now
--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -52,7 +52,7 @@
         if sender == self.head or self._head_ill_since is not None:
             return False
         if self.head is None:  # nothing is known of the life before this one
-            return self._context.synced > 0 and now - self._started < config.sticky_s
+            return self._context.epoch > 0 and now - self._started < config.sticky_s
         return now - self.contact_at < config.sticky_s
 
     def stands_up_at(self, now: float, jitter: float) -> float | None:
@@ -236,7 +236,7 @@
     def _take_upstream(self, epoch: int, sender: str, seq: int) -> None:
         self._enter_link(epoch)
         view = self._context.view
-        if view is None or view.epoch != epoch:
+        if view is None or view.epoch != epoch or self._context.me.identity not in view.chain:
             return
         place = view.chain.index(self._context.me.identity)
         if place > 0 and view.chain[place - 1] == sender:
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -72,7 +72,9 @@
         self._config = config
         self._random = random
         history = History(machine)
-        disk = DiskQueue(stored, history.snapshot, config.disk_retry_s, config.compact_bytes)
+        disk = DiskQueue(
+            stored, history.snapshot, config.disk_retry_s, config.failure_timeout_s / 2, config.compact_bytes
+        )
         view = decode_view(stored.meta.view)
         self._context = Context(me, config, random, disk, history, view)
         self._context.seen_epoch = stored.meta.promised
@@ -187,6 +189,8 @@
         """Ask for the committed state."""
         if not self._leads_or_will():
             return self._answer(now, ticket, Outcome.NOT_HEAD)
+        if len(self._desk.asked) >= self._config.waiting:
+            return self._answer(now, ticket, Outcome.UNAVAILABLE)
         self._desk.asked.append(Asked(ticket, 0, None, now))
         return self._finish(now)
 
--- a/cloverrouter/coordination/roster.py
+++ b/cloverrouter/coordination/roster.py
@@ -180,6 +180,8 @@
         report = peer.report
         if report is None or peer.well_since is None or not peer.is_well(now, self._config):
             return False
+        if report.trouble_ms >= self._config.failure_timeout_s * 500:
+            return False  # it would hold up everyone, and soon leave again
         if now - peer.well_since < self._config.rejoin_s * 2 ** max(0, peer.relapses - 1):
             return False
         return report.view_epoch == view.epoch or self._is_fenced(now, peer)
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -390,6 +390,16 @@
     return effect
 
 
+@fault
+@contextmanager
+def nobody_holds_to_a_head_that_is_well() -> Iterator[None]:
+    with (
+        patch.object(Follower, "is_bound", lambda *_: False),
+        patch.object(Replica, "_is_well_followed", lambda *_: False),
+    ):
+        yield
+
+
 # Storms in which a fault is known to show: they are played first.
 LIKELY_SEEDS = {
     "a wiped disk keeps its identity": 97,
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -163,9 +163,25 @@
     settle(world)
 
 
+def a_member_hears_the_head_no_more_and_the_others_do(seed: int) -> None:
+    """A cut between two of five: the head stays, without the one that can't hear it."""
+    world = World(seed, 5, 2)
+    world.run(2.0)
+    head = leader(world)
+    deaf = next(node for node in world.nodes if node is not head)
+    client = Client(world, "operator", pause_s=0.05)
+    cut(world, [head], [deaf])
+    world.run(5.0)
+    client.stopped = True
+    if leader(world) is not head:
+        raise Violation("a head that the others hear has lost its place")
+    settle(world)
+
+
 SCENARIOS = (
     an_order_reaches_a_member_that_has_promised_more,
     a_member_loses_power_when_it_has_promised,
     the_old_voters_go_on_while_an_exchange_is_under_way,
     a_second_proposer_in_the_same_moment,
+    a_member_hears_the_head_no_more_and_the_others_do,
 )
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -93,6 +93,7 @@
     - Two views in force never have the same epoch and different content.
     - A replica's committed state goes forward only, without gaps, during its process's life.
     - A read tells nothing older than what was acknowledged before it began.
+    - No two replicas are sure at the same time that no other is head.
     """
 
     log: dict[int, bytes] = attrs.Factory(dict)  # committed updates
@@ -119,6 +120,12 @@
         for order, number in json.loads(state)[2].items():
             self.order(number, order)
 
+    def lead(self, now: float, untils: dict[str, float]) -> None:
+        """Until when each node says that surely no other is head."""
+        sure = [name for name, until in untils.items() if until > now]
+        if len(sure) > 1:
+            raise Violation(f"{' and '.join(sure)} are both sure to be the only head")
+
     def view_in_force(self, view: Any) -> None:
         chain = tuple(member.identity for member in view.chain)
         found = View(view.epoch, view.voters, chain, ())
@@ -376,6 +383,7 @@
             return
         replica = node.replica
         self._when_awake(node, lambda: replica.tick(self.now))
+        self.check_lead()
         wait = max(self.tick_s, node.frozen_until - self.now)
         self.at(self.now + wait, lambda: self._tick(node, life))
 
@@ -539,6 +547,16 @@
         self.say(f"{node.name} view {view.epoch:x} [{chain}] of {len(view.voters)} {force}")
         if view.active and view.head == node.member:
             self.ledger.view_in_force(view)
+            self.check_lead()
+
+    def check_lead(self) -> None:
+        """No two are sure to be the only head."""
+        untils: dict[str, float] = {}
+        for node in self.nodes:
+            until = node.replica.lead_until if node.replica is not None else None
+            if until is not None:
+                untils[node.name] = until
+        self.ledger.lead(self.now, untils)
 
     # -- clients --
 
