--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -10,6 +10,7 @@
 import heapq
 import json
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -37,6 +38,7 @@
 
 TICK_S = 0.05
 DISCOVERY_S = 0.4
+STALL_LOOK_S = 0.02  # how often a write looks whether its disk still stalls
 KEPT_DIGESTS = 64
 ZONES = ("east", "north", "west")
 
@@ -147,10 +149,9 @@
         self.held: dict[int, bytes] = {}  # updates that were ever durable here
         self._unsynced: StoredReplica | None = None
 
-    def sync_s(self, now: float) -> float:
-        """How long a write takes that begins now."""
-        usual = self.random.uniform(0.001, 0.004) * self.slowness
-        return max(0.0, self.stalled_until - now) + usual
+    def sync_s(self) -> float:
+        """How long a write takes while the disk does not stall."""
+        return self.random.uniform(0.001, 0.004) * self.slowness
 
     def store(self, record: Record) -> None:
         """A write is done."""
@@ -248,9 +249,12 @@
         replica_class: type[Replica] = Replica,
         wire: bool = False,
         tick_s: float = TICK_S,
+        seeds: Iterable[str] = (),
+        start_within_s: float = 0.0,
     ) -> None:
         """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
-        through their encoding."""
+        through their encoding. `seeds`: addresses, if not those of the first three machines; those without
+        a disk run as well."""
         self.random = Random(seed)
         self.now = 100.0
         self.tolerance = tolerance
@@ -263,7 +267,6 @@
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
-        self.seeds: list[str] = []
         self.proposers: dict[str, GenesisProposer] = {}
         self.messages = 0
         self.healed_s: float | None = None  # how long it took after the last trouble
@@ -276,12 +279,16 @@
         self._calls: dict[int, Call] = {}
         for place in range(count):
             self.add_node(adoptable=genesis, start=False, place=place)
-        if genesis:
-            self._begin_genesis()
-        else:
+        self.seeds = list(seeds) or [node.ip for node in self.nodes[:3]]
+        if not genesis:
             self._give_first_view()
         for node in self.nodes:
-            self.start(node)
+            self.start(node, self.random.uniform(0.0, start_within_s))
+        if genesis:
+            for ip in set(self.seeds) - {node.ip for node in self.nodes}:
+                self.at(
+                    self.now + self.random.uniform(0.0, start_within_s), partial(self._start_proposer, ip)
+                )
         self.at(self.now + DISCOVERY_S / 4, self._discover)
 
     # -- set-up --
@@ -304,10 +311,6 @@
             meta = Meta(view=encode_view(view), view_epoch=GENESIS_EPOCH, settled=True)
             node.disk.stored = attrs.evolve(node.disk.stored, meta=meta)
 
-    def _begin_genesis(self) -> None:
-        """The first three machines are seeds."""
-        self.seeds = [node.ip for node in self.nodes[:3]]
-
     def _start_proposer(self, ip: str) -> None:
         proposer = GenesisProposer(ip, self.seeds, GenesisConfig(self.tolerance))
         self.proposers[ip] = proposer
@@ -449,8 +452,11 @@
             replica = node.replica
             assert replica is not None
             self.carry_out(node, replica.discovered(self.now, members))
-            if node.ip in self.proposers:
-                self._send_all(node.ip, self.proposers[node.ip].discovered(self.now, members))
+        for ip, proposer in self.proposers.items():
+            members = [
+                node.member for node in self.running() if not {(ip, node.ip), (node.ip, ip)} & self.cuts
+            ]
+            self._send_all(ip, proposer.discovered(self.now, members))
         self.at(self.now + DISCOVERY_S, self._discover)
 
     def _is_joined(self, one: Node, other: Node) -> bool:
@@ -519,14 +525,14 @@
             if node.disk is not disk or node.life != life:
                 return  # the process ended before its write was done
             if self.now < disk.stalled_until:
-                self.at(disk.stalled_until + 0.001, write)
+                self.at(self.now + STALL_LOOK_S, write)
                 return
             error = "no space left" if disk.full else None
             if error is None:
                 disk.store(effect.record)
             self._when_awake(node, lambda: replica.persisted(self.now, effect.token, error))
 
-        self.at(self.now + disk.sync_s(self.now), write)
+        self.at(self.now + disk.sync_s(), write)
 
     def _on_committed(self, node: Node, effect: Committed) -> None:
         if effect.seq != node.committed + 1:
--- /dev/null
+++ b/tests/system/test_genesis.py
@@ -0,0 +1,132 @@
+"""The first start of the system, in any order and with anything going wrong in the midst of it."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from cloverrouter.coordination.context import decode_view
+from cloverrouter.coordination.views import GENESIS_EPOCH
+from tests.system.replica_chaos import check_healed
+from tests.system.replica_world import Weather, World
+
+DISKLESS = ("10.9.0.1", "10.9.0.2", "10.9.0.3")
+
+
+def voters_of_first_view(world: World) -> set[tuple[str, ...]]:
+    """The first voters, as each disk that has adopted them says."""
+    found = set()
+    for node in world.nodes:
+        view = decode_view(node.disk.stored.meta.view)
+        if view is not None and view.epoch == GENESIS_EPOCH:
+            found.add(tuple(member.identity for member in view.voters))
+    return found
+
+
+def in_force(world: World) -> bool:
+    return world.head() is not None
+
+
+def count_of_voters(world: World) -> int:
+    head = world.head()
+    assert head is not None and head.replica is not None
+    view = head.replica.view_info
+    assert view is not None
+    return len(view.voters)
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+@pytest.mark.parametrize(("count", "tolerance"), [(1, 0), (3, 1), (5, 2), (6, 1), (8, 2)])
+def test_machines_start_in_any_order(count: int, tolerance: int, seed: int) -> None:
+    world = World(seed, count, tolerance, genesis=True, start_within_s=0.3)
+    begun = world.now
+    assert world.run_while(lambda: not in_force(world), 5.0)
+    assert world.now - begun < 2.0
+    assert len(voters_of_first_view(world)) <= 1
+    assert count_of_voters(world) == count
+    check_healed(world, [])
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_seeds_need_no_disk(seed: int) -> None:
+    world = World(seed, 3, 1, genesis=True, start_within_s=0.3, seeds=DISKLESS)
+    assert world.run_while(lambda: not in_force(world), 3.0)
+    check_healed(world, [])
+
+
+def test_the_next_seed_goes_on_when_the_first_is_not_there() -> None:
+    world = World(1, 3, 1, genesis=True, seeds=DISKLESS)
+    world.cuts = {(DISKLESS[0], other) for other in DISKLESS[1:]}
+    world.cuts |= {(node.ip, DISKLESS[0]) for node in world.nodes}
+    assert world.run_while(lambda: not in_force(world), 8.0)
+    check_healed(world, [])
+
+
+def test_seeds_that_are_cut_from_most_others_choose_nothing() -> None:
+    world = World(1, 6, 1, genesis=True, seeds=DISKLESS)
+    one, *rest = DISKLESS
+    left = {one, *(node.ip for node in world.nodes[:3])}
+    right = {*rest, *(node.ip for node in world.nodes[3:])}
+    world.cuts = {(a, b) for a in left for b in right} | {(b, a) for a in left for b in right}
+    world.run(7.0)
+    firsts = voters_of_first_view(world)
+    assert firsts <= {tuple(sorted(node.member.identity for node in world.nodes[3:]))}
+    heads = [
+        node for node in world.running() if node.replica is not None and node.replica.view_info is not None
+    ]
+    assert {node.ip for node in heads} <= right
+    check_healed(world, [])
+
+
+@pytest.mark.parametrize("power", [False, True])
+@pytest.mark.parametrize("tenth", range(8, 24))
+def test_all_are_killed_in_the_midst_of_it(tenth: int, power: bool) -> None:
+    """Nobody has `bootstrap` afterwards; what was adopted is on the disks, and a disk that adopted nothing
+    still knows that it is one of the first start."""
+    world = World(tenth, 3, 1, genesis=True, start_within_s=0.3)
+    world.run(tenth / 10)
+    for node in world.nodes:
+        if node.replica is not None:
+            world.kill(node, power=power)
+            world.start(node, world.random.uniform(0.0, 1.0))
+    assert world.run_while(lambda: not in_force(world), 8.0)
+    assert len(voters_of_first_view(world)) <= 1
+    check_healed(world, [])
+
+
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_a_bad_start_never_gives_two_first_views(seed: int) -> None:
+    random = Random(seed)
+    weather = Weather(most_delay_s=0.05, loss=random.choice([0.0, 0.1, 0.3]), late=0.1, twice=0.1)
+    world = World(
+        seed, random.choice([3, 5, 6]), 1, weather, genesis=True, start_within_s=random.choice([0.3, 3.0])
+    )
+    for _ in range(6):
+        world.run(random.uniform(0.1, 0.8))
+        side = {node.ip for node in world.nodes if random.random() < 0.5}
+        ips = [node.ip for node in world.nodes]
+        world.cuts = {
+            (a, b) for a in ips for b in ips if (a in side) != (b in side) and random.random() < 0.7
+        }
+        if random.random() < 0.5:
+            node = random.choice(world.nodes)
+            if node.replica is not None:
+                world.kill(node, power=random.random() < 0.5)
+                world.start(node, random.uniform(0.0, 0.5))
+        assert len(voters_of_first_view(world)) <= 1
+    world.weather = Weather()
+    world.cuts.clear()
+    assert world.run_while(lambda: not in_force(world), 15.0)
+    assert len(voters_of_first_view(world)) <= 1
+    world.run(3.0)
+    check_healed(world, [])
+
+
+def test_a_disk_that_comes_late_and_knows_nothing_is_no_voter() -> None:
+    world = World(1, 3, 1, genesis=True)
+    assert world.run_while(lambda: not in_force(world), 3.0)
+    world.add_node(adoptable=True)
+    world.add_node(adoptable=False)
+    world.run(5.0)
+    assert count_of_voters(world) == 3
