--- a/cloverrouter/control/quota_allocator.py
+++ b/cloverrouter/control/quota_allocator.py
@@ -23,7 +23,7 @@
 
 from cloverrouter.control.quota_pool import Share, TenantPool
 from cloverrouter.placement.quota_messages import (
-    SHARE_UNIT,
+    LEASED_UNIT,
     QuotaAsk,
     QuotaCredit,
     QuotaForgotten,
@@ -34,7 +34,7 @@
 )
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit, plan_tenant
 
-LEASE_S = 3.5
+LEASE_S = 2.5
 CONTACT_S = 0.35  # and `CONTACT_PER_PROXY_S` a proxy, so that reports don't grow with the square of the fleet
 CONTACT_PER_PROXY_S = 0.003
 LONGEST_CONTACT_S = 1.2
@@ -107,7 +107,7 @@
             plan = plan_tenant(limit, self._rules, max(fleet_size, 1))
             pool = self._pools.get(name)
             if pool is None:
-                unknown = 0 if self._now >= self._settled_at else SHARE_UNIT
+                unknown = 0 if self._now >= self._settled_at else LEASED_UNIT
                 self._pools[name] = TenantPool(plan, max(self._now, self._opens_at), unknown=unknown)
             else:
                 pool.advance(self._now)
@@ -292,13 +292,13 @@
     def _allot(self, name: str, pool: TenantPool) -> None:
         """Smaller shares first; larger ones only out of what no proxy may still have."""
         raises: dict[str, int] = {}
-        for ip, wanted in pool.wanted_shares().items():
+        for ip, wanted in pool.wanted_shares(LEASED_UNIT).items():
             share = pool.shares.get(ip) or Share()
             if wanted < share.offered * (1 - CHANGE_PART):
                 self._offer(name, pool, ip, wanted)
             elif wanted > max(share.offered, share.bound) and wanted > share.offered * (1 + CHANGE_PART):
                 raises[ip] = wanted - share.bound
-        free = SHARE_UNIT - pool.held
+        free = LEASED_UNIT - pool.held
         needed = sum(raises.values())
         for ip, extra in raises.items():
             bound = pool.shares[ip].bound if ip in pool.shares else 0
--- a/cloverrouter/control/quota_pool.py
+++ b/cloverrouter/control/quota_pool.py
@@ -109,12 +109,12 @@
             self._set_bound(self.shares[ip], 0, silent)
             del self.shares[ip]
 
-    def wanted_shares(self) -> dict[str, int]:
+    def wanted_shares(self, all_shares: int) -> dict[str, int]:
         """By proxy, after its demand."""
         demanded = sum(self.demands.values())
         shares = dict.fromkeys(self.shares, 0)
         for ip, demand in self.demands.items():
-            shares[ip] = demand * SHARE_UNIT // demanded if demanded else 0
+            shares[ip] = demand * all_shares // demanded if demanded else 0
         return shares
 
     def _set_bound(self, share: Share, bound: int, silent: bool) -> None:
--- a/cloverrouter/placement/quota_account.py
+++ b/cloverrouter/placement/quota_account.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cloverrouter.placement.quota_messages import SHARE_UNIT
+from cloverrouter.placement.quota_messages import LEASED_UNIT, SHARE_UNIT
 from cloverrouter.placement.quota_plan import TenantPlan
 
 DEMAND_MEMORY_S = 8.0
@@ -74,10 +74,10 @@
         """How much the bucket may hold."""
         if not self.share or now >= standby.until:
             return self.plan.base_room
-        shared = self.plan.line_room
+        room = self.plan.base_room + self.plan.line_room * self.share / LEASED_UNIT
         if now >= standby.since:
-            shared += self.plan.room
-        return self.plan.base_room + shared * self.share / SHARE_UNIT
+            room += self.plan.room * self.share / SHARE_UNIT
+        return room
 
     def available(self) -> float:
         return self.level + self.credit
--- a/cloverrouter/placement/quota_messages.py
+++ b/cloverrouter/placement/quota_messages.py
@@ -12,7 +12,8 @@
 
 from cloverrouter.messages import message, nested
 
-SHARE_UNIT = 1_000_000  # all shares of one tenant add up to this at most
+SHARE_UNIT = 1_000_000  # a share of a tenant's whole rate
+LEASED_UNIT = SHARE_UNIT // 2  # the sum of a tenant's shares: a new allocator's pool has the rest at once
 
 
 @nested
