--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -58,7 +58,7 @@
         done = self.orders.get(order["id"])
         if done is not None:
             return Decision(_reply("done", done), None)
-        if order["expect"] != self.version:
+        if order["expect"] not in (self.version, None):
             return Decision(_reply("conflict", self.version), None)
         update = {"id": order["id"], "version": self.version + 1, "value": order["value"]}
         return Decision(_reply("done", self.version + 1), json.dumps(update).encode())
@@ -223,7 +223,8 @@
     least_delay_s: float = 0.0008
     most_delay_s: float = 0.0015
     loss: float = 0.0
-    late: float = 0.0  # share of messages that come up to a second late
+    late: float = 0.0  # share of messages that come about a third of a second late
+    twice: float = 0.0  # share of messages that come twice
 
 
 class World:
@@ -239,6 +240,7 @@
         config: dict[str, Any] | None = None,
         replica_class: type[Replica] = Replica,
         wire: bool = False,
+        tick_s: float = TICK_S,
     ) -> None:
         """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
         through their encoding."""
@@ -249,6 +251,7 @@
         self.config = ReplicaConfig(tolerance=tolerance, **(config or {}))
         self.replica_class = replica_class
         self.wire = wire
+        self.tick_s = tick_s
         self.ledger = Ledger()
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
@@ -259,6 +262,7 @@
         self.healed_s: float | None = None  # how long it took after the last trouble
         self.messages_by_type: dict[str, int] = {}
         self.trace: Callable[[str], None] | None = None
+        self.nemesis: Callable[[Node, Send], float] | None = None  # delays a message, or does worse
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
         self._tickets = 0
@@ -363,7 +367,7 @@
             self.carry_out(node, node.replica.start(self.now))
             if node.ip in self.seeds and node.disk.stored.meta.adoptable:
                 self._start_proposer(node.ip)
-            self.at(self.now + self.random.uniform(0, TICK_S), lambda: self._tick(node, life))
+            self.at(self.now + self.random.uniform(0, self.tick_s), lambda: self._tick(node, life))
 
         self.at(self.now + delay_s + self.random.uniform(0, 0.01), begin)
 
@@ -372,7 +376,7 @@
             return
         replica = node.replica
         self._when_awake(node, lambda: replica.tick(self.now))
-        wait = max(TICK_S, node.frozen_until - self.now)
+        wait = max(self.tick_s, node.frozen_until - self.now)
         self.at(self.now + wait, lambda: self._tick(node, life))
 
     def _when_awake(self, node: Node, event: Callable[[], list[Effect]]) -> None:
@@ -454,7 +458,7 @@
         """Carry out what a replica asks for."""
         for effect in effects:
             if isinstance(effect, Send):
-                self._send(node.ip, effect)
+                self._send(node.ip, effect, self.nemesis(node, effect) if self.nemesis is not None else 0.0)
             elif isinstance(effect, Persist):
                 self._persist(node, effect)
             elif isinstance(effect, Answer):
@@ -466,20 +470,23 @@
             elif isinstance(effect, ViewChanged):
                 self._on_view(node, effect)
 
-    def _send(self, from_ip: str, effect: Send) -> None:
+    def _send(self, from_ip: str, effect: Send, held_s: float = 0.0) -> None:
         self.messages += 1
         kind = type(effect.message).__name__
         self.messages_by_type[kind] = self.messages_by_type.get(kind, 0) + 1
         weather = self.weather
         if (from_ip, effect.ip) in self.cuts or self.random.random() < weather.loss:
             return
-        delay = self.random.uniform(weather.least_delay_s, weather.most_delay_s)
+        delay = held_s + self.random.uniform(weather.least_delay_s, weather.most_delay_s)
         if weather.late and self.random.random() < weather.late:
             delay += self.random.expovariate(3.0)
         message = effect.message
         if self.wire:
             (message,) = Decoder().feed(encode(message))
         self.at(self.now + delay, lambda: self._deliver(from_ip, effect.ip, message))
+        if weather.twice and self.random.random() < weather.twice:
+            again = delay + self.random.expovariate(5.0)
+            self.at(self.now + again, lambda: self._deliver(from_ip, effect.ip, message))
 
     def _deliver(self, from_ip: str, to_ip: str, message: object) -> None:
         if (from_ip, to_ip) in self.cuts:
@@ -598,7 +605,16 @@
 class Client:
     """An operator that sends orders on top of the version it knows, again until it hears, and reads back."""
 
-    def __init__(self, world: World, name: str, pause_s: float = 0.3, patience_s: float = 0.6) -> None:
+    def __init__(
+        self,
+        world: World,
+        name: str,
+        pause_s: float = 0.3,
+        patience_s: float = 0.6,
+        read_share: float = 0.25,
+        astray: float = 0.1,
+    ) -> None:
+        """`astray`: share of calls that go to any node."""
         self.world = world
         self.name = name
         self.version = 0
@@ -608,6 +624,8 @@
         self.stopped = False
         self._pause_s = pause_s
         self._patience_s = patience_s
+        self._read_share = read_share
+        self._astray = astray
         self._order: dict[str, Any] | None = None
         self._begun = 0.0
         self._try = 0
@@ -616,7 +634,7 @@
     def _next(self) -> None:
         if self.stopped:
             return
-        if self.world.random.random() < 0.25:
+        if self.world.random.random() < self._read_share:
             self._read()
             return
         self.sent += 1
@@ -642,7 +660,7 @@
             return None
         node = self.world.random.choice(running)
         view = node.replica.view_info if node.replica is not None else None
-        if view is not None and self.world.random.random() < 0.9:
+        if view is not None and self.world.random.random() >= self._astray:
             for other in running:
                 if other.ip == view.head_ip:
                     return other
@@ -703,3 +721,61 @@
         if node is not None:
             world.read(node, on_answer)
         world.at(world.now + self._patience_s, on_silence)
+
+
+class Crowd:
+    """Clients that send several orders at once on top of whatever there is, and ask nothing again."""
+
+    def __init__(self, world: World, pause_s: float, most: int) -> None:
+        self.world = world
+        self.stopped = False
+        self._pause_s = pause_s
+        self._most = most
+        self._sent = 0
+        self._next()
+
+    def _next(self) -> None:
+        world = self.world
+        if self.stopped:
+            return
+        running = world.running()
+        if running:
+            node = world.random.choice(running)
+            for _ in range(world.random.randint(1, self._most)):
+                self._send(node)
+        world.at(world.now + world.random.expovariate(1 / self._pause_s), self._next)
+
+    def _send(self, node: Node) -> None:
+        self._sent += 1
+        order = f"crowd-{self._sent}"
+        command = json.dumps({"id": order, "expect": None, "value": order}).encode()
+
+        def on_answer(answer: Answer) -> None:
+            if answer.outcome is Outcome.DONE:
+                self.world.check_acknowledged(json.loads(answer.reply)[1], order)
+
+        self.world.submit(node, command, on_answer)
+
+
+class Reader:
+    """Asks one node for the committed state, again and again, whatever it takes itself for."""
+
+    def __init__(self, world: World, node: Node, pause_s: float = 0.05) -> None:
+        self.world = world
+        self.node = node
+        self.stopped = False
+        self._pause_s = pause_s
+        self._next()
+
+    def _next(self) -> None:
+        if self.stopped:
+            return
+        world = self.world
+        least = world.ledger.acknowledged
+
+        def on_answer(answer: Answer) -> None:
+            if answer.outcome is Outcome.DONE:
+                world.check_read(answer, least)
+
+        world.read(self.node, on_answer)
+        world.at(world.now + world.random.expovariate(1 / self._pause_s), self._next)
