--- a/cloverrouter/coordination/sampling.py
+++ b/cloverrouter/coordination/sampling.py
@@ -7,9 +7,9 @@
 
 A new membership view goes to six others at once, and so to nearly all machines in a few hops.
 
-Cost at 350 machines, settled: two shuffles and two answers a second for each machine, 1.5 KB each with 22 disk members,
-so 50 kbit/s each way, whatever the number of machines. If there were hundreds of disk members, their map would
-have to be cut into parts sent in turn.
+Cost at 350 machines, settled: two shuffles and two answers a second for each machine, 1.5 KB each with 22
+disk members, so 50 kbit/s each way, whatever the number of machines. If there were hundreds of disk
+members, their map would have to be cut into parts sent in turn.
 """
 
 from __future__ import annotations
