--- a/cloverrouter/control/schemas.py
+++ b/cloverrouter/control/schemas.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from functools import cache
+from functools import cache, cached_property
 from typing import Any
 
 import cerberus
@@ -20,6 +20,11 @@
 class Rules(cerberus.Validator):  # type: ignore[misc]
     """cerberus with the rules `above` and `whole`. Fields that no schema names are allowed."""
 
+    @cached_property
+    def required_fields(self) -> frozenset[str]:
+        """Fields that have to be there."""
+        return frozenset(field for field, rules in self.schema.items() if rules.get("required"))
+
     # cerberus reads the docstrings of rules as the schemas of their arguments, and goes on to further rules
     # after a null that isn't allowed.
 
@@ -139,6 +144,11 @@
         valuesrules=_field("a list of names", type="list", schema=_field("a name", type="string")),
     ),
 }
+SERVED_MODEL: Schema = {
+    "name": NAME,
+    "version": COUNT,
+    "lora-adapters": _optional("a list of names", type="list", schema=NAME),
+}
 REGISTRATION: Schema = {
     "backend": _field("the name of a service", type="string", required=True, empty=False),
     "address": _field("an address, HOST:PORT", type="string", required=True, regex=r".+:\d{1,5}"),
@@ -151,7 +161,11 @@
         "a whole number, 0 or more", type="number", required=True, min=0, max=MAX_VERSION, whole=True
     ),
     "phase": WORD,
-    "model-list": MODELS,
+    "model-list": _optional(
+        "a list of models",
+        type="list",
+        schema=_field("a model", type="dict", schema=SERVED_MODEL),
+    ),
 }
 
 ITEM: Schema = {"name": NAME}
