--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -232,7 +232,7 @@
 
     def _on_view_notice(self, now: float, ip: str, message: object) -> None:
         assert isinstance(message, ViewNotice)
-        self.sampler.view_changed(now, message.summary)
+        self._sampled(now, self.sampler.view_changed(now, message.summary))
         self._view_learned(now, message.summary)
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
@@ -291,7 +291,7 @@
 
     def _own_view(self, summary: ViewSummary) -> None:
         now = self._loop.time()
-        self.sampler.view_changed(now, summary)
+        self._sampled(now, self.sampler.view_changed(now, summary))
         self._view_learned(now, summary)
 
     def _view_learned(self, now: float, summary: ViewSummary) -> None:
