--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -17,7 +17,7 @@
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
-HOME_ADVANTAGE = 1.2
+HOME_ADVANTAGE = 1.6
 """How many times better the second of the order must look to get the request."""
 HOME_MISSING = 0.2
 """Part of the shared tokens that the first of the order is expected to lack where this proxy sent none there:
