--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -26,7 +26,9 @@
 """How many requests under way a wait of the usual time to the first token counts as."""
 ROOM_BASE = 2
 ROOM_FACTOR = 1.5
-"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there."""
+"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there,"""
+ROOM_PART = 0.17
+"""or less than this part of what it runs at once: other proxies send there too."""
 CALM_PART = 4
 """One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
 CALM_MEMORY_S = 20.0
@@ -158,7 +160,7 @@
         usable = [one for one in self.order(prompt) if one.server.id not in tried and not one.avoided(now)]
         ready = len(self.servers.ready)
         room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
-        with_room = [one for one in usable if one.in_flight < room]
+        with_room = [one for one in usable if one.in_flight < max(room, one.server.capacity * ROOM_PART)]
         return (with_room or usable)[:2]
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
