--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -17,7 +17,7 @@
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
-HOME_ADVANTAGE = 1.6
+HOME_ADVANTAGE = 2.0
 """How many times better the second of the order must look to get the request."""
 HOME_MISSING = 0.2
 """Part of the shared tokens that the first of the order is expected to lack where this proxy sent none there:
@@ -156,12 +156,18 @@
         return sorted(self.servers.ready, key=lambda one: mix(key ^ one.seed), reverse=True)
 
     def _candidates(self, prompt: Prompt, tried: Collection[str], now: float) -> list[Standing]:
-        """The first two of the order that have room; if none has, the first two that may be used at all."""
+        """The first two of the order that have room; if none has, the first two that may be used at all. A calm
+        server and another are not compared: the order has decided between them."""
         usable = [one for one in self.order(prompt) if one.server.id not in tried and not one.avoided(now)]
         ready = len(self.servers.ready)
         room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
         with_room = [one for one in usable if one.in_flight < max(room, one.server.capacity * ROOM_PART)]
-        return (with_room or usable)[:2]
+        candidates = (with_room or usable)[:2]
+        if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
+            home, other = candidates
+            if (home in self._calm) != (other in self._calm):
+                return [home]
+        return candidates
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
         home = candidates[0]
