--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -31,6 +31,8 @@
 """or less than this part of what it runs at once: other proxies send there too."""
 CALM_PART = 4
 """One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
+CALM_SHARE = 0.2
+"""Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
 CALM_MEMORY_S = 20.0
 """So long a kind of request is expected to come again."""
 CALM_KEY = 0x9E3779B97F4A7C15
@@ -142,7 +144,12 @@
         apart_s = abs(self._talked_at - self._read_at)
         if not prompt.tokens_out or apart_s > CALM_MEMORY_S:
             return _Layout.EVEN
-        return _Layout.CALM_FIRST if prompt.talks else _Layout.CALM_LAST
+        if prompt.talks:
+            return _Layout.CALM_FIRST
+        subject = prompt.subject
+        if subject is not None and subject.key % 1000 < CALM_SHARE * 1000:
+            return _Layout.EVEN
+        return _Layout.CALM_LAST
 
     def _laid_out(self, key: int, layout: _Layout) -> list[Standing]:
         ranked = self._ranked(key)
@@ -156,8 +163,8 @@
         return sorted(self.servers.ready, key=lambda one: mix(key ^ one.seed), reverse=True)
 
     def _candidates(self, prompt: Prompt, tried: Collection[str], now: float) -> list[Standing]:
-        """The first two of the order that have room; if none has, the first two that may be used at all. A calm
-        server and another are not compared: the order has decided between them."""
+        """The first two of the order that have room; if none has, the first two that may be used at all. Calm
+        servers and others are not compared: the order has decided between them."""
         usable = [one for one in self.order(prompt) if one.server.id not in tried and not one.avoided(now)]
         ready = len(self.servers.ready)
         room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
--- a/tests/system/test_placement_pick.py
+++ b/tests/system/test_placement_pick.py
@@ -244,3 +244,68 @@
     assert absent_retry_after_s(600, 1.0) < 0.2
     assert not has_time(0)
     assert has_time(100)
+
+
+def reading(number: int) -> Prompt:
+    """A long prompt with a short answer."""
+    return parse_prompt(f"aa:2500,{number + 4096:x}:3800,{number + 90000:x}:2900", "m", 60)
+
+
+def talking(number: int) -> Prompt:
+    """A short prompt with a long answer."""
+    return parse_prompt(f"bb:50,{number + 8192:x}:30,{number + 90000:x}:140", "m", 4000)
+
+
+def homes(made: ServicePlacement, prompts: list[Prompt], now: float = NOW) -> Counter[str]:
+    return Counter(pick(made, prompt, now).server.id for prompt in prompts)
+
+
+def test_requests_that_talk_are_kept_apart_from_long_prompts() -> None:
+    made = placement(8)
+    pick(made, reading(0))
+    talkers = homes(made, [talking(number) for number in range(200)])
+    readers = homes(made, [reading(number) for number in range(200)])
+    assert len(talkers) == 2
+    assert len(readers) == 8
+    assert sum(readers[one] for one in talkers) < 200 * 2 / 8 / 2
+
+
+def test_one_kind_of_requests_has_all_servers() -> None:
+    made = placement(8)
+    assert len(homes(made, [talking(number) for number in range(200)])) == 8
+    pick(made, reading(0))
+    assert len(homes(made, [talking(number) for number in range(200)])) == 2
+    assert len(homes(made, [talking(number) for number in range(200)], NOW + 60)) == 8
+
+
+def test_requests_that_tell_no_tokens_have_all_servers() -> None:
+    made = placement(8)
+    pick(made, reading(0))
+    pick(made, talking(0))
+    assert len(homes(made, [subject(number) for number in range(200)])) == 8
+
+
+def test_requests_that_talk_go_on_when_the_calm_servers_have_no_room() -> None:
+    made = placement(8)
+    pick(made, reading(0))
+    calm = pick(made, talking(1))
+    for key in range(6):
+        calm.sent(key, NOW)
+        calm.heard(key, NOW)
+    second = pick(made, talking(1))
+    for key in range(10, 16):
+        second.sent(key, NOW)
+        second.heard(key, NOW)
+    third = pick(made, talking(1))
+    assert len({calm.server.id, second.server.id, third.server.id}) == 3
+
+
+def test_a_server_has_room_by_its_capacity() -> None:
+    made = placement(8, capacity=48)
+    pick(made, reading(0))
+    calm = pick(made, talking(1))
+    for key in range(6):
+        calm.sent(key, NOW)
+        calm.heard(key, NOW)
+    assert len(homes(made, [talking(1)])) == 1
+    assert homes(made, [talking(number) for number in range(50)])[calm.server.id]
