--- a/cloverrouter/coordination/sampling.py
+++ b/cloverrouter/coordination/sampling.py
@@ -35,7 +35,7 @@
 ISOLATED_HURRY_FOR = 3.0
 ROUNDS_WITHOUT_GROWTH = 5
 PROBE_PERIOD = 2.0
-PROBE_SILENCE = 5.0
+PROBE_SILENCE = 8.0
 ANSWERED_PROBE_PERIOD = 60.0
 ANSWER_TIMEOUT = 2.0
 FROZEN_GAP = 1.5
@@ -133,7 +133,7 @@
         """The chain's view as this machine itself knows it."""
         if self._summary is not None and summary.order() <= self._summary.order():
             return
-        is_new_epoch = self._summary is None or summary.order()[:3] > self._summary.order()[:3]
+        is_new_epoch = self._summary is None or summary.order()[:2] > self._summary.order()[:2]
         self._summary = summary
         if is_new_epoch:
             self._hurry(now)
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -106,11 +106,6 @@
     def close(self) -> None:
         self._driver.close()
 
-    def leads(self, now: float) -> bool:
-        """Is this surely the head, and nobody else?"""
-        until = self.replica.lead_until
-        return until is not None and now < until
-
     def _committed(self, event: Committed) -> None:
         self._publish(self.publisher.committed(self._loop.time(), event.seq, event.update))
 
@@ -145,5 +140,5 @@
 
 def summary_of(view: ViewInfo, committed: int) -> ViewSummary:
     """What other machines are told of a view."""
-    voters = tuple(VoterPlace(member.ip, member.identity) for member in view.voters)
-    return ViewSummary(view.epoch, "", view.active, view.head_ip or "", voters, committed)
+    voters = tuple(VoterPlace(member.ip, member.identity, member.zone) for member in view.voters)
+    return ViewSummary(view.epoch, view.active, view.head_ip or "", voters, committed)
