--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -17,7 +17,7 @@
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
-HOME_ADVANTAGE = 1.2
+HOME_ADVANTAGE = 2.0
 """How many times better the second of the order must look to get the request."""
 HOME_MISSING = 0.2
 """Part of the shared tokens that the first of the order is expected to lack where this proxy sent none there:
@@ -26,9 +26,15 @@
 """How many requests under way a wait of the usual time to the first token counts as."""
 ROOM_BASE = 2
 ROOM_FACTOR = 1.5
-"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there."""
+"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there,"""
+ROOM_PART = 0.17
+"""or less than this part of what it runs at once: other proxies send there too."""
+LATE_FACTOR = 3.0
+"""and while its answers begin less than so many usual times later than their work explains."""
 CALM_PART = 4
 """One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
+CALM_SHARE = 0.2
+"""Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
 CALM_MEMORY_S = 20.0
 """So long a kind of request is expected to come again."""
 CALM_KEY = 0x9E3779B97F4A7C15
@@ -140,7 +146,12 @@
         apart_s = abs(self._talked_at - self._read_at)
         if not prompt.tokens_out or apart_s > CALM_MEMORY_S:
             return _Layout.EVEN
-        return _Layout.CALM_FIRST if prompt.talks else _Layout.CALM_LAST
+        if prompt.talks:
+            return _Layout.CALM_FIRST
+        subject = prompt.subject
+        if subject is not None and subject.key % 1000 < CALM_SHARE * 1000:
+            return _Layout.EVEN
+        return _Layout.CALM_LAST
 
     def _laid_out(self, key: int, layout: _Layout) -> list[Standing]:
         ranked = self._ranked(key)
@@ -154,12 +165,27 @@
         return sorted(self.servers.ready, key=lambda one: mix(key ^ one.seed), reverse=True)
 
     def _candidates(self, prompt: Prompt, tried: Collection[str], now: float) -> list[Standing]:
-        """The first two of the order that have room; if none has, the first two that may be used at all."""
+        """The first two of the order that have room; if none has, the first two that may be used at all. Calm
+        servers and others are not compared: the order has decided between them."""
         usable = [one for one in self.order(prompt) if one.server.id not in tried and not one.avoided(now)]
         ready = len(self.servers.ready)
         room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
-        with_room = [one for one in usable if one.in_flight < room]
-        return (with_room or usable)[:2]
+        with_room = [one for one in usable if self._has_room(one, room, now)]
+        candidates = (with_room or usable)[:2]
+        if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
+            home, other = candidates
+            if (home in self._calm) != (other in self._calm):
+                return [home]
+        return candidates
+
+    def _has_room(self, standing: Standing, room: float, now: float) -> bool:
+        if standing.in_flight >= max(room, standing.server.capacity * ROOM_PART):
+            return False
+        return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
+
+    def _delay_ms(self, standing: Standing, now: float) -> float:
+        """How much later than usual an answer is expected to begin there."""
+        return max(standing.delay_ms(now), standing.waited_ms(now) - self.first_token.usual_ms)
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
         home = candidates[0]
@@ -175,8 +201,8 @@
         load = 1.0 + standing.in_flight
         usual_ms = self.first_token.usual_ms
         reading_ms = self.first_token.reading_ms(self.missing_tokens(standing, prompt))
-        delay_ms = max(standing.delay_ms(now), standing.waited_ms(now) - usual_ms)
-        return standing.worth(now) / (load + EXPECTED_WEIGHT * (reading_ms + delay_ms) / usual_ms)
+        expected_ms = reading_ms + self._delay_ms(standing, now)
+        return standing.worth(now) / (load + EXPECTED_WEIGHT * expected_ms / usual_ms)
 
     def _draw(self, among: list[Standing], now: float) -> Standing:
         """The better of two draws; of equals, the one in the proxy's own zone."""
