--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,13 @@
 #!/usr/bin/env bash
-# Sets up, and runs the main job on this machine: proxies, stand-in servers and a load, with live figures.
+# Sets up, and plays a small fleet on this machine with live figures; arguments go to the demo (--help lists them).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/setup.sh
-exec .venv-dev/bin/python -m cloverrouter demo "$@"
+folder=.venv-dev
+# The fleet needs few libraries; the client proxy's demo (--proxy) needs the lab's too.
+if [[ " $* " != *" --proxy "* ]] && ! cmp -s requirements-dev.txt .venv-dev/ready; then
+    folder=.venv-demo
+    scripts/setup.sh requirements-system.txt "$folder"
+else
+    scripts/setup.sh
+fi
+exec "$folder/bin/python" -m cloverrouter demo "$@"
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,10 +1,13 @@
 #!/usr/bin/env bash
-# The environment for everything but service: tests, tools, the lab. Made anew when its list changes.
+# Makes an environment from a list of requirements, anew when the list changes.
+#   scripts/setup.sh [LIST FOLDER]    default: all but service, that is tests, tools and the lab, in .venv-dev
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmp -s requirements-dev.txt .venv-dev/ready || {
-    rm -rf .venv-dev
-    python3 -m venv .venv-dev
-    .venv-dev/bin/pip -q install -r requirements-dev.txt
-    cp requirements-dev.txt .venv-dev/ready
+list=${1:-requirements-dev.txt}
+folder=${2:-.venv-dev}
+cmp -s "$list" "$folder/ready" || {
+    rm -rf "$folder"
+    python3 -m venv "$folder"
+    "$folder/bin/pip" -q install -r "$list"
+    cp "$list" "$folder/ready"
 }
