--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -12,6 +12,7 @@
 from cyclopts.validators import Number
 
 from cloverrouter.cli import usage
+from cloverrouter.daemon.settings import LOG_LEVELS
 from cloverrouter.errors import CypresswinchError
 from cloverrouter.lab.fleet.demo import Demo, Verdict
 
@@ -22,6 +23,7 @@
     seed: int = 1,
     proxy: Annotated[bool, Parameter(negative="")] = False,
     keep: Path | None = None,
+    log: Annotated[str, Parameter(validator=usage.one_of(LOG_LEVELS))] = "changes",
 ) -> None:
     """Play a fleet on this machine: five nodes as real processes, stand-ins for all that is round them.
 
@@ -38,6 +40,8 @@
         Play the client proxy instead: 4 proxies, 10 stand-in servers, two classes.
     keep
         Keep the nodes' settings, disks and logs in this folder, which must not be there yet.
+    log
+        How much the nodes log: off, errors, changes, requests.
     """
     if proxy:
         from cloverrouter.cli.proxy_demo import play_proxy
@@ -48,7 +52,7 @@
     folder = keep or Path(tempfile.mkdtemp(prefix="cypresswinch-demo-"))
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        verdict = asyncio.run(Demo(folder.resolve(), seconds, seed, usage.say).play())
+        verdict = asyncio.run(Demo(folder.resolve(), seconds, seed, usage.say, log).play())
     except CypresswinchError as error:
         raise usage.CommandFailed(str(error)) from error
     finally:
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -140,7 +140,7 @@
         return list(self._plane.feed.history)
 
     def trace(self, request_id: str) -> dict[str, Any] | None:
-        return None
+        return self._plane.traffic.traces.find(request_id)
 
     def figures(self) -> Iterable[Figure]:
         plane = self._plane
--- a/cloverrouter/daemon/logs.py
+++ b/cloverrouter/daemon/logs.py
@@ -23,6 +23,7 @@
     """The three kinds of lines. Each attribute is a no-op below its level."""
 
     def __init__(self, level: str, node_name: str) -> None:
+        self._node_name = node_name
         rank = LOG_LEVELS.index(level)
         self.error = self._writer(node_name) if rank >= LOG_LEVELS.index("errors") else _nothing
         self.change = self._writer(node_name) if rank >= LOG_LEVELS.index("changes") else _nothing
@@ -37,6 +38,14 @@
 
         return write
 
+    def start_action(self, action_type: str, parent: Any, **fields: Any) -> Any:
+        """An action of eliot's that the caller finishes, inside `parent` unless that is None."""
+        eliot = _eliot()
+        if parent is None:
+            return eliot.start_task(action_type=action_type, node=self._node_name, **fields)
+        with parent.context():
+            return eliot.start_action(action_type=action_type, node=self._node_name, **fields)
+
 
 _loaded: list[Any] = []
 
--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -11,6 +11,7 @@
 from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.quota_port import QuotaPort
+from cloverrouter.daemon.request_traces import RequestTraces
 from cloverrouter.daemon.settings import Settings, parse_address
 from cloverrouter.http.client import ConnectionPool
 from cloverrouter.http.server import Server as HttpServer
@@ -53,6 +54,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=UPSTREAM_IDLE_S,
         )
+        self.traces = RequestTraces(self._loop.time, log)
         self.router = Router(
             self._loop.time,
             self._loop.call_later,
@@ -63,6 +65,7 @@
             self.quota,
             self.budgets,
             log.request,
+            self.traces,
         )
         self.frontend: HttpServer | None = None
         self.limits: dict[str, TenantLimit] = {}
--- a/cloverrouter/lab/fleet/demo.py
+++ b/cloverrouter/lab/fleet/demo.py
@@ -53,14 +53,16 @@
 class Demo:
     """One play. `say` is handed each line of progress."""
 
-    def __init__(self, folder: Path, seconds: float, seed: int, say: Callable[[str], None]) -> None:
+    def __init__(
+        self, folder: Path, seconds: float, seed: int, say: Callable[[str], None], log_level: str
+    ) -> None:
         self._say = say
         self._seconds = seconds
         self._seed = seed
         self._clock = time.monotonic
         self._prefix = "127.{}.{}".format(*random.Random(f"{seed} {folder}").sample(range(20, 250), 2))
         specs = deployment.nodes(self._prefix)
-        fleet = deployment.fleet_settings(specs)
+        fleet = deployment.fleet_settings(specs, log_level)
         self.nodes = [Node(spec, fleet, folder) for spec in specs]
         self.judge = Judge()
         self.judge.drain_grace_s = 2 * deployment.DRAIN_TIMEOUT_MS / 1000
--- a/cloverrouter/lab/fleet/deployment.py
+++ b/cloverrouter/lab/fleet/deployment.py
@@ -125,9 +125,9 @@
     return (*with_disk, *without)
 
 
-def fleet_settings(specs: tuple[NodeSpec, ...]) -> FleetSettings:
+def fleet_settings(specs: tuple[NodeSpec, ...], log_level: str = "changes") -> FleetSettings:
     seeds = tuple(spec.control_plane for spec in specs if spec.has_disk)
-    return FleetSettings(REGION, ZONES, seeds, HEARTBEAT_MS, 1, BOUNDS)
+    return FleetSettings(REGION, ZONES, seeds, HEARTBEAT_MS, 1, BOUNDS, log_level)
 
 
 def server(service: str, number: int, prefix: str) -> ServerSpec:
--- a/cloverrouter/lab/fleet/nodes.py
+++ b/cloverrouter/lab/fleet/nodes.py
@@ -62,7 +62,7 @@
     heartbeat_ms: int
     machines_lost_at_once: int
     timing_bounds: Mapping[str, float | bool]
-    log_level: str = "changes"
+    log_level: str
 
 
 def settings(spec: NodeSpec, fleet: FleetSettings, folder: Path, bootstrap: bool) -> dict[str, Any]:
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -55,8 +55,8 @@
     """Owns its exchange: nobody else answers it."""
 
     __slots__ = ("_arrivals", "_attempt", "_charged", "_deadline_timer", "_failure", "_head", "_may_have_run",
-                 "_over", "_paid", "_previous_ms", "_quota_asks", "_relay", "_request_id", "_retry_timer",
-                 "_router", "_runs", "_sends", "_tail", "_tried", "admitted", "exchange",
+                 "_over", "_paid", "_previous_ms", "_quota_asks", "_record", "_relay", "_request_id",
+                 "_retry_timer", "_router", "_runs", "_sends", "_tail", "_tried", "admitted", "exchange",
                  "whole_answer_bytes")  # fmt: skip
 
     def __init__(self, router: Router, exchange: Exchange, admitted: Admitted) -> None:
@@ -75,6 +75,7 @@
         self._previous_ms = BACKOFF_BASE_MS
         self._retry_timer: Timer | None = None
         tenant = admitted.tenant.name if admitted.tenant is not None else None
+        self._record = router.recorder.begin(self._request_id, admitted.route.name, admitted.service, tenant)
         self._head, self._tail = encode_request(exchange.request, tenant, admitted.priority)
         last_id = exchange.request.header(LAST_EVENT_ID)
         if last_id is not None and admitted.route.resumable:
@@ -162,6 +163,7 @@
         self._sends += 1
         self._tried.add(standing.server.id)
         standing.sent(attempt.key, router.clock())
+        self._record.sent(standing.server.id)
         placement.sent(standing, admitted.prompt)
         attempt.call = router.send(
             attempt, self._message(standing), self._request_id, lambda: self._wanted(attempt)
@@ -195,6 +197,7 @@
             self.attempt_over(attempt, End.SPOILT, None)
             return
         self._router.succeeded(attempt, self.admitted)
+        self._record.attempt_ended("answered")
         self._pass_on(answer)
 
     def stream_began(
@@ -223,14 +226,17 @@
         relay.feed(data)
         if first and relay.flowing:
             self._router.began(attempt, self.admitted)
+            self._record.flowing()
 
     def stream_ended(self, attempt: Attempt) -> None:
         """The answer is whole."""
         relay = self._relay
         assert relay is not None
         self._router.succeeded(attempt, self.admitted)
+        self._record.attempt_ended("streamed")
         self._close()
         relay.end()
+        self._record.ended(relay.status)
 
     def stream_broke(self, attempt: Attempt, end: End) -> None:
         """Continue the stream elsewhere, or end the answer so that it can't be taken for whole."""
@@ -240,6 +246,7 @@
         """Try again, or give the answer that is left to give."""
         self._attempt = None
         self._router.failed(attempt, end, self.admitted)
+        self._record.attempt_ended(end.value)
         if end.arrived:
             self._arrivals += 1
             self._paid = False
@@ -281,6 +288,7 @@
         """Give the answer that nothing better can replace."""
         if self._relay is not None and self._relay.begun:
             self._close()
+            self._record.ended(None, "cut short")
             self.exchange.abort()
         elif self._failure is not None:
             self._pass_on(self._failure)
@@ -304,6 +312,7 @@
     def _pass_on(self, answer: Answer) -> None:
         """A server's whole answer, unchanged."""
         self._close()
+        self._record.ended(answer.status)
         if self.exchange.request.method == b"HEAD":
             self.exchange.begin(answer.status, answer.headers, None)
             self.exchange.end()
@@ -312,6 +321,7 @@
 
     def _respond(self, status: int, headers: Headers) -> None:
         self._close()
+        self._record.ended(status, "own answer")
         self.exchange.respond(status, headers, b"", self._router.draining)
 
     def _deadline_passed(self) -> None:
@@ -327,6 +337,7 @@
         attempt = self._attempt
         never_ran = not self._may_have_run and (attempt is None or not attempt.may_have_run)
         self._close()
+        self._record.ended(None, "client left")
         if never_ran and self._charged:
             self._router.refund(self.admitted)
 
@@ -347,7 +358,8 @@
         if self._retry_timer is not None:
             self._retry_timer.cancel()
         attempt, self._attempt = self._attempt, None
-        if attempt is not None:
+        if attempt is not None and not attempt.over:
             attempt.give_up()
+            self._record.attempt_ended("given up")
         self.exchange.on_gone = self.exchange.on_pause = self.exchange.on_resume = None
         self._router.landed(self)
--- a/cloverrouter/router/ports.py
+++ b/cloverrouter/router/ports.py
@@ -72,3 +72,60 @@
 
 def no_log(event: str, **fields: object) -> None:
     """Log nothing."""
+
+
+class RequestRecord(Protocol):
+    """Hears what becomes of one request."""
+
+    def sent(self, instance: str) -> None:
+        """An attempt begins at this server."""
+        ...
+
+    def flowing(self) -> None:
+        """The first part of a streamed answer goes to the client."""
+        ...
+
+    def attempt_ended(self, how: str) -> None:
+        """The attempt under way is over."""
+        ...
+
+    def ended(self, status: int | None, how: str = "") -> None:
+        """The request is over: the status of its answer, None if the client got no whole answer."""
+        ...
+
+
+class Recorder(Protocol):
+    """Keeps what becomes of requests."""
+
+    def begin(self, request_id: bytes, route: str, service: str, tenant: str | None) -> RequestRecord:
+        """A request has been taken."""
+        ...
+
+    def turned_away(self, request_id: bytes, status: int) -> None:
+        """A request was answered before it had a route and a tenant."""
+        ...
+
+
+class NoRecord:
+    """Keeps nothing, as record and as recorder."""
+
+    def begin(self, request_id: bytes, route: str, service: str, tenant: str | None) -> RequestRecord:
+        return self
+
+    def turned_away(self, request_id: bytes, status: int) -> None:
+        return None
+
+    def sent(self, instance: str) -> None:
+        return None
+
+    def flowing(self) -> None:
+        return None
+
+    def attempt_ended(self, how: str) -> None:
+        return None
+
+    def ended(self, status: int | None, how: str = "") -> None:
+        return None
+
+
+NO_RECORD = NoRecord()
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -9,6 +9,7 @@
 from cloverrouter.control.configuration import Configuration, Route, Tenant
 from cloverrouter.control.routing import RoutingTable
 from cloverrouter.http.client import Call
+from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
@@ -27,7 +28,17 @@
     text,
     token_usage,
 )
-from cloverrouter.router.ports import Budget, CallLater, Clock, Log, Pool, Quota, no_log
+from cloverrouter.router.ports import (
+    NO_RECORD,
+    Budget,
+    CallLater,
+    Clock,
+    Log,
+    Pool,
+    Quota,
+    Recorder,
+    no_log,
+)
 from cloverrouter.router.ranks import Ranks
 from cloverrouter.router.verdict import End, Verdict
 
@@ -52,6 +63,7 @@
         quota: Quota,
         budget: Budget,
         log: Log = no_log,
+        recorder: Recorder = NO_RECORD,
     ) -> None:
         self.clock = clock
         self.call_later = call_later
@@ -59,6 +71,7 @@
         self.zone = zone
         self.bounds = bounds
         self.budget = budget
+        self.recorder = recorder
         self.draining = False
         """Set once the process is to end: answers then end their connections."""
         self._pool = pool
@@ -126,9 +139,7 @@
             self._respond(exchange, answers.BAD_REQUEST)
             return
         if self._table is None:
-            exchange.respond(
-                answers.UNAVAILABLE, answers.retry_after(UNCONFIGURED_WAIT_S), b"", self.draining
-            )
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(UNCONFIGURED_WAIT_S))
             return
         route = self._table.match(request.header(b"host") or b"", request.target.partition(b"?")[0])
         if route is None:
@@ -182,8 +193,10 @@
                 return name
         return targets[-1][0]
 
-    def _respond(self, exchange: Exchange, status: int) -> None:
-        exchange.respond(status, [], b"", self.draining)
+    def _respond(self, exchange: Exchange, status: int, headers: Headers | None = None) -> None:
+        """Turn a request away that has no flight."""
+        self.recorder.turned_away(exchange.request.header(ATTEMPT_ID) or b"", status)
+        exchange.respond(status, headers or [], b"", self.draining)
 
     # For flights
 
--- a/tests/system/test_demo_nodes.py
+++ b/tests/system/test_demo_nodes.py
@@ -17,10 +17,10 @@
 SPECS = deployment.nodes("127.31.250")
 FLEET = deployment.fleet_settings(SPECS)
 ENDS_WHEN_TOLD = """
-import signal, sys
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+import signal
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
 print("up", flush=True)
-signal.pause()
+signal.sigwait({signal.SIGTERM})
 """
 
 
@@ -51,11 +51,12 @@
 def test_a_node_is_killed_started_again_and_told_to_end(node: nodes.Node) -> None:
     node.start(bootstrap=True)
     assert node.is_running and read(str(node.settings_path)).bootstrap
+    _wait_until_up(node, 1)
     node.kill()
     assert not node.is_running
     node.start()
     assert not read(str(node.settings_path)).bootstrap
-    _wait_until_up(node, 1)
+    _wait_until_up(node, 2)
     assert nodes.stop_all([node]) == {SPECS[0].name: 0}
 
 
--- /dev/null
+++ b/tests/system/test_request_traces.py
@@ -0,0 +1,114 @@
+"""What is remembered, and logged, of requests: each attempt, how it ended, and what the client got."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import eliot
+import pytest
+
+from cloverrouter.cli import logtree
+from cloverrouter.daemon import logs, request_traces
+from cloverrouter.daemon.logs import Log
+from cloverrouter.daemon.request_traces import RequestTraces
+from cloverrouter.http.client import Failure
+from tests.system.router_world import SIGNED, ScriptedExchange, World, event
+
+
+def recorded(level: str = "errors") -> tuple[World, RequestTraces]:
+    world = World().set_up()
+    traces = RequestTraces(world.clock, Log(level, "edge-1"))
+    world.router.recorder = traces
+    return world, traces
+
+
+def id_of(exchange: ScriptedExchange) -> str:
+    name = exchange.request.header(b"cypresswinch-attempt-id")
+    assert name is not None
+    return name.decode()
+
+
+def steps(traces: RequestTraces, exchange: ScriptedExchange) -> list[tuple[str, Any]]:
+    told = traces.find(id_of(exchange))
+    assert told is not None
+    return [(step["step"], step["detail"]) for step in told["steps"]]
+
+
+def test_an_answered_request() -> None:
+    world, traces = recorded()
+    exchange = world.ask("/once/x")
+    instance = world.last.instance
+    world.clock.pass_ms(250)
+    world.last.answer(200, SIGNED, body=b"x")
+    assert steps(traces, exchange) == [
+        ("sent", instance),
+        ("attempt-ended", "answered"),
+        ("ended", 200),
+    ]
+    told = traces.find(id_of(exchange))
+    assert told is not None and told["tenant"] == "a"
+    assert [step["at-ms"] for step in told["steps"]] == [0, 250, 250]
+
+
+def test_a_request_that_was_sent_twice() -> None:
+    world, traces = recorded()
+    exchange = world.ask("/again/x")
+    world.last.fail(Failure.CONNECT_FAILED)
+    world.last.answer(200, SIGNED, body=b"x")
+    found = steps(traces, exchange)
+    assert [step for step, _ in found] == ["sent", "attempt-ended", "sent", "attempt-ended", "ended"]
+    assert found[1][1] == "unreached" and found[0][1] != found[2][1]
+
+
+def test_a_client_that_left() -> None:
+    world, traces = recorded()
+    exchange = world.ask("/once/x")
+    exchange.leave()
+    assert steps(traces, exchange)[1:] == [("attempt-ended", "given up"), ("ended", "client left, no answer")]
+
+
+def test_a_stream() -> None:
+    world, traces = recorded()
+    exchange = world.ask("/talk/x")
+    world.last.stream(event(1))
+    world.last.end()
+    assert [step for step, _ in steps(traces, exchange)] == ["sent", "flowing", "attempt-ended", "ended"]
+
+
+def test_only_the_newest_are_remembered(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(request_traces, "KEPT_REQUESTS", 2)
+    world, traces = recorded()
+    asked = [world.ask("/once/x") for _ in range(3)]
+    assert [traces.find(id_of(exchange)) is not None for exchange in asked] == [False, True, True]
+    assert traces.find("never") is None
+
+
+@pytest.fixture
+def written(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[dict[str, Any]]]:
+    messages: list[dict[str, Any]] = []
+    monkeypatch.setattr(logs, "_loaded", [eliot])
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def test_below_the_level_nothing_is_written(written: list[dict[str, Any]]) -> None:
+    world, _ = recorded("changes")
+    world.ask("/once/x")
+    world.last.answer(200, SIGNED, body=b"x")
+    assert written == []
+
+
+def test_at_the_level_a_request_is_one_tree(written: list[dict[str, Any]]) -> None:
+    world, _ = recorded("requests")
+    exchange, other = world.ask("/again/x"), world.ask("/nowhere")
+    world.calls[0].fail(Failure.CONNECT_FAILED)
+    world.last.answer(200, SIGNED, body=b"x")
+    records = [logtree.Record(m["task_uuid"], tuple(m["task_level"]), m["timestamp"], m) for m in written]
+    (task,) = logtree.tasks(records, id_of(exchange))
+    _, request, first, second = logtree.tree(task)
+    assert "request" in request and "succeeded" in request and "status=200" in request
+    assert "how=unreached" in first and "how=answered" in second
+    (task,) = logtree.tasks(records, id_of(other))
+    assert "turned-away" in logtree.tree(task)[1] and "status=404" in logtree.tree(task)[1]
