--- a/cloverrouter/cli/check.py
+++ b/cloverrouter/cli/check.py
@@ -180,6 +180,34 @@
     return f"site {told.name}, {len(told.classes)} classes"
 
 
+class Trouble(msgspec.Struct):
+    """Something that happens on a day, `at` seconds from the start of its traffic."""
+
+    kind: str
+    at: float
+
+
+class Day(msgspec.Struct):
+    """One day of deploy/days/*.toml, in the bench's form. What the bench alone reads is its business."""
+
+    seed: int
+    plan: list[Trouble] = msgspec.field(default_factory=list)
+    faults: list[Trouble] = msgspec.field(default_factory=list)
+
+
+class Days(msgspec.Struct):
+    day: list[Day]
+
+
+def _days(path: Path) -> str:
+    try:
+        told = msgspec.toml.decode(path.read_bytes(), type=Days)
+    except msgspec.MsgspecError as error:
+        raise Wrong(str(error)) from error
+    troubles = sum(len(day.plan) + len(day.faults) for day in told.day)
+    return f"{len(told.day)} days, {troubles} troubles"
+
+
 MOST_LINES = 1200
 MOST_ROLES = 2
 SERVICES = ("edge", "control_plane")
@@ -188,6 +216,7 @@
     "policy": _deploy,
     "roles": _system,
     "family": _site,
+    "day": _days,
     "load": _scenario,
     "steps": _history,
     "listen": _proxy,
--- a/cloverrouter/cli/demo.py
+++ b/cloverrouter/cli/demo.py
@@ -35,7 +35,7 @@
     seconds
         How long the load goes on.
     seed
-        Of the load.
+        Of the load, and of which node is killed.
     proxy
         Play the client proxy instead: 4 proxies, 10 stand-in servers, two classes.
     keep
--- a/cloverrouter/lab/fleet/client.py
+++ b/cloverrouter/lab/fleet/client.py
@@ -73,7 +73,7 @@
         """One wish with all its tries."""
         wish = self._draws.wish(kind)
         ask_id = self._draws.attempt_id()
-        ask = Ask(kind.name, self._clock(), kind.resumable)
+        ask = Ask(kind.name, self._clock(), kind.resumable, kind.owed)
         self._judge.ask_begins(ask_id, ask)
         deadline = ask.asked_at + kind.deadline_ms / 1000
         events: list[Event] = []
@@ -107,6 +107,7 @@
             subject=subject,
             sent_at=self._clock(),
             first_event=events_before + 1,
+            tokens=sum(wish.tokens),
         )
         self._judge.request_sent(request)
         tried = Try()
--- a/cloverrouter/lab/fleet/figures.py
+++ b/cloverrouter/lab/fleet/figures.py
@@ -26,6 +26,8 @@
 
     asked: int
     served: int
+    owed: int
+    owed_served: int
     events: int
     tries: int
     runs: int
@@ -34,7 +36,8 @@
 
     @property
     def served_share(self) -> float:
-        return self.served / self.asked if self.asked else 0.0
+        """Of what was owed: without what went beyond a quota on purpose."""
+        return self.owed_served / self.owed if self.owed else 0.0
 
 
 class Tally:
@@ -75,6 +78,8 @@
         return Figures(
             asked=len(asks),
             served=sum(ask.served_at is not None for ask in asks),
+            owed=sum(ask.owed for ask in asks),
+            owed_served=sum(ask.owed and ask.served_at is not None for ask in asks),
             events=sum(ask.events for ask in asks),
             tries=len(self._judge.requests),
             runs=sum(len(runs) for runs in self._judge.runs.values()),
--- a/tests/system/test_fleet_judge.py
+++ b/tests/system/test_fleet_judge.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cloverrouter.lab.fleet.contract import Event, event_data
-from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, Request, Run
+from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, QuotaRule, Request, Run, max_in_span
 
 
 class Story:
@@ -178,3 +178,24 @@
     judge.configuration_acknowledged(3, {"version": 3})
     assert judge.broken == {"CONFIG": 4}
     assert judge.findings[1].text == "version 3 differs in limits"
+
+
+def test_the_most_in_any_span() -> None:
+    amounts = [(0.0, 5), (1.0, 5), (2.0, 5), (10.0, 7), (12.5, 7)]
+    assert max_in_span(amounts, 2.0) == 15
+    assert max_in_span(amounts, 1.5) == 10
+    assert max_in_span(amounts, 2.5) == 15
+    assert max_in_span([], 2.0) == 0
+
+
+def test_a_tenant_that_runs_more_than_its_quota() -> None:
+    for requests, broken in ((26, {}), (27, {"QUOTA": 1})):
+        story = Story()
+        story.judge.quota = QuotaRule({"t": (10.0, 5.0)}, period_s=2.0, overshoot=0.2, tolerance=22.0)
+        for number in range(requests):  # allowed: (10 x 2 + 5) x 1.2 + 22 = 52
+            name = f"a{number}"
+            story.judge.request_sent(
+                Request(name, "ask", "r", frozenset({"b"}), "t", False, "subject", 10.0, tokens=2)
+            )
+            story.runs(name, f"s{number}")
+        assert story.broken == broken
