--- a/cloverrouter/lab/fleet/judge.py
+++ b/cloverrouter/lab/fleet/judge.py
@@ -195,7 +195,8 @@
         most = max_in_span(self.runs_of(tenant), self.quota.period_s)
         if most > self.quota.most(tenant):
             allowed = self.quota.most(tenant)
-            self._break("QUOTA", f"{tenant} ran {most:.0f} in {self.quota.period_s:g} s, allowed {allowed:.0f}")
+            span_s = self.quota.period_s
+            self._break("QUOTA", f"{tenant} ran {most:.0f} in {span_s:g} s, allowed {allowed:.0f}")
 
     def runs_of(self, tenant: str) -> list[tuple[float, int]]:
         """When a tenant's requests ran, and what each counts for its quota, in order of time."""
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -119,11 +119,6 @@
         if account is not None:
             account.level += tokens  # `advance` keeps it within the room
 
-    @property
-    def wants_credit(self) -> bool:
-        """Whether `flush` has something to ask for, once it may."""
-        return bool(self._wanting)
-
     def flush(self, now: float) -> list[Effect]:
         """What `admit` wants to be asked for; empty if the last ask was a moment ago."""
         self._now = now
