--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import cast
 
 from cloverrouter.http.answer import Call, Failure, Listener
 from cloverrouter.http.fields import Headers
@@ -161,6 +162,7 @@
             connection = UpstreamConnection(self, pool, sock)
             owned = True  # the transport's from here on, also if this is called off
             await self.loop.create_connection(lambda: connection, sock=sock)
+            self._opening.discard(cast("asyncio.Task[None]", asyncio.current_task()))  # counted by its socket
         except OSError:  # TimeoutError among them
             call.fail(Failure.CONNECT_FAILED)
             return
--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -320,6 +320,12 @@
         """Is a part of an answer still on its way out? Danger: a connection ended now would cut it off."""
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
+    @property
+    def moving(self) -> bool:
+        if self.stage not in (Stage.FRESH, Stage.IDLE, Stage.LINGERING) or self.sending:
+            return True
+        return self.stage is not Stage.LINGERING and unread(self._sock)
+
     def drop(self) -> None:
         """End it whatever is on it."""
         if self.until_close and self.sending:
--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -42,7 +42,7 @@
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.held_bytes = 0  # of bodies that are not whole yet
         self.deaf: set[ServerConnection] = set()  # of which nothing is read for now
-        self._draining = False
+        self._draining = self._closed = False
         self._stages: tuple[dict[ServerConnection, None], ...] = tuple({} for _ in Stage)
         self._sweeper: asyncio.TimerHandle | None = None
 
@@ -67,6 +67,7 @@
 
     def close(self) -> None:
         """End everything at once."""
+        self._closed = True
         self.stop_listening()
         if self._sweeper is not None:
             self._sweeper.cancel()
@@ -84,6 +85,11 @@
     def connections(self) -> int:
         return sum(map(len, self._stages)) + len(self._adopting)
 
+    @property
+    def moving(self) -> bool:
+        """Would an end of the process cut something off, or leave a request unheard?"""
+        return any(connection.moving for connections in self._stages for connection in connections)
+
     @property
     def sheds(self) -> bool:
         """Do answers end their connections now? Danger: clients that ask once and keep their connection soon
@@ -115,6 +121,8 @@
     def add(self, connection: ServerConnection) -> None:
         connection.since_s = self.loop.time()
         self._stages[connection.stage][connection] = None
+        if self._closed:  # while it was taken in
+            connection.drop()
 
     def remove(self, connection: ServerConnection) -> None:
         self._stages[connection.stage].pop(connection, None)
--- a/cloverrouter/http/upstream.py
+++ b/cloverrouter/http/upstream.py
@@ -117,11 +117,11 @@
 
     def lose(self, fault: str = "") -> None:
         """It is of no further use, nor is what came on it."""
-        call = self._call
+        call, told = self._call, self._told_head
         self.abort()
         if call is None:
             return
-        if not call.written:
+        if not call.written and not told:
             # Only what a server has had whole can it have run.
             call.fail(Failure.CONNECT_FAILED)
         elif fault:
--- a/tests/system/test_http_client.py
+++ b/tests/system/test_http_client.py
@@ -673,6 +673,20 @@
     play(scene())
 
 
+def test_refusal_that_has_begun_before_the_whole_request_is_no_lack_of_a_connection() -> None:
+    async def scene() -> None:
+        answered = Answered()
+        connections, _, peer = await half_sent(answered)
+        peer.send(b"HTTP/1.1 413 Large\r\nContent-Length: 10\r\n\r\n")
+        await answered.begun.wait()
+        peer.reset()
+        await answered.over.wait()
+        assert answered.told == ["head", "failure"] and answered.failure is Failure.BROKEN
+        connections.close()
+
+    play(scene())
+
+
 def test_success_before_the_whole_request_is_none() -> None:
     async def scene() -> None:
         answered = Answered()
--- a/tests/system/test_http_server.py
+++ b/tests/system/test_http_server.py
@@ -746,6 +746,27 @@
 # The server's own end
 
 
+def test_server_tells_whether_its_end_would_cut_something_off() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer, half = await Peer.connect(address), await Peer.connect(address)
+        await until(lambda: server.connections == 2)
+        assert not server.moving
+        peer.send(GET)
+        exchange = await handler.request()
+        assert server.moving and server.open_exchanges == 1
+        exchange.respond(200, [], b"a" * MANY)
+        assert server.moving  # a part of the answer is still here
+        await peer.answer()
+        await until(lambda: not server.moving)
+        half.send(GET[:5])
+        await until(lambda: server.moving)
+        assert server.open_exchanges == 0
+        server.close()
+
+    play(scene())
+
+
 def test_drain_ends_connections_with_their_answers() -> None:
     async def scene() -> None:
         server, handler, address = await serve()
