Scenarios of the HTTP parts, fed by hand; a cut stream keeps what came before its cut

Cause: pieces written in the turn of the loop in which an answer is aborted were dropped; a client that resumes a stream can use them. Where the end of the connection is the answer's own they still are, and the end is a reset.

--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -121,13 +121,14 @@
             self._settle()
 
     def abort(self) -> None:
-        """End it at once: what has not gone out is dropped."""
+        """End it at once: what the kernel has not taken yet is dropped."""
         self._exchange = None
-        self._pending.clear()
         if self._transport is None:
             return
         if self.until_close:
             reset_at_close(self._sock)
+            self._pending.clear()
+        self.flush()  # a client that can resume a stream has the more of it
         self._move(Stage.LINGERING)
         self._transport.abort()
 
