--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -121,13 +121,14 @@
             self._settle()
 
     def abort(self) -> None:
-        """End it at once: what has not gone out is dropped."""
+        """End it at once: what the kernel has not taken yet is dropped."""
         self._exchange = None
-        self._pending.clear()
         if self._transport is None:
             return
         if self.until_close:
             reset_at_close(self._sock)
+            self._pending.clear()
+        self.flush()  # a client that can resume a stream has the more of it
         self._move(Stage.LINGERING)
         self._transport.abort()
 
@@ -320,6 +321,12 @@
         """Is a part of an answer still on its way out? Danger: a connection ended now would cut it off."""
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
+    @property
+    def moving(self) -> bool:
+        if self.stage not in (Stage.FRESH, Stage.IDLE, Stage.LINGERING) or self.sending:
+            return True
+        return self.stage is not Stage.LINGERING and unread(self._sock)
+
     def drop(self) -> None:
         """End it whatever is on it."""
         if self.until_close and self.sending:
