--- a/tests/system/replica_times.py
+++ b/tests/system/replica_times.py
@@ -2,8 +2,8 @@
 
     python -m tests.system.replica_times [--seeds 100]
 
-For each trouble: from the trouble until an order that is sent at that moment is acknowledged; median and worst
-over the seeds.
+For each trouble: from the trouble until an order that is sent at that moment is acknowledged; median and
+worst over the seeds.
 """
 
 from __future__ import annotations
--- a/tests/system/test_pure_cores.py
+++ b/tests/system/test_pure_cores.py
@@ -1,4 +1,4 @@
-"""The cores of membership, servers' list and distribution know no clock, socket or randomness of their own."""
+"""The cores of membership, servers' list and distribution know no clock, socket or random source."""
 
 from __future__ import annotations
 
