--- a/tests/system/test_pure_cores.py
+++ b/tests/system/test_pure_cores.py
@@ -1,4 +1,4 @@
-"""The cores of membership, servers' list and distribution know no clock, socket or randomness of their own."""
+"""The cores of membership, servers and distribution have no clock, socket or randomness of their own."""
 
 from __future__ import annotations
 
