--- a/cloverrouter/coordination/disk.py
+++ b/cloverrouter/coordination/disk.py
@@ -36,8 +36,8 @@
         slow_s: float,
         compact_bytes: int,
     ) -> None:
-        """`newest` gives the newest state, with all updates that were appended. A disk that has refused, or whose
-        last write took `slow_s`, is tried again every `retry_s`."""
+        """`newest` gives the newest state, with all updates that were appended. A disk that has refused, or
+        whose last write took `slow_s`, is tried again every `retry_s`."""
         self.meta = stored.meta
         seq = stored.snapshot.seq if stored.snapshot is not None else 0
         self.seq = stored.updates[-1].seq if stored.updates else seq
@@ -91,8 +91,8 @@
         self._dirty = True
 
     def trouble_s(self, now: float) -> float:
-        """For how long the disk has been busy with one record, or has refused. Of a disk at rest: how long its
-        last write took, if that was long."""
+        """For how long the disk has been busy with one record, or has refused. Of a disk at rest: how long
+        its last write took, if that was long."""
         if self._failing_since is not None:
             return FAILING_S + now - self._failing_since
         busy_s = now - self._begun if self._flying is not None else 0.0
