--- a/tests/system/test_http_client.py
+++ b/tests/system/test_http_client.py
@@ -376,12 +376,12 @@
         connections = pool()
         await ask(connections, upstream)
         (connection,) = connections.connections
-        assert connection.expires_s - connection.idle_since_s == pytest.approx(7.8)
+        assert connection.expires_s - connection.idle_since == pytest.approx(7.8)
         connection.expires_s = connections.loop.time()
         await ask(connections, upstream)
         assert connections.opened == 2
         (connection,) = connections.connections
-        assert connection.expires_s - connection.idle_since_s == pytest.approx(60)
+        assert connection.expires_s - connection.idle_since == pytest.approx(60)
         connections.close()
 
     play(scene())
@@ -673,6 +673,20 @@
     play(scene())
 
 
+def test_refusal_that_has_begun_before_the_whole_request_is_no_lack_of_a_connection() -> None:
+    async def scene() -> None:
+        answered = Answered()
+        connections, _, peer = await half_sent(answered)
+        peer.send(b"HTTP/1.1 413 Large\r\nContent-Length: 10\r\n\r\n")
+        await answered.begun.wait()
+        peer.reset()
+        await answered.over.wait()
+        assert answered.told == ["head", "failure"] and answered.failure is Failure.BROKEN
+        connections.close()
+
+    play(scene())
+
+
 def test_success_before_the_whole_request_is_none() -> None:
     async def scene() -> None:
         answered = Answered()
