--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -212,7 +212,7 @@
 
     def _look_at_clock(self, now: float) -> None:
         """After a freeze nothing that was not heard counts."""
-        if now - self._now > self._config.failure_timeout_s:
+        if now - self._now > self._config.failure_timeout_s / 2:
             self._follower.forgive(now)
             self._roster.forgive(now)
             self._context.disk.forgive(now)
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -48,7 +48,7 @@
         self.identity = stored.identity
         self.publisher = Publisher()
         me = Member(stored.identity, settings.ip, settings.name, settings.zone)
-        config = ReplicaConfig(settings.tolerated_machines)
+        config = ReplicaConfig(settings.tolerated_machines, max_state_bytes=store.state_room)
         self.replica = Replica(me, stored, ConfigurationMachine(), config, random)
         self._desk = HeadDesk(self.replica, ports.send)
         listener = ReplicaListener(
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -77,7 +77,7 @@
 
     @property
     def state_room(self) -> int:
-        """Bytes that a state may have: the file holds two of them and updates as large while one is replaced."""
+        """Bytes that a state may have: the file holds two, and updates as large, while one is replaced."""
         return self._map_bytes // STATE_PARTS
 
     def load(self, bootstrap: bool = False) -> StoredReplica:
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -11,6 +11,7 @@
 import json
 from collections.abc import Callable, Iterable
 from functools import partial
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -35,9 +36,11 @@
 from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
 from cloverrouter.messages import Decoder, encode
 from cloverrouter.store import Meta, Record, StoredReplica
+from cloverrouter.store.replica_store import ReplicaStore
 
 TICK_S = 0.05
 DISCOVERY_S = 0.4
+FILE_BYTES = 8 * 1024 * 1024
 STALL_LOOK_S = 0.02  # how often a write looks whether its disk still stalls
 KEPT_DIGESTS = 64
 ZONES = ("east", "north", "west")
@@ -147,14 +150,34 @@
         self.slowness = 1.0
         self.syncs = True  # False: a fault on purpose, of a store that does not sync
         self.held: dict[int, bytes] = {}  # updates that were ever durable here
+        self.file: ReplicaStore | None = None
         self._unsynced: StoredReplica | None = None
 
     def sync_s(self) -> float:
         """How long a write takes while the disk does not stall."""
         return self.random.uniform(0.001, 0.004) * self.slowness
 
+    def keep_in(self, directory: Path, max_bytes: int) -> None:
+        """Keep what is stored in a real file, too, and read it from there at each start."""
+        self.file = ReplicaStore.open(directory, max_bytes)
+        identity = self.file.load(self.stored.meta.adoptable).identity
+        self.file.write(Record(meta=self.stored.meta))
+        self.stored = attrs.evolve(self.stored, identity=identity)
+
+    def load(self) -> StoredReplica:
+        """What a process finds at its start."""
+        if self.file is None:
+            return self.stored
+        self.file.close()
+        found = attrs.evolve(self.file.load(), fresh=False)
+        if found != self.stored:
+            raise Violation("the file holds something else than was written")
+        return found
+
     def store(self, record: Record) -> None:
         """A write is done."""
+        if self.file is not None:
+            self.file.write(record)
         before = self._unsynced or self.stored
         after = write_record(before, record)
         if self.syncs:
@@ -251,10 +274,11 @@
         tick_s: float = TICK_S,
         seeds: Iterable[str] = (),
         start_within_s: float = 0.0,
+        directory: Path | None = None,
     ) -> None:
         """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
         through their encoding. `seeds`: addresses, if not those of the first three machines; those without
-        a disk run as well."""
+        a disk run as well. `directory`: what the first disks hold is in files there, too."""
         self.random = Random(seed)
         self.now = 100.0
         self.tolerance = tolerance
@@ -279,6 +303,9 @@
         self._calls: dict[int, Call] = {}
         for place in range(count):
             self.add_node(adoptable=genesis, start=False, place=place)
+        if directory is not None:
+            for node in self.nodes:
+                node.disk.keep_in(directory / node.name, FILE_BYTES)
         self.seeds = list(seeds) or [node.ip for node in self.nodes[:3]]
         if not genesis:
             self._give_first_view()
@@ -309,7 +336,7 @@
         view = View(GENESIS_EPOCH, tuple(node.member for node in self.nodes), (), ())
         for node in self.nodes:
             meta = Meta(view=encode_view(view), view_epoch=GENESIS_EPOCH, settled=True)
-            node.disk.stored = attrs.evolve(node.disk.stored, meta=meta)
+            node.disk.store(Record(meta=meta))
 
     def _start_proposer(self, ip: str) -> None:
         proposer = GenesisProposer(ip, self.seeds, GenesisConfig(self.tolerance))
@@ -372,7 +399,7 @@
                 return
             self.say(f"{node.name} starts as {node.disk.stored.identity[:4]}")
             node.replica = self.replica_class(
-                node.member, node.disk.stored, Register(), self.config, Random(self.random.random())
+                node.member, node.disk.load(), Register(), self.config, Random(self.random.random())
             )
             self.carry_out(node, node.replica.start(self.now))
             if node.ip in self.seeds and node.disk.stored.meta.adoptable:
--- a/tests/system/test_replica.py
+++ b/tests/system/test_replica.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
-from tests.system.replica_chaos import play
+from tests.system.replica_chaos import check_healed, play
 from tests.system.replica_faults import whole_states
 from tests.system.replica_scenarios import SCENARIOS
 from tests.system.replica_world import Client, World
@@ -49,3 +50,16 @@
     scenario(seed)
     with whole_states():
         scenario(seed)
+
+
+def test_real_files_hold_what_the_replicas_wrote(tmp_path: Path) -> None:
+    """Kills, starts and a lost disk, each start from lmdb's file; updates are folded many times."""
+    world = World(5, 3, 1, config={"compact_bytes": 500}, directory=tmp_path)
+    clients = [Client(world, f"client{number}", pause_s=0.02) for number in range(2)]
+    for number in range(12):
+        world.run(1.0)
+        node = world.nodes[number % 3]
+        world.kill(node, power=number % 2 == 0)
+        world.start(node, 0.2)
+    check_healed(world, clients)
+    assert sum(len(client.done) for client in clients) > 100
