After a loss of power everywhere the head of before leads at once

Cause: voters that start again held every promise back for 0.4 s, lest a head be sure that they follow. The only head that can be sure by their word is the one that they promised last; to that one they may promise at once. Ruled out: a shorter hold (heads would have to be sure for less). The test fails without the change.

--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -51,7 +51,9 @@
         config = self._context.config
         if sender == self.head or self._head_ill_since is not None:
             return False
-        if self.head is None:  # nothing is known of the life before this one
+        if self.head is None:  # of the life before this one only the last promise is known
+            if sender == self._context.disk.meta.promised_to:
+                return False  # no other head can be sure of itself by this replica's word
             return self._context.epoch > 0 and now - self._started < config.sticky_s
         return now - self.contact_at < config.sticky_s
 
--- a/tests/system/test_replica.py
+++ b/tests/system/test_replica.py
@@ -63,3 +63,18 @@
         world.start(node, 0.2)
     check_healed(world, clients)
     assert sum(len(client.done) for client in clients) > 100
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_after_all_lost_power_the_head_of_before_leads_at_once(seed: int) -> None:
+    """Voters that start again hold back promises, but not to the only one that may still count on them."""
+    world = World(seed, 3, 1, genesis=True, wire=True)
+    assert world.run_while(lambda: world.head() is None, 5)
+    before = world.head()
+    assert before is not None
+    for node in world.nodes:
+        world.kill(node, power=True)
+        world.start(node, 0.2)
+    assert world.run_while(lambda: world.head() is None, 0.55)
+    after = world.head()
+    assert after is not None and after.ip == before.ip
