Servers that fail while their health is good: suspicion from own outcomes, warnings from others', idle connections that vanish

Cause: a failure moved a server's payoff by a fifth, for ever where nothing was sent there any more, and a grey server was never left alone; in a fleet of 80 each proxy had to lose a request to every bad server. A request that waited in vain was noticed at its deadline only, and one on a connection that the server had forgotten was lost each time.

Now: a failure rate by server that forgets (3 s), the fading being what lets trials through, last for requests that can't be sent again; nothing is suspected if most are. Proxies report failures to the head, which warns all (or one zone) of what several found. A reset without a byte on a rested connection shortens the rest that is trusted, for all after two servers. The payoff now fades, so that a server that looks worse gets its next trial.

--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -85,6 +85,10 @@
         found = self._servers.table.get(instance_id)
         return effective(self._servers.table, found) if found else None
 
+    def subscribers(self) -> list[str]:
+        """The machines that get this voter's news; none if it is no voter."""
+        return self._voter.subscribers()
+
     def is_silent(self, instance_id: str) -> bool:
         """True if the head has marked the server as silent."""
         return instance_id in self._servers.silent
--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -75,6 +75,10 @@
         """Changed records, to all subscribers but the source."""
         return [self._news(now, ip, batch) for ip, batch in self._subscribers.queue(now, ids, source)]
 
+    def subscribers(self) -> list[str]:
+        """The machines that news are passed on to."""
+        return list(self._subscribers)
+
     def news_taken(self, ip: str, number: int) -> None:
         """A subscriber has news."""
         self._subscribers.taken(ip, number)
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -36,7 +36,9 @@
 from cloverrouter.daemon.view_notice import ViewNotice
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
-from cloverrouter.placement import quota_messages
+from cloverrouter.placement import quota_messages, trouble_messages
+from cloverrouter.placement.trouble import TroubleDesk
+from cloverrouter.placement.trouble_messages import TroubleReport, TroubleWarning
 
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
 LOOK_S = 0.2  # between looks at what peer sampling has found
@@ -68,6 +70,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._genesis = self._genesis_proposer()
         self._quota_duty = QuotaDuty(settings.ip, traffic.quota_rules)
+        self._trouble_desk = TroubleDesk(lambda: traffic.fleet_size)
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
         self.api = ControlApi(self._calls)
@@ -134,6 +137,7 @@
         self._sampled(now, self.sampler.tick(now))
         if now >= self._next_look:
             self._next_look = now + LOOK_S
+            self.traffic.router.report_overdue()
             self._look(now)
         if self._genesis is not None:
             self._send_all(self._genesis.tick(now))
@@ -144,6 +148,18 @@
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
         self._send_all(self._quota_duty.tick(now, self._lead_until()))
+        self._report_trouble(now)
+
+    def _report_trouble(self, now: float) -> None:
+        """Tell the head of servers that failed requests here."""
+        report = self.traffic.trouble.flush(now)
+        head = self.summary.head if self.summary is not None else None
+        if report is None or not head:
+            return
+        if head == self._settings.ip:
+            self._on_trouble(now, head, report)
+        else:
+            self.transport.send(head, report)
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -173,6 +189,7 @@
             (registry_messages, self._on_registry),
             (distribution_messages, self._on_distribution),
             (quota_messages, self._on_quota),
+            (trouble_messages, self._on_trouble),
             (chain_messages, self._on_chain),
             (views, self._on_chain),
         ):
@@ -241,6 +258,16 @@
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
+    def _on_trouble(self, now: float, ip: str, message: object) -> None:
+        if isinstance(message, TroubleWarning):
+            self.traffic.warned(message)
+        elif isinstance(message, TroubleReport) and self._lead_until() is not None:
+            for warning in self._trouble_desk.receive(now, ip, message):
+                self._log.change("servers-failing", instances=warning.ids, zone=warning.zone)
+                self.traffic.warned(warning)
+                for proxy in self.registry.subscribers():
+                    self.transport.send(proxy, warning)
+
     # What the cores ask for
 
     def _sampled(self, now: float, effects: Iterable[SamplerEffect]) -> None:
--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -20,6 +20,8 @@
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
 from cloverrouter.placement.retries import RetryBudgets
 from cloverrouter.placement.servers import Server
+from cloverrouter.placement.trouble import TroubleReporter
+from cloverrouter.placement.trouble_messages import TroubleWarning
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.router import Router
 
@@ -67,6 +69,8 @@
             log.request,
             self.traces,
         )
+        self.trouble = TroubleReporter(settings.zone)
+        self.router.on_trouble = self.trouble.failed
         self.frontend: HttpServer | None = None
         self.limits: dict[str, TenantLimit] = {}
         self.fleet_size = STARTING_FLEET
@@ -108,6 +112,11 @@
             self.quota.holder.configure(self.limits, size)
             self.budgets.resize(size)
 
+    def warned(self, warning: TroubleWarning) -> None:
+        """Several proxies found servers failing."""
+        if warning.zone in ("", self._settings.zone):
+            self.router.warned(warning.ids, warning.for_ms / 1000)
+
     def instances_changed(self, instances: Iterable[Instance], is_silent: Callable[[str], bool]) -> None:
         """Servers are new, changed or gone."""
         servers = (_server(instance, is_silent(instance.id)) for instance in instances)
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -14,6 +14,7 @@
 from cloverrouter.http.answer import Call, Failure, Listener
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.idle import IdlePool, close_longest_idle
+from cloverrouter.http.rest import SOON_S, RestLimits
 from cloverrouter.http.sockets import READ_BYTES, notice_dead_peer, open_socket
 from cloverrouter.http.upstream import UpstreamConnection
 
@@ -62,6 +63,7 @@
         self.connections: set[UpstreamConnection] = set()  # that have a socket
         self._opening: set[asyncio.Task[None]] = set()
         self._pools: dict[Address, ServerPool] = {}
+        self._rests: RestLimits[Address] = RestLimits()
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def send(
@@ -84,7 +86,7 @@
         if pool is None:
             pool = self._pools[address] = ServerPool(address)
         call.hold(pool)
-        connection = pool.take_settled(self.loop.time() - self.settle_s)
+        connection = self._take(pool)
         if connection is not None:
             call.reused = True
             connection.send(call)
@@ -106,6 +108,7 @@
         pool = self._pools.pop(address, None)
         if pool is not None:
             pool.drop_idle()
+            self._rests.forget(address)
 
     def idle(self, address: Address) -> int:
         pool = self._pools.get(address)
@@ -132,6 +135,20 @@
 
     # Connections
 
+    def _take(self, pool: ServerPool) -> UpstreamConnection | None:
+        """An idle connection that a request may go out on."""
+        now_s = self.loop.time()
+        limit_s = self._rests.limit_s(pool.address, now_s)
+        if limit_s < self.idle_timeout_s:
+            pool.drop_idle(now_s - limit_s)
+        return pool.take_settled(now_s - self.settle_s)
+
+    def reset_unheard(self, connection: UpstreamConnection, sent_s: float) -> None:
+        """A request that went out on a connection that had rested was reset without a byte of an answer."""
+        now_s = self.loop.time()
+        if now_s - sent_s < SOON_S:
+            self._rests.forgotten(connection.pool.address, sent_s - connection.idle_since, now_s)
+
     def uses(self, pool: ServerPool) -> bool:
         return self._pools.get(pool.address) is pool
 
--- a/cloverrouter/http/upstream.py
+++ b/cloverrouter/http/upstream.py
@@ -42,6 +42,7 @@
         "_paused",
         "_pieces",
         "_says_close",
+        "_sent_s",
         "_sock",
         "_status",
         "_surplus",
@@ -62,7 +63,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._call: Call | None = None
         self._paused = False
-        self.idle_since = 0.0
+        self.idle_since = self._sent_s = 0.0
         self.expires_s = float("inf")  # when it is idle: the server may close it then
         self.keep_s = owner.idle_timeout_s  # how long it may be idle
         self._begin()
@@ -89,6 +90,8 @@
         assert self._call is None and self._transport is not None
         self._begin()
         self._call = call
+        if call.reused:
+            self._sent_s = self._owner.loop.time()
         call.assign(self)
         self._transport.write(call.message)
         if not self._transport.get_write_buffer_size():
@@ -128,6 +131,8 @@
             log.warning("spoilt answer from %s:%d: %s", *self.pool.address, fault)
             call.fail(Failure.SPOILT)
         else:
+            if call.reused and not self._head_bytes:
+                self._owner.reset_unheard(self, self._sent_s)
             call.fail(Failure.BROKEN)
 
     # asyncio.BufferedProtocol: one buffer for all, since each read is used up at once
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
 from cloverrouter.placement.first_token import FirstTokenModel
@@ -90,18 +90,32 @@
         for gone in self.servers.forget_idle():
             self._caches.pop(gone, None)
 
-    def pick(self, prompt: Prompt, tried: Collection[str], now: float) -> Standing | None:
-        """The server for a request, none of those already tried; None if there is no other."""
+    def pick(
+        self, prompt: Prompt, tried: Collection[str], now: float, careful: bool = False
+    ) -> Standing | None:
+        """The server for a request, none of those already tried; None if there is no other. `careful` for a
+        request that can't be sent again if it fails."""
         ready = [one for one in self.servers.ready if one.server.id not in tried]
         if len(ready) < 2:
             return ready[0] if ready else None
         self._note_kind(prompt, now)
-        candidates = self._candidates(prompt, tried, now) if prompt.parts else []
+        candidates = self._candidates(prompt, tried, now, careful) if prompt.parts else []
         if not candidates:
-            usable = [one for one in ready if not one.avoided(now)]
+            usable = self.servers.usable(ready, now, careful)
             return self._draw(usable or ready, now)
         return self._better(candidates, prompt, now)
 
+    def warned(self, ids: Iterable[str], span_s: float, now: float) -> None:
+        """Other proxies found these servers failing: leave them alone for about so long."""
+        for instance_id in ids:
+            standing = self.servers.standings.get(instance_id)
+            if standing is not None:
+                standing.warned_until = now + span_s * (0.75 + 0.5 * self._random())
+
+    def overdue(self, now: float) -> list[str]:
+        """The servers at which requests have been waiting for far too long."""
+        return [one.server.id for one in self.servers.ready if one.overdue(now)]
+
     def sent(self, standing: Standing, prompt: Prompt) -> None:
         """The prompt went to that server, which will keep its parts."""
         if prompt.parts:
@@ -164,10 +178,13 @@
     def _ranked(self, key: int) -> list[Standing]:
         return sorted(self.servers.ready, key=lambda one: mix(key ^ one.seed), reverse=True)
 
-    def _candidates(self, prompt: Prompt, tried: Collection[str], now: float) -> list[Standing]:
+    def _candidates(
+        self, prompt: Prompt, tried: Collection[str], now: float, careful: bool
+    ) -> list[Standing]:
         """The first two of the order that have room; if none has, the first two that may be used at all. Calm
         servers and others are not compared: the order has decided between them."""
-        usable = [one for one in self.order(prompt) if one.server.id not in tried and not one.avoided(now)]
+        untried = [one for one in self.order(prompt) if one.server.id not in tried]
+        usable = self.servers.usable(untried, now, careful)
         ready = len(self.servers.ready)
         room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
         with_room = [one for one in usable if self._has_room(one, room, now)]
@@ -217,7 +234,8 @@
         return among[int(self._random() * len(among))]
 
     def _drawn_value(self, standing: Standing, now: float) -> tuple[float, bool]:
-        load = 1.0 + standing.in_flight + standing.delay_ms(now) / self.first_token.usual_ms
+        delay_ms = max(0.0, self._delay_ms(standing, now) - self.first_token.usual_ms)
+        load = 1.0 + standing.in_flight + delay_ms / self.first_token.usual_ms
         return round(standing.worth(now) / load, 2), standing.server.zone == self._zone
 
     def _cache(self, standing: Standing) -> PrefixCache:
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -11,10 +11,13 @@
 
 import attrs
 
+from cloverrouter.placement.health import CAREFUL_RATE, SUSPECT_RATE, Suspicion
 from cloverrouter.placement.prefix import mix
 
 PAYOFF_WEIGHT = 0.2
 """How far one outcome moves the smoothed payoff."""
+PAYOFF_HALF_LIFE_S = 3.0
+LEAST_AGAINST = 0.05
 PAUSE_BASE_S = 0.25
 PAUSE_CAP_S = 4.0
 DELAY_WEIGHT = 0.3
@@ -22,6 +25,8 @@
 """Old knowledge of a server's delay fades: a server that nobody tries is tried again."""
 SILENCE_S = 0.35
 """A server that has sent nothing for this long while a request waits for its first byte is doubted."""
+OVERDUE_S = 0.7
+"""A server where a request waits so long for its answer to begin is suspected, whatever else it sends."""
 COLD_FACTOR = 0.5
 """What a server that still warms up is worth."""
 
@@ -55,7 +60,11 @@
     seed: int = attrs.field(init=False)
     """Of the server's place in the orders of subjects: the same in every process."""
     paused_until: float = 0.0
+    warned_until: float = 0.0
+    """Other proxies found it failing."""
+    suspicion: Suspicion = attrs.field(factory=Suspicion)
     _failures: int = 0
+    _failed_at: float = 0.0
     _delay_ms: float = 0.0
     _delay_at: float = 0.0
     _heard_at: float = 0.0
@@ -90,23 +99,35 @@
         self.in_flight -= 1
         self._unanswered.pop(attempt, None)
 
-    def succeeded(self) -> None:
-        """An answer of worth came."""
+    def succeeded(self, now: float = 0.0) -> None:
+        """An answer of worth came. One that goes up and down by turns is still left alone for longer."""
         self.payoff += PAYOFF_WEIGHT * (1.0 - self.payoff)
-        self._failures = 0
+        self._failures //= 2
         self.paused_until = 0.0
+        self.suspicion.good(now)
 
-    def failed(self) -> None:
+    def failed(self, now: float = 0.0) -> None:
         """An answer without worth came: an error or a refusal."""
         self.payoff -= PAYOFF_WEIGHT * self.payoff
+        self._failed_at = now
+
+    def erred(self, now: float) -> None:
+        """The server's own failure came."""
+        self.failed(now)
+        self.suspicion.bad(now)
 
     def lost(self, now: float) -> None:
         """No connection came up, or one broke, or nothing came: leave it alone for a growing while."""
-        self.failed()
+        self.failed(now)
         pause = min(PAUSE_CAP_S, PAUSE_BASE_S * 2.0**self._failures)
         self.paused_until = now + pause
         self._failures += 1
 
+    def never_answered(self, now: float) -> None:
+        """A request waited there in vain."""
+        self.lost(now)
+        self.suspicion.bad(now)
+
     def delayed(self, excess_ms: float, now: float) -> None:
         """An answer began this much later than its work explains (less than 0: earlier)."""
         known = self.delay_ms(now)
@@ -125,6 +146,12 @@
             return 0.0
         return (now - next(iter(self._unanswered.values()))) * 1000
 
+    def overdue(self, now: float) -> bool:
+        """Whether a request has been waiting there for far too long."""
+        if not self._unanswered:
+            return False
+        return now - next(iter(self._unanswered.values())) > OVERDUE_S
+
     def doubted(self, now: float) -> bool:
         """Whether a request has been waiting there while nothing at all came from the server."""
         if not self._unanswered:
@@ -136,9 +163,20 @@
         """Whether others are to be preferred for the time being."""
         return self.server.silent or now < self.paused_until or self.doubted(now)
 
+    def suspected(self, now: float, careful: bool = False) -> bool:
+        """Whether it is likely to fail a request; `careful` for one that can't be sent again."""
+        if now < self.warned_until or self.overdue(now):
+            return True
+        return self.suspicion.rate(now) > (CAREFUL_RATE if careful else SUSPECT_RATE)
+
     def worth(self, now: float) -> float:
-        """Payoff, less while it is not at its full speed."""
-        return self.payoff * (COLD_FACTOR if now < self.server.warm_at else 1.0)
+        """Payoff, less while it is not at its full speed. What speaks against it fades, since a server that
+        looks worse than all others gets no request that could show that it has recovered."""
+        against = 1.0 - self.payoff
+        if against > 0.0:
+            against *= 0.5 ** ((now - self._failed_at) / PAYOFF_HALF_LIFE_S)
+        payoff = 1.0 - against if against >= LEAST_AGAINST else 1.0
+        return payoff * (COLD_FACTOR if now < self.server.warm_at else 1.0)
 
 
 class ServiceServers:
@@ -167,6 +205,14 @@
         self._displaced.add(standing.server.id)
         self._leave(standing)
 
+    def usable(self, among: Iterable[Standing], now: float, careful: bool = False) -> list[Standing]:
+        """Those that nothing speaks against. If most of the servers are suspected, none is: what fails
+        then is rather something else, and the rest could not carry the load."""
+        suspects = {one for one in self.ready if one.suspected(now, careful)}
+        if 2 * len(suspects) > len(self.ready):
+            suspects = set()
+        return [one for one in among if one not in suspects and not one.avoided(now)]
+
     def total_in_flight(self) -> int:
         """This proxy's requests under way at the ready servers."""
         return sum([standing.in_flight for standing in self.ready])
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -73,6 +73,11 @@
         self._size = 0
         self._streaming = False
 
+    @property
+    def status(self) -> int:
+        """Of the answer; 0 before its head has come."""
+        return self._status
+
     def give_up(self) -> None:
         """Cancel it: its server stops working on it, and nothing more is heard."""
         if self.over:
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -111,7 +111,9 @@
             self._finish_failed()
             return
         placement = self._router.placement(self.admitted.service)
-        standing = placement.pick(self.admitted.prompt, self._tried, self._router.clock())
+        route = self.admitted.route
+        careful = not route.may_repeat or route.attempts < 2
+        standing = placement.pick(self.admitted.prompt, self._tried, self._router.clock(), careful)
         if standing is None:
             self._finish_failed()
         elif not self._within_quota():
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -43,6 +43,7 @@
 from cloverrouter.router.verdict import End, Verdict
 
 UNCONFIGURED_WAIT_S = 0.3
+SERVER_ERRORS = 500
 SPLIT_SALT = 0x5DEECE66D
 
 
@@ -72,6 +73,8 @@
         self.bounds = bounds
         self.budget = budget
         self.recorder = recorder
+        self.on_trouble: Callable[[str], None] = lambda instance_id: None
+        """Called with the id of an instance that failed a request."""
         self.draining = False
         """Set once the process is to end: answers then end their connections."""
         self._pool = pool
@@ -106,6 +109,19 @@
             {address for one in self._placements.values() for address in one.servers.addresses()}
         )
 
+    def warned(self, ids: Iterable[str], span_s: float) -> None:
+        """Other proxies found these instances failing."""
+        now = self.clock()
+        for placement in self._placements.values():
+            placement.warned(ids, span_s, now)
+
+    def report_overdue(self) -> None:
+        """Tell of the servers that seem not to answer."""
+        now = self.clock()
+        for placement in self._placements.values():
+            for instance_id in placement.overdue(now):
+                self.on_trouble(instance_id)
+
     def quota_woken(self, tenant: str) -> None:
         """Something came for the quota of a tenant: requests that wait for it ask again."""
         for flight in self._waiting.pop(tenant, {}):
@@ -244,10 +260,21 @@
         attempt.standing.delayed(took_ms - model.expected_ms(attempt.missing_tokens), now)
         model.learn(attempt.missing_tokens, took_ms)
 
+    def _learn_time(self, attempt: Attempt, admitted: Admitted, now: float) -> None:
+        """How long a server without a model took for a whole answer."""
+        assert attempt.sent_at is not None
+        took_ms = (now - attempt.sent_at) * 1000
+        model = self.placement(admitted.service).first_token
+        attempt.standing.delayed(took_ms - model.expected_ms(0), now)
+        model.learn(0, took_ms)
+
     def succeeded(self, attempt: Attempt, admitted: Admitted) -> None:
         """The server's own answer is whole."""
-        attempt.standing.succeeded()
+        now = self.clock()
+        attempt.standing.succeeded(now)
         self.budget.earn(admitted.service)
+        if not admitted.prompt.parts and attempt.sent_at is not None and not admitted.route.affinity:
+            self._learn_time(attempt, admitted, now)
 
     def failed(self, attempt: Attempt, end: End, admitted: Admitted) -> None:
         """An attempt ended without an answer of worth."""
@@ -257,13 +284,18 @@
             self.placement(admitted.service).servers.displaced(standing)
         elif end in (End.UNREACHED, End.LOST, End.SPOILT):
             standing.lost(self.clock())
+            self.on_trouble(standing.server.id)
+        elif end is End.FAILED and attempt.status >= SERVER_ERRORS:
+            standing.erred(self.clock())
+            self.on_trouble(standing.server.id)
         elif end is not End.UNSENT:
-            standing.failed()
+            standing.failed(self.clock())
 
     def timed_out(self, attempt: Attempt) -> None:
         """A server did not answer in time."""
         if attempt.heard_at is None:
-            attempt.standing.lost(self.clock())
+            attempt.standing.never_answered(self.clock())
+            self.on_trouble(attempt.standing.server.id)
         else:
             attempt.standing.failed()
 
--- /dev/null
+++ b/tests/system/test_rest_limits.py
@@ -0,0 +1,57 @@
+"""Idle connections that servers forget without a word."""
+
+from __future__ import annotations
+
+import math
+
+from cloverrouter.http.rest import LEARNT_FOR_S, RestLimits
+
+NOW = 50.0
+
+
+def test_nothing_is_known_at_first() -> None:
+    assert RestLimits[str]().limit_s("a", NOW) == math.inf
+
+
+def test_a_loss_shortens_the_rest_at_that_server_for_a_while() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 0.4, NOW)
+    assert rests.limit_s("a", NOW + 1) < 0.4
+    assert rests.limit_s("b", NOW + 1) == math.inf
+    assert rests.limit_s("a", NOW + LEARNT_FOR_S + 1) == math.inf
+
+
+def test_two_servers_that_forget_speak_for_all() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 3.0, NOW)
+    rests.forgotten("b", 2.0, NOW + 1)
+    assert rests.limit_s("c", NOW + 1) < 2.0
+
+
+def test_losses_far_apart_say_nothing_of_others() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 3.0, NOW)
+    rests.forgotten("b", 2.0, NOW + 20)
+    assert rests.limit_s("c", NOW + 20) == math.inf
+
+
+def test_the_shortest_rest_counts() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 0.2, NOW)
+    rests.forgotten("a", 3.0, NOW + 1)
+    assert rests.limit_s("a", NOW + 1) < 0.2
+
+
+def test_a_lesson_that_has_to_be_learnt_again_holds_longer() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 0.4, NOW)
+    again = NOW + LEARNT_FOR_S + 1
+    rests.forgotten("a", 0.4, again)
+    assert rests.limit_s("a", again + LEARNT_FOR_S + 1) < 0.4
+
+
+def test_a_server_that_is_gone_is_forgotten() -> None:
+    rests = RestLimits[str]()
+    rests.forgotten("a", 0.4, NOW)
+    rests.forget("a")
+    assert rests.limit_s("a", NOW) == math.inf
--- /dev/null
+++ b/tests/system/test_server_health.py
@@ -0,0 +1,201 @@
+"""Servers that fail while all that is told of them is good: what a proxy makes of its own outcomes, and of
+those of others."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cloverrouter.messages import Decoder, encode
+from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.prefix import NO_PROMPT, parse_prompt
+from cloverrouter.placement.servers import OVERDUE_S, Server, Standing
+from cloverrouter.placement.trouble import REPEAT_S, WARN_S, WINDOW_S, TroubleDesk, TroubleReporter
+from cloverrouter.placement.trouble_messages import TroubleReport, TroubleWarning
+
+NOW = 100.0
+SUBJECT = parse_prompt("aa:800,bb:400,cc:200")
+
+
+def placement(count: int) -> ServicePlacement:
+    made = ServicePlacement(Random(1).random, "east", kv_tokens=50_000)
+    for place in range(count):
+        made.told(Server(f"i-{place}", "model", ("10.0.0.1", place + 1), "east", 12, ready=True))
+    return made
+
+
+def picked(made: ServicePlacement, now: float, careful: bool = False) -> set[str]:
+    found = [made.pick(NO_PROMPT, (), now, careful) for _ in range(60)]
+    return {one.server.id for one in found if one is not None}
+
+
+def usual(standing: Standing, now: float, good: int) -> None:
+    for _ in range(good):
+        standing.succeeded(now)
+
+
+def test_a_server_that_fails_is_left_alone_and_tried_again_later() -> None:
+    made = placement(4)
+    grey = made.servers.standings["i-0"]
+    grey.erred(NOW)
+    assert "i-0" not in picked(made, NOW)
+    assert "i-0" in picked(made, NOW + 20)
+
+
+def test_requests_that_cannot_be_sent_again_come_back_last() -> None:
+    made = placement(4)
+    grey = made.servers.standings["i-0"]
+    grey.erred(NOW)
+    back = next(later for later in range(1, 40) if "i-0" in picked(made, NOW + later))
+    assert "i-0" not in picked(made, NOW + back, careful=True)
+
+
+def test_a_good_trial_ends_the_suspicion() -> None:
+    made = placement(4)
+    grey = made.servers.standings["i-0"]
+    grey.erred(NOW)
+    grey.succeeded(NOW + 1)
+    assert not grey.suspected(NOW + 1)
+    assert "i-0" in picked(made, NOW + 6)
+
+
+def test_one_failure_among_many_good_answers_is_no_reason() -> None:
+    made = placement(4)
+    good = made.servers.standings["i-0"]
+    usual(good, NOW, 20)
+    good.erred(NOW)
+    assert not good.suspected(NOW)
+
+
+def test_a_server_that_turned_bad_after_many_good_answers_is_noticed_soon() -> None:
+    made = placement(4)
+    grey = made.servers.standings["i-0"]
+    usual(grey, NOW, 200)
+    grey.erred(NOW)
+    grey.erred(NOW)
+    assert grey.suspected(NOW)
+
+
+def test_the_home_of_a_subject_is_left_while_it_fails() -> None:
+    made = placement(6)
+    home = made.pick(SUBJECT, (), NOW)
+    assert home is not None
+    home.erred(NOW)
+    assert made.pick(SUBJECT, (), NOW) is not home
+    assert made.pick(SUBJECT, (), NOW + 20) is home
+
+
+def test_if_most_are_suspected_none_is() -> None:
+    made = placement(4)
+    for place in range(3):
+        made.servers.standings[f"i-{place}"].erred(NOW)
+    assert picked(made, NOW) == {"i-0", "i-1", "i-2", "i-3"}
+
+
+def test_a_server_that_goes_up_and_down_is_left_alone_for_longer_each_time() -> None:
+    flapping = placement(4).servers.standings["i-0"]
+    pauses = []
+    now = NOW
+    for _ in range(4):
+        for _ in range(3):
+            flapping.lost(now)
+        pauses.append(flapping.paused_until - now)
+        flapping.succeeded(flapping.paused_until)
+        now += 10
+    assert pauses[-1] > pauses[0]
+
+
+def test_a_server_without_a_model_that_turned_slow_gets_less() -> None:
+    made = placement(2)
+    slow = made.servers.standings["i-0"]
+    for _ in range(20):
+        made.first_token.learn(0, 30.0)
+        slow.delayed(200.0, NOW)
+    assert picked(made, NOW) == {"i-1"}
+
+
+def test_a_server_where_a_request_waits_far_too_long_is_suspected_though_it_answers_others() -> None:
+    made = placement(4)
+    mute = made.servers.standings["i-0"]
+    mute.sent(1, NOW)
+    mute.alive(NOW + OVERDUE_S)
+    late = NOW + OVERDUE_S * 1.1
+    assert not mute.avoided(late)
+    assert "i-0" not in picked(made, late)
+    assert made.overdue(late) == ["i-0"]
+    mute.heard(1, late)
+    mute.finished(1)
+    assert "i-0" in picked(made, late)
+
+
+def test_a_request_that_was_never_answered_is_a_failure() -> None:
+    made = placement(4)
+    mute = made.servers.standings["i-0"]
+    mute.never_answered(NOW)
+    assert "i-0" not in picked(made, NOW + 2)
+
+
+def test_a_warning_holds_for_about_its_time() -> None:
+    made = placement(4)
+    made.warned(["i-0", "unknown"], 2.0, NOW)
+    assert "i-0" not in picked(made, NOW + 1)
+    assert "i-0" in picked(made, NOW + 3)
+
+
+def test_a_proxy_reports_a_failing_server_once_in_a_while() -> None:
+    reporter = TroubleReporter("east")
+    assert reporter.flush(NOW) is None
+    reporter.failed("i-0")
+    reporter.failed("i-0")
+    assert reporter.flush(NOW) == TroubleReport("east", ("i-0",))
+    reporter.failed("i-0")
+    assert reporter.flush(NOW + REPEAT_S / 2) is None
+    reporter.failed("i-0")
+    assert reporter.flush(NOW + REPEAT_S * 2) is not None
+
+
+def desk(fleet_size: int = 80) -> TroubleDesk:
+    return TroubleDesk(lambda: fleet_size)
+
+
+def told(one: TroubleDesk, now: float, proxies: range, zone: str = "") -> list[TroubleWarning]:
+    warnings = []
+    for place in proxies:
+        report = TroubleReport(zone or ("east", "west")[place % 2], ("i-0",))
+        warnings += one.receive(now, f"10.0.0.{place}", report)
+    return warnings
+
+
+def test_all_are_warned_of_what_several_proxies_found() -> None:
+    assert told(desk(), NOW, range(3)) == []
+    assert told(desk(), NOW, range(4)) == [TroubleWarning("", ("i-0",), int(WARN_S * 1000))]
+    assert len(told(desk(6), NOW, range(2))) == 1
+
+
+def test_one_proxy_s_own_trouble_warns_nobody() -> None:
+    one = desk()
+    for later in range(20):
+        assert told(one, NOW + later / 10, range(1)) == []
+
+
+def test_lost_answers_here_and_there_warn_nobody() -> None:
+    one = desk()
+    for place in range(20):
+        assert told(one, NOW + place * WINDOW_S / 2, range(place, place + 1)) == []
+
+
+def test_what_only_one_zone_finds_concerns_that_zone() -> None:
+    assert [each.zone for each in told(desk(), NOW, range(5), "west")] == ["west"]
+
+
+def test_warnings_grow_while_the_trials_fail() -> None:
+    one = desk()
+    first = told(one, NOW, range(10))
+    again = told(one, NOW + WARN_S + 0.5, range(10))
+    much_later = told(one, NOW + 60, range(10))
+    assert len(first) == len(again) == 1
+    assert again[0].for_ms > first[0].for_ms == much_later[0].for_ms
+
+
+def test_reports_and_warnings_are_messages() -> None:
+    for message in (TroubleReport("east", ("i-0", "i-1")), TroubleWarning("", ("i-0",), 2000)):
+        assert list(Decoder().feed(encode(message))) == [message]
