--- a/cloverrouter/placement/health.py
+++ b/cloverrouter/placement/health.py
@@ -13,7 +13,7 @@
 """More outcomes than these don't make the belief firmer, so that a change of the server is soon noticed."""
 SUSPECT_RATE = 0.2
 """A server that is expected to fail more of the requests than this is left to trials."""
-CAREFUL_RATE = 0.12
+CAREFUL_RATE = 0.08
 """The same for requests that can't be sent again: the others are the trials."""
 FORGIVEN = 0.75
 """Part of the bad outcomes that one good one takes back."""
@@ -34,10 +34,10 @@
         self._bad *= 1.0 - FORGIVEN
         self._add(0.0)
 
-    def bad(self, now: float) -> None:
-        """The server failed a request."""
+    def bad(self, now: float, weight: float = 1.0) -> None:
+        """The server failed a request; `weight` under 1 where that says less."""
         self._fade(now)
-        self._add(1.0)
+        self._add(weight)
 
     def rate(self, now: float) -> float:
         """Part of the requests that the server is expected to fail."""
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -18,6 +18,8 @@
 """How far one outcome moves the smoothed payoff."""
 PAYOFF_HALF_LIFE_S = 3.0
 LEAST_AGAINST = 0.05
+LOST_WEIGHT = 0.3
+"""A broken connection is no word of the server; for requests that can be sent again the pause is enough."""
 PAUSE_BASE_S = 0.25
 PAUSE_CAP_S = 4.0
 DELAY_WEIGHT = 0.3
@@ -122,6 +124,7 @@
         pause = min(PAUSE_CAP_S, PAUSE_BASE_S * 2.0**self._failures)
         self.paused_until = now + pause
         self._failures += 1
+        self.suspicion.bad(now, LOST_WEIGHT)
 
     def never_answered(self, now: float) -> None:
         """A request waited there in vain."""
--- a/tests/system/test_server_health.py
+++ b/tests/system/test_server_health.py
@@ -49,6 +49,15 @@
     assert "i-0" not in picked(made, NOW + back, careful=True)
 
 
+def test_after_a_lost_request_the_ones_that_cannot_be_sent_again_wait_longer() -> None:
+    broken = placement(4).servers.standings["i-0"]
+    for _ in range(3):
+        broken.lost(NOW)
+    later = broken.paused_until + 0.1
+    assert not broken.avoided(later)
+    assert broken.suspected(later, careful=True) and not broken.suspected(later)
+
+
 def test_a_good_trial_ends_the_suspicion() -> None:
     made = placement(4)
     grey = made.servers.standings["i-0"]
