--- /dev/null
+++ b/tests/system/test_fleet_health.py
@@ -0,0 +1,96 @@
+"""A fleet in which each proxy sends a server hardly anything: how many requests does a bad server cost?"""
+
+from __future__ import annotations
+
+from random import Random
+
+from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.prefix import NO_PROMPT
+from cloverrouter.placement.servers import Server
+from cloverrouter.placement.trouble import TroubleDesk, TroubleReporter
+
+PROXIES = 80
+SERVERS = 30
+REQUESTS_A_SECOND = 500
+STEP_S = 0.05
+DELAY_STEPS = 1
+"""Steps that a report or a warning is on its way."""
+
+
+class Fleet:
+    """Proxies, the head's desk, and one server that fails part of what it gets between two moments."""
+
+    def __init__(self, shares: bool, fail_part: float, until: float) -> None:
+        self.random = Random(5)
+        self.now = 100.0
+        self.until = self.now + until
+        self.fail_part = fail_part
+        self.shares = shares
+        self.proxies = [self._proxy(number) for number in range(PROXIES)]
+        self.reporters = [TroubleReporter(self.zone(number)) for number in range(PROXIES)]
+        self.desk = TroubleDesk(lambda: PROXIES)
+        self.lost = 0
+        self.at_bad = 0
+
+    @staticmethod
+    def zone(number: int) -> str:
+        return ("east", "west", "north", "south")[number % 4]
+
+    def _proxy(self, number: int) -> ServicePlacement:
+        made = ServicePlacement(Random(number).random, self.zone(number))
+        for place in range(SERVERS):
+            made.told(Server(f"i-{place}", "app", ("10.0.0.1", place + 1), self.zone(place), 6, ready=True))
+        return made
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP_S)):
+            self.now += STEP_S
+            for _ in range(int(REQUESTS_A_SECOND * STEP_S)):
+                self._request(self.random.randrange(PROXIES))
+            if self.shares:
+                self._talk()
+
+    def _request(self, number: int) -> None:
+        standing = self.proxies[number].pick(NO_PROMPT, (), self.now, careful=True)
+        assert standing is not None
+        is_bad = standing.server.id == "i-0"
+        self.at_bad += is_bad
+        if is_bad and self.now < self.until and self.random.random() < self.fail_part:
+            standing.erred(self.now)
+            self.reporters[number].failed("i-0")
+            self.lost += 1
+        else:
+            standing.succeeded(self.now)
+
+    def _talk(self) -> None:
+        for number, reporter in enumerate(self.reporters):
+            report = reporter.flush(self.now)
+            if report is None:
+                continue
+            for warning in self.desk.receive(self.now, f"10.0.0.{number}", report):
+                for place, proxy in enumerate(self.proxies):
+                    if warning.zone in ("", self.zone(place)):
+                        proxy.warned(warning.ids, warning.for_ms / 1000, self.now)
+
+
+def lost(shares: bool, fail_part: float) -> int:
+    fleet = Fleet(shares, fail_part, until=8.0)
+    fleet.run(8.0)
+    return fleet.lost
+
+
+def test_a_server_that_fails_everything_costs_few_requests() -> None:
+    assert lost(shares=True, fail_part=1.0) < 30 < lost(shares=False, fail_part=1.0)
+
+
+def test_a_grey_server_costs_less_than_without_warnings() -> None:
+    assert 2 * lost(shares=True, fail_part=0.4) < lost(shares=False, fail_part=0.4)
+
+
+def test_a_server_that_recovers_gets_its_part_again() -> None:
+    fleet = Fleet(shares=True, fail_part=0.4, until=5.0)
+    fleet.run(5.0)
+    fleet.run(10.0)
+    before = fleet.at_bad
+    fleet.run(10.0)
+    assert fleet.at_bad - before > 0.7 * 10 * REQUESTS_A_SECOND / SERVERS
