--- a/tests/system/test_rest_limits.py
+++ b/tests/system/test_rest_limits.py
@@ -4,9 +4,13 @@
 
 import math
 
+from cloverrouter.http.client import ConnectionPool, Failure
 from cloverrouter.http.rest import LEARNT_FOR_S, RestLimits
+from tests.system.peers import Answered, Upstream, play
 
 NOW = 50.0
+MESSAGE = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 def test_nothing_is_known_at_first() -> None:
@@ -55,3 +59,29 @@
     rests.forgotten("a", 0.4, NOW)
     rests.forget("a")
     assert rests.limit_s("a", NOW) == math.inf
+
+
+def test_after_a_reset_on_a_rested_connection_those_that_rested_as_long_are_not_used() -> None:
+    async def scene() -> None:
+        upstream = await Upstream().start()
+        connections = ConnectionPool(8, 0.5, 60.0, settle_s=0.0)
+        first, second = Answered(), Answered()
+        for answered in (first, second):
+            connections.send(upstream.address, MESSAGE, answered)
+        for number, answered in enumerate((first, second)):
+            peer = await upstream.peer(number)
+            await peer.head()
+            peer.send(OK)
+            await answered.over.wait()
+        assert connections.idle(upstream.address) == 2
+        lost = Answered()
+        call = connections.send(upstream.address, MESSAGE, lost)
+        assert call.reused
+        upstream.peers[1].reset()
+        await lost.over.wait()
+        assert lost.failure is Failure.BROKEN  # it may have run, for all that the pool can know
+        assert not connections.send(upstream.address, MESSAGE, Answered()).reused
+        assert connections.idle(upstream.address) == 0
+        connections.close()
+
+    play(scene())
