--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -18,19 +18,8 @@
 from tests.system.replica_world import Client, Crowd, Node, Reader, Violation, Weather, World
 
 SIZES = (
-    (1, 0),
-    (2, 0),
-    (2, 1),
-    (3, 1),
-    (3, 1),
-    (3, 1),
-    (3, 1),
-    (4, 1),
-    (5, 2),
-    (5, 2),
-    (6, 1),
-    (6, 2),
-    (8, 2),
+    *((1, 0), (2, 0), (2, 1), (3, 1), (3, 1), (3, 1), (3, 1)),
+    *((4, 1), (5, 2), (5, 2), (6, 1), (6, 2), (8, 2)),
 )
 TROUBLED_S = 9.0
 STORM_S = 3.0
