A request that may run again doesn't wait for a hung server until its deadline

Cause: a caption has 15 s; at a server that hangs on part of its requests it had them all waited for, though the route allows a second run.

--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -118,7 +118,8 @@
         if self.over:
             return
         if self._streaming:
-            self.standing.alive(self.owner.now())
+            self.heard_at = self.owner.now()
+            self.standing.alive(self.heard_at)
             self.owner.stream_data(self, data)
             return
         self._size += len(data)
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -21,6 +21,7 @@
 from cloverrouter.router import answers
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.headers import ATTEMPT_ID, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, encode_request
+from cloverrouter.router.patience import LEAST_LEFT_S, Patience
 from cloverrouter.router.ports import Timer
 from cloverrouter.router.relay import StreamRelay
 from cloverrouter.router.verdict import Answer, End
@@ -55,9 +56,9 @@
     """Owns its exchange: nobody else answers it."""
 
     __slots__ = ("_arrivals", "_attempt", "_charged", "_deadline_timer", "_failure", "_head", "_may_have_run",
-                 "_over", "_paid", "_previous_ms", "_quota_asks", "_record", "_relay", "_request_id",
-                 "_retry_timer", "_router", "_runs", "_sends", "_tail", "_tried", "admitted", "exchange",
-                 "whole_answer_bytes")  # fmt: skip
+                 "_over", "_paid", "_patience", "_prepaid", "_previous_ms", "_quota_asks", "_record",
+                 "_relay", "_request_id", "_retry_timer", "_router", "_runs", "_sends", "_tail", "_tried",
+                 "admitted", "exchange", "whole_answer_bytes")  # fmt: skip
 
     def __init__(self, router: Router, exchange: Exchange, admitted: Admitted) -> None:
         self.exchange = exchange
@@ -70,10 +71,11 @@
         self._sends = self._arrivals = self._runs = 0
         self._quota_asks = 0
         self._request_id = exchange.request.header(ATTEMPT_ID) or b""
-        self._charged = self._paid = self._may_have_run = self._over = False
+        self._charged = self._paid = self._prepaid = self._may_have_run = self._over = False
         self._failure: Answer | None = None
         self._previous_ms = BACKOFF_BASE_MS
         self._retry_timer: Timer | None = None
+        self._patience: Patience | None = None
         tenant = admitted.tenant.name if admitted.tenant is not None else None
         self._record = router.recorder.begin(self._request_id, admitted.route.name, admitted.service, tenant)
         self._head, self._tail = encode_request(exchange.request, tenant, admitted.priority)
@@ -167,10 +169,29 @@
         standing.sent(attempt.key, router.clock())
         self._record.sent(standing.server.id)
         placement.sent(standing, admitted.prompt)
+        if admitted.route.may_repeat and self._runs + 1 < admitted.route.attempts:
+            self._patience = Patience(attempt, placement, router.clock, router.call_later, self._give_up)
         attempt.call = router.send(
             attempt, self._message(standing), self._request_id, lambda: self._wanted(attempt)
         )
 
+    def _give_up(self, attempt: Attempt) -> bool:
+        """Leave a server that seems to hang for another one; False if that can't be paid, or if it is rather
+        the client that doesn't read."""
+        if self.exchange.paused or self._over or attempt is not self._attempt:
+            return False
+        if self._left_ms() < LEAST_LEFT_S * 1000:
+            return False
+        relay = self._relay
+        if relay is not None and relay.begun and not relay.can_continue:
+            return False
+        if not self._router.budget.spend(self.admitted.service):
+            return False
+        self._prepaid = True
+        attempt.give_up()
+        self.attempt_over(attempt, End.LOST, None)
+        return True
+
     def _message(self, standing: Standing) -> bytes:
         fields = b"%b: %b\r\n%b: %d\r\n" % (
             EXPECTED_INSTANCE,
@@ -247,11 +268,12 @@
     def attempt_over(self, attempt: Attempt, end: End, answer: Answer | None) -> None:
         """Try again, or give the answer that is left to give."""
         self._attempt = None
+        self._stop_patience()
         self._router.failed(attempt, end, self.admitted)
         self._record.attempt_ended(end.value)
         if end.arrived:
             self._arrivals += 1
-            self._paid = False
+            self._paid, self._prepaid = self._prepaid, False
         if end.may_have_run:
             self._may_have_run = True
             self._runs += 1
@@ -359,9 +381,15 @@
         self._deadline_timer.cancel()
         if self._retry_timer is not None:
             self._retry_timer.cancel()
+        self._stop_patience()
         attempt, self._attempt = self._attempt, None
         if attempt is not None and not attempt.over:
             attempt.give_up()
             self._record.attempt_ended("given up")
         self.exchange.on_gone = self.exchange.on_pause = self.exchange.on_resume = None
         self._router.landed(self)
+
+    def _stop_patience(self) -> None:
+        if self._patience is not None:
+            self._patience.stop()
+            self._patience = None  # danger: the two hold each other, and would wait for the cycle collector
