--- a/cloverrouter/placement/trouble.py
+++ b/cloverrouter/placement/trouble.py
@@ -25,6 +25,8 @@
 MOST_WARN_S = 6.0
 CALM_S = 4.0
 """After so long without a warning that is in force, the next one is a first one again."""
+REPORTERS_AGAIN = 2
+"""Proxies whose trials have failed, for the next warning soon after one has run out."""
 SMALL_FLEET, MIDDLE_FLEET = 8, 20
 
 
@@ -87,9 +89,10 @@
             return None
         recent = {ip: found for ip, found in case.reports.items() if now - found[0] < WINDOW_S}
         case.reports = recent
-        if len(recent) < reporters_needed(self._fleet_size()):
-            return None
         is_calm = now - case.warned_until > CALM_S
+        needed = reporters_needed(self._fleet_size()) if is_calm else REPORTERS_AGAIN
+        if len(recent) < needed:
+            return None
         case.span_s = WARN_S if is_calm else min(MOST_WARN_S, case.span_s * WARN_GROWTH)
         case.warned_until = now + case.span_s
         case.reports = {}
--- a/tests/system/test_server_health.py
+++ b/tests/system/test_server_health.py
@@ -205,6 +205,13 @@
     assert again[0].for_ms > first[0].for_ms == much_later[0].for_ms
 
 
+def test_two_failed_trials_are_enough_for_the_next_warning() -> None:
+    one = desk()
+    told(one, NOW, range(4))
+    assert told(one, NOW + WARN_S + 0.2, range(1)) == []
+    assert len(told(one, NOW + WARN_S + 0.3, range(1, 2))) == 1
+
+
 def test_reports_and_warnings_are_messages() -> None:
     for message in (TroubleReport("east", ("i-0", "i-1")), TroubleWarning("", ("i-0",), 2000)):
         assert list(Decoder().feed(encode(message))) == [message]
