--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -31,8 +31,6 @@
 """or less than this part of what it runs at once: other proxies send there too."""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
-FEW_PART = 4
-"""One server in so many may keep requests waiting without load being the likely cause."""
 CALM_PART = 4
 """One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
 CALM_SHARE = 0.2
@@ -115,18 +113,13 @@
                 standing.warned_until = now + span_s * (0.75 + 0.5 * self._random())
 
     def overdue(self, now: float) -> list[str]:
-        """The few servers at which requests have been waiting for far too long; none if they are many, which
-        load makes of them."""
-        found = [one.server.id for one in self.servers.ready if one.overdue(now)]
-        return found if len(found) <= self._few() else []
+        """The few servers at which requests have been waiting for far too long."""
+        return [one.server.id for one in self.servers.few_overdue(now)]
 
     def few_overdue(self, now: float) -> bool:
         """Whether there are other servers, and requests wait for too long at few of them at most."""
         found = sum([one.overdue(now) for one in self.servers.ready])
-        return len(self.servers.ready) > 1 and found <= self._few()
-
-    def _few(self) -> int:
-        return max(1, len(self.servers.ready) // FEW_PART)
+        return len(self.servers.ready) > 1 and found <= self.servers.few
 
     def sent(self, standing: Standing, prompt: Prompt) -> None:
         """The prompt went to that server, which will keep its parts."""
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -18,7 +18,7 @@
 """How far one outcome moves the smoothed payoff."""
 PAYOFF_HALF_LIFE_S = 3.0
 LEAST_AGAINST = 0.05
-LOST_WEIGHT = 0.3
+LOST_WEIGHT = 0.45
 """A broken connection is no word of the server; for requests that can be sent again the pause is enough."""
 PAUSE_BASE_S = 0.25
 PAUSE_CAP_S = 4.0
@@ -29,6 +29,8 @@
 """A server that has sent nothing for this long while a request waits for its first byte is doubted."""
 OVERDUE_S = 0.7
 """A server where a request waits so long for its answer to begin is suspected, whatever else it sends."""
+FEW_PART = 4
+"""One server in so many counts as few."""
 COLD_FACTOR = 0.5
 """What a server that still warms up is worth."""
 
@@ -168,7 +170,7 @@
 
     def suspected(self, now: float, careful: bool = False) -> bool:
         """Whether it is likely to fail a request; `careful` for one that can't be sent again."""
-        if now < self.warned_until or self.overdue(now):
+        if now < self.warned_until:
             return True
         return self.suspicion.rate(now) > (CAREFUL_RATE if careful else SUSPECT_RATE)
 
@@ -208,10 +210,22 @@
         self._displaced.add(standing.server.id)
         self._leave(standing)
 
+    def few_overdue(self, now: float) -> list[Standing]:
+        """The few servers at which requests have been waiting for far too long; none if they are many, which
+        load makes of them."""
+        found = [one for one in self.ready if one.overdue(now)]
+        return found if len(found) <= self.few else []
+
+    @property
+    def few(self) -> int:
+        """So many servers may keep requests waiting without load being the likely cause."""
+        return max(1, len(self.ready) // FEW_PART)
+
     def usable(self, among: Iterable[Standing], now: float, careful: bool = False) -> list[Standing]:
         """Those that nothing speaks against. If most of the servers are suspected, none is: what fails
         then is rather something else, and the rest could not carry the load."""
         suspects = {one for one in self.ready if one.suspected(now, careful)}
+        suspects.update(self.few_overdue(now))
         if 2 * len(suspects) > len(self.ready):
             suspects = set()
         return [one for one in among if one not in suspects and not one.avoided(now)]
