--- /dev/null
+++ b/cloverrouter/placement/calm.py
@@ -0,0 +1,94 @@
+"""Servers kept calm for requests that talk, while there are requests of both kinds.
+
+Long prompts read in a row beside a stream stretch the pauses between its events. So some of the ready
+servers are kept for requests whose answers are longer than their prompts. Which ones is a ranking on which
+all proxies agree without talking; how many follows from what all proxies see alike: whether answers at the
+calm servers begin late.
+"""
+
+from __future__ import annotations
+
+from cloverrouter.placement.prefix import Prompt, mix
+from cloverrouter.placement.servers import Standing
+
+LEAST_CALM = 0.25
+"""This part of the servers is kept calm at least,"""
+MOST_CALM = 0.6
+"""and this at most."""
+CALM_SHARE = 0.2
+"""Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
+KIND_MEMORY_S = 20.0
+"""So long a kind of request is expected to come again."""
+GROW_DELAY = 0.7
+"""One more is kept calm when answers begin later at the calm servers, by so many usual times to the first
+token in the mean;"""
+GROW_EVERY_S = 0.3
+"""at most one in this time."""
+EASED_DELAY = 0.3
+"""One less when they have not been later than this"""
+SHRINK_AFTER_S = 2.0
+"""for so long."""
+_RANKING = 0x9E3779B97F4A7C15
+
+
+class CalmServers:
+    """Which servers of one service are calm, and whether there is a need for it."""
+
+    def __init__(self) -> None:
+        self.members: set[Standing] = set()
+        self._ranked: list[Standing] = []
+        self._extra = 0
+        self._grew_at = self._late_at = 0.0
+        self._talked_at = self._read_at = -KIND_MEMORY_S
+
+    def __contains__(self, standing: Standing) -> bool:
+        return standing in self.members
+
+    @property
+    def wanted(self) -> bool:
+        """Whether requests of both kinds came lately."""
+        return abs(self._talked_at - self._read_at) <= KIND_MEMORY_S
+
+    def servers_changed(self, ready: list[Standing]) -> None:
+        """These are the ready servers now."""
+        self._ranked = sorted(ready, key=lambda one: mix(_RANKING ^ one.seed), reverse=True)
+        self._choose()
+
+    def note(self, prompt: Prompt, now: float) -> None:
+        """A request came."""
+        if prompt.talks:
+            self._talked_at = now
+        elif prompt.tokens_out:
+            self._read_at = now
+
+    def spared_by(self, prompt: Prompt) -> bool:
+        """Whether a request that doesn't talk leaves the calm servers alone."""
+        subject = prompt.subject
+        return subject is None or subject.key % 1000 >= CALM_SHARE * 1000
+
+    def adapt(self, now: float, usual_ms: float) -> bool:
+        """Keep one more or one less of them calm, by how late their answers begin. Whether that changed."""
+        if not self.members:
+            return False
+        delay = sum([one.late_ms(now, usual_ms) for one in self.members]) / len(self.members) / usual_ms
+        if delay > EASED_DELAY:
+            self._late_at = now
+        if delay > GROW_DELAY and now - self._grew_at > GROW_EVERY_S:
+            self._grew_at = now
+            return self._resize(1)
+        if self._extra and now - self._late_at > SHRINK_AFTER_S:
+            self._late_at = now
+            return self._resize(-1)
+        return False
+
+    def _resize(self, by: int) -> bool:
+        before = len(self.members)
+        self._extra += by
+        self._choose()
+        return len(self.members) != before
+
+    def _choose(self) -> None:
+        ready = len(self._ranked)
+        least, most = int(ready * LEAST_CALM), int(ready * MOST_CALM)
+        self._extra = max(0, min(self._extra, most - least))
+        self.members = set(self._ranked[: least + self._extra])
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Collection
 from enum import Enum
 
+from cloverrouter.placement.calm import CalmServers
 from cloverrouter.placement.first_token import FirstTokenModel
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
@@ -31,13 +32,6 @@
 """or less than this part of what it runs at once: other proxies send there too."""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
-CALM_PART = 4
-"""One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
-CALM_SHARE = 0.2
-"""Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
-CALM_MEMORY_S = 20.0
-"""So long a kind of request is expected to come again."""
-CALM_KEY = 0x9E3779B97F4A7C15
 ORDERS_KEPT = 2_048
 ORDER_LENGTH = 8
 """Servers of an order that are kept for the next request of the same subject."""
@@ -72,8 +66,7 @@
         self._caches: dict[str, PrefixCache] = {}
         self._orders: OrderedDict[tuple[int, _Layout], list[Standing]] = OrderedDict()
         self._orders_of = -1
-        self._calm: set[Standing] = set()
-        self._talked_at = self._read_at = -CALM_MEMORY_S
+        self._calm = CalmServers()
 
     def configure(self, kv_tokens: int | None) -> None:
         """The service's settings changed."""
@@ -95,7 +88,9 @@
         ready = [one for one in self.servers.ready if one.server.id not in tried]
         if len(ready) < 2:
             return ready[0] if ready else None
-        self._note_kind(prompt, now)
+        self._calm.note(prompt, now)
+        if prompt.talks and self._calm.adapt(now, self.first_token.usual_ms):
+            self._orders.clear()
         candidates = self._candidates(prompt, tried, now) if prompt.parts else []
         if not candidates:
             usable = [one for one in ready if not one.avoided(now)]
@@ -123,7 +118,7 @@
         if self._orders_of != self.servers.generation:
             self._orders.clear()
             self._orders_of = self.servers.generation
-            self._calm = set(self._ranked(CALM_KEY)[: len(self.servers.ready) // CALM_PART])
+            self._calm.servers_changed(self.servers.ready)
         subject = prompt.subject
         key = (subject.key if subject is not None else 0, self._layout(prompt))
         known = self._orders.get(key)
@@ -135,23 +130,13 @@
             self._orders.popitem(last=False)
         return order
 
-    def _note_kind(self, prompt: Prompt, now: float) -> None:
-        if prompt.talks:
-            self._talked_at = now
-        elif prompt.tokens_out:
-            self._read_at = now
-
     def _layout(self, prompt: Prompt) -> _Layout:
         """Where in the order the calm servers stand."""
-        apart_s = abs(self._talked_at - self._read_at)
-        if not prompt.tokens_out or apart_s > CALM_MEMORY_S:
+        if not prompt.tokens_out or not self._calm.wanted:
             return _Layout.EVEN
         if prompt.talks:
             return _Layout.CALM_FIRST
-        subject = prompt.subject
-        if subject is not None and subject.key % 1000 < CALM_SHARE * 1000:
-            return _Layout.EVEN
-        return _Layout.CALM_LAST
+        return _Layout.CALM_LAST if self._calm.spared_by(prompt) else _Layout.EVEN
 
     def _laid_out(self, key: int, layout: _Layout) -> list[Standing]:
         ranked = self._ranked(key)
@@ -184,8 +169,7 @@
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
 
     def _delay_ms(self, standing: Standing, now: float) -> float:
-        """How much later than usual an answer is expected to begin there."""
-        return max(standing.delay_ms(now), standing.waited_ms(now) - self.first_token.usual_ms)
+        return standing.late_ms(now, self.first_token.usual_ms)
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
         home = candidates[0]
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -125,6 +125,10 @@
             return 0.0
         return (now - next(iter(self._unanswered.values()))) * 1000
 
+    def late_ms(self, now: float, usual_ms: float) -> float:
+        """How much later than usual an answer is expected to begin there, by what came and by who waits."""
+        return max(self.delay_ms(now), self.waited_ms(now) - usual_ms)
+
     def doubted(self, now: float) -> bool:
         """Whether a request has been waiting there while nothing at all came from the server."""
         if not self._unanswered:
