Servers kept calm for talking requests: as many as they need

Ruled out: our own pauses (events pass at once), the quota, retries.

Change: placement/calm.py: while answers begin later there than usual, one more server is kept calm, up to half; one less once nothing is late. All proxies see the same queues, so they agree nearly without talking.

--- a/cloverrouter/placement/calm.py
+++ b/cloverrouter/placement/calm.py
@@ -13,20 +13,20 @@
 
 LEAST_CALM = 0.25
 """This part of the servers is kept calm at least,"""
-MOST_CALM = 0.6
+MOST_CALM = 0.5
 """and this at most."""
 CALM_SHARE = 0.2
 """Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
 KIND_MEMORY_S = 20.0
 """So long a kind of request is expected to come again."""
-GROW_DELAY = 0.7
+GROW_DELAY = 1.0
 """One more is kept calm when answers begin later at the calm servers, by so many usual times to the first
 token in the mean;"""
 GROW_EVERY_S = 0.3
 """at most one in this time."""
-EASED_DELAY = 0.3
+EASED_DELAY = 0.5
 """One less when they have not been later than this"""
-SHRINK_AFTER_S = 2.0
+SHRINK_AFTER_S = 1.5
 """for so long."""
 _RANKING = 0x9E3779B97F4A7C15
 
--- a/tests/system/test_placement_calm.py
+++ b/tests/system/test_placement_calm.py
@@ -50,14 +50,14 @@
     assert not calm.adapt(NOW + GROW_EVERY_S / 2, USUAL_MS)
 
 
-def test_never_more_than_six_in_ten_are_calm() -> None:
+def test_never_more_than_half_are_calm() -> None:
     calm = calm_of(standings(10))
     now = NOW
     for _ in range(20):
         make_late(calm.members, now)
         calm.adapt(now, USUAL_MS)
         now += 2 * GROW_EVERY_S
-    assert len(calm.members) == 6
+    assert len(calm.members) == 5
 
 
 def test_a_request_that_waits_counts_before_its_answer_begins() -> None:
