--- a/cloverrouter/placement/admission.py
+++ b/cloverrouter/placement/admission.py
@@ -8,6 +8,11 @@
 RETRY_AFTER_MAX_S = 2.0
 ABSENT_S = 0.4
 """A service without servers gets some again when one starts, which takes a while."""
+STARTED_S = 1.3
+"""A process that has been up for so long usually has a configuration and servers."""
+UNCONFIGURED_S = 0.3
+"""One that still has none may get them any moment."""
+START_SPREAD_S = 0.3
 CLIENT_PATIENCE = 0.3
 
 
@@ -28,6 +33,12 @@
     return _within(ABSENT_S * (1.0 + draw), left_ms)
 
 
+def unconfigured_retry_after_s(up_s: float, draw: float) -> float:
+    """When a process that has been up for so long, and has no configuration yet, will have one. Clients cut it
+    to what they have time for."""
+    return max(UNCONFIGURED_S, STARTED_S - up_s) + START_SPREAD_S * draw
+
+
 def _within(wait_s: float, left_ms: float) -> float:
     """Clients wait up to a third of the time that they have left."""
     return max(0.01, min(wait_s, left_ms / 1000 * CLIENT_PATIENCE))
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -11,6 +11,7 @@
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
+from cloverrouter.placement.admission import unconfigured_retry_after_s
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
@@ -42,7 +43,6 @@
 from cloverrouter.router.ranks import Ranks
 from cloverrouter.router.verdict import End, Verdict
 
-UNCONFIGURED_WAIT_S = 0.3
 SPLIT_SALT = 0x5DEECE66D
 
 
@@ -84,6 +84,7 @@
         self._flights: set[Flight] = set()
         self._waiting: dict[str, dict[Flight, None]] = {}
         self._keys = 0
+        self._started_at = clock()
 
     # What the daemon tells and asks
 
@@ -139,7 +140,8 @@
             self._respond(exchange, answers.BAD_REQUEST)
             return
         if self._table is None:
-            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(UNCONFIGURED_WAIT_S))
+            wait_s = unconfigured_retry_after_s(self.clock() - self._started_at, self.random.random())
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
             return
         route = self._table.match(request.header(b"host") or b"", request.target.partition(b"?")[0])
         if route is None:
--- a/tests/system/test_placement_calm.py
+++ b/tests/system/test_placement_calm.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 from cloverrouter.placement.calm import GROW_EVERY_S, KIND_MEMORY_S, SHRINK_AFTER_S, CalmServers
 from cloverrouter.placement.prefix import parse_prompt
 from cloverrouter.placement.servers import Server, Standing
@@ -76,7 +78,7 @@
     for step in range(1, 40):
         calm.adapt(NOW + 0.5 * step, USUAL_MS)
         sizes.append(len(calm.members))
-    assert all(before - after <= 1 for before, after in zip(sizes, sizes[1:], strict=False))
+    assert all(before - after <= 1 for before, after in pairwise(sizes))
     assert sizes[int(SHRINK_AFTER_S)] >= 3
     assert sizes[-1] == 2
 
--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -105,6 +105,18 @@
     assert not world.router.ready()
 
 
+def test_a_process_that_has_just_started_says_when_it_will_be_ready() -> None:
+    world = World()
+    waits = []
+    for _ in range(4):
+        exchange = world.ask("/once/x")
+        waits.append(float(exchange.field(b"retry-after") or b"0"))
+        world.clock.pass_ms(700)
+    assert 1.3 <= waits[0] <= 1.6
+    assert 0.6 <= waits[1] <= 0.9
+    assert all(0.3 <= wait <= 0.6 for wait in waits[2:])
+
+
 def test_the_deadline_is_the_lesser_of_the_client_s_and_the_route_s(world: World) -> None:
     world.ask("/once/x", (b"cypresswinch-deadline-ms", b"1500"))
     assert world.last.field(b"cypresswinch-deadline-ms") == b"1500"
