--- a/cloverrouter/placement/admission.py
+++ b/cloverrouter/placement/admission.py
@@ -34,8 +34,8 @@
 
 
 def unconfigured_retry_after_s(up_s: float, draw: float) -> float:
-    """When a process that has been up for so long, and has no configuration yet, will have one. Clients cut it
-    to what they have time for."""
+    """When a process that has been up for so long, and has no configuration yet, will have one. Clients come
+    earlier where they have less time."""
     return max(UNCONFIGURED_S, STARTED_S - up_s) + START_SPREAD_S * draw
 
 
