A head is sure only by the word of those whose disk knows their promise to it

Ruled out: taking back the quick promise (0.4 s at each start). Change: a heartbeat's round counts only where the promise to its head is durable.

--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -279,7 +279,8 @@
             context.report(now, ip, message.sender)
             return []
         self._judge_head(now, message)
-        if message.epoch >= context.epoch:
+        # A head is sure by the word of those only that will know it after a loss of power.
+        if message.epoch == context.epoch == context.disk.durable.meta.promised:
             context.round_epoch, context.round = message.epoch, message.round
         context.report(now, ip, message.sender)
         if not self._is_in_chain(message.epoch):
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -250,6 +250,30 @@
     settle(world)
 
 
+def a_voter_starts_again_that_has_promised_the_head_nothing(seed: int) -> None:
+    """Its disk has taken no promise since the head before, and that one asks for it at once."""
+    world = World(seed, 3, 1, config={"gather_s": 0.01, "retry_s": 0.05})
+    world.run(2.0)
+    before = leader(world)
+    voter = next(node for node in world.nodes if node is not before)
+    voter.disk.stalled_until = world.now + 100.0
+    world.run(2.0)
+    if before.replica is not None:
+        world.carry_out(before, before.replica.resign(world.now))
+    run_to(world, lambda: world.head() not in (None, before), 2.0, "another head")
+    head = leader(world)
+    world.run(1.0)
+    if before.replica is not None:
+        before.replica._context.resigning = False
+    cut(world, [head], [before])
+    world.run(1.0 + world.random.random() / 2)
+    world.kill(voter, power=True)
+    voter.disk.stalled_until = 0.0
+    world.start(voter)
+    world.run(3.0)
+    settle(world)
+
+
 SCENARIOS = (
     an_order_reaches_a_member_that_has_promised_more,
     a_member_loses_power_when_it_has_promised,
@@ -259,4 +283,5 @@
     a_head_that_is_cut_off_is_asked,
     a_wiped_machine_and_one_that_was_away_are_alone,
     a_view_comes_after_the_next,
+    a_voter_starts_again_that_has_promised_the_head_nothing,
 )
