--- a/cloverrouter/coordination/context.py
+++ b/cloverrouter/coordination/context.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cloverrouter.coordination.disk import DiskQueue
-from cloverrouter.coordination.effects import Effect, ReplicaConfig, Send
+from cloverrouter.coordination.effects import Effect, ReplicaConfig, Send, ViewInfo
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.messages import Report
 from cloverrouter.coordination.views import Member, View
@@ -115,3 +115,10 @@
         if isinstance(found, View):
             return found
     return None
+
+
+def view_info(context: Context, view: View, active: bool) -> ViewInfo:
+    """A view as it is told outside."""
+    members = [member for member in map(view.voter, view.chain) if member is not None]
+    head_ip = context.address(members[0]) if members else None
+    return ViewInfo(view.epoch, view.voters, tuple(members), head_ip, active)
--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -4,6 +4,7 @@
 
 from cloverrouter.coordination.context import Context
 from cloverrouter.coordination.effects import Committed, Restored
+from cloverrouter.coordination.head_contact import HeadContact
 from cloverrouter.coordination.messages import (
     Announce,
     Canvass,
@@ -19,7 +20,6 @@
     Stored,
     Support,
 )
-from cloverrouter.coordination.views import standing_order
 
 
 class Follower:
@@ -27,73 +27,20 @@
 
     def __init__(self, context: Context, now: float) -> None:
         self._context = context
-        self._started = now
-        self.contact_at = now  # when the head was last heard
-        self.head: str | None = None  # identity of the head that was heard
-        self.head_active = False
-        self._head_ill_since: float | None = None  # its disk fails, or it is about to leave
-        self._inactive_since: tuple[int, float] = (0, now)  # epoch, since when its head is not in force yet
+        self.contact = HeadContact(context, now)
         self._promise_due: tuple[int, str, str] | None = None  # epoch, proposer, address
         self._report_due: tuple[int, str, str] | None = None  # epoch, head, address
         self._upstream = 0  # all from the head to the predecessor have stored up to this
         self._told = 0  # of which the successor was told
         self._link_epoch = 0  # that these two belong to
 
-    # -- the head, and standing up in its place --
-
-    def contact(self, now: float, head: str) -> None:
-        """A head, or one who is about to be, was heard."""
-        self.contact_at = now
-        self.head = head
-
-    def is_bound(self, now: float, sender: str) -> bool:
-        """Whether a promise to `sender` has to wait, as the head was heard a moment ago."""
-        config = self._context.config
-        if sender == self.head or self._head_ill_since is not None:
-            return False
-        if self.head is None:  # of the life before this one only the last promise is known
-            if sender == self._context.disk.meta.promised_to:
-                return False  # no other head can be sure of itself by this replica's word
-            return self._context.epoch > 0 and now - self._started < config.sticky_s
-        return now - self.contact_at < config.sticky_s
-
-    def stands_up_at(self, now: float, jitter: float) -> float | None:
-        """When this replica tries to become head if the head stays silent; None if it may not."""
-        context, config = self._context, self._context.config
-        view = context.view
-        if view is None or view.voter(context.me.identity) is None or context.resigning:
-            return None
-        order = standing_order(view)
-        me = context.me.identity
-        rank = order.index(me) if me in order else 0
-        if self._head_ill_since is not None:
-            return self._head_ill_since + rank * config.rank_delay_s + jitter
-        if self.head is not None:
-            return self.contact_at + config.failure_timeout_s + rank * config.rank_delay_s + jitter
-        if not view.chain:  # the first view of all
-            return self.contact_at + rank * config.rank_delay_s + jitter
-        delay = jitter if self._was_head(me) else config.start_delay_s + rank * config.rank_delay_s + jitter
-        return self._started + delay
-
-    def _was_head(self, identity: str) -> bool:
-        view = self._context.view
-        return view is not None and view.head == identity
-
-    def hears_head(self, now: float) -> bool:
-        """Whether a head that is well was heard just now."""
-        return self.contact_at >= now and self._head_ill_since is None
-
-    def begin_first_view(self, now: float) -> None:
-        """The first voters were just agreed on."""
-        self.contact_at = now
-
     # -- votes --
 
     def on_canvass(self, now: float, ip: str, message: Canvass) -> None:
         """Would this replica promise?"""
         context = self._context
         known = context.view.epoch if context.view is not None else 0
-        granted = not self.is_bound(now, message.sender) and message.view_epoch >= known
+        granted = not self.contact.is_bound(now, message.sender) and message.view_epoch >= known
         reply = Support(
             sender=context.me.identity,
             receiver=message.sender,
@@ -114,13 +61,13 @@
         context.seen_epoch = max(context.seen_epoch, message.epoch)
         meta = context.disk.meta
         same = message.epoch == meta.promised and message.sender == meta.promised_to
-        if not same and (message.epoch <= meta.promised or self.is_bound(now, message.sender)):
+        if not same and (message.epoch <= meta.promised or self.contact.is_bound(now, message.sender)):
             refused = Refused(context.me.identity, message.sender, message.epoch, meta.promised)
             context.send(ip, refused)
             return False
         if not same:
             context.disk.change(promised=message.epoch, promised_to=message.sender)
-            self.contact(now, message.sender)
+            self.contact.hear(now, message.sender)
         self._promise_due = (message.epoch, message.sender, ip)
         return not same
 
@@ -149,7 +96,7 @@
         view = message.view
         if not self._may_take(now, ip, message.sender, view.epoch):
             return False
-        self.contact(now, message.sender)
+        self.contact.hear(now, message.sender)
         self._report_due = (view.epoch, message.sender, ip)
         if context.synced == view.epoch:
             return False
@@ -170,7 +117,7 @@
         epoch = message.view.epoch
         if not self._may_take(now, ip, message.sender, epoch):
             return False
-        self.contact(now, message.sender)
+        self.contact.hear(now, message.sender)
         self._report_due = (epoch, message.sender, ip)
         if context.disk.durable.meta.view_epoch == epoch == context.epoch:
             return False
@@ -278,7 +225,7 @@
         if message.epoch < known:
             context.report(now, ip, message.sender)
             return []
-        self._judge_head(now, message)
+        self.contact.judge(now, message)
         # A head is sure by the word of those only that will know it after a loss of power.
         if message.epoch == context.epoch == context.disk.durable.meta.promised:
             context.round_epoch, context.round = message.epoch, message.round
@@ -289,24 +236,6 @@
             context.disk.note(now, settled=True)
         return self._commit(message.committed)
 
-    def _judge_head(self, now: float, message: Heartbeat) -> None:
-        self.head_active = message.active
-        if self._inactive_since[0] != message.epoch or message.active:
-            self._inactive_since = (message.epoch, now)
-        # One that can't get its view in force is not waited for for ever.
-        if now - self._inactive_since[1] < 2 * self._context.config.failure_timeout_s:
-            self.contact(now, message.sender)
-        is_ill = message.resigning or message.trouble_ms >= self._context.config.failure_timeout_s * 1000
-        if not is_ill:
-            self._head_ill_since = None
-        elif self._head_ill_since is None:
-            self._head_ill_since = now
-
-    def forgive(self, now: float) -> None:
-        """The process was frozen: silence says nothing about the others."""
-        self.contact_at = max(self.contact_at, now)
-        self._head_ill_since = None
-
     # -- what follows from a write that is done --
 
     def flush(self, now: float) -> None:
--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.context import Context, view_info
 from cloverrouter.coordination.desk import Asked, Desk, Flying
 from cloverrouter.coordination.effects import Answer, Outcome, ViewInfo
 from cloverrouter.coordination.messages import (
@@ -17,14 +17,14 @@
 )
 from cloverrouter.coordination.proposal import Plan
 from cloverrouter.coordination.roster import Peer, Roster
-from cloverrouter.coordination.views import Member, View, is_majority, majority
+from cloverrouter.coordination.rounds import Rounds
+from cloverrouter.coordination.views import Member, View, is_majority
 
 # View and state are handed over again when nothing is heard of them for so long.
 HAND_AGAIN_S = 0.5
 REPAIR_AFTER_S = 0.2
 # One message carries updates of so many bytes, or a single one.
 FORWARD_BYTES = 1024 * 1024
-KEPT_ROUNDS = 64
 
 
 class Head:
@@ -49,14 +49,7 @@
         self._promises = promises
         self._lineage = lineage
         self._base = context.history.newest
-        self._round = 0
-        self._round_begun: dict[int, float] = {}
-        self._rounds: dict[str, int] = {}  # newest round that each voter has answered
-        self._confirmed = 0
-        self.confirmed_at = now  # when a majority was last known to follow
-        self.followed_at = now  # the same, however long the process has been frozen
-        self._lead_from: float | None = None
-        self._no_lead_round = 0  # the last round in which the others were told not to hold to this head
+        self.rounds = Rounds(context.me.identity, view, context.config, now)
         self._beat_at = now
         self._sent_at = now  # when updates were last sent
         self._tail_stored = 0
@@ -148,28 +141,23 @@
     def beat(self, now: float) -> int:
         """Begin a round of heartbeats. Gives its number."""
         context = self._context
-        self._round += 1
         self._beat_at = now
-        self._round_begun[self._round] = now
-        self._round_begun.pop(self._round - KEPT_ROUNDS, None)
         trouble_s = context.disk.trouble_s(now)
-        if context.resigning or trouble_s >= context.config.failure_timeout_s:
-            self._no_lead_round = self._round
-            self._lead_from = None
+        is_fit = not context.resigning and trouble_s < context.config.failure_timeout_s
+        number = self.rounds.begin(now, is_fit)
         for member in self._others + self._roster.wanted_spares(now, self.view):
             beat = Heartbeat(
                 sender=context.me.identity,
                 receiver=member.identity,
                 epoch=self.view.epoch,
-                round=self._round,
+                round=number,
                 active=self.active,
                 committed=context.history.committed if self.active else 0,
                 trouble_ms=int(trouble_s * 1000),
                 resigning=context.resigning,
             )
             self._send(member, beat)
-        self._confirm()
-        return self._round
+        return number
 
     def on_report(self, now: float, report: Report) -> None:
         """A member tells how things stand."""
@@ -178,8 +166,7 @@
         if peer is None or report.promised > self.view.epoch:
             return
         if report.round_epoch == self.view.epoch:
-            self._rounds[report.sender] = max(report.round, self._rounds.get(report.sender, 0))
-            self._confirm()
+            self.rounds.answered(report.sender, report.round)
         in_chain = report.sender in self.view.chain
         behind = report.synced != self.view.epoch if in_chain else report.view_epoch != self.view.epoch
         if behind:
@@ -187,36 +174,10 @@
         elif in_chain and self.active:
             self._repair(now, peer, report)
 
-    def _confirm(self) -> None:
-        """Find the newest round that a majority of the voters has answered."""
-        rounds = [self._rounds.get(member.identity, 0) for member in self.view.voters]
-        me = self._context.me.identity
-        rounds += [self._round] if self.view.voter(me) is not None else []
-        rounds = sorted(rounds, reverse=True)
-        newest = rounds[majority(len(self.view.voters)) - 1]
-        if newest > self._confirmed:
-            self._confirmed = newest
-            begun = self._round_begun.get(newest)
-            if begun is not None:
-                self.confirmed_at = max(self.confirmed_at, begun)
-                self.followed_at = max(self.followed_at, begun)
-                if newest > self._no_lead_round:
-                    self._lead_from = begun
-
     @property
     def lead_until(self) -> float | None:
-        """Until when no other can have become head, or None if that was never sure."""
-        if not self.active or self._lead_from is None:
-            return None
-        return self._lead_from + self._context.config.sticky_s
-
-    def has_lost_quorum(self, now: float) -> bool:
-        """Whether a majority has not answered for too long."""
-        return now - self.confirmed_at > self._context.config.lost_quorum_s
-
-    def forgive(self, now: float) -> None:
-        """The process was frozen: silence says nothing."""
-        self.confirmed_at = max(self.confirmed_at, now)
+        """Until when no other can have become head, or None if that is not sure."""
+        return self.rounds.lead_until if self.active else None
 
     # -- commands --
 
@@ -258,7 +219,7 @@
         history, desk = self._context.history, self._desk
         left: list[Asked] = []
         for entry in desk.asked:
-            confirmed = entry.round is not None and entry.round <= self._confirmed
+            confirmed = entry.round is not None and entry.round <= self.rounds.confirmed
             if not self.active or not confirmed or history.committed < entry.seq:
                 left.append(entry)
             elif entry.reply is not None:
@@ -382,13 +343,6 @@
         return view_info(self._context, self.view, self.active)
 
 
-def view_info(context: Context, view: View, active: bool) -> ViewInfo:
-    """A view as it is told outside."""
-    members = [member for member in map(view.voter, view.chain) if member is not None]
-    head_ip = context.address(members[0]) if members else None
-    return ViewInfo(view.epoch, view.voters, tuple(members), head_ip, active)
-
-
 def _batches(updates: tuple[bytes, ...]) -> list[tuple[int, tuple[bytes, ...]]]:
     """Updates in portions, each with the place of its first."""
     batches: list[tuple[int, tuple[bytes, ...]]] = []
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
+from typing import Any
 
-from cloverrouter.coordination.context import Context, decode_view
+from cloverrouter.coordination.context import Context, decode_view, view_info
 from cloverrouter.coordination.desk import Asked, Desk, Waiting
 from cloverrouter.coordination.disk import DiskQueue
 from cloverrouter.coordination.effects import (
@@ -24,7 +25,7 @@
     ViewInfo,
 )
 from cloverrouter.coordination.follower import Follower
-from cloverrouter.coordination.head import Head, view_info
+from cloverrouter.coordination.head import Head
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.messages import (
     Announce,
@@ -91,6 +92,7 @@
         self._now = 0.0
         self._told: ViewInfo | None = None
         self._follower = Follower(self._context, 0.0)
+        self._handlers = self._handler_table()
 
     # -- what is to be seen --
 
@@ -107,11 +109,9 @@
         view = self._context.view
         if view is None:
             return None
-        follower = self._follower
-        is_heard = self._now - follower.contact_at < self._config.failure_timeout_s
-        return view_info(
-            self._context, view, is_heard and follower.head_active and follower.head == view.head
-        )
+        contact = self._follower.contact
+        is_heard = self._now - contact.heard_at < self._config.failure_timeout_s
+        return view_info(self._context, view, is_heard and contact.is_active and contact.head == view.head)
 
     @property
     def committed(self) -> tuple[int, bytes | None]:
@@ -229,16 +229,16 @@
     def _look_at_clock(self, now: float) -> None:
         """After a freeze nothing that was not heard counts."""
         if now - self._now > self._config.failure_timeout_s / 2:
-            self._follower.forgive(now)
+            self._follower.contact.forgive(now)
             self._roster.forgive(now)
             self._context.disk.forgive(now)
             if self._head is not None:
-                self._head.forgive(now)
+                self._head.rounds.forgive(now)
         self._now = now
 
     def _tick_head(self, now: float, head: Head) -> None:
         head.tick(now)
-        if head.has_lost_quorum(now):
+        if head.rounds.has_lost_quorum(now):
             self._step_down(now)
             return
         plan = head.plan(now)
@@ -246,7 +246,7 @@
             self._review(now, head, plan)
 
     def _stand_up(self, now: float) -> None:
-        due = self._follower.stands_up_at(now, self._jitter)
+        due = self._follower.contact.stands_up_at(self._jitter)
         if due is None or now < due or now < self._not_before:
             return
         if self._context.disk.trouble_s(now) >= self._config.failure_timeout_s / 2:
@@ -256,10 +256,10 @@
         self._proposal = Proposal(self._context, now, self._attempts)
 
     def _note_silent_head(self) -> None:
-        view, follower = self._context.view, self._follower
-        member = view.voter(follower.head) if view is not None and follower.head is not None else None
+        view, contact = self._context.view, self._follower.contact
+        member = view.voter(contact.head) if view is not None and contact.head is not None else None
         if member is not None and member.identity != self.me.identity:
-            self._roster.was_silent(member, follower.contact_at)
+            self._roster.was_silent(member, contact.heard_at)
 
     def _draw_jitter(self) -> None:
         self._jitter = self._random.uniform(0, self._config.jitter_s)
@@ -285,7 +285,7 @@
         view = proposal.new_view()
         self._proposal, self._is_reviewing = None, False
         self._sent = context.history.newest
-        self._follower.contact(now, context.me.identity)
+        self._follower.contact.hear(now, context.me.identity)
         self._head = Head(context, self._roster, self._desk, view, proposal.promises, self._lineage, now)
 
     def _step_down(self, now: float) -> None:
@@ -313,34 +313,30 @@
     # -- messages --
 
     def _take(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, Heartbeat):
-            self._on_heartbeat(now, ip, message)
-        elif isinstance(message, Report):
-            self._on_report(now, message)
-        elif isinstance(message, Forward):
-            self._context.effects += self._follower.on_forward(message)
-        elif isinstance(message, Commit):
-            self._context.effects += self._follower.on_commit(message)
-        elif isinstance(message, Stored):
-            self._on_stored(message)
-        elif isinstance(message, Install | Announce):
-            self._on_view(now, ip, message)
-        elif isinstance(message, Canvass):
-            self._on_canvass(now, ip, message)
-        elif isinstance(message, Propose):
-            self._on_propose(now, ip, message)
-        elif isinstance(message, Fetch):
-            self._follower.on_fetch(ip, message)
-        elif isinstance(message, Genesis | GenesisQuery):
-            self._on_genesis(now, ip, message)
-        else:
-            self._take_answer(now, message)
-
-    def _take_answer(self, now: float, message: object) -> None:
-        """Answers to a proposal."""
-        proposal = self._proposal
-        if proposal is None:
-            return
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(now, ip, message)
+        elif self._proposal is not None:
+            self._take_answer(now, self._proposal, message)
+
+    def _handler_table(self) -> dict[type, Callable[[float, str, Any], None]]:
+        return {
+            Heartbeat: self._on_heartbeat,
+            Report: self._on_report,
+            Forward: self._on_forward,
+            Stored: self._on_stored,
+            Commit: self._on_commit,
+            Install: self._on_view,
+            Announce: self._on_view,
+            Canvass: self._on_canvass,
+            Propose: self._on_propose,
+            Fetch: self._on_fetch,
+            Genesis: self._on_genesis,
+            GenesisQuery: self._on_genesis,
+        }
+
+    @staticmethod
+    def _take_answer(now: float, proposal: Proposal, message: object) -> None:
         if isinstance(message, Support):
             proposal.on_support(now, message)
         elif isinstance(message, Promise):
@@ -350,17 +346,26 @@
         elif isinstance(message, State):
             proposal.on_state(message)
 
+    def _on_forward(self, now: float, ip: str, message: Forward) -> None:
+        self._context.effects += self._follower.on_forward(message)
+
+    def _on_commit(self, now: float, ip: str, message: Commit) -> None:
+        self._context.effects += self._follower.on_commit(message)
+
+    def _on_fetch(self, now: float, ip: str, message: Fetch) -> None:
+        self._follower.on_fetch(ip, message)
+
     def _on_heartbeat(self, now: float, ip: str, message: Heartbeat) -> None:
         self._yield_to(now, message.epoch)
         self._context.effects += self._follower.on_heartbeat(now, ip, message)
-        if self._follower.hears_head(now):
+        if self._follower.contact.is_well(now):
             self._end_canvass()
 
-    def _on_report(self, now: float, message: Report) -> None:
+    def _on_report(self, now: float, ip: str, message: Report) -> None:
         if self._head is not None:
             self._head.on_report(now, message)
 
-    def _on_stored(self, message: Stored) -> None:
+    def _on_stored(self, now: float, ip: str, message: Stored) -> None:
         if self._head is not None:
             self._head.on_stored(message)
         else:
@@ -397,7 +402,7 @@
             return False
         if self._context.disk.trouble_s(now) >= self._config.failure_timeout_s:
             return False
-        return now - self._head.followed_at < self._config.sticky_s
+        return now - self._head.rounds.followed_at < self._config.sticky_s
 
     # -- the first view --
 
@@ -408,7 +413,7 @@
             if view.voter(self.me.identity) is not None:
                 context.learn_view(now, view, settled=True)
                 context.disk.change()
-                self._follower.begin_first_view(now)
+                self._follower.contact.heard_at = now
         view_epoch = context.view.epoch if context.view is not None else 0
         known = context.view.voters if context.view is not None else ()
         context.send(ip, GenesisState(self.me, context.disk.meta.adoptable, view_epoch, known))
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -22,6 +22,7 @@
 from cloverrouter.coordination.effects import Answer, Outcome
 from cloverrouter.coordination.follower import Follower
 from cloverrouter.coordination.head import Head
+from cloverrouter.coordination.head_contact import HeadContact
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.proposal import Phase, Proposal
 from cloverrouter.coordination.replica import Replica
@@ -395,7 +396,7 @@
 @contextmanager
 def nobody_holds_to_a_head_that_is_well() -> Iterator[None]:
     with (
-        patch.object(Follower, "is_bound", lambda *_: False),
+        patch.object(HeadContact, "is_bound", lambda *_: False),
         patch.object(Replica, "_is_well_followed", lambda *_: False),
     ):
         yield
