--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -157,6 +157,10 @@
             return False
         return now - next(iter(self._unanswered.values())) > OVERDUE_S
 
+    def late_ms(self, now: float, usual_ms: float) -> float:
+        """How much later than usual an answer is expected to begin there, by what came and by who waits."""
+        return max(self.delay_ms(now), self.waited_ms(now) - usual_ms)
+
     def doubted(self, now: float) -> bool:
         """Whether a request has been waiting there while nothing at all came from the server."""
         if not self._unanswered:
