Machines without a disk load neither chain nor allocator; the control API is loaded for the first call

Cause: most machines of a fleet have no disk, but loaded replica, genesis, allocator, publisher and lmdb.

--- a/cloverrouter/control/orders.py
+++ b/cloverrouter/control/orders.py
@@ -11,7 +11,7 @@
 import json
 import struct
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cloverrouter.control.document import ConfigurationState, compact
 from cloverrouter.control.errors import ConfigurationInvalid
@@ -23,9 +23,11 @@
     decoded,
     decoded_update,
 )
-from cloverrouter.coordination.effects import Decision
 from cloverrouter.messages.codec import encode, message
 
+if TYPE_CHECKING:
+    from cloverrouter.coordination.effects import Decision
+
 MAX_TAKEN_ORDERS = 4096
 DIGEST_BYTES = 16
 
@@ -102,6 +104,8 @@
 
     def decide(self, command: bytes) -> Decision:
         """The answer to an encoded `Order`, and the update that it brings where it is taken."""
+        from cloverrouter.coordination.effects import Decision  # only replicas load the chain
+
         order = decoded(command, Order)
         digest = order_digest(order)
         taken = self._taken.get(digest)
@@ -125,6 +129,7 @@
 
     def _reviewed(self, order: Order, digest: bytes) -> Decision:
         from cloverrouter.control.review import review_document, review_patch  # only the head ever checks
+        from cloverrouter.coordination.effects import Decision
 
         review: Review = review_document if order.method == "PUT" else review_patch
         kind: Callable[..., Update] = ConfigurationReplaced if order.method == "PUT" else ConfigurationPatched
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
-from cloverrouter.control.api import RegisterReply
 from cloverrouter.control.errors import Unavailable
 from cloverrouter.control.forwarding import Kind
 from cloverrouter.control.instances import Instance
@@ -19,6 +18,7 @@
 from cloverrouter.messages import encode
 
 if TYPE_CHECKING:
+    from cloverrouter.control.api import RegisterReply
     from cloverrouter.daemon.control_plane import ControlPlane
 
 
@@ -80,6 +80,8 @@
         instance = instance_from(self._loop.time(), instance_id, body)
         change, effects = self._plane.registry.announced(self._loop.time(), instance)
         await self._change(change, effects)
+        from cloverrouter.control.api import RegisterReply
+
         return RegisterReply()
 
     async def withdraw(self, instance_id: str) -> bool:
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -1,4 +1,7 @@
-"""The control plane of one process: its cores, their clock, and the messages to and from other machines."""
+"""The control plane of one process: its cores, their clock, and the messages to and from other machines.
+
+What only replicas need is loaded by replicas only: most machines have no disk, and a start is paid for.
+"""
 
 from __future__ import annotations
 
@@ -6,22 +9,19 @@
 import time
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import TYPE_CHECKING
 
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
-from cloverrouter.control.api import ControlApi
-from cloverrouter.control.distribution import Apply, Replace, Subscriber, VoterAddress
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, SendCall
-from cloverrouter.control.quota_duty import QuotaDuty
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
+from cloverrouter.control.subscriber import Apply, Replace, Subscriber
 from cloverrouter.control.subscriber import Effect as SubscriberEffect
-from cloverrouter.coordination import messages as chain_messages
+from cloverrouter.control.voter_choice import VoterAddress
 from cloverrouter.coordination import sampling_messages, views
-from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
-from cloverrouter.coordination.messages import GENESIS_MESSAGES
 from cloverrouter.coordination.sampling import DiskMemberLearned, PeerSampler, ViewLearned
 from cloverrouter.coordination.sampling import Effect as SamplerEffect
 from cloverrouter.coordination.sampling_messages import PeerRecord, ViewSummary
@@ -29,7 +29,6 @@
 from cloverrouter.daemon.configuration_feed import ConfigurationFeed
 from cloverrouter.daemon.control_calls import ControlCalls
 from cloverrouter.daemon.logs import Log
-from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
 from cloverrouter.daemon.settings import Settings
 from cloverrouter.daemon.traffic import Traffic
 from cloverrouter.daemon.transport import Transport
@@ -38,6 +37,12 @@
 from cloverrouter.messages.sending import Send
 from cloverrouter.placement import quota_messages
 
+if TYPE_CHECKING:
+    from cloverrouter.control.api import ControlApi, ControlExchange
+    from cloverrouter.control.quota_duty import QuotaDuty
+    from cloverrouter.coordination.genesis import GenesisProposer
+    from cloverrouter.daemon.replica_role import ReplicaRole
+
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
 LOOK_S = 0.2  # between looks at what peer sampling has found
 
@@ -66,18 +71,29 @@
         self._forwarder = Forwarder()
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
-        self._genesis = self._genesis_proposer()
-        self._quota_duty = QuotaDuty(settings.ip, traffic.quota_rules)
+        self._genesis: GenesisProposer | None = None
+        self._quota_duty: QuotaDuty | None = None
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
-        self.api = ControlApi(self._calls)
+        self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
+        if settings.is_replica:
+            self._quota_duty = self._quota_duty_here()
+        if settings.bootstrap and settings.ip in settings.seeds:
+            self._genesis = self._genesis_proposer()
+
+    def _quota_duty_here(self) -> QuotaDuty:
+        from cloverrouter.control.quota_duty import QuotaDuty
+
+        return QuotaDuty(self._settings.ip, self.traffic.quota_rules)
 
-    def _genesis_proposer(self) -> GenesisProposer | None:
+    def _genesis_proposer(self) -> GenesisProposer:
+        from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
+        from cloverrouter.coordination.messages import GENESIS_MESSAGES
+
+        self._handlers.update(dict.fromkeys(GENESIS_MESSAGES, self._on_genesis))
         settings = self._settings
-        if not settings.bootstrap or settings.ip not in settings.seeds:
-            return None
         return GenesisProposer(settings.ip, settings.seeds, GenesisConfig(settings.tolerated_machines))
 
     # Coming and going
@@ -95,6 +111,11 @@
             self._send_all(self._genesis.start(now))
 
     async def _open_role(self) -> None:
+        from cloverrouter.coordination import messages as chain_messages
+        from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
+
+        for kind in messages_of(chain_messages.__name__):
+            self._handlers.setdefault(kind, self._on_chain)
         ports = RolePorts(self.transport.send, self._own_view, self._log.error, self._log.change)
         role = await ReplicaRole.open(self._settings, ports, self._random)
         now = self._loop.time()
@@ -112,6 +133,14 @@
         if self.role is not None:
             self.role.resign(self._loop.time())
 
+    def called(self, exchange: ControlExchange) -> None:
+        """A call of an operator or a server. The API and bottle are loaded for the first of them."""
+        if self._api is None:
+            from cloverrouter.control.api import ControlApi
+
+            self._api = ControlApi(self._calls)
+        self._api.handle(exchange)
+
     @property
     def calls_under_way(self) -> int:
         """Calls of operators and servers that wait for their answer."""
@@ -143,7 +172,8 @@
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
-        self._send_all(self._quota_duty.tick(now, self._lead_until()))
+        if self._quota_duty is not None:
+            self._send_all(self._quota_duty.tick(now, self._lead_until()))
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -173,11 +203,9 @@
             (registry_messages, self._on_registry),
             (distribution_messages, self._on_distribution),
             (quota_messages, self._on_quota),
-            (chain_messages, self._on_chain),
             (views, self._on_chain),
         ):
             table.update(dict.fromkeys(messages_of(module.__name__), handler))
-        table.update(dict.fromkeys(GENESIS_MESSAGES, self._on_genesis))
         return table
 
     def _receive(self, ip: str, message: object) -> None:
@@ -237,7 +265,8 @@
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
         if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
-            self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
+            if self._quota_duty is not None:
+                self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
@@ -310,7 +339,8 @@
         self._forwarded(self._forwarder.head_changed(now, head))
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
-        self._quota_duty.view_changed(now, summary.epoch, head)
+        if self._quota_duty is not None:
+            self._quota_duty.view_changed(now, summary.epoch, head)
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
@@ -319,4 +349,5 @@
     def _configured(self, state: ConfigurationState) -> None:
         self._log.change("configuration", version=state.version)
         self.traffic.configure(state.configuration())
-        self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
+        if self._quota_duty is not None:
+            self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -74,7 +74,7 @@
         if settings.readiness is not None:
             await self._serve(settings.readiness, self._readiness, READINESS_CONNECTIONS)
         if settings.control is not None:
-            await self._serve(settings.control, self._control.api.handle, CONTROL_CONNECTIONS)
+            await self._serve(settings.control, self._control.called, CONTROL_CONNECTIONS)
         if settings.frontend is not None:
             self._frontend = await self._serve(settings.frontend, self._traffic.router.handle, most)
             self._traffic.frontend = self._frontend
