--- a/benchmarks/idle_fleet.py
+++ b/benchmarks/idle_fleet.py
@@ -1,10 +1,10 @@
 """What a fleet costs that has nothing to do: real nodes on loopback with servers that beat, but no clients.
 
-    python -m benchmarks.idle_fleet [--nodes 8] [--seconds 10] [--profile FOLDER] [--load REQUESTS_A_SECOND]
+    python -m benchmarks.idle_fleet [--nodes 8] [--seconds 10] [--profile FOLDER]
 
 Prints, for each node: processor time from its start until it was ready, milliseconds of it a second when
-settled, resident size, bytes and messages a second to peers. `--profile` writes a cProfile file for each node.
-`--load` adds clients, for a look at a request's path.
+settled, resident size, bytes and messages a second to peers, and which kinds these are. `--profile` writes a
+cProfile file for each node.
 """
 
 from __future__ import annotations
@@ -23,9 +23,7 @@
 import attrs
 
 from cloverrouter.lab.fleet import deployment
-from cloverrouter.lab.fleet.client import Client
 from cloverrouter.lab.fleet.judge import Judge
-from cloverrouter.lab.fleet.load import Draws
 from cloverrouter.lab.fleet.model_server import ModelServer
 from cloverrouter.lab.fleet.nodes import Node, NodeSpec, settings, toml
 from cloverrouter.lab.fleet.operator import Operator
@@ -35,6 +33,7 @@
 
 READY_WITHIN_S = 30.0
 SETTLE_S = 4.0
+CPU, MEMORY = "cpu_s", "resident_mb"
 
 
 def cpu_s(pid: int) -> float:
@@ -103,7 +102,9 @@
         """The counters that a node tells of itself."""
         answer = await call(spec.control_plane, "GET", "/-/metrics", timeout_s=3.0)
         lines = [line for line in answer.body.decode().splitlines() if not line.startswith("#")]
-        return {line.rpartition(" ")[0]: float(line.rpartition(" ")[2]) for line in lines}
+        found = {line.rpartition(" ")[0]: float(line.rpartition(" ")[2]) for line in lines}
+        pid = self.processes[spec.name].pid
+        return {**found, CPU: cpu_s(pid), MEMORY: resident_mb(pid)}
 
     def end(self) -> None:
         for process in self.processes.values():
@@ -112,44 +113,33 @@
             process.wait(15)
 
 
-async def ask(client: Client, draws: Draws, rate: float) -> None:
-    """Requests of the cheapest kind, at random times."""
-    kind = next(kind for kind in deployment.KINDS if kind.name == "lookup")
-    asked: set[asyncio.Task[None]] = set()
-    while True:
-        await asyncio.sleep(draws.pause_s(rate))
-        task = asyncio.create_task(client.ask(kind))
-        asked.add(task)
-        task.add_done_callback(asked.discard)
-
-
-async def measured(fleet: Fleet, seconds: float, load: float) -> list[dict[str, Any]]:
+async def measured(fleet: Fleet, seconds: float) -> list[dict[str, Any]]:
     """A row for each node."""
     await fleet.bring_up()
-    clients = []
-    if load:
-        draws = Draws(deployment.TENANTS, 1)
-        for _ in range(8):
-            client = Client(deployment.ZONES[0], fleet.platform, draws, fleet.judge, time.monotonic)
-            clients.append(asyncio.create_task(ask(client, draws, load / 8)))
     await asyncio.sleep(SETTLE_S)
-    before = {spec.name: (cpu_s(fleet.processes[spec.name].pid), await fleet.figures(spec)) for spec in fleet.specs}
+    before = {spec.name: await fleet.figures(spec) for spec in fleet.specs}
     began = time.monotonic()
     await asyncio.sleep(seconds)
+    span = time.monotonic() - began
     rows = []
     for spec in fleet.specs:
-        pid = fleet.processes[spec.name].pid
-        took, span = cpu_s(pid) - before[spec.name][0], time.monotonic() - began
-        now, then = await fleet.figures(spec), before[spec.name][1]
-        sent = now["cypresswinch_peer_sent_bytes_total"] - then["cypresswinch_peer_sent_bytes_total"]
-        received = now["cypresswinch_peer_received_bytes_total"] - then["cypresswinch_peer_received_bytes_total"]
+        now, then = await fleet.figures(spec), before[spec.name]
+        rates = {name: (value - then.get(name, 0.0)) / span for name, value in now.items()}
         rows.append({
-            "node": spec.name, "disk": spec.has_disk, "start_ms": fleet.ready_cpu[spec.name] * 1000,
-            "idle_ms_s": took / span * 1000, "mb": resident_mb(pid),
-            "sent_b_s": sent / span, "received_b_s": received / span,
+            "node": spec.name,
+            "disk": spec.has_disk,
+            "start_ms": fleet.ready_cpu[spec.name] * 1000,
+            "idle_ms_s": rates[CPU] * 1000,
+            "mb": now[MEMORY],
+            "sent_b_s": rates["cypresswinch_peer_sent_bytes_total"],
+            "received_b_s": rates["cypresswinch_peer_received_bytes_total"],
+            "writes_s": rates.get("cypresswinch_peer_writes_total", 0.0),
+            "kinds": {
+                name: (round(rates[name], 2), round(rates[name.replace("messages", "kind_bytes")]))
+                for name in rates
+                if name.startswith("cypresswinch_peer_sent_messages_total")
+            },
         })  # fmt: skip
-    for task in clients:
-        task.cancel()
     return rows
 
 
@@ -158,18 +148,24 @@
     told.add_argument("--nodes", type=int, default=8)
     told.add_argument("--seconds", type=float, default=10.0)
     told.add_argument("--profile", type=Path)
-    told.add_argument("--load", type=float, default=0.0)
     args = told.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), args.nodes, args.profile)
         try:
-            rows = await measured(fleet, args.seconds, args.load)
+            rows = await measured(fleet, args.seconds)
         finally:
             fleet.end()
-    print(f"{'':10}{'start ms':>10}{'ms/s':>8}{'MB':>8}{'sent B/s':>10}{'recv B/s':>10}")
+    print(f"{'':10}{'start ms':>10}{'ms/s':>8}{'MB':>8}{'sent B/s':>10}{'recv B/s':>10}{'writes/s':>10}")
     for row in rows:
-        print(f"{row['node']:10}{row['start_ms']:10.0f}{row['idle_ms_s']:8.1f}{row['mb']:8.1f}"
-              f"{row['sent_b_s']:10.0f}{row['received_b_s']:10.0f}{'  disk' if row['disk'] else ''}")  # fmt: skip
+        print(
+            f"{row['node']:10}{row['start_ms']:10.0f}{row['idle_ms_s']:8.1f}{row['mb']:8.1f}"
+            f"{row['sent_b_s']:10.0f}{row['received_b_s']:10.0f}{row['writes_s']:10.1f}"
+            f"{'  disk' if row['disk'] else ''}"
+        )
+    for row in (rows[0], rows[-1]):
+        print(row["node"], "messages and bytes a second:")
+        for name, (messages, size) in row["kinds"].items():
+            print(f"  {name.partition('{')[2].strip('}'):32}{messages:8.2f}{size:8d}")
     print(json.dumps(rows))
 
 
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -159,6 +159,20 @@
         yield Figure.single(
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
+        yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
+        kinds = sorted((kind.__name__, count) for kind, count in transport.sent.items())
+        yield Figure(
+            "cypresswinch_peer_sent_messages_total",
+            "counter",
+            "Messages sent to peers, by kind.",
+            tuple(({"kind": name}, float(count.messages)) for name, count in kinds),
+        )
+        yield Figure(
+            "cypresswinch_peer_sent_kind_bytes_total",
+            "counter",
+            "Bytes of messages sent to peers, by kind.",
+            tuple(({"kind": name}, float(count.bytes)) for name, count in kinds),
+        )
 
 
 def _shown(instance: Instance, silent: bool) -> dict[str, Any]:
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -158,6 +158,10 @@
 
     def tick(self, now: float) -> None:
         """Time has passed; called every 50 ms."""
+        with self.transport.batch():
+            self._tick(now)
+
+    def _tick(self, now: float) -> None:
         if self.role is not None:
             self.role.tick(now)
         self._sampled(now, self.sampler.tick(now))
--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -10,7 +10,9 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+
+import attrs
 
 from cloverrouter.messages import Decoder, MessageError, encode
 
@@ -58,8 +60,9 @@
         self._owner.bytes_received += nbytes
         data = bytes(self._owner.buffer[:nbytes])
         try:
-            for message in self._decoder.feed(data):
-                self._owner.deliver(self._ip, message)
+            with self._owner.batch():
+                for message in self._decoder.feed(data):
+                    self._owner.deliver(self._ip, message)
         except MessageError as error:
             self._owner.on_error(self._ip, error)
             if self._transport is not None:
@@ -94,15 +97,26 @@
         return self._transport is not None
 
     def send(self, frame: bytes) -> None:
-        if self._transport is not None:
-            if self._transport.get_write_buffer_size() < MAX_QUEUED_BYTES:
-                self._owner.bytes_sent += len(frame)
-                self._transport.write(frame)
+        """Goes out now, or at the end of the batch, or once there is a connection."""
+        if self._transport is None:
+            self.open()
+        if self._transport is None and self._opening is None:
             return
-        self.open()
-        if self._opening is not None and self._queued_bytes < MAX_QUEUED_BYTES:
+        if self._queued_bytes < MAX_QUEUED_BYTES:
             self._queue.append(frame)
             self._queued_bytes += len(frame)
+        if self._transport is not None and not self._owner.hold(self):
+            self.flush()
+
+    def flush(self) -> None:
+        """Writes what is queued, in one go, if there is a connection."""
+        if self._transport is None or not self._queue:
+            return
+        if self._transport.get_write_buffer_size() < MAX_QUEUED_BYTES:
+            self._owner.bytes_sent += self._queued_bytes
+            self._owner.writes += 1
+            self._transport.write(b"".join(self._queue) if len(self._queue) > 1 else self._queue[0])
+        self._drop_queue()
 
     def open(self) -> None:
         """Begin to connect, unless that is under way, done, or was tried just now."""
@@ -130,10 +144,7 @@
         self._transport = transport
         self._pause_s = RETRY_PAUSE_S
         owner.on_link(self.ip, True)
-        for frame in self._queue:
-            owner.bytes_sent += len(frame)
-            transport.write(frame)
-        self._drop_queue()
+        self.flush()
 
     def _drop_queue(self) -> None:
         self._queue.clear()
@@ -142,6 +153,7 @@
     def lost(self) -> None:
         if self._transport is not None:
             self._transport = None
+            self._drop_queue()
             self._owner.on_link(self.ip, False)
 
     def close(self) -> None:
@@ -151,6 +163,14 @@
             self._transport.abort()
 
 
+@attrs.define(slots=True)
+class KindCount:
+    """Messages of one kind that went to peers."""
+
+    messages: int = 0
+    bytes: int = 0
+
+
 class Transport:
     """All links of this process, and the listener for those of others."""
 
@@ -171,6 +191,10 @@
         self.incoming: set[asyncio.BaseTransport] = set()
         self.bytes_sent = self.bytes_received = 0
         self.messages_sent = self.messages_received = 0
+        self.writes = 0
+        self.sent: dict[type, KindCount] = {}
+        self._batches = 0
+        self._held: dict[Link, None] = {}
         self._on_message = on_message
         self._links: dict[str, Link] = {}
         self._server: asyncio.Server | None = None
@@ -187,7 +211,9 @@
         if ip == self.ip:
             self.loop.call_soon(self.deliver, ip, message)
             return
-        self._link(ip).send(encode(message))
+        frame = encode(message)
+        self._count(message, frame)
+        self._link(ip).send(frame)
 
     def send_to_all(self, ips: list[str], message: object) -> None:
         """The same message to several, encoded once."""
@@ -197,8 +223,39 @@
             if ip == self.ip:
                 self.loop.call_soon(self.deliver, ip, message)
             else:
+                self._count(message, frame)
                 self._link(ip).send(frame)
 
+    @contextlib.contextmanager
+    def batch(self) -> Iterator[None]:
+        """What is sent meanwhile goes to each peer in one write at the end."""
+        self._batches += 1
+        try:
+            yield
+        finally:
+            self._batches -= 1
+            if not self._batches:
+                self._flush_held()
+
+    def hold(self, link: Link) -> bool:
+        """Whether the link is to wait for the end of a batch."""
+        if self._batches:
+            self._held[link] = None
+        return self._batches > 0
+
+    def _flush_held(self) -> None:
+        links = list(self._held)
+        self._held.clear()
+        for link in links:
+            link.flush()
+
+    def _count(self, message: object, frame: bytes) -> None:
+        count = self.sent.get(type(message))
+        if count is None:
+            count = self.sent[type(message)] = KindCount()
+        count.messages += 1
+        count.bytes += len(frame)
+
     def open(self, ip: str) -> None:
         """Have a connection there, for messages to come."""
         if ip != self.ip:
--- a/tests/system/test_transport.py
+++ b/tests/system/test_transport.py
@@ -95,3 +95,28 @@
         await one.transport.close()
 
     asyncio.run(run())
+
+
+def test_what_is_sent_in_a_batch_goes_out_in_one_write_and_is_counted_by_kind() -> None:
+    async def run() -> None:
+        port = free_port()
+        one, two = (Peer(host, port) for host in HOSTS)
+        await two.transport.listen()
+        one.transport.send(HOSTS[1], Ping(0, b""))
+        async with asyncio.timeout(10):
+            await two.heard.get()
+            before = one.transport.writes
+            with one.transport.batch():
+                for number in (1, 2, 3):
+                    with one.transport.batch():
+                        one.transport.send(HOSTS[1], Ping(number, b"x"))
+                assert one.transport.writes == before
+            assert one.transport.writes == before + 1
+            heard = [await two.heard.get() for _ in range(3)]
+        assert heard == [(HOSTS[0], Ping(number, b"x")) for number in (1, 2, 3)]
+        assert one.transport.sent[Ping].messages == 4
+        assert one.transport.sent[Ping].bytes == one.transport.bytes_sent
+        await one.transport.close()
+        await two.transport.close()
+
+    asyncio.run(run())
