Registry: a rush of news is put together for 50 ms and encoded once for all machines

Ruled out: telling only some machines (another hop, and the drain bound is counted from the receipt); waiting always (a single change goes at once as before). Change: what follows on news within 50 ms waits for the next tick, with its receipts; a batch has one number for all machines, so one message object goes to all, and the transport encodes the very same message once.

--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -217,7 +217,8 @@
         record = self._servers.record(now, pending.instance_id)
         if record is None:
             return []
-        return [Send(ip, Announce(record, True)) for ip in pending.untaken(self._voters)]
+        announce = Announce(record, True)
+        return [Send(ip, announce) for ip in pending.untaken(self._voters)]
 
     def _announce_taken(self, now: float, ip: str, message: AnnounceTaken) -> list[Effect]:
         newest = self._servers.table.fingerprint(message.id) if message.id in self._servers else None
@@ -232,9 +233,9 @@
     def _flush_beats(self) -> list[Effect]:
         if not self._beats:
             return []
-        beats = tuple(Beat(instance_id, sequence) for instance_id, sequence in self._beats.items())
+        beats = Beats(tuple(Beat(instance_id, sequence) for instance_id, sequence in self._beats.items()))
         self._beats.clear()
-        return [Send(ip, Beats(beats)) for ip in self._voters if ip != self._own_ip]
+        return [Send(ip, beats) for ip in self._voters if ip != self._own_ip]
 
     def _compare(self, now: float) -> list[Effect]:
         table = self._servers.table
--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -27,6 +27,7 @@
 
 JUDGE_PERIOD = 0.5
 REPORT_FOR = 10.0
+NEWS_SPACING = 0.05  # at the first start, thousands of servers have news at once: they are put together
 
 
 class RegistryVoter:
@@ -39,10 +40,15 @@
         self._judge = SilenceJudge(heartbeat_interval)
         self._next_judgement = 0.0
         self._report_until = 0.0
+        self._passed_at = -NEWS_SPACING
+        self._waiting: dict[str, None] = {}  # ids of what is to be passed on next
+        self._answers: list[Send] = []  # to go out after these
 
     def resign(self) -> None:
         """This machine is no voter any more."""
         self._subscribers.clear()
+        self._waiting.clear()
+        self._answers.clear()
         self.is_head = False
 
     def set_head(self, now: float, is_head: bool) -> None:
@@ -53,13 +59,17 @@
         self.is_head = is_head
 
     def taken(self, now: float, ip: str, message: Announce) -> list[Send]:
-        """The answer to an origin whose news were merged and passed on."""
+        """The answer to an origin whose news were merged, once they are passed on."""
         record = message.record
         newer = () if self._servers.holds(now, record) else tuple(self._servers.records(now, [record.id]))
         if not message.wants_receipt and not newer:
             return []
         fingerprint = from_record(now, record).fingerprint()
-        return [Send(ip, AnnounceTaken(record.id, fingerprint, newer))]
+        answer = Send(ip, AnnounceTaken(record.id, fingerprint, newer))
+        if record.id in self._waiting:
+            self._answers.append(answer)
+            return []
+        return [answer]
 
     def take_beats(self, now: float, ip: str, beats: Iterable[Beat]) -> list[Send]:
         """Heartbeats; the origin is asked for what is not known here."""
@@ -72,8 +82,27 @@
         return [Send(ip, UnknownInstances(tuple(unknown)))] if unknown else []
 
     def pass_on(self, now: float, ids: Iterable[str], source: str) -> list[Send]:
-        """Changed records, to all subscribers but the source."""
-        return [self._news(now, ip, batch) for ip, batch in self._subscribers.queue(now, ids, source)]
+        """Changed records, to all subscribers but the source: at once, or, after others only just, with the
+        next tick.
+        """
+        if now - self._passed_at < NEWS_SPACING:
+            self._waiting.update(dict.fromkeys(ids))
+            return []
+        return self._pass_now(now, ids, source)
+
+    def _pass_now(self, now: float, ids: Iterable[str], source: str) -> list[Send]:
+        self._passed_at = now
+        sends = []
+        for batch, ips in self._subscribers.queue(now, ids, source):
+            news = self._news(now, batch)
+            sends += [Send(ip, news) for ip in ips]
+        return sends
+
+    def _pass_waiting(self, now: float) -> list[Send]:
+        sends = [*self._pass_now(now, self._waiting, source=""), *self._answers]
+        self._waiting.clear()
+        self._answers.clear()
+        return sends
 
     def subscribers(self) -> list[str]:
         """The machines that news are passed on to."""
@@ -103,7 +132,9 @@
         self._judge.ticked(now)
         self._subscribers.expire(now)
         effects: list[Send | ListEffect] = []
-        effects += [self._news(now, ip, batch) for ip, batch in self._subscribers.to_resend(now)]
+        if self._waiting:
+            effects += self._pass_waiting(now)
+        effects += [Send(ip, self._news(now, batch)) for ip, batch in self._subscribers.to_resend(now)]
         if self.is_head and now >= self._next_judgement:
             self._next_judgement = now + JUDGE_PERIOD
             effects += self._judge_silence(now)
@@ -124,8 +155,8 @@
             effects += [servers.changed_effect(lost), *self.pass_on(now, lost, source="")]
         return effects
 
-    def _news(self, now: float, ip: str, batch: Batch) -> Send:
-        return Send(ip, News(batch.number, tuple(self._servers.records(now, batch.ids))))
+    def _news(self, now: float, batch: Batch) -> News:
+        return News(batch.number, tuple(self._servers.records(now, batch.ids)))
 
     def _silence_report(self, ip: str) -> Send:
         return Send(ip, SilenceReport(tuple(sorted(self._servers.silent))))
--- a/cloverrouter/control/subscribers.py
+++ b/cloverrouter/control/subscribers.py
@@ -73,16 +73,16 @@
             return False
         return self._may_send_list(now)
 
-    def queue(self, now: float, ids: Iterable[str], source: str) -> list[tuple[str, Batch]]:
+    def queue(self, now: float, ids: Iterable[str], source: str) -> list[tuple[Batch, list[str]]]:
         """News for all subscribers but the one that they came from: what to send to whom."""
         ids = tuple(ids)
-        cuts = [ids[start : start + BATCH_LENGTH] for start in range(0, len(ids), BATCH_LENGTH)]
-        return [
-            (ip, self._batch(now, subscriber, cut))
-            for ip, subscriber in self._subscribers.items()
-            if ip != source
-            for cut in cuts
-        ]
+        to = [ip for ip in self._subscribers if ip != source]
+        cuts = range(0, len(ids), BATCH_LENGTH)
+        batches = [self._numbered(now, ids[start : start + BATCH_LENGTH]) for start in cuts]
+        for ip in to:
+            for batch in batches:
+                self._await(self._subscribers[ip], batch)
+        return [(batch, to) for batch in batches]
 
     def taken(self, ip: str, number: int) -> None:
         """A subscriber has the batch of that number."""
@@ -97,7 +97,9 @@
             late = [batch for batch in subscriber.batches.values() if now - batch.sent_at >= RESEND_AFTER]
             for batch in late:
                 del subscriber.batches[batch.number]
-                again.append((ip, self._batch(now, subscriber, batch.ids)))
+                fresh = self._numbered(now, batch.ids)
+                self._await(subscriber, fresh)
+                again.append((ip, fresh))
         return again
 
     def expire(self, now: float) -> None:
@@ -107,16 +109,18 @@
         for ip in late:
             del self._subscribers[ip]
 
-    def _batch(self, now: float, subscriber: _Subscriber, ids: tuple[str, ...]) -> Batch:
+    def _numbered(self, now: float, ids: tuple[str, ...]) -> Batch:
         # Above the numbers of an earlier life of this process, for which receipts may still come.
         self._number = max(self._number + 1, int(now * 1000))
-        batch = Batch(self._number, ids, now)
+        return Batch(self._number, ids, now)
+
+    @staticmethod
+    def _await(subscriber: _Subscriber, batch: Batch) -> None:
         subscriber.batches[batch.number] = batch
         if len(subscriber.batches) > MAX_BATCHES:
             # Too far behind for batches: the next comparison finds the difference.
             subscriber.batches.clear()
             subscriber.differed = True
-        return batch
 
     def _may_send_list(self, now: float) -> bool:
         """Whole lists are long: when all want one at once, some wait for their next comparison."""
--- /dev/null
+++ b/tests/system/test_registry_rush.py
@@ -0,0 +1,55 @@
+"""Thousands of servers that register at once: their news go to each machine put together, not one by one."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cloverrouter.control.instances import Instance
+from cloverrouter.control.registry import Effect, Registry
+from cloverrouter.control.registry_messages import Announce, AnnounceTaken, Compare, News
+from cloverrouter.messages.sending import Send
+
+VOTER, ORIGIN, OTHER = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+SERVERS = 50
+
+
+def sent(effects: Sequence[Effect], kind: type) -> list[Send]:
+    return [effect for effect in effects if isinstance(effect, Send) and isinstance(effect.message, kind)]
+
+
+def test_news_of_a_rush_are_put_together_and_receipts_come_after_them() -> None:
+    voter, origin = Registry(VOTER, 1.0), Registry(ORIGIN, 1.0)
+    voter.voters_changed(0.0, [VOTER])
+    origin.voters_changed(0.0, [VOTER])
+    empty = Compare(voter.digest, 0)
+    voter.receive(0.0, OTHER, empty)
+    voter.receive(0.0, ORIGIN, empty)
+    at_once: list[Effect] = []
+    for number in range(SERVERS):
+        instance = Instance(f"i-{number}", "llm", f"10.1.0.{number}:9000", sequence=1)
+        _, effects = origin.announced(1.0, instance)
+        for send in sent(effects, Announce):
+            at_once += voter.receive(1.0, ORIGIN, send.message)
+    assert len(sent(at_once, News)) == 1
+    assert len(sent(at_once, AnnounceTaken)) == 1
+    later = voter.tick(1.05)
+    to_other = [send for send in sent(later, News) if send.ip == OTHER]
+    assert [len(send.message.records) for send in to_other] == [SERVERS - 1]  # type: ignore[attr-defined]
+    receipts = sent(later, AnnounceTaken)
+    assert len(receipts) == SERVERS - 1
+    assert later.index(receipts[0]) > later.index(to_other[0])
+    assert {id(send.message) for send in sent(later, News)} == {id(to_other[0].message)}
+
+
+def test_a_single_change_is_passed_on_at_once() -> None:
+    voter, origin = Registry(VOTER, 1.0), Registry(ORIGIN, 1.0)
+    voter.voters_changed(0.0, [VOTER])
+    origin.voters_changed(0.0, [VOTER])
+    voter.receive(0.0, OTHER, Compare(voter.digest, 0))
+    for at, number in ((1.0, 1), (2.0, 2)):
+        instance = Instance("i-1", "llm", "10.1.0.1:9000", sequence=number, version=str(number))
+        _, effects = origin.announced(at, instance)
+        (announce,) = sent(effects, Announce)
+        answer = voter.receive(at, ORIGIN, announce.message)
+        assert [send.ip for send in sent(answer, News)] == [OTHER]
+        assert len(sent(answer, AnnounceTaken)) == 1
