--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -72,7 +72,9 @@
         self._config = config
         self._random = random
         history = History(machine)
-        disk = DiskQueue(stored, history.snapshot, config.disk_retry_s, config.compact_bytes)
+        disk = DiskQueue(
+            stored, history.snapshot, config.disk_retry_s, config.failure_timeout_s / 2, config.compact_bytes
+        )
         view = decode_view(stored.meta.view)
         self._context = Context(me, config, random, disk, history, view)
         self._context.seen_epoch = stored.meta.promised
@@ -119,11 +121,27 @@
             return history.committed, None
         return history.committed, history.snapshot().data
 
+    @property
+    def adoptable(self) -> bool:
+        """Whether the disk is of the system's first start and no view has it yet. On a seed that says so a
+        `GenesisProposer` has to run, also when its process was started again meanwhile."""
+        return self._context.disk.meta.adoptable
+
     @property
     def lead_until(self) -> float | None:
         """Until when surely no other is head: None if this replica isn't or can't be sure."""
         return self._head.lead_until if self._head is not None else None
 
+    @property
+    def fleet_size(self) -> int:
+        """The size of the fleet that was remembered last; 0: none."""
+        return self._context.disk.meta.fleet_size
+
+    def remember_fleet_size(self, now: float, size: int) -> None:
+        """How many machines there are is kept for the next start, as nobody else may know it then."""
+        if size != self.fleet_size:
+            self._context.disk.note(now, fleet_size=size)
+
     @property
     def disk_trouble_s(self) -> float:
         """For how long the own disk has been busy or failing."""
@@ -187,6 +205,8 @@
         """Ask for the committed state."""
         if not self._leads_or_will():
             return self._answer(now, ticket, Outcome.NOT_HEAD)
+        if len(self._desk.asked) >= self._config.waiting:
+            return self._answer(now, ticket, Outcome.UNAVAILABLE)
         self._desk.asked.append(Asked(ticket, 0, None, now))
         return self._finish(now)
 
@@ -208,7 +228,7 @@
 
     def _look_at_clock(self, now: float) -> None:
         """After a freeze nothing that was not heard counts."""
-        if now - self._now > self._config.failure_timeout_s:
+        if now - self._now > self._config.failure_timeout_s / 2:
             self._follower.forgive(now)
             self._roster.forgive(now)
             self._context.disk.forgive(now)
@@ -229,7 +249,7 @@
         due = self._follower.stands_up_at(now, self._jitter)
         if due is None or now < due or now < self._not_before:
             return
-        if self._context.disk.trouble_s(now) >= self._config.sticky_s:
+        if self._context.disk.trouble_s(now) >= self._config.failure_timeout_s / 2:
             return
         self._attempts += 1
         self._note_silent_head()
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -1,4 +1,7 @@
-"""The control plane of one process: its cores, their clock, and the messages to and from other machines."""
+"""The control plane of one process: its cores, their clock, and the messages to and from other machines.
+
+What only replicas need is loaded by replicas only: most machines have no disk, and a start is paid for.
+"""
 
 from __future__ import annotations
 
@@ -6,22 +9,19 @@
 import time
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import TYPE_CHECKING
 
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
-from cloverrouter.control.api import ControlApi
-from cloverrouter.control.distribution import Apply, Replace, Subscriber, VoterAddress
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, SendCall
-from cloverrouter.control.quota_duty import QuotaDuty
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
+from cloverrouter.control.subscriber import Apply, Replace, Subscriber
 from cloverrouter.control.subscriber import Effect as SubscriberEffect
-from cloverrouter.coordination import messages as chain_messages
+from cloverrouter.control.voter_choice import VoterAddress
 from cloverrouter.coordination import sampling_messages, views
-from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
-from cloverrouter.coordination.messages import GENESIS_MESSAGES
 from cloverrouter.coordination.sampling import DiskMemberLearned, PeerSampler, ViewLearned
 from cloverrouter.coordination.sampling import Effect as SamplerEffect
 from cloverrouter.coordination.sampling_messages import PeerRecord, ViewSummary
@@ -29,14 +29,21 @@
 from cloverrouter.daemon.configuration_feed import ConfigurationFeed
 from cloverrouter.daemon.control_calls import ControlCalls
 from cloverrouter.daemon.logs import Log
-from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
 from cloverrouter.daemon.settings import Settings
 from cloverrouter.daemon.traffic import Traffic
 from cloverrouter.daemon.transport import Transport
 from cloverrouter.daemon.view_notice import ViewNotice
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
-from cloverrouter.placement import quota_messages
+from cloverrouter.placement import quota_messages, trouble_messages
+from cloverrouter.placement.trouble import TroubleDesk
+from cloverrouter.placement.trouble_messages import TroubleReport, TroubleWarning
+
+if TYPE_CHECKING:
+    from cloverrouter.control.api import ControlApi, ControlExchange
+    from cloverrouter.control.quota_duty import QuotaDuty
+    from cloverrouter.coordination.genesis import GenesisProposer
+    from cloverrouter.daemon.replica_role import ReplicaRole
 
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
 LOOK_S = 0.2  # between looks at what peer sampling has found
@@ -66,20 +73,37 @@
         self._forwarder = Forwarder()
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
-        self._genesis = self._genesis_proposer()
-        self._quota_duty = QuotaDuty(settings.ip, traffic.quota_rules)
+        self._genesis: GenesisProposer | None = None
+        self._quota_duty: QuotaDuty | None = None
+        self._trouble_desk = TroubleDesk(lambda: traffic.fleet_size)
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
-        self.api = ControlApi(self._calls)
+        self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
+        if settings.is_replica:
+            self._quota_duty = self._quota_duty_here()
+        if settings.bootstrap and settings.ip in settings.seeds:
+            self._genesis = self._genesis_proposer()
+
+    def _quota_duty_here(self) -> QuotaDuty:
+        from cloverrouter.control.quota_duty import QuotaDuty
+
+        return QuotaDuty(self._settings.ip, self.traffic.quota_rules)
 
-    def _genesis_proposer(self) -> GenesisProposer | None:
+    def _genesis_proposer(self) -> GenesisProposer:
+        from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
+
+        self._take_chain_messages()
         settings = self._settings
-        if not settings.bootstrap or settings.ip not in settings.seeds:
-            return None
         return GenesisProposer(settings.ip, settings.seeds, GenesisConfig(settings.tolerated_machines))
 
+    def _take_chain_messages(self) -> None:
+        from cloverrouter.coordination import messages as chain_messages
+
+        self._handlers.update(dict.fromkeys(messages_of(chain_messages.__name__), self._on_chain))
+        self._handlers.update(dict.fromkeys(chain_messages.GENESIS_MESSAGES, self._on_genesis))
+
     # Coming and going
 
     async def open(self) -> None:
@@ -95,12 +119,19 @@
             self._send_all(self._genesis.start(now))
 
     async def _open_role(self) -> None:
+        from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
+
+        self._take_chain_messages()
         ports = RolePorts(self.transport.send, self._own_view, self._log.error, self._log.change)
         role = await ReplicaRole.open(self._settings, ports, self._random)
         now = self._loop.time()
         self.sampler.describe(now, identity=role.identity, counts=True)
         self.role = role
         role.start(now)
+        if role.replica.adoptable and self._genesis is None and self._settings.ip in self._settings.seeds:
+            # Killed in the midst of the first start: the disk knows, the settings do not.
+            self._genesis = self._genesis_proposer()
+            self._send_all(self._genesis.start(now))
 
     def seeds_changed(self, seeds: tuple[str, ...]) -> None:
         """The settings file names other seeds."""
@@ -112,6 +143,14 @@
         if self.role is not None:
             self.role.resign(self._loop.time())
 
+    def called(self, exchange: ControlExchange) -> None:
+        """A call of an operator or a server. The API and bottle are loaded for the first of them."""
+        if self._api is None:
+            from cloverrouter.control.api import ControlApi
+
+            self._api = ControlApi(self._calls)
+        self._api.handle(exchange)
+
     @property
     def calls_under_way(self) -> int:
         """Calls of operators and servers that wait for their answer."""
@@ -129,11 +168,16 @@
 
     def tick(self, now: float) -> None:
         """Time has passed; called every 50 ms."""
+        with self.transport.batch():
+            self._tick(now)
+
+    def _tick(self, now: float) -> None:
         if self.role is not None:
             self.role.tick(now)
         self._sampled(now, self.sampler.tick(now))
         if now >= self._next_look:
             self._next_look = now + LOOK_S
+            self.traffic.router.report_overdue()
             self._look(now)
         if self._genesis is not None:
             self._send_all(self._genesis.tick(now))
@@ -143,7 +187,20 @@
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
-        self._send_all(self._quota_duty.tick(now, self._lead_until()))
+        if self._quota_duty is not None:
+            self._send_all(self._quota_duty.tick(now, self._lead_until()))
+        self._report_trouble(now)
+
+    def _report_trouble(self, now: float) -> None:
+        """Tell the head of servers that failed requests here."""
+        report = self.traffic.trouble.flush(now)
+        head = self.summary.head if self.summary is not None else None
+        if report is None or not head:
+            return
+        if head == self._settings.ip:
+            self._on_trouble(now, head, report)
+        else:
+            self.transport.send(head, report)
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -157,8 +214,10 @@
         if self._genesis is not None:
             self._send_all(self._genesis.discovered(now, members))
         size = self.subscriber.fleet_size()
-        if size:
+        if size and size != self.traffic.fleet_size:
             self.traffic.fleet_changed(size)
+            if self._quota_duty is not None:
+                self._quota_duty.configure(self.traffic.limits, size)
 
     # Messages
 
@@ -173,11 +232,10 @@
             (registry_messages, self._on_registry),
             (distribution_messages, self._on_distribution),
             (quota_messages, self._on_quota),
-            (chain_messages, self._on_chain),
+            (trouble_messages, self._on_trouble),
             (views, self._on_chain),
         ):
             table.update(dict.fromkeys(messages_of(module.__name__), handler))
-        table.update(dict.fromkeys(GENESIS_MESSAGES, self._on_genesis))
         return table
 
     def _receive(self, ip: str, message: object) -> None:
@@ -232,15 +290,26 @@
 
     def _on_view_notice(self, now: float, ip: str, message: object) -> None:
         assert isinstance(message, ViewNotice)
-        self.sampler.view_changed(now, message.summary)
+        self._sampled(now, self.sampler.view_changed(now, message.summary))
         self._view_learned(now, message.summary)
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
         if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
-            self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
+            if self._quota_duty is not None:
+                self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
+    def _on_trouble(self, now: float, ip: str, message: object) -> None:
+        if isinstance(message, TroubleWarning):
+            self.traffic.warned(message)
+        elif isinstance(message, TroubleReport) and self._lead_until() is not None:
+            for warning in self._trouble_desk.receive(now, ip, message):
+                self._log.change("servers-failing", instances=warning.ids, zone=warning.zone)
+                self.traffic.warned(warning)
+                for proxy in self.registry.subscribers():
+                    self.transport.send(proxy, warning)
+
     # What the cores ask for
 
     def _sampled(self, now: float, effects: Iterable[SamplerEffect]) -> None:
@@ -291,7 +360,7 @@
 
     def _own_view(self, summary: ViewSummary) -> None:
         now = self._loop.time()
-        self.sampler.view_changed(now, summary)
+        self._sampled(now, self.sampler.view_changed(now, summary))
         self._view_learned(now, summary)
 
     def _view_learned(self, now: float, summary: ViewSummary) -> None:
@@ -310,7 +379,8 @@
         self._forwarded(self._forwarder.head_changed(now, head))
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
-        self._quota_duty.view_changed(now, summary.epoch, head)
+        if self._quota_duty is not None:
+            self._quota_duty.view_changed(now, summary.epoch, head)
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
@@ -319,4 +389,5 @@
     def _configured(self, state: ConfigurationState) -> None:
         self._log.change("configuration", version=state.version)
         self.traffic.configure(state.configuration())
-        self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
+        if self._quota_duty is not None:
+            self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -48,7 +48,7 @@
         self.identity = stored.identity
         self.publisher = Publisher()
         me = Member(stored.identity, settings.ip, settings.name, settings.zone)
-        config = ReplicaConfig(settings.tolerated_machines)
+        config = ReplicaConfig(settings.tolerated_machines, max_state_bytes=store.state_room)
         self.replica = Replica(me, stored, ConfigurationMachine(), config, random)
         self._desk = HeadDesk(self.replica, ports.send)
         listener = ReplicaListener(
@@ -73,7 +73,7 @@
 
     def start(self, now: float) -> None:
         """The process starts."""
-        self._publish(self.publisher.start(now))
+        self._publish(self.publisher.start(now, self.replica.fleet_size))
         self._driver.carry_out(self.replica.start(now))
 
     def tick(self, now: float) -> None:
@@ -82,6 +82,7 @@
         if self._snapshot_wanted:
             self._give_snapshot(now)
         self._publish(self.publisher.tick(now))
+        self.replica.remember_fleet_size(now, self.publisher.fleet_size(now))
 
     def receive(self, now: float, ip: str, message: object) -> None:
         """A message of another replica."""
--- a/cloverrouter/messages/codec.py
+++ b/cloverrouter/messages/codec.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import io
 import struct
 import types
@@ -28,16 +29,19 @@
 _PRIMITIVES = {str: "string", bytes: "bytes", int: "long", float: "double", bool: "boolean"}
 
 T = TypeVar("T")
-Pack = Callable[[Any], Any]
 
 
-@attrs.frozen(slots=True)
+@attrs.define(slots=False, eq=False)
 class _Kind:
     """One message type: how its instances become Avro data and back."""
 
     cls: type
     type_id: int
-    schema: Any
+
+    @functools.cached_property
+    def schema(self) -> Any:
+        """Avro's, parsed. Made when a message of the kind first comes or goes."""
+        return parse_schema(_record_schema(self.cls, set()))
 
 
 _kinds_by_id: dict[int, _Kind] = {}
@@ -47,7 +51,34 @@
 @typing.dataclass_transform(frozen_default=True)
 def nested(cls: type[T]) -> type[T]:
     """A frozen attrs class that may be a field of messages, and is none itself."""
-    return attrs.frozen(slots=True)(cls)
+    return _frozen(cls)
+
+
+def _frozen(cls: type[T]) -> type[T]:
+    """attrs' methods are compiled anew at each start of a process, so these three are shared instead."""
+    cls.__eq__ = _equals  # type: ignore[method-assign]
+    cls.__hash__ = _hash  # type: ignore[method-assign]
+    cls.__repr__ = _shown  # type: ignore[method-assign]
+    return attrs.frozen(slots=True, eq=False, repr=False)(cls)
+
+
+def _values(instance: Any) -> tuple[Any, ...]:
+    return tuple(getattr(instance, name) for name in instance.__match_args__)
+
+
+def _equals(self: Any, other: object) -> Any:
+    if other.__class__ is not self.__class__:
+        return NotImplemented
+    return _values(self) == _values(other)
+
+
+def _hash(self: Any) -> int:
+    return hash((self.__class__, _values(self)))
+
+
+def _shown(self: Any) -> str:
+    fields = zip(self.__match_args__, _values(self), strict=True)
+    return f"{self.__class__.__name__}({', '.join(f'{name}={value!r}' for name, value in fields)})"
 
 
 @typing.dataclass_transform(frozen_default=True)
@@ -60,11 +91,10 @@
     """
 
     def register(cls: type[T]) -> type[T]:
-        frozen = attrs.frozen(slots=True)(cls)
+        frozen = _frozen(cls)
         if type_id in _kinds_by_id:
             raise ValueError(f"message type {type_id} is taken by {_kinds_by_id[type_id].cls.__name__}")
-        schema = parse_schema(_record_schema(frozen, set()))
-        kind = _Kind(frozen, type_id, schema)
+        kind = _Kind(frozen, type_id)
         _kinds_by_id[type_id] = _kinds_by_class[frozen] = kind
         return frozen
 
@@ -98,49 +128,80 @@
     raise TypeError(f"a message can't have a field of type {hint}")
 
 
-def _unstructure(value: Any) -> Any:
-    if attrs.has(type(value)):
-        return {name: _unstructure(getattr(value, name)) for name in _field_names(type(value))}
-    if isinstance(value, tuple):
-        return [_unstructure(item) for item in value]
-    if isinstance(value, dict):
-        return {key: _unstructure(item) for key, item in value.items()}
-    return value
+Converter = Callable[[Any], Any]
+"""From a field's value to Avro data, or back; None where both are the same."""
+
+_packers: dict[type, Converter] = {}
+_unpackers: dict[type, Converter] = {}
+
+
+def _fields(cls: type) -> list[tuple[str, Any]]:
+    hints = typing.get_type_hints(cls)
+    return [(field.name, hints[field.name]) for field in attrs.fields(cls)]
+
+
+def _record_packer(cls: type) -> Converter:
+    found = _packers.get(cls)
+    if found is None:
+        parts = [(name, _converter(hint, _record_packer, list)) for name, hint in _fields(cls)]
+
+        def pack(instance: Any) -> dict[str, Any]:
+            return {
+                name: getattr(instance, name) if convert is None else convert(getattr(instance, name))
+                for name, convert in parts
+            }
 
+        found = _packers[cls] = pack
+    return found
 
-_names_cache: dict[type, tuple[str, ...]] = {}
-_hints_cache: dict[type, dict[str, Any]] = {}
 
+def _record_unpacker(cls: type) -> Converter:
+    found = _unpackers.get(cls)
+    if found is None:
+        parts = [(name, _converter(hint, _record_unpacker, tuple)) for name, hint in _fields(cls)]
 
-def _field_names(cls: type) -> tuple[str, ...]:
-    names = _names_cache.get(cls)
-    if names is None:
-        names = _names_cache[cls] = tuple(field.name for field in attrs.fields(cls))
-    return names
+        def unpack(data: Any) -> Any:
+            return cls(*[data[name] if convert is None else convert(data[name]) for name, convert in parts])
 
+        found = _unpackers[cls] = unpack
+    return found
 
-def _structure(hint: Any, value: Any) -> Any:
-    if value is None or hint in _PRIMITIVES:
-        return value
+
+def _converter(hint: Any, of_record: Callable[[type], Converter], sequence: type) -> Converter | None:
+    """How a field of that type is converted; `sequence` is what a tuple becomes."""
+    if hint in _PRIMITIVES:
+        return None
     origin, arguments = typing.get_origin(hint), typing.get_args(hint)
     if origin in (types.UnionType, typing.Union):
-        (inner,) = [argument for argument in arguments if argument is not type(None)]
-        return _structure(inner, value)
+        (present,) = [argument for argument in arguments if argument is not type(None)]
+        inner = _converter(present, of_record, sequence)
+        return None if inner is None else _for_optional(inner)
     if origin is tuple:
-        return tuple(_structure(arguments[0], item) for item in value)
+        inner = _converter(arguments[0], of_record, sequence)
+        return sequence if inner is None else _for_items(inner, sequence)
     if origin is dict:
-        return {key: _structure(arguments[1], item) for key, item in value.items()}
-    hints = _hints_cache.get(hint)
-    if hints is None:
-        hints = _hints_cache[hint] = typing.get_type_hints(hint)
-    return hint(**{name: _structure(hints[name], value[name]) for name in _field_names(hint)})
+        inner = _converter(arguments[1], of_record, sequence)
+        return None if inner is None else _for_values(inner)
+    return of_record(hint)
+
+
+def _for_optional(inner: Converter) -> Converter:
+    return lambda value: None if value is None else inner(value)
+
+
+def _for_items(inner: Converter, sequence: type) -> Converter:
+    return lambda value: sequence([inner(item) for item in value])
+
+
+def _for_values(inner: Converter) -> Converter:
+    return lambda value: {key: inner(item) for key, item in value.items()}
 
 
 def encode(instance: object) -> bytes:
     """The frame of a message."""
     kind = _kinds_by_class[type(instance)]
     body = io.BytesIO()
-    schemaless_writer(body, kind.schema, _unstructure(instance))
+    schemaless_writer(body, kind.schema, _record_packer(kind.cls)(instance))
     data = body.getvalue()
     return HEADER.pack(len(data) + _BODY_HEADER_BYTES, PROTOCOL_VERSION, kind.type_id) + data
 
@@ -151,7 +212,7 @@
         return None
     stream = io.BytesIO(body)
     try:
-        instance: object = _structure(kind.cls, schemaless_reader(stream, kind.schema, None))
+        instance: object = _record_unpacker(kind.cls)(schemaless_reader(stream, kind.schema, None))
     except Exception as error:  # fastavro raises whatever its parts raise
         raise MalformedFrame(f"{kind.cls.__name__}: {type(error).__name__}: {error}") from error
     if stream.tell() != len(body):
