--- a/cloverrouter/messages/codec.py
+++ b/cloverrouter/messages/codec.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import io
 import struct
 import types
@@ -30,13 +31,17 @@
 T = TypeVar("T")
 
 
-@attrs.frozen(slots=True)
+@attrs.define(slots=False, eq=False)
 class _Kind:
     """One message type: how its instances become Avro data and back."""
 
     cls: type
     type_id: int
-    schema: Any
+
+    @functools.cached_property
+    def schema(self) -> Any:
+        """Avro's, parsed. Made when a message of the kind first comes or goes."""
+        return parse_schema(_record_schema(self.cls, set()))
 
 
 _kinds_by_id: dict[int, _Kind] = {}
@@ -46,7 +51,34 @@
 @typing.dataclass_transform(frozen_default=True)
 def nested(cls: type[T]) -> type[T]:
     """A frozen attrs class that may be a field of messages, and is none itself."""
-    return attrs.frozen(slots=True)(cls)
+    return _frozen(cls)
+
+
+def _frozen(cls: type[T]) -> type[T]:
+    """attrs' methods are compiled anew at each start of a process, so these three are shared instead."""
+    cls.__eq__ = _equals  # type: ignore[method-assign]
+    cls.__hash__ = _hash  # type: ignore[method-assign]
+    cls.__repr__ = _shown  # type: ignore[method-assign]
+    return attrs.frozen(slots=True, eq=False, repr=False)(cls)
+
+
+def _values(instance: Any) -> tuple[Any, ...]:
+    return tuple(getattr(instance, name) for name in instance.__match_args__)
+
+
+def _equals(self: Any, other: object) -> Any:
+    if other.__class__ is not self.__class__:
+        return NotImplemented
+    return _values(self) == _values(other)
+
+
+def _hash(self: Any) -> int:
+    return hash((self.__class__, _values(self)))
+
+
+def _shown(self: Any) -> str:
+    fields = zip(self.__match_args__, _values(self), strict=True)
+    return f"{self.__class__.__name__}({', '.join(f'{name}={value!r}' for name, value in fields)})"
 
 
 @typing.dataclass_transform(frozen_default=True)
@@ -59,11 +91,10 @@
     """
 
     def register(cls: type[T]) -> type[T]:
-        frozen = attrs.frozen(slots=True)(cls)
+        frozen = _frozen(cls)
         if type_id in _kinds_by_id:
             raise ValueError(f"message type {type_id} is taken by {_kinds_by_id[type_id].cls.__name__}")
-        schema = parse_schema(_record_schema(frozen, set()))
-        kind = _Kind(frozen, type_id, schema)
+        kind = _Kind(frozen, type_id)
         _kinds_by_id[type_id] = _kinds_by_class[frozen] = kind
         return frozen
 
