--- a/cloverrouter/http/answer.py
+++ b/cloverrouter/http/answer.py
@@ -46,8 +46,8 @@
 class Call:
     """A request on its way. Once it is `done` all methods do nothing."""
 
-    __slots__ = ("_connection", "_pool", "done", "expected_id", "forgotten", "id_header", "listener",
-                 "message", "reused", "wanted", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "done", "expected_id", "forgotten", "id_header", "listener", "message",
+                 "reused", "wanted", "written")  # fmt: skip
 
     def __init__(
         self,
