--- a/cloverrouter/http/answer.py
+++ b/cloverrouter/http/answer.py
@@ -46,8 +46,8 @@
 class Call:
     """A request on its way. Once it is `done` all methods do nothing."""
 
-    __slots__ = ("_connection", "_pool", "done", "expected_id", "forgotten", "id_header", "listener", "message",
-                 "reused", "wanted", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "reused",
+                 "wanted", "written")  # fmt: skip
 
     def __init__(
         self,
@@ -64,7 +64,6 @@
         self.wanted = wanted
         self.written = False  # its last byte was handed to the kernel
         self.reused = False  # it went out on a connection that had served another
-        self.forgotten = False  # it was reset at once, unheard, on a connection that had rested
         self.done = False
         self._connection: UpstreamConnection | None = None
         self._pool: ServerPool | None = None
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -14,7 +14,7 @@
 from cloverrouter.http.answer import Call, Failure, Listener
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.idle import IdlePool, close_longest_idle
-from cloverrouter.http.rest import SOON_S, UNTOUCHED_S, RestLimits
+from cloverrouter.http.rest import SOON_S, RestLimits
 from cloverrouter.http.sockets import READ_BYTES, notice_dead_peer, open_socket
 from cloverrouter.http.upstream import UpstreamConnection
 
@@ -143,14 +143,11 @@
             pool.drop_idle(now_s - limit_s)
         return pool.take_settled(now_s - self.settle_s)
 
-    def reset_unheard(self, connection: UpstreamConnection, sent_s: float) -> bool:
-        """A request that went out on a connection that had rested was reset without a byte of an answer.
-        Whether the server has most likely forgotten the connection and not even seen the request."""
+    def reset_unheard(self, connection: UpstreamConnection, sent_s: float) -> None:
+        """A request that went out on a connection that had rested was reset without a byte of an answer."""
         now_s = self.loop.time()
-        rested_s = sent_s - connection.idle_since
         if now_s - sent_s < SOON_S:
-            self._rests.forgotten(connection.pool.address, rested_s, now_s)
-        return now_s - sent_s < UNTOUCHED_S < rested_s
+            self._rests.forgotten(connection.pool.address, sent_s - connection.idle_since, now_s)
 
     def uses(self, pool: ServerPool) -> bool:
         return self._pools.get(pool.address) is pool
--- a/cloverrouter/http/rest.py
+++ b/cloverrouter/http/rest.py
@@ -13,8 +13,6 @@
 
 SOON_S = 0.05
 """A reset that comes later after the request was sent is that of a server that worked on it."""
-UNTOUCHED_S = 0.01
-"""A server that forgot the connection answers by a reset before it could have worked on anything."""
 SHORTENED = 0.5
 """A connection is used again only if it has rested for less than this part of what was lost."""
 LEARNT_FOR_S = 5.0
--- a/cloverrouter/http/upstream.py
+++ b/cloverrouter/http/upstream.py
@@ -132,7 +132,7 @@
             call.fail(Failure.SPOILT)
         else:
             if call.reused and not self._head_bytes:
-                call.forgotten = self._owner.reset_unheard(self, self._sent_s)
+                self._owner.reset_unheard(self, self._sent_s)
             call.fail(Failure.BROKEN)
 
     # asyncio.BufferedProtocol: one buffer for all, since each read is used up at once
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -54,8 +54,8 @@
 class Attempt:
     """A send. `key` is its number within the router."""
 
-    __slots__ = ("_body", "_headers", "_size", "_status", "_streaming", "call", "forgotten", "heard_at",
-                 "key", "missing_tokens", "over", "owner", "sent_at", "standing", "verdict")  # fmt: skip
+    __slots__ = ("_body", "_headers", "_size", "_status", "_streaming", "call", "heard_at", "key",
+                 "missing_tokens", "over", "owner", "sent_at", "standing", "verdict")  # fmt: skip
 
     def __init__(self, owner: Owner, standing: Standing, key: int, missing_tokens: int) -> None:
         self.owner = owner
@@ -66,8 +66,6 @@
         self.sent_at: float | None = None
         self.heard_at: float | None = None
         self.over = False
-        self.forgotten = False
-        """It was lost on a connection that its server had most likely forgotten."""
         self.verdict: Verdict | None = None
         self._status = 0
         self._headers: Headers = []
@@ -147,7 +145,6 @@
         """There will be no whole answer."""
         if self.over:
             return
-        self.forgotten = self.call is not None and self.call.forgotten
         self._finish()
         if failure is Failure.NOT_SENT:
             end = End.UNSENT
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -55,10 +55,10 @@
 class Flight:
     """Owns its exchange: nobody else answers it."""
 
-    __slots__ = ("_arrivals", "_attempt", "_charged", "_deadline_timer", "_failure", "_forgave", "_head",
-                 "_may_have_run", "_over", "_paid", "_patience", "_prepaid", "_previous_ms", "_quota_asks",
-                 "_record", "_relay", "_request_id", "_retry_timer", "_router", "_runs", "_sends", "_tail",
-                 "_tried", "admitted", "exchange", "whole_answer_bytes")  # fmt: skip
+    __slots__ = ("_arrivals", "_attempt", "_charged", "_deadline_timer", "_failure", "_head", "_may_have_run",
+                 "_over", "_paid", "_patience", "_prepaid", "_previous_ms", "_quota_asks", "_record",
+                 "_relay", "_request_id", "_retry_timer", "_router", "_runs", "_sends", "_tail", "_tried",
+                 "admitted", "exchange", "whole_answer_bytes")  # fmt: skip
 
     def __init__(self, router: Router, exchange: Exchange, admitted: Admitted) -> None:
         self.exchange = exchange
@@ -71,7 +71,7 @@
         self._sends = self._arrivals = self._runs = 0
         self._quota_asks = 0
         self._request_id = exchange.request.header(ATTEMPT_ID) or b""
-        self._charged = self._paid = self._prepaid = self._forgave = self._may_have_run = self._over = False
+        self._charged = self._paid = self._prepaid = self._may_have_run = self._over = False
         self._failure: Answer | None = None
         self._previous_ms = BACKOFF_BASE_MS
         self._retry_timer: Timer | None = None
@@ -276,7 +276,7 @@
             self._paid, self._prepaid = self._prepaid, False
         if end.may_have_run:
             self._may_have_run = True
-            self._runs += not self._forgives(attempt)
+            self._runs += 1
             self._failure = answer
         if self._may_go_on():
             self._try_again(end)
@@ -292,19 +292,11 @@
         attempts = max(1, route.attempts)
         return self._runs < attempts and self._sends < attempts + self._router.bounds.extra_sends
 
-    def _forgives(self, attempt: Attempt) -> bool:
-        """Whether a lost attempt doesn't count as a run: once, if the server had most likely forgotten the
-        connection, and the request may run twice if that is wrong."""
-        if self._forgave or not attempt.forgotten or not self.admitted.route.may_repeat:
-            return False
-        self._forgave = True
-        return True
-
     def _try_again(self, end: End) -> None:
         """At once if the request surely didn't run, or a client waits in the middle of a stream; else after a
         jittered wait within the time left."""
         flowing = self._relay is not None and self._relay.begun
-        if self._runs == 0 or not end.may_have_run or (flowing and self._runs == 1):
+        if not end.may_have_run or (flowing and self._runs == 1):
             self._try()
             return
         self._previous_ms = backoff_ms(self._previous_ms, self._router.random)
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -68,7 +68,6 @@
         self.wanted = wanted
         self.written = False
         self.reused = False
-        self.forgotten = False
         self.cancelled = False
         self.pauses: list[str] = []
         head, _, self.body = message.partition(b"\r\n\r\n")
--- a/tests/system/test_rest_limits.py
+++ b/tests/system/test_rest_limits.py
@@ -76,7 +76,7 @@
         assert connections.idle(upstream.address) == 2
         lost = Answered()
         call = connections.send(upstream.address, MESSAGE, lost)
-        assert call.reused and not call.forgotten
+        assert call.reused
         upstream.peers[1].reset()
         await lost.over.wait()
         assert lost.failure is Failure.BROKEN  # it may have run, for all that the pool can know
--- a/tests/system/test_router_failures.py
+++ b/tests/system/test_router_failures.py
@@ -2,19 +2,10 @@
 
 from __future__ import annotations
 
-import attrs
 import pytest
 
 from cloverrouter.http.client import Failure
-from tests.system.router_world import (
-    CONFIGURATION,
-    EVENTS,
-    NOT_EXECUTED,
-    SIGNED,
-    ScriptedExchange,
-    World,
-    event,
-)
+from tests.system.router_world import EVENTS, NOT_EXECUTED, SIGNED, ScriptedExchange, World, event
 
 
 @pytest.fixture
@@ -310,29 +301,3 @@
     world.last.write()
     exchange.leave()
     assert world.quota.refunded == [("a", 200)]
-
-
-def test_a_connection_that_the_server_forgot_is_no_run_of_what_may_run_again() -> None:
-    world = World().set_up()
-    configuration = attrs.evolve(
-        CONFIGURATION,
-        routes=tuple(attrs.evolve(route, attempts=1) for route in CONFIGURATION.routes),
-    )
-    world.router.configure(configuration)
-    exchange = world.ask("/again/x")
-    for _ in range(2):
-        world.last.write()
-        world.last.forgotten = True
-        world.last.fail(Failure.BROKEN)
-    assert len(world.calls) == 2  # forgiven once
-    assert world.calls[0].instance != world.calls[1].instance
-    assert exchange.status == 502  # it may have run
-
-
-def test_a_connection_that_the_server_forgot_may_have_run_what_may_run_once() -> None:
-    world = World().set_up()
-    exchange = world.ask("/twice/x")
-    world.last.write()
-    world.last.forgotten = True
-    world.last.fail(Failure.BROKEN)
-    assert len(world.calls) == 1 and exchange.status == 502
