--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -59,6 +59,7 @@
             settings.ip, settings.internal_ports[0], self._receive, self._link, self._peer_error
         )
         traffic.send_with(self.transport.send)
+        traffic.on_trouble = lambda: self._report_trouble(self._loop.time())
         incarnation = int(time.time() * 1000)
         self._record = PeerRecord(settings.ip, settings.name, settings.zone, incarnation=incarnation)
         self.sampler = PeerSampler(self._record, settings.seeds, random)
--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -28,9 +28,14 @@
 CONNECT_TIMEOUT_S = 0.4
 UPSTREAM_IDLE_S = 10.0
 BODY_TIMEOUT_S = 3.0
+TROUBLE_DELAY_S = 0.01  # failures that come together are told together
 STARTING_FLEET = 16  # proxies there may be, until the control plane tells
 
 
+def _nothing() -> None:
+    return None
+
+
 class Traffic:
     """The data plane. What it needs of the control plane is handed to it."""
 
@@ -70,7 +75,10 @@
             self.traces,
         )
         self.trouble = TroubleReporter(settings.zone)
-        self.router.on_trouble = self.trouble.failed
+        self.router.on_trouble = self._trouble_met
+        self.on_trouble: Callable[[], None] = _nothing
+        """Called soon after servers have failed requests: `trouble` has something to tell."""
+        self._trouble_told = False
         self.frontend: HttpServer | None = None
         self.limits: dict[str, TenantLimit] = {}
         self.fleet_size = STARTING_FLEET
@@ -112,6 +120,16 @@
             self.quota.holder.configure(self.limits, size)
             self.budgets.resize(size)
 
+    def _trouble_met(self, instance_id: str) -> None:
+        self.trouble.failed(instance_id)
+        if not self._trouble_told:
+            self._trouble_told = True
+            self._loop.call_later(TROUBLE_DELAY_S, self._tell_trouble)
+
+    def _tell_trouble(self) -> None:
+        self._trouble_told = False
+        self.on_trouble()
+
     def warned(self, warning: TroubleWarning) -> None:
         """Several proxies found servers failing."""
         if warning.zone in ("", self._settings.zone):
--- a/cloverrouter/placement/trouble.py
+++ b/cloverrouter/placement/trouble.py
@@ -20,9 +20,9 @@
 MOST_IDS = 40
 WINDOW_S = 2.0
 """Reports of this span count together."""
-WARN_S = 2.0
+WARN_S = 3.0
 WARN_GROWTH = 1.5
-MOST_WARN_S = 6.0
+MOST_WARN_S = 8.0
 CALM_S = 4.0
 """After so long without a warning that is in force, the next one is a first one again."""
 REPORTERS_AGAIN = 2
