--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -33,12 +33,11 @@
 from cloverrouter.daemon.settings import Settings
 from cloverrouter.daemon.traffic import Traffic
 from cloverrouter.daemon.transport import Transport
+from cloverrouter.daemon.trouble_news import TroubleNews
 from cloverrouter.daemon.view_notice import ViewNotice
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
 from cloverrouter.placement import quota_messages, trouble_messages
-from cloverrouter.placement.trouble import TroubleDesk
-from cloverrouter.placement.trouble_messages import TroubleReport, TroubleWarning
 
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
 LOOK_S = 0.2  # between looks at what peer sampling has found
@@ -59,7 +58,6 @@
             settings.ip, settings.internal_ports[0], self._receive, self._link, self._peer_error
         )
         traffic.send_with(self.transport.send)
-        traffic.on_trouble = lambda: self._report_trouble(self._loop.time())
         incarnation = int(time.time() * 1000)
         self._record = PeerRecord(settings.ip, settings.name, settings.zone, incarnation=incarnation)
         self.sampler = PeerSampler(self._record, settings.seeds, random)
@@ -71,7 +69,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._genesis = self._genesis_proposer()
         self._quota_duty = QuotaDuty(settings.ip, traffic.quota_rules)
-        self._trouble_desk = TroubleDesk(lambda: traffic.fleet_size)
+        self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
         self.api = ControlApi(self._calls)
@@ -84,6 +82,19 @@
             return None
         return GenesisProposer(settings.ip, settings.seeds, GenesisConfig(settings.tolerated_machines))
 
+    def _trouble_news(self) -> TroubleNews:
+        news = TroubleNews(
+            self._settings.ip,
+            self.traffic,
+            self.transport.send,
+            lambda: self.summary.head if self.summary is not None else None,
+            lambda: self._lead_until() is not None,
+            self.registry.subscribers,
+            self._log,
+        )
+        self.traffic.on_trouble = lambda: news.report(self._loop.time())
+        return news
+
     # Coming and going
 
     async def open(self) -> None:
@@ -149,18 +160,7 @@
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
         self._send_all(self._quota_duty.tick(now, self._lead_until()))
-        self._report_trouble(now)
-
-    def _report_trouble(self, now: float) -> None:
-        """Tell the head of servers that failed requests here."""
-        report = self.traffic.trouble.flush(now)
-        head = self.summary.head if self.summary is not None else None
-        if report is None or not head:
-            return
-        if head == self._settings.ip:
-            self._on_trouble(now, head, report)
-        else:
-            self.transport.send(head, report)
+        self._trouble.report(now)
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -260,14 +260,7 @@
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
     def _on_trouble(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, TroubleWarning):
-            self.traffic.warned(message)
-        elif isinstance(message, TroubleReport) and self._lead_until() is not None:
-            for warning in self._trouble_desk.receive(now, ip, message):
-                self._log.change("servers-failing", instances=warning.ids, zone=warning.zone)
-                self.traffic.warned(warning)
-                for proxy in self.registry.subscribers():
-                    self.transport.send(proxy, warning)
+        self._trouble.receive(now, ip, message)
 
     # What the cores ask for
 
--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -18,10 +18,11 @@
 from cloverrouter.http.server import ServerLimits
 from cloverrouter.placement.quota import QuotaHolder
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
+from cloverrouter.placement.rest_news import RestReporter
 from cloverrouter.placement.retries import RetryBudgets
 from cloverrouter.placement.servers import Server
 from cloverrouter.placement.trouble import TroubleReporter
-from cloverrouter.placement.trouble_messages import TroubleWarning
+from cloverrouter.placement.trouble_messages import RestWarning, TroubleWarning
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.router import Router
 
@@ -76,6 +77,8 @@
         )
         self.trouble = TroubleReporter(settings.zone)
         self.router.on_trouble = self._trouble_met
+        self.rests = RestReporter()
+        self._pool.on_forgotten = self._connection_forgotten
         self.on_trouble: Callable[[], None] = _nothing
         """Called soon after servers have failed requests: `trouble` has something to tell."""
         self._trouble_told = False
@@ -122,6 +125,13 @@
 
     def _trouble_met(self, instance_id: str) -> None:
         self.trouble.failed(instance_id)
+        self._tell_soon()
+
+    def _connection_forgotten(self, rested_s: float) -> None:
+        self.rests.forgotten(rested_s)
+        self._tell_soon()
+
+    def _tell_soon(self) -> None:
         if not self._trouble_told:
             self._trouble_told = True
             self._loop.call_later(TROUBLE_DELAY_S, self._tell_trouble)
@@ -130,9 +140,11 @@
         self._trouble_told = False
         self.on_trouble()
 
-    def warned(self, warning: TroubleWarning) -> None:
-        """Several proxies found servers failing."""
-        if warning.zone in ("", self._settings.zone):
+    def warned(self, warning: TroubleWarning | RestWarning) -> None:
+        """Several proxies found servers failing, or forgetting connections."""
+        if isinstance(warning, RestWarning):
+            self._pool.rest_at_most(warning.limit_ms / 1000, warning.for_ms / 1000)
+        elif warning.zone in ("", self._settings.zone):
             self.router.warned(warning.ids, warning.for_ms / 1000)
 
     def instances_changed(self, instances: Iterable[Instance], is_silent: Callable[[str], bool]) -> None:
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -64,6 +64,8 @@
         self._opening: set[asyncio.Task[None]] = set()
         self._pools: dict[Address, ServerPool] = {}
         self._rests: RestLimits[Address] = RestLimits()
+        self.on_forgotten: Callable[[float], None] = lambda rested_s: None
+        """Called with the rest of a connection that its server had forgotten, in seconds."""
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def send(
@@ -146,8 +148,14 @@
     def reset_unheard(self, connection: UpstreamConnection, sent_s: float) -> None:
         """A request that went out on a connection that had rested was reset without a byte of an answer."""
         now_s = self.loop.time()
+        rested_s = sent_s - connection.idle_since
         if now_s - sent_s < SOON_S:
-            self._rests.forgotten(connection.pool.address, sent_s - connection.idle_since, now_s)
+            self._rests.forgotten(connection.pool.address, rested_s, now_s)
+            self.on_forgotten(rested_s)
+
+    def rest_at_most(self, limit_s: float, for_s: float) -> None:
+        """Others found that servers forget idle connections: use none that rested longer, for a while."""
+        self._rests.told(limit_s, for_s, self.loop.time())
 
     def uses(self, pool: ServerPool) -> bool:
         return self._pools.get(pool.address) is pool
--- a/cloverrouter/http/rest.py
+++ b/cloverrouter/http/rest.py
@@ -51,12 +51,20 @@
 
     def limit_s(self, server: K, now: float) -> float:
         """How long a connection to `server` may have rested; infinite if nothing speaks against any."""
-        if not self._lessons:
+        if not self._lessons and self._common is None:
             return math.inf
         lessons = (self._lessons.get(server), self._common)
         limits = [found.limit_s for found in lessons if found is not None and now < found.until]
         return min(limits, default=math.inf)
 
+    def told(self, limit_s: float, for_s: float, now: float) -> None:
+        """Others learnt it, for all servers."""
+        known = self._common
+        if known is not None and now < known.until:
+            limit_s = min(limit_s, known.limit_s)
+            for_s = max(for_s, known.until - now)
+        self._common = _Lesson(limit_s, now + for_s, for_s)
+
     def forget(self, server: K) -> None:
         """The server is not used any more."""
         self._lessons.pop(server, None)
--- a/cloverrouter/placement/trouble_messages.py
+++ b/cloverrouter/placement/trouble_messages.py
@@ -24,3 +24,18 @@
     zone: str  # only proxies of this zone are concerned; all if empty
     ids: tuple[str, ...]
     for_ms: int
+
+
+@message(392)
+class RestReport:
+    """Proxy to head: a connection that had rested so long was reset as soon as it was used again."""
+
+    rested_ms: int
+
+
+@message(393)
+class RestWarning:
+    """Head to all proxies: servers forget connections that rest; use none that rested longer than this."""
+
+    limit_ms: int
+    for_ms: int
