--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -110,7 +110,7 @@
         for instance_id in ids:
             standing = self.servers.standings.get(instance_id)
             if standing is not None:
-                standing.warned_until = now + span_s * (0.75 + 0.5 * self._random())
+                standing.warned(now, now + span_s * (0.75 + 0.5 * self._random()))
 
     def overdue(self, now: float) -> list[str]:
         """The few servers at which requests have been waiting for far too long."""
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -29,6 +29,8 @@
 """A server that has sent nothing for this long while a request waits for its first byte is doubted."""
 OVERDUE_S = 0.7
 """A server where a request waits so long for its answer to begin is suspected, whatever else it sends."""
+MOST_SUSPECTS_PART = 3
+"""One server in so many is left alone where more than half are suspected."""
 FEW_PART = 4
 """One server in so many counts as few."""
 COLD_FACTOR = 0.5
@@ -66,6 +68,8 @@
     paused_until: float = 0.0
     warned_until: float = 0.0
     """Other proxies found it failing."""
+    blamed_at: float = 0.0
+    """When it last failed a request, here or, as the head told, elsewhere."""
     suspicion: Suspicion = attrs.field(factory=Suspicion)
     _failures: int = 0
     _failed_at: float = 0.0
@@ -118,6 +122,7 @@
     def erred(self, now: float) -> None:
         """The server's own failure came."""
         self.failed(now)
+        self.blamed_at = now
         self.suspicion.bad(now)
 
     def lost(self, now: float) -> None:
@@ -126,6 +131,7 @@
         pause = min(PAUSE_CAP_S, PAUSE_BASE_S * 2.0**self._failures)
         self.paused_until = now + pause
         self._failures += 1
+        self.blamed_at = now
         self.suspicion.bad(now, LOST_WEIGHT)
 
     def never_answered(self, now: float) -> None:
@@ -168,6 +174,11 @@
         """Whether others are to be preferred for the time being."""
         return self.server.silent or now < self.paused_until or self.doubted(now)
 
+    def warned(self, now: float, until: float) -> None:
+        """Other proxies found it failing."""
+        self.warned_until = until
+        self.blamed_at = now
+
     def suspected(self, now: float, careful: bool = False) -> bool:
         """Whether it is likely to fail a request; `careful` for one that can't be sent again."""
         if now < self.warned_until:
@@ -222,12 +233,13 @@
         return max(1, len(self.ready) // FEW_PART)
 
     def usable(self, among: Iterable[Standing], now: float, careful: bool = False) -> list[Standing]:
-        """Those that nothing speaks against. If most of the servers are suspected, none is: what fails
-        then is rather something else, and the rest could not carry the load."""
+        """Those that nothing speaks against. If most of the servers are suspected, only those that failed last
+        count: the rest could not carry the load, and may have recovered."""
         suspects = {one for one in self.ready if one.suspected(now, careful)}
-        suspects.update(self.few_overdue(now))
         if 2 * len(suspects) > len(self.ready):
-            suspects = set()
+            latest = sorted(suspects, key=lambda one: one.blamed_at, reverse=True)
+            suspects = set(latest[: len(self.ready) // MOST_SUSPECTS_PART])
+        suspects.update(self.few_overdue(now))
         return [one for one in among if one not in suspects and not one.avoided(now)]
 
     def total_in_flight(self) -> int:
--- a/tests/system/test_server_health.py
+++ b/tests/system/test_server_health.py
@@ -92,11 +92,19 @@
     assert made.pick(SUBJECT, (), NOW + 20) is home
 
 
-def test_if_most_are_suspected_none_is() -> None:
-    made = placement(4)
-    for place in range(3):
-        made.servers.standings[f"i-{place}"].erred(NOW)
-    assert picked(made, NOW) == {"i-0", "i-1", "i-2", "i-3"}
+def test_if_most_are_suspected_only_those_that_failed_last_are_left_alone() -> None:
+    made = placement(6)
+    for place in range(5):
+        made.servers.standings[f"i-{place}"].erred(NOW + place / 100)
+    usable = made.servers.usable(made.servers.ready, NOW + 0.1)
+    assert [one.server.id for one in usable] == ["i-0", "i-1", "i-2", "i-5"]
+
+
+def test_if_all_are_suspected_most_are_used() -> None:
+    made = placement(2)
+    for standing in made.servers.ready:
+        standing.erred(NOW)
+    assert picked(made, NOW) == {"i-0", "i-1"}
 
 
 def test_a_server_that_goes_up_and_down_is_left_alone_for_longer_each_time() -> None:
