--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -233,7 +233,7 @@
         return max(1, len(self.ready) // FEW_PART)
 
     def usable(self, among: Iterable[Standing], now: float, careful: bool = False) -> list[Standing]:
-        """Those that nothing speaks against. If most of the servers are suspected, only those that failed last
+        """Those that nothing speaks against. If most of the servers are suspected, only the latest to fail
         count: the rest could not carry the load, and may have recovered."""
         suspects = {one for one in self.ready if one.suspected(now, careful)}
         if 2 * len(suspects) > len(self.ready):
