--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -121,11 +121,27 @@
             return history.committed, None
         return history.committed, history.snapshot().data
 
+    @property
+    def adoptable(self) -> bool:
+        """Whether the disk is of the system's first start and no view has it yet. On a seed that says so a
+        `GenesisProposer` has to run, also when its process was started again meanwhile."""
+        return self._context.disk.meta.adoptable
+
     @property
     def lead_until(self) -> float | None:
         """Until when surely no other is head: None if this replica isn't or can't be sure."""
         return self._head.lead_until if self._head is not None else None
 
+    @property
+    def fleet_size(self) -> int:
+        """The size of the fleet that was remembered last; 0: none."""
+        return self._context.disk.meta.fleet_size
+
+    def remember_fleet_size(self, now: float, size: int) -> None:
+        """How many machines there are is kept for the next start, as nobody else may know it then."""
+        if size != self.fleet_size:
+            self._context.disk.note(now, fleet_size=size)
+
     @property
     def disk_trouble_s(self) -> float:
         """For how long the own disk has been busy or failing."""
@@ -212,7 +228,7 @@
 
     def _look_at_clock(self, now: float) -> None:
         """After a freeze nothing that was not heard counts."""
-        if now - self._now > self._config.failure_timeout_s:
+        if now - self._now > self._config.failure_timeout_s / 2:
             self._follower.forgive(now)
             self._roster.forgive(now)
             self._context.disk.forgive(now)
