Flight split by concern; a hung server is left only if there is another to ask

What is tried, paid and allowed (Tries), a request's turn at its quota (QuotaTurn) and what was found before anything was sent (Admitted) have modules of their own: flight.py 395 to 342 lines, behaviour unchanged, its tests too. Bounds that nothing read (pass_ms, budget_share) are gone.

Found on the way by reading: a request that left a silent server when all others had been tried or were draining ended with 502 or a cut stream, though silence gives no reason to end an answer. Now another server must be there first; the new test fails without it.

--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -63,7 +63,7 @@
             random,
             self._pool,
             settings.zone,
-            RouterBounds(pass_ms=bounds.pass_s * 1000),
+            RouterBounds(),
             self.quota,
             self.budgets,
             log.request,
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -16,9 +16,10 @@
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
 from cloverrouter.router import answers
+from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.bounds import RouterBounds
-from cloverrouter.router.flight import Admitted, Flight
+from cloverrouter.router.flight import Flight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
     MODEL,
--- a/tests/system/test_router_patience.py
+++ b/tests/system/test_router_patience.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cloverrouter.router.patience import STALL_S, START_S
-from tests.system.router_world import CONFIGURATION, EVENTS, SIGNED, World, event
+from tests.system.router_world import CONFIGURATION, EVENTS, NOT_EXECUTED, SIGNED, World, event
 
 START_MS = START_S * 1000
 STALL_MS = STALL_S * 1000
@@ -95,6 +95,22 @@
     assert not world.last.cancelled and len(world.calls) == 1
 
 
+def test_with_no_other_server_to_ask_it_is_waited_for(world: World) -> None:
+    exchange = world.ask("/again/x")
+    first = world.last
+    first.answer(503, NOT_EXECUTED)
+    hung = world.last
+    hung.write()
+    others = {f"desk-{place}" for place in range(3)} - {first.instance, hung.instance}
+    world.router.servers_changed(
+        [world.server("desk", place, ready=False) for place in range(3) if f"desk-{place}" in others]
+    )
+    world.clock.pass_ms(START_MS * 1.5)
+    assert not hung.cancelled and not exchange.done
+    hung.answer(200, SIGNED, body=b"ok")
+    assert exchange.status == 200
+
+
 def test_a_client_that_does_not_read_is_no_fault_of_the_server(world: World) -> None:
     exchange = world.ask("/resume/x")
     world.last.stream(event(1))
