Calm servers grow before a queue forms: by the count of what is under way

Answers that begin late tell of a full server only once there is a queue. Own requests at the calm servers times the proxies of the fleet tell it earlier; with fewer than four of its own a proxy can't tell chance from load.

--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -108,6 +108,7 @@
     def fleet_changed(self, size: int) -> None:
         """So many proxies there are, as the control plane knows."""
         self.fleet_size = size
+        self.router.fleet_changed(size)
         self.quota.holder.configure(self.limits, size)
         self.budgets.resize(size)
 
--- a/cloverrouter/placement/calm.py
+++ b/cloverrouter/placement/calm.py
@@ -24,6 +24,11 @@
 token in the mean;"""
 GROW_EVERY_S = 0.3
 """at most one in this time."""
+FULL = 1.2
+"""One more as well when the requests under way there, taken to be alike at all proxies, fill the calm servers
+so many times over;"""
+LEAST_UNDER_WAY = 4
+"""with fewer of its own a proxy can't tell chance from load."""
 EASED_DELAY = 0.5
 """One less when they have not been later than this"""
 SHRINK_AFTER_S = 1.5
@@ -40,6 +45,8 @@
         self._extra = 0
         self._grew_at = self._late_at = 0.0
         self._talked_at = self._read_at = -KIND_MEMORY_S
+        self.fleet_size = 1
+        """Proxies that send to the same servers."""
 
     def __contains__(self, standing: Standing) -> bool:
         return standing in self.members
@@ -71,9 +78,10 @@
         if not self.members:
             return False
         delay = sum([one.late_ms(now, usual_ms) for one in self.members]) / len(self.members) / usual_ms
-        if delay > EASED_DELAY:
+        full = self._full()
+        if delay > EASED_DELAY or full:
             self._late_at = now
-        if delay > GROW_DELAY and now - self._grew_at > GROW_EVERY_S:
+        if (delay > GROW_DELAY or full) and now - self._grew_at > GROW_EVERY_S:
             self._grew_at = now
             return self._resize(1)
         if self._extra and now - self._late_at > SHRINK_AFTER_S:
@@ -81,6 +89,11 @@
             return self._resize(-1)
         return False
 
+    def _full(self) -> bool:
+        under_way = sum([one.in_flight for one in self.members])
+        capacity = sum([one.server.capacity for one in self.members])
+        return under_way >= LEAST_UNDER_WAY and under_way * self.fleet_size > FULL * capacity > 0
+
     def _resize(self, by: int) -> bool:
         before = len(self.members)
         self._extra += by
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -74,6 +74,10 @@
         for cache in self._caches.values():
             cache.capacity_tokens = kv_tokens or DEFAULT_KV_TOKENS
 
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies send to the servers."""
+        self._calm.fleet_size = size
+
     def told(self, server: Server) -> None:
         """A server of this service was added or changed."""
         self.servers.told(server)
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -89,6 +89,7 @@
         self._waiting: dict[str, dict[Flight, None]] = {}
         self._keys = 0
         self._started_at = clock()
+        self._fleet_size = 1
 
     # What the daemon tells and asks
 
@@ -101,6 +102,12 @@
             kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
             self.placement(service.name).configure(kv_tokens)
 
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies carry the traffic."""
+        self._fleet_size = size
+        for placement in self._placements.values():
+            placement.fleet_changed(size)
+
     def servers_changed(self, servers: Iterable[Server]) -> None:
         """Servers were added or changed. Nothing new goes to one that isn't ready, from now on."""
         for server in servers:
@@ -224,6 +231,7 @@
         found = self._placements.get(service)
         if found is None:
             found = self._placements[service] = ServicePlacement(self.random.random, self.zone)
+            found.fleet_changed(self._fleet_size)
         return found
 
     def next_key(self) -> int:
--- a/tests/system/test_placement_calm.py
+++ b/tests/system/test_placement_calm.py
@@ -100,3 +100,26 @@
     assert calm.wanted
     calm.note(talking, NOW + KIND_MEMORY_S + 1)
     assert not calm.wanted
+
+
+def test_more_are_calm_once_all_proxies_together_fill_them() -> None:
+    calm = calm_of(standings(8))
+    calm.fleet_size = 10
+    first, second = calm.members
+    for key in range(2):
+        first.sent(key, NOW)
+        second.sent(key, NOW)
+        first.heard(key, NOW)
+        second.heard(key, NOW)
+        assert calm.adapt(NOW + 1, USUAL_MS) is (key == 1)
+    assert len(calm.members) == 3
+    assert not calm.adapt(NOW + 2, USUAL_MS)  # 40 under way, 36 places: not 1.2 times
+
+
+def test_a_small_fleet_does_not_fill_them_with_few_requests() -> None:
+    calm = calm_of(standings(8))
+    calm.fleet_size = 3
+    for key, one in enumerate(list(calm.members) * 4):
+        one.sent(key, NOW)
+        one.heard(key, NOW)
+    assert not calm.adapt(NOW + 1, USUAL_MS)
