Room at a server is no more than a proxy's even share of it, 1.2 times

In a fleet of ten, 0.17 of the places each was 1.7 times the server: after a crash all streams went on at one server and queued there.

--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -29,7 +29,9 @@
 ROOM_FACTOR = 1.5
 """A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there,"""
 ROOM_PART = 0.17
-"""or less than this part of what it runs at once: other proxies send there too."""
+"""or less than this part of what it runs at once, other proxies send there too;"""
+ROOM_SHARE = 1.2
+"""or, in larger fleets, less than so many times this proxy's even share of that,"""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
 ORDERS_KEPT = 2_048
@@ -67,6 +69,7 @@
         self._orders: OrderedDict[tuple[int, _Layout], list[Standing]] = OrderedDict()
         self._orders_of = -1
         self._calm = CalmServers()
+        self._room_part = ROOM_PART
 
     def configure(self, kv_tokens: int | None) -> None:
         """The service's settings changed."""
@@ -77,6 +80,7 @@
     def fleet_changed(self, size: int) -> None:
         """So many proxies send to the servers."""
         self._calm.fleet_size = size
+        self._room_part = min(ROOM_PART, ROOM_SHARE / max(1, size))
 
     def told(self, server: Server) -> None:
         """A server of this service was added or changed."""
@@ -190,7 +194,7 @@
         return candidates
 
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
-        if standing.in_flight >= max(room, standing.server.capacity * ROOM_PART):
+        if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
 
--- a/tests/system/test_placement_pick.py
+++ b/tests/system/test_placement_pick.py
@@ -328,3 +328,19 @@
             made.servers.standings[one].sent(key, NOW)
             made.servers.standings[one].heard(key, NOW)
     assert not calm & set(homes(made, [talking(number) for number in range(50)]))
+
+
+def test_in_a_larger_fleet_a_server_s_room_is_shared_by_all_proxies() -> None:
+    made = placement(8, capacity=48)
+    made.fleet_changed(12)
+    pick(made, reading(0))
+    calm = set(homes(made, [talking(number) for number in range(50)]))
+    for key in range(4):
+        for one in calm:
+            made.servers.standings[one].sent(key, NOW)
+            made.servers.standings[one].heard(key, NOW)
+    assert set(homes(made, [talking(number) for number in range(50)])) == calm
+    for one in calm:
+        made.servers.standings[one].sent(4, NOW)
+        made.servers.standings[one].heard(4, NOW)
+    assert not calm & set(homes(made, [talking(number) for number in range(50)]))
