--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -70,7 +70,7 @@
             random,
             self._pool,
             settings.zone,
-            RouterBounds(pass_ms=bounds.pass_s * 1000),
+            RouterBounds(),
             self.quota,
             self.budgets,
             log.request,
@@ -120,6 +120,7 @@
     def fleet_changed(self, size: int) -> None:
         """So many proxies there are, as the control plane knows."""
         self.fleet_size = size
+        self.router.fleet_changed(size)
         self.quota.holder.configure(self.limits, size)
         self.budgets.resize(size)
 
