Quotas: the last head hands over its pools, half of the overshoot is rate, a new pool owes an old one's debt

A head that has stopped now tells the next what is left. Found on the way: each new pool could go into debt anew, which over many heads in a window is more than the rule gives a small tenant; it begins with the debt now. Tried and ruled out: giving what is left of the rule's window (1.14 to 1.27 of the rate steadily), as a new head can't know what was given before and would have to wait 1.6 s.

--- a/cloverrouter/control/quota_allocator.py
+++ b/cloverrouter/control/quota_allocator.py
@@ -6,7 +6,8 @@
 stand by: its reports confirm an answer, and each answer says for how long it binds. A proxy that was
 never heard counts as standing by, up to the size of the fleet.
 
-So an allocator needs to know nothing of the one before, except that its credit has run out.
+So an allocator needs to know nothing of the one before, except that its credit has run out. One that is
+still there hands over what is left of its pools.
 
 State: some 200 bytes a tenant, and 300 a proxy.
 """
@@ -19,7 +20,14 @@
 import attrs
 
 from cloverrouter.control.quota_pool import TenantPool, idle_part
-from cloverrouter.placement.quota_messages import QuotaAsk, QuotaContact, QuotaCredit, QuotaReport, Send
+from cloverrouter.messages.sending import Send
+from cloverrouter.placement.quota_messages import (
+    QuotaAsk,
+    QuotaContact,
+    QuotaCredit,
+    QuotaHandover,
+    QuotaReport,
+)
 from cloverrouter.placement.quota_plan import (
     QuotaRules,
     TenantLimit,
@@ -92,6 +100,7 @@
         self._peers: dict[str, _Peer] = {}
         self._talking = 0  # peers that surely don't stand by
         self._next_silent_at = float("inf")
+        self._taken_over: set[int] = set()
 
     def configure(self, tenants: Mapping[str, TenantLimit], fleet_size: int) -> None:
         """Limits in force from now on, and how many proxies there may be; 0 while unknown."""
@@ -111,12 +120,22 @@
         """The view has changed, but this machine has been the only head all the time."""
         self._epochs = range(self._epochs.start, epoch + 1)
 
+    def hand_over(self, now: float, ip: str, epoch: int) -> Send:
+        """The last thing that it does: tell the new head what is left."""
+        self._now = now
+        self._mark_silent()
+        self._advance_all(now)
+        tokens = {name: pool.left() for name, pool in self._pools.items()}
+        return Send(ip, QuotaHandover(epoch, self._epochs.start, tokens))
+
     def receive(self, now: float, ip: str, message: object) -> list[Send]:
         """A datagram of a proxy; the answer to it, if any."""
         self._now = now
+        self._mark_silent()
+        if isinstance(message, QuotaHandover) and message.epoch in self._epochs:
+            self._take_over(message)
         if now < self._opens_at:
             return []
-        self._mark_silent()
         if isinstance(message, QuotaAsk) and message.epoch in self._epochs:
             return [Send(ip, self._credit(message))]
         if isinstance(message, QuotaReport) and message.epoch in self._epochs:
@@ -169,6 +188,17 @@
                     dry[name] = pool.dry_s()
         return QuotaCredit(ask.epoch, ask.incarnation, ask.number, ask.sent_at, CREDIT_S, tokens, dry)
 
+    def _take_over(self, message: QuotaHandover) -> None:
+        """What another allocator has left, each once."""
+        if message.from_epoch in self._taken_over:
+            return
+        self._taken_over.add(message.from_epoch)
+        self._advance_all(self._now)
+        for name, tokens in message.tokens.items():
+            if name in self._pools:
+                self._pools[name].take_over(tokens)
+        self._advance_all(self._now)
+
     def _answer(self, ip: str, report: QuotaReport) -> list[QuotaContact]:
         peer = self._peers.get(ip)
         if peer is None:
--- a/cloverrouter/control/quota_duty.py
+++ b/cloverrouter/control/quota_duty.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 
 from cloverrouter.control.quota_allocator import QuotaAllocator
-from cloverrouter.placement.quota_messages import Send
+from cloverrouter.messages.sending import Send
+from cloverrouter.placement.quota_messages import QuotaHandover
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
 
 
@@ -27,22 +28,30 @@
         if self._allocator is not None:
             self._allocator.configure(limits, fleet_size)
 
-    def view_changed(self, now: float, epoch: int, head: str | None) -> None:
+    def view_changed(self, now: float, epoch: int, head: str | None) -> list[Send]:
         """`head`: of the view, once it is active."""
         if head is None or epoch == self._epoch:
-            return
+            return []
+        self._epoch = epoch
         if head != self._own_ip:
-            self._allocator = None
-        elif self._allocator is not None and now < self._sure_until:
+            last, self._allocator = self._allocator, None
+            if last is None:
+                return []
+            return [last.hand_over(min(now, self._sure_until), head, epoch)]
+        if self._allocator is not None and now < self._sure_until:
             self._allocator.next_epoch(epoch)
         else:
             self._allocator = QuotaAllocator(epoch, now, self._rules)
             self._allocator.configure(self._limits, self._fleet_size)
-        self._epoch = epoch
+        return []
 
     def receive(self, now: float, lead_until: float | None, ip: str, message: object) -> list[Send]:
-        """A proxy's datagram. `lead_until`: no other can become head before; None if that isn't sure."""
-        if self._allocator is None or not self._leads(now, lead_until):
+        """A datagram of a proxy, or of an earlier head.
+
+        `lead_until`: no other can become head before; None if that isn't sure.
+        """
+        leads = self._leads(now, lead_until)
+        if self._allocator is None or not (leads or isinstance(message, QuotaHandover)):
             return []
         return self._allocator.receive(now, ip, message)
 
--- a/cloverrouter/control/quota_pool.py
+++ b/cloverrouter/control/quota_pool.py
@@ -10,6 +10,7 @@
 
 KEPT_PART = 0.5  # of the room: for requests that wait, not for holding in advance
 SHORTEST_DRY_S = 0.03
+EAGER_S = 2.0
 
 
 def idle_part(talking_part: float) -> float:
@@ -21,12 +22,17 @@
 class TenantPool:
     """Fills at the tenant's rate, less what proxies may be running by themselves.
 
-    Credit that was given and may not have been run yet is counted in its room.
+    It begins with what the pool of an earlier allocator may have owed. Credit that was given and may not have
+    been run yet is counted in its room.
     """
 
     plan: TenantPlan
     updated_at: float
-    level: float = 0.0  # negative: owed
+    level: float = attrs.field(default=attrs.Factory(lambda self: -self.plan.debt, takes_self=True))
+    eager_until: float = attrs.field(
+        default=attrs.Factory(lambda self: self.updated_at + EAGER_S, takes_self=True)
+    )
+    _parked: float = 0.0
     _credits: deque[tuple[float, float]] = attrs.field(factory=deque)  # (until, tokens)
     _credit_out: float = 0.0
 
@@ -36,16 +42,25 @@
         if elapsed > 0:
             self.level += elapsed * self.plan.rate * idle_part(talking_part)
             self.updated_at = now
+            stored = elapsed * self.plan.rate * STANDBY_PART * (1 - talking_part)
+            self._parked = max(self._parked - stored, 0.0)
         while self._credits and self._credits[0][0] <= now:
             self._credit_out -= self._credits.popleft()[1]
         room = self.plan.room * (1 - STANDBY_ROOM_PART * (1 - talking_part))
-        self.level = min(self.level, room - self._credit_out)
+        unparked = max(min(self._parked, room - self._credit_out - self.level), 0.0)
+        self._parked -= unparked
+        self.level = min(self.level + unparked, room - self._credit_out)
 
     def lend(self, wanted: int, until: float) -> int:
-        """Any size is served while there is anything: large requests wait no longer than small ones."""
-        if self.level <= 0:
+        """Any size is served while there is anything: large requests wait no longer than small ones.
+
+        Only at first, small ones are served before the debt that the pool begins with is paid.
+        """
+        most = int(self.level + self.plan.debt)
+        eager = self.updated_at < self.eager_until and wanted <= most
+        if self.level <= 0 and not eager:
             return 0
-        return self._lend(min(wanted, int(self.level + self.plan.debt)), until)
+        return self._lend(min(wanted, most), until)
 
     def lend_spare(self, wanted: int, until: float) -> int:
         """What no request waits for: only out of what the pool has beyond `KEPT_PART`."""
@@ -58,6 +73,18 @@
         self._credit_out += tokens
         return tokens
 
+    def left(self) -> int:
+        """What another allocator may give beyond what it begins with, if this one gives nothing any more."""
+        return max(int(self.level + self.plan.debt), 0)
+
+    def take_over(self, tokens: float) -> None:
+        """What another allocator had left. Call before `advance`.
+
+        While this one counts proxies as standing by, for which the other knew better, there is no room for all.
+        What waits for room is less by all that those proxies may have stored since.
+        """
+        self._parked += tokens
+
     def dry_s(self) -> float:
         """How long until the pool may hold something again; longer if proxies stand by then."""
         return max(-self.level / self.plan.rate, SHORTEST_DRY_S)
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -262,7 +262,7 @@
         self._view_learned(now, message.summary)
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
+        if not isinstance(message, quota_messages.QuotaContact | quota_messages.QuotaCredit):
             self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
@@ -346,7 +346,7 @@
         self._forwarded(self._forwarder.head_changed(now, head))
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
-        self._quota_duty.view_changed(now, summary.epoch, head)
+        self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
--- a/cloverrouter/daemon/quota_port.py
+++ b/cloverrouter/daemon/quota_port.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from cloverrouter.messages.sending import Send
 from cloverrouter.placement.quota import ASK_SPACING_S, Effect, QuotaHolder
-from cloverrouter.placement.quota_messages import Send
 
 
 class QuotaPort:
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -19,13 +19,13 @@
 
 import attrs
 
+from cloverrouter.messages.sending import Send
 from cloverrouter.placement.quota_account import Account, Standby
 from cloverrouter.placement.quota_messages import (
     QuotaAsk,
     QuotaContact,
     QuotaCredit,
     QuotaReport,
-    Send,
     Wake,
 )
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit, contact_s, plan_tenant
--- a/cloverrouter/placement/quota_messages.py
+++ b/cloverrouter/placement/quota_messages.py
@@ -61,12 +61,13 @@
     dry_for_s: dict[str, float]
 
 
-@attrs.frozen(slots=True)
-class Send:
-    """Effect: send this datagram to the machine at `ip`."""
+@message(355)
+class QuotaHandover:
+    """An allocator that has stopped for good to the next head: what is left of its pools, by tenant."""
 
-    ip: str
-    message: object
+    epoch: int  # of the new head
+    from_epoch: int
+    tokens: dict[str, int]
 
 
 @attrs.frozen(slots=True)
--- a/cloverrouter/placement/quota_plan.py
+++ b/cloverrouter/placement/quota_plan.py
@@ -14,10 +14,11 @@
 import attrs
 
 SAFETY = 0.01  # of the allowed tokens: clocks that run at slightly different rates
-LEAST_STORE_PART = 0.1  # of the allowed tokens: what buckets can store at least, at the rate's expense
+STEADY_PART = 0.5  # of the overshoot: for a higher rate; the rest can be stored
+LEAST_STORE_PART = 0.05  # of the allowed tokens: what buckets can store at least, at the rate's expense
 LINE_ROOM_PART = 0.3  # of the store: what proxies may hold in advance, all together
 POOL_DEBT_TOKENS = 40_000.0  # largest request that the pool serves when it holds next to nothing
-POOL_DEBT_PART = 0.3  # of the store: what the pool may owe at most
+POOL_DEBT_PART = 0.25  # of the store: what the pool may owe at most
 STANDBY_PART = 0.5  # of the pool's rate: what all proxies have together when each is on its own
 STANDBY_ROOM_PART = 0.8  # of the pool's room: likewise
 
@@ -64,7 +65,8 @@
 def plan_tenant(limit: TenantLimit, rules: QuotaRules, fleet_size: int) -> TenantPlan:
     """Divide a limit over a fleet of at most `fleet_size` proxies; 0: unknown, then a proxy has nothing."""
     allowed = allowed_tokens(limit, rules) * (1 - SAFETY)
-    store = max(allowed - limit.rate * rules.window_s, allowed * LEAST_STORE_PART)
+    steady = limit.rate * (1 + rules.overshoot * STEADY_PART) * rules.window_s
+    store = max(allowed - steady, allowed * LEAST_STORE_PART)
     rate = (allowed - store) / rules.window_s
     debt = min(POOL_DEBT_TOKENS, store * POOL_DEBT_PART)
     room = store * (1 - LINE_ROOM_PART) - debt
--- a/tests/system/quota_world.py
+++ b/tests/system/quota_world.py
@@ -13,8 +13,8 @@
 
 from cloverrouter.control.quota_allocator import QuotaAllocator
 from cloverrouter.messages import Decoder, encode
+from cloverrouter.messages.sending import Send
 from cloverrouter.placement.quota import ASK_WAIT_S, QuotaHolder
-from cloverrouter.placement.quota_messages import Send
 from cloverrouter.placement.quota_plan import STANDBY_PART, QuotaRules, TenantLimit, allowed_tokens
 
 TICK_S = 0.01
@@ -188,6 +188,16 @@
     def _tell_head(self, proxy: Proxy) -> None:
         if self.head is not None and self.awake(proxy) and self.reaches(proxy, self.head):
             proxy.holder.head_changed(self.head.ip, self.epoch)
+            self._retire(proxy)
+
+    def _retire(self, proxy: Proxy) -> None:
+        """A head that learns of the next one hands over to it."""
+        if proxy.allocator is None or self.head is None or proxy is self.head:
+            return
+        last = proxy.clock(min(self.now, proxy.confirmed_until))
+        handover = proxy.allocator.hand_over(last, self.head.ip, self.epoch)
+        proxy.allocator = None
+        self._send(proxy, [handover])
 
     def configure(self, limits: dict[str, TenantLimit], spread_s: float = 1.0) -> None:
         """Every proxy has the new limits within `spread_s`."""
--- a/tests/system/test_quota_duty.py
+++ b/tests/system/test_quota_duty.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cloverrouter.control.quota_duty import QuotaDuty
-from cloverrouter.placement.quota_messages import QuotaAsk
+from cloverrouter.placement.quota_messages import QuotaAsk, QuotaCredit, QuotaHandover
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
 
 ME, OTHER = "10.0.0.1", "10.0.0.2"
@@ -35,6 +35,35 @@
     assert one.receive(20.0, 20.3, OTHER, ask(4)) == []
 
 
+def test_the_last_head_hands_over_what_is_left() -> None:
+    last, following = duty(), QuotaDuty(OTHER, QuotaRules())
+    following.configure({"a": TenantLimit(100_000, 100_000)}, 4)
+    last.tick(20.0, 20.4)
+    (handover,) = last.view_changed(30.0, 4, OTHER)
+    assert handover.ip == OTHER and isinstance(handover.message, QuotaHandover)
+    following.view_changed(30.0, 4, OTHER)
+    assert following.receive(30.0, None, ME, handover.message) == []
+    assert following.receive(30.0, None, ME, handover.message) == []
+    (effect,) = following.receive(30.2, 30.5, ME, QuotaAsk(4, 7, 1, 55.5, {"a": 60_000}, {}))
+    assert isinstance(effect.message, QuotaCredit)
+    assert effect.message.tokens == {"a": 60_000}
+    left = handover.message.tokens["a"]
+    (effect,) = following.receive(30.2, 30.5, ME, QuotaAsk(4, 7, 2, 55.5, {"a": 10**9}, {}))
+    assert isinstance(effect.message, QuotaCredit)
+    assert 60_000 + effect.message.tokens.get("a", 0) <= left + 0.1 * 110_000
+
+
+def test_what_a_head_has_left_does_not_grow_after_it_was_head() -> None:
+    one, other = duty(), duty()
+    one.tick(20.0, 20.4)
+    other.tick(20.0, 20.4)
+    one.receive(20.1, 20.4, OTHER, ask(3))
+    other.receive(20.1, 20.4, OTHER, ask(3))
+    (early,) = one.view_changed(20.5, 4, OTHER)
+    (late,) = other.view_changed(90.0, 4, OTHER)
+    assert early == late
+
+
 def test_a_head_that_was_sure_all_the_time_goes_on() -> None:
     one = duty()
     one.tick(20.0, 20.4)
