--- a/cloverrouter/control/quota_pool.py
+++ b/cloverrouter/control/quota_pool.py
@@ -80,8 +80,8 @@
     def take_over(self, tokens: float) -> None:
         """What another allocator had left. Call before `advance`.
 
-        While this one counts proxies as standing by, for which the other knew better, there is no room for all.
-        What waits for room is less by all that those proxies may have stored since.
+        While this one counts proxies as standing by, for which the other knew better, there is no room
+        for all. What waits for room is less by all that those proxies may have stored since.
         """
         self._parked += tokens
 
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -16,9 +16,10 @@
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
 from cloverrouter.router import answers
+from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.bounds import RouterBounds
-from cloverrouter.router.flight import Admitted, Flight
+from cloverrouter.router.flight import Flight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
     MODEL,
@@ -88,6 +89,7 @@
         self._waiting: dict[str, dict[Flight, None]] = {}
         self._keys = 0
         self._started_at = clock()
+        self._fleet_size = 1
 
     # What the daemon tells and asks
 
@@ -100,6 +102,12 @@
             kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
             self.placement(service.name).configure(kv_tokens)
 
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies carry the traffic."""
+        self._fleet_size = size
+        for placement in self._placements.values():
+            placement.fleet_changed(size)
+
     def servers_changed(self, servers: Iterable[Server]) -> None:
         """Servers were added or changed. Nothing new goes to one that isn't ready, from now on."""
         for server in servers:
@@ -223,6 +231,7 @@
         found = self._placements.get(service)
         if found is None:
             found = self._placements[service] = ServicePlacement(self.random.random, self.zone)
+            found.fleet_changed(self._fleet_size)
         return found
 
     def next_key(self) -> int:
