--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -295,7 +295,7 @@
         self._view_learned(now, message.summary)
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
+        if not isinstance(message, quota_messages.QuotaContact | quota_messages.QuotaCredit):
             if self._quota_duty is not None:
                 self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
@@ -374,7 +374,7 @@
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
         if self._quota_duty is not None:
-            self._quota_duty.view_changed(now, summary.epoch, head)
+            self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
