--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -31,7 +31,7 @@
 """A server where a request waits so long for its answer to begin is suspected, whatever else it sends."""
 MOST_SUSPECTS_PART = 3
 """One server in so many is left alone where more than half are suspected."""
-FEW_PART = 4
+FEW_PART = 3
 """One server in so many counts as few."""
 COLD_FACTOR = 0.5
 """What a server that still warms up is worth."""
