--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
-from cloverrouter.control.api import RegisterReply
 from cloverrouter.control.errors import Unavailable
 from cloverrouter.control.forwarding import Kind
 from cloverrouter.control.instances import Instance
@@ -19,6 +18,7 @@
 from cloverrouter.messages import encode
 
 if TYPE_CHECKING:
+    from cloverrouter.control.api import RegisterReply
     from cloverrouter.daemon.control_plane import ControlPlane
 
 
@@ -80,6 +80,8 @@
         instance = instance_from(self._loop.time(), instance_id, body)
         change, effects = self._plane.registry.announced(self._loop.time(), instance)
         await self._change(change, effects)
+        from cloverrouter.control.api import RegisterReply
+
         return RegisterReply()
 
     async def withdraw(self, instance_id: str) -> bool:
@@ -157,6 +159,20 @@
         yield Figure.single(
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
+        yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
+        kinds = sorted((kind.__name__, count) for kind, count in transport.sent.items())
+        yield Figure(
+            "cypresswinch_peer_sent_messages_total",
+            "counter",
+            "Messages sent to peers, by kind.",
+            tuple(({"kind": name}, float(count.messages)) for name, count in kinds),
+        )
+        yield Figure(
+            "cypresswinch_peer_sent_kind_bytes_total",
+            "counter",
+            "Bytes of messages sent to peers, by kind.",
+            tuple(({"kind": name}, float(count.bytes)) for name, count in kinds),
+        )
 
 
 def _shown(instance: Instance, silent: bool) -> dict[str, Any]:
--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -12,7 +12,8 @@
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.quota_port import QuotaPort
 from cloverrouter.daemon.request_traces import RequestTraces
-from cloverrouter.daemon.settings import Settings, parse_address
+from cloverrouter.daemon.settings import Settings
+from cloverrouter.daemon.settings_checks import parse_address
 from cloverrouter.http.client import ConnectionPool
 from cloverrouter.http.server import Server as HttpServer
 from cloverrouter.http.server import ServerLimits
@@ -30,7 +31,7 @@
 UPSTREAM_IDLE_S = 10.0
 BODY_TIMEOUT_S = 3.0
 TROUBLE_DELAY_S = 0.01  # failures that come together are told together
-STARTING_FLEET = 16  # proxies there may be, until the control plane tells
+STARTING_FLEET = 16  # proxies that share retry budgets, until the control plane tells
 
 
 def _nothing() -> None:
@@ -69,7 +70,7 @@
             random,
             self._pool,
             settings.zone,
-            RouterBounds(pass_ms=bounds.pass_s * 1000),
+            RouterBounds(),
             self.quota,
             self.budgets,
             log.request,
@@ -84,7 +85,7 @@
         self._trouble_told = False
         self.frontend: HttpServer | None = None
         self.limits: dict[str, TenantLimit] = {}
-        self.fleet_size = STARTING_FLEET
+        self.fleet_size = 0  # unknown
 
     def send_with(self, send: Callable[[str, object], None]) -> None:
         """Messages to other machines go out by this from now on."""
@@ -118,10 +119,10 @@
 
     def fleet_changed(self, size: int) -> None:
         """So many proxies there are, as the control plane knows."""
-        if size != self.fleet_size:
-            self.fleet_size = size
-            self.quota.holder.configure(self.limits, size)
-            self.budgets.resize(size)
+        self.fleet_size = size
+        self.router.fleet_changed(size)
+        self.quota.holder.configure(self.limits, size)
+        self.budgets.resize(size)
 
     def _trouble_met(self, instance_id: str) -> None:
         self.trouble.failed(instance_id)
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -11,13 +11,15 @@
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
+from cloverrouter.placement.admission import unconfigured_retry_after_s
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
 from cloverrouter.router import answers
+from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.bounds import RouterBounds
-from cloverrouter.router.flight import Admitted, Flight
+from cloverrouter.router.flight import Flight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
     MODEL,
@@ -42,7 +44,6 @@
 from cloverrouter.router.ranks import Ranks
 from cloverrouter.router.verdict import End, Verdict
 
-UNCONFIGURED_WAIT_S = 0.3
 SERVER_ERRORS = 500
 SPLIT_SALT = 0x5DEECE66D
 
@@ -87,6 +88,8 @@
         self._flights: set[Flight] = set()
         self._waiting: dict[str, dict[Flight, None]] = {}
         self._keys = 0
+        self._started_at = clock()
+        self._fleet_size = 1
 
     # What the daemon tells and asks
 
@@ -99,6 +102,12 @@
             kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
             self.placement(service.name).configure(kv_tokens)
 
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies carry the traffic."""
+        self._fleet_size = size
+        for placement in self._placements.values():
+            placement.fleet_changed(size)
+
     def servers_changed(self, servers: Iterable[Server]) -> None:
         """Servers were added or changed. Nothing new goes to one that isn't ready, from now on."""
         for server in servers:
@@ -155,7 +164,8 @@
             self._respond(exchange, answers.BAD_REQUEST)
             return
         if self._table is None:
-            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(UNCONFIGURED_WAIT_S))
+            wait_s = unconfigured_retry_after_s(self.clock() - self._started_at, self.random.random())
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
             return
         route = self._table.match(request.header(b"host") or b"", request.target.partition(b"?")[0])
         if route is None:
@@ -221,6 +231,7 @@
         found = self._placements.get(service)
         if found is None:
             found = self._placements[service] = ServicePlacement(self.random.random, self.zone)
+            found.fleet_changed(self._fleet_size)
         return found
 
     def next_key(self) -> int:
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -32,6 +32,8 @@
 IDENTITY_BYTES = 8
 # Share of the room that the file may take: lmdb never shrinks it, and a full disk refuses every write.
 MAP_SHARE = 0.7
+# A state, the updates on it, the next state, and the pages of the state before that are not free yet.
+STATE_PARTS = 5
 PAGE_BYTES = 4096
 # Chunks fill whole pages with lmdb's page header: large values would need a long run of free pages.
 CHUNK_BYTES = 8 * PAGE_BYTES - 16 - 4
@@ -44,7 +46,7 @@
 _SEQ = struct.Struct(">Q")
 _CHUNK = struct.Struct(">I")
 _CHECKSUM = struct.Struct(">I")
-_META_HEAD = struct.Struct(">QQQQ??B")
+_META_HEAD = struct.Struct(">QQQQI??B")
 
 
 class _Damaged(Exception):
@@ -73,6 +75,11 @@
             raise _store_error(error) from error
         return store
 
+    @property
+    def state_room(self) -> int:
+        """Bytes that a state may have: the file holds two, and updates as large, while one is replaced."""
+        return self._map_bytes // STATE_PARTS
+
     def load(self, bootstrap: bool = False) -> StoredReplica:
         """What the disk holds; an empty or damaged disk gets an identity. `bootstrap`: this is the system's
         first start, so an empty disk may become one of the first voters. Raises StoreError."""
@@ -280,6 +287,7 @@
         meta.synced,
         meta.committed,
         meta.view_epoch,
+        meta.fleet_size,
         meta.settled,
         meta.adoptable,
         len(proposer),
@@ -288,7 +296,8 @@
 
 
 def _unpack_meta(data: bytes) -> Meta:
-    promised, synced, committed, view_epoch, settled, adoptable, size = _META_HEAD.unpack_from(data)
+    facts = _META_HEAD.unpack_from(data)
+    promised, synced, committed, view_epoch, fleet_size, settled, adoptable, size = facts
     rest = data[_META_HEAD.size :]
     return Meta(
         promised=promised,
@@ -298,5 +307,6 @@
         view_epoch=view_epoch,
         settled=settled,
         committed=committed,
+        fleet_size=fleet_size,
         adoptable=adoptable,
     )
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from random import Random
@@ -21,12 +22,13 @@
 from cloverrouter.coordination.effects import Answer, Outcome
 from cloverrouter.coordination.follower import Follower
 from cloverrouter.coordination.head import Head
+from cloverrouter.coordination.head_contact import HeadContact
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.proposal import Phase, Proposal
 from cloverrouter.coordination.replica import Replica
 from cloverrouter.coordination.views import Member, View
 from tests.system.replica_chaos import play
-from tests.system.replica_scenarios import SCENARIOS
+from tests.system.replica_scenarios import SCENARIOS, Unmet
 from tests.system.replica_world import Disk, Violation, World
 
 _evolve: Any = (
@@ -158,7 +160,7 @@
 @fault
 @contextmanager
 def lower_epochs_may_install() -> Iterator[None]:
-    with patch.object(Follower, "_may_take", lambda *_: True):
+    with whole_states(), patch.object(Follower, "_may_take", lambda *_: True):
         yield
 
 
@@ -394,30 +396,40 @@
 @contextmanager
 def nobody_holds_to_a_head_that_is_well() -> Iterator[None]:
     with (
-        patch.object(Follower, "is_bound", lambda *_: False),
+        patch.object(HeadContact, "is_bound", lambda *_: False),
         patch.object(Replica, "_is_well_followed", lambda *_: False),
     ):
         yield
 
 
-# Storms in which a fault is known to show: they are played first.
-LIKELY_SEEDS = {
-    "a wiped disk keeps its identity": 97,
-    "a minority of promises is enough": 80,
-    "lower epochs may install": 82,
-    "reads are not confirmed": 46,
-    "updates are handed over on any state": 163,
-    "waiting orders are answered at a view change": 19,
-}
+@fault
+@contextmanager
+def a_head_is_sure_by_those_that_have_promised_it_nothing() -> Iterator[None]:
+    original = Follower.on_heartbeat
+
+    def eager(self: Follower, now: float, ip: str, message: Any) -> Any:
+        context = self._context
+        known = context.view.epoch if context.view is not None else 0
+        if message.epoch >= max(known, context.epoch):
+            context.round_epoch, context.round = message.epoch, message.round
+        return original(self, now, ip, message)
+
+    with patch.object(Follower, "on_heartbeat", eager):
+        yield
+
+
+SCENARIO_SEEDS = (1, 3)
 FOUND = (Violation, AssertionError, ValueError, IndexError, KeyError)
 
 
 def find(name: str, seeds: Iterable[int]) -> str | None:
     """What shows a fault first: a scripted race, or a storm."""
     with FAULTS[name]():
-        for scenario in SCENARIOS:
+        for scenario, seed in itertools.product(SCENARIOS, SCENARIO_SEEDS):
             try:
-                scenario(1)
+                scenario(seed)
+            except Unmet:
+                continue
             except FOUND as error:
                 return f"{scenario.__name__}: {error}"
         for seed in seeds:
@@ -428,19 +440,13 @@
     return None
 
 
-def likely_seeds(name: str, count: int) -> list[int]:
-    """Seeds of storms, the likeliest first."""
-    likely = [LIKELY_SEEDS[name]] if name in LIKELY_SEEDS else []
-    return likely + list(range(1, count + 1))
-
-
 def main() -> None:
     parser = argparse.ArgumentParser(description="Look for seeded faults.")
     parser.add_argument("names", nargs="*")
     parser.add_argument("--seeds", type=int, default=400)
     arguments = parser.parse_args()
     for name in arguments.names or FAULTS:
-        print(f"{name:55} {find(name, likely_seeds(name, arguments.seeds))}", flush=True)
+        print(f"{name:55} {find(name, range(1, arguments.seeds + 1))}", flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -10,6 +10,8 @@
 import heapq
 import json
 from collections.abc import Callable, Iterable
+from functools import partial
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -34,9 +36,12 @@
 from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
 from cloverrouter.messages import Decoder, encode
 from cloverrouter.store import Meta, Record, StoredReplica
+from cloverrouter.store.replica_store import ReplicaStore
 
 TICK_S = 0.05
 DISCOVERY_S = 0.4
+FILE_BYTES = 8 * 1024 * 1024
+STALL_LOOK_S = 0.02  # how often a write looks whether its disk still stalls
 KEPT_DIGESTS = 64
 ZONES = ("east", "north", "west")
 
@@ -145,15 +150,34 @@
         self.slowness = 1.0
         self.syncs = True  # False: a fault on purpose, of a store that does not sync
         self.held: dict[int, bytes] = {}  # updates that were ever durable here
+        self.file: ReplicaStore | None = None
         self._unsynced: StoredReplica | None = None
 
-    def sync_s(self, now: float) -> float:
-        """How long a write takes that begins now."""
-        usual = self.random.uniform(0.001, 0.004) * self.slowness
-        return max(0.0, self.stalled_until - now) + usual
+    def sync_s(self) -> float:
+        """How long a write takes while the disk does not stall."""
+        return self.random.uniform(0.001, 0.004) * self.slowness
+
+    def keep_in(self, directory: Path, max_bytes: int) -> None:
+        """Keep what is stored in a real file, too, and read it from there at each start."""
+        self.file = ReplicaStore.open(directory, max_bytes)
+        identity = self.file.load(self.stored.meta.adoptable).identity
+        self.file.write(Record(meta=self.stored.meta))
+        self.stored = attrs.evolve(self.stored, identity=identity)
+
+    def load(self) -> StoredReplica:
+        """What a process finds at its start."""
+        if self.file is None:
+            return self.stored
+        self.file.close()
+        found = attrs.evolve(self.file.load(), fresh=False)
+        if found != self.stored:
+            raise Violation("the file holds something else than was written")
+        return found
 
     def store(self, record: Record) -> None:
         """A write is done."""
+        if self.file is not None:
+            self.file.write(record)
         before = self._unsynced or self.stored
         after = write_record(before, record)
         if self.syncs:
@@ -248,9 +272,13 @@
         replica_class: type[Replica] = Replica,
         wire: bool = False,
         tick_s: float = TICK_S,
+        seeds: Iterable[str] = (),
+        start_within_s: float = 0.0,
+        directory: Path | None = None,
     ) -> None:
         """`genesis`: from empty disks; else the first view is on the disks already. `wire`: messages go
-        through their encoding."""
+        through their encoding. `seeds`: addresses, if not those of the first three machines; those without
+        a disk run as well. `directory`: what the first disks hold is in files there, too."""
         self.random = Random(seed)
         self.now = 100.0
         self.tolerance = tolerance
@@ -263,7 +291,6 @@
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
-        self.seeds: list[str] = []
         self.proposers: dict[str, GenesisProposer] = {}
         self.messages = 0
         self.healed_s: float | None = None  # how long it took after the last trouble
@@ -276,12 +303,19 @@
         self._calls: dict[int, Call] = {}
         for place in range(count):
             self.add_node(adoptable=genesis, start=False, place=place)
-        if genesis:
-            self._begin_genesis()
-        else:
+        if directory is not None:
+            for node in self.nodes:
+                node.disk.keep_in(directory / node.name, FILE_BYTES)
+        self.seeds = list(seeds) or [node.ip for node in self.nodes[:3]]
+        if not genesis:
             self._give_first_view()
         for node in self.nodes:
-            self.start(node)
+            self.start(node, self.random.uniform(0.0, start_within_s))
+        if genesis:
+            for ip in set(self.seeds) - {node.ip for node in self.nodes}:
+                self.at(
+                    self.now + self.random.uniform(0.0, start_within_s), partial(self._start_proposer, ip)
+                )
         self.at(self.now + DISCOVERY_S / 4, self._discover)
 
     # -- set-up --
@@ -302,11 +336,7 @@
         view = View(GENESIS_EPOCH, tuple(node.member for node in self.nodes), (), ())
         for node in self.nodes:
             meta = Meta(view=encode_view(view), view_epoch=GENESIS_EPOCH, settled=True)
-            node.disk.stored = attrs.evolve(node.disk.stored, meta=meta)
-
-    def _begin_genesis(self) -> None:
-        """The first three machines are seeds."""
-        self.seeds = [node.ip for node in self.nodes[:3]]
+            node.disk.store(Record(meta=meta))
 
     def _start_proposer(self, ip: str) -> None:
         proposer = GenesisProposer(ip, self.seeds, GenesisConfig(self.tolerance))
@@ -369,10 +399,10 @@
                 return
             self.say(f"{node.name} starts as {node.disk.stored.identity[:4]}")
             node.replica = self.replica_class(
-                node.member, node.disk.stored, Register(), self.config, Random(self.random.random())
+                node.member, node.disk.load(), Register(), self.config, Random(self.random.random())
             )
             self.carry_out(node, node.replica.start(self.now))
-            if node.ip in self.seeds and node.disk.stored.meta.adoptable:
+            if node.ip in self.seeds and node.replica.adoptable:
                 self._start_proposer(node.ip)
             self.at(self.now + self.random.uniform(0, self.tick_s), lambda: self._tick(node, life))
 
@@ -383,7 +413,8 @@
             return
         replica = node.replica
         self._when_awake(node, lambda: replica.tick(self.now))
-        self.check_lead()
+        if replica.lead_until is not None:
+            self.check_lead()
         wait = max(self.tick_s, node.frozen_until - self.now)
         self.at(self.now + wait, lambda: self._tick(node, life))
 
@@ -449,8 +480,11 @@
             replica = node.replica
             assert replica is not None
             self.carry_out(node, replica.discovered(self.now, members))
-            if node.ip in self.proposers:
-                self._send_all(node.ip, self.proposers[node.ip].discovered(self.now, members))
+        for ip, proposer in self.proposers.items():
+            members = [
+                node.member for node in self.running() if not {(ip, node.ip), (node.ip, ip)} & self.cuts
+            ]
+            self._send_all(ip, proposer.discovered(self.now, members))
         self.at(self.now + DISCOVERY_S, self._discover)
 
     def _is_joined(self, one: Node, other: Node) -> bool:
@@ -519,14 +553,14 @@
             if node.disk is not disk or node.life != life:
                 return  # the process ended before its write was done
             if self.now < disk.stalled_until:
-                self.at(disk.stalled_until + 0.001, write)
+                self.at(self.now + STALL_LOOK_S, write)
                 return
             error = "no space left" if disk.full else None
             if error is None:
                 disk.store(effect.record)
             self._when_awake(node, lambda: replica.persisted(self.now, effect.token, error))
 
-        self.at(self.now + disk.sync_s(self.now), write)
+        self.at(self.now + disk.sync_s(), write)
 
     def _on_committed(self, node: Node, effect: Committed) -> None:
         if effect.seq != node.committed + 1:
@@ -631,8 +665,9 @@
         patience_s: float = 0.6,
         read_share: float = 0.25,
         astray: float = 0.1,
+        wary: bool = False,
     ) -> None:
-        """`astray`: share of calls that go to any node."""
+        """`astray`: share of calls that go to any node. `wary`: frozen ones are not called."""
         self.world = world
         self.name = name
         self.version = 0
@@ -644,8 +679,10 @@
         self._patience_s = patience_s
         self._read_share = read_share
         self._astray = astray
+        self._wary = wary
         self._order: dict[str, Any] | None = None
         self._begun = 0.0
+        self._least = 0  # acknowledged before the last try
         self._try = 0
         world.at(world.now + world.random.uniform(0, pause_s), self._next)
 
@@ -666,6 +703,7 @@
         self._try += 1
         number = self._try
         order = self._order
+        self._least = world.ledger.acknowledged
         node = self._choose()
         if node is not None:
             command = json.dumps(order).encode()
@@ -674,6 +712,8 @@
 
     def _choose(self) -> Node | None:
         running = [node for node in self.world.nodes if node.replica is not None]
+        if self._wary:
+            running = self.world.running()
         if not running:
             return None
         node = self.world.random.choice(running)
@@ -702,6 +742,10 @@
         if what == "done":
             self.world.check_acknowledged(version, self._order["id"])
             self.done.append((self._order["id"], self.world.now - self._begun))
+        elif version < self._least:
+            raise Violation(
+                f"an order is refused on version {version}, and {self._least} was acknowledged before"
+            )
         self.version = max(self.version, version)
         self._finish()
 
