--- a/cloverrouter/placement/health.py
+++ b/cloverrouter/placement/health.py
@@ -47,6 +47,7 @@
         return (self._bad * kept + PRIOR_BAD) / (self._requests * kept + PRIOR_REQUESTS)
 
     def _fade(self, now: float) -> None:
+        now = max(now, self._at)
         kept = 0.5 ** ((now - self._at) / HALF_LIFE_S)
         self._requests *= kept
         self._bad *= kept
--- a/tests/system/test_server_health.py
+++ b/tests/system/test_server_health.py
@@ -66,6 +66,14 @@
     assert "i-0" in picked(made, NOW + 6)
 
 
+def test_an_outcome_told_without_its_time_does_no_harm() -> None:
+    grey = placement(4).servers.standings["i-0"]
+    grey.erred(NOW)
+    grey.succeeded()
+    grey.erred(NOW)
+    assert grey.suspected(NOW) and not grey.suspected(NOW + 60)
+
+
 def test_one_failure_among_many_good_answers_is_no_reason() -> None:
     made = placement(4)
     good = made.servers.standings["i-0"]
