--- a/cloverrouter/placement/calm.py
+++ b/cloverrouter/placement/calm.py
@@ -24,6 +24,8 @@
 token in the mean;"""
 GROW_EVERY_S = 0.3
 """at most one in this time."""
+BUSY = 0.6
+"""But not while they are less taken than this: what is late then waits for no place there."""
 FULL = 1.2
 """One more as well when the requests under way there, taken to be alike at all proxies, fill the calm servers
 so many times over;"""
@@ -78,10 +80,12 @@
         if not self.members:
             return False
         delay = sum([one.late_ms(now, usual_ms) for one in self.members]) / len(self.members) / usual_ms
-        full = self._full()
+        taken = self._taken()
+        full = taken > FULL and self._under_way() >= LEAST_UNDER_WAY
         if delay > EASED_DELAY or full:
             self._late_at = now
-        if (delay > GROW_DELAY or full) and now - self._grew_at > GROW_EVERY_S:
+        late = delay > GROW_DELAY and (taken > BUSY or self.fleet_size == 1)
+        if (late or full) and now - self._grew_at > GROW_EVERY_S:
             self._grew_at = now
             return self._resize(1)
         if self._extra and now - self._late_at > SHRINK_AFTER_S:
@@ -89,10 +93,13 @@
             return self._resize(-1)
         return False
 
-    def _full(self) -> bool:
-        under_way = sum([one.in_flight for one in self.members])
+    def _under_way(self) -> int:
+        return sum([one.in_flight for one in self.members])
+
+    def _taken(self) -> float:
+        """Part of the calm servers' places that is taken, if all proxies send them as much as this one."""
         capacity = sum([one.server.capacity for one in self.members])
-        return under_way >= LEAST_UNDER_WAY and under_way * self.fleet_size > FULL * capacity > 0
+        return self._under_way() * self.fleet_size / capacity if capacity > 0 else 0.0
 
     def _resize(self, by: int) -> bool:
         before = len(self.members)
--- a/tests/system/test_placement_calm.py
+++ b/tests/system/test_placement_calm.py
@@ -123,3 +123,15 @@
         one.sent(key, NOW)
         one.heard(key, NOW)
     assert not calm.adapt(NOW + 1, USUAL_MS)
+
+
+def test_late_answers_at_servers_with_many_free_places_call_for_no_more_of_them() -> None:
+    calm = calm_of(standings(8))
+    calm.fleet_size = 10
+    make_late(calm.members, NOW)
+    assert not calm.adapt(NOW, USUAL_MS)
+    for key in range(2):
+        for one in calm.members:
+            one.sent(key, NOW)
+            one.heard(key, NOW)
+    assert calm.adapt(NOW, USUAL_MS)
