--- a/cloverrouter/daemon/traffic.py
+++ b/cloverrouter/daemon/traffic.py
@@ -12,25 +12,32 @@
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.quota_port import QuotaPort
 from cloverrouter.daemon.request_traces import RequestTraces
-from cloverrouter.daemon.settings import Settings, parse_address
+from cloverrouter.daemon.settings import Settings
+from cloverrouter.daemon.settings_checks import parse_address
 from cloverrouter.http.client import ConnectionPool
 from cloverrouter.http.server import Server as HttpServer
 from cloverrouter.http.server import ServerLimits
 from cloverrouter.placement.quota import QuotaHolder
 from cloverrouter.placement.quota_plan import QuotaRules, TenantLimit
+from cloverrouter.placement.rest_news import RestReporter
 from cloverrouter.placement.retries import RetryBudgets
 from cloverrouter.placement.servers import Server
 from cloverrouter.placement.trouble import TroubleReporter
-from cloverrouter.placement.trouble_messages import TroubleWarning
+from cloverrouter.placement.trouble_messages import RestWarning, TroubleWarning
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.router import Router
 
 CONNECT_TIMEOUT_S = 0.4
 UPSTREAM_IDLE_S = 10.0
 BODY_TIMEOUT_S = 3.0
+TROUBLE_DELAY_S = 0.01  # failures that come together are told together
 STARTING_FLEET = 16  # proxies that share retry budgets, until the control plane tells
 
 
+def _nothing() -> None:
+    return None
+
+
 class Traffic:
     """The data plane. What it needs of the control plane is handed to it."""
 
@@ -70,7 +77,12 @@
             self.traces,
         )
         self.trouble = TroubleReporter(settings.zone)
-        self.router.on_trouble = self.trouble.failed
+        self.router.on_trouble = self._trouble_met
+        self.rests = RestReporter()
+        self._pool.on_forgotten = self._connection_forgotten
+        self.on_trouble: Callable[[], None] = _nothing
+        """Called soon after servers have failed requests: `trouble` has something to tell."""
+        self._trouble_told = False
         self.frontend: HttpServer | None = None
         self.limits: dict[str, TenantLimit] = {}
         self.fleet_size = 0  # unknown
@@ -112,9 +124,28 @@
         self.quota.holder.configure(self.limits, size)
         self.budgets.resize(size)
 
-    def warned(self, warning: TroubleWarning) -> None:
-        """Several proxies found servers failing."""
-        if warning.zone in ("", self._settings.zone):
+    def _trouble_met(self, instance_id: str) -> None:
+        self.trouble.failed(instance_id)
+        self._tell_soon()
+
+    def _connection_forgotten(self, rested_s: float) -> None:
+        self.rests.forgotten(rested_s)
+        self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        if not self._trouble_told:
+            self._trouble_told = True
+            self._loop.call_later(TROUBLE_DELAY_S, self._tell_trouble)
+
+    def _tell_trouble(self) -> None:
+        self._trouble_told = False
+        self.on_trouble()
+
+    def warned(self, warning: TroubleWarning | RestWarning) -> None:
+        """Several proxies found servers failing, or forgetting connections."""
+        if isinstance(warning, RestWarning):
+            self._pool.rest_at_most(warning.limit_ms / 1000, warning.for_ms / 1000)
+        elif warning.zone in ("", self._settings.zone):
             self.router.warned(warning.ids, warning.for_ms / 1000)
 
     def instances_changed(self, instances: Iterable[Instance], is_silent: Callable[[str], bool]) -> None:
