Peers' messages of two parts with one name are told apart in /-/metrics; an answer on a connection that was reset isn't an error

Cause: /-/metrics failed with a TypeError where two parts have a message of one name; write_eof on a connection that the peer has reset raised through the handler (seen with idle_fleet on loopback: errno 107).

--- a/benchmarks/idle_fleet.py
+++ b/benchmarks/idle_fleet.py
@@ -1,6 +1,6 @@
 """What a fleet costs that has nothing to do: real nodes on loopback with servers that beat, but no clients.
 
-    python -m benchmarks.idle_fleet [--nodes 8] [--seconds 10] [--profile FOLDER]
+    python -m benchmarks.idle_fleet [--nodes 8] [--seconds 10] [--settle 4] [--profile FOLDER]
 
 Prints, for each node: processor time from its start until it was ready, milliseconds of it a second when
 settled, resident size, bytes and messages a second to peers, and which kinds these are. `--profile` writes a
@@ -32,7 +32,6 @@
 from cloverrouter.lab.fleet.wire import call
 
 READY_WITHIN_S = 30.0
-SETTLE_S = 4.0
 CPU, MEMORY = "cpu_s", "resident_mb"
 
 
@@ -113,10 +112,10 @@
             process.wait(15)
 
 
-async def measured(fleet: Fleet, seconds: float) -> list[dict[str, Any]]:
+async def measured(fleet: Fleet, settle: float, seconds: float) -> list[dict[str, Any]]:
     """A row for each node."""
     await fleet.bring_up()
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(settle)
     before = {spec.name: await fleet.figures(spec) for spec in fleet.specs}
     began = time.monotonic()
     await asyncio.sleep(seconds)
@@ -135,7 +134,7 @@
             "received_b_s": rates["cypresswinch_peer_received_bytes_total"],
             "writes_s": rates.get("cypresswinch_peer_writes_total", 0.0),
             "kinds": {
-                name: (round(rates[name], 2), round(rates[name.replace("messages", "kind_bytes")]))
+                name: (round(rates[name], 2), round(rates[name.replace("messages", "kind_bytes", 1)]))
                 for name in rates
                 if name.startswith("cypresswinch_peer_sent_messages_total")
             },
@@ -147,12 +146,13 @@
     told = argparse.ArgumentParser()
     told.add_argument("--nodes", type=int, default=8)
     told.add_argument("--seconds", type=float, default=10.0)
+    told.add_argument("--settle", type=float, default=4.0, help="peer sampling slows down after 30 s")
     told.add_argument("--profile", type=Path)
     args = told.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), args.nodes, args.profile)
         try:
-            rows = await measured(fleet, args.seconds)
+            rows = await measured(fleet, args.settle, args.seconds)
         finally:
             fleet.end()
     print(f"{'':10}{'start ms':>10}{'ms/s':>8}{'MB':>8}{'sent B/s':>10}{'recv B/s':>10}{'writes/s':>10}")
@@ -162,10 +162,11 @@
             f"{row['sent_b_s']:10.0f}{row['received_b_s']:10.0f}{row['writes_s']:10.1f}"
             f"{'  disk' if row['disk'] else ''}"
         )
-    for row in (rows[0], rows[-1]):
+    busiest = max(rows, key=lambda row: row["sent_b_s"])
+    for row in (busiest, rows[-1]):
         print(row["node"], "messages and bytes a second:")
         for name, (messages, size) in row["kinds"].items():
-            print(f"  {name.partition('{')[2].strip('}'):32}{messages:8.2f}{size:8d}")
+            print(f"  {name.partition(chr(123))[2].strip(chr(125)):52}{messages:8.2f}{size:8d}")
     print(json.dumps(rows))
 
 
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -160,21 +160,26 @@
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
         yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
-        kinds = sorted((kind.__name__, count) for kind, count in transport.sent.items())
+        kinds = sorted(transport.sent.items(), key=lambda item: item[0].__name__)
         yield Figure(
             "cypresswinch_peer_sent_messages_total",
             "counter",
             "Messages sent to peers, by kind.",
-            tuple(({"kind": name}, float(count.messages)) for name, count in kinds),
+            tuple((_labels(kind), float(count.messages)) for kind, count in kinds),
         )
         yield Figure(
             "cypresswinch_peer_sent_kind_bytes_total",
             "counter",
             "Bytes of messages sent to peers, by kind.",
-            tuple(({"kind": name}, float(count.bytes)) for name, count in kinds),
+            tuple((_labels(kind), float(count.bytes)) for kind, count in kinds),
         )
 
 
+def _labels(kind: type) -> dict[str, str]:
+    """Of a kind of message; several parts may have one of the same name."""
+    return {"part": kind.__module__.rpartition(".")[2], "kind": kind.__name__}
+
+
 def _shown(instance: Instance, silent: bool) -> dict[str, Any]:
     return {
         "id": instance.id,
--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import logging
 import socket
@@ -303,7 +304,8 @@
         if self._reading_paused:
             self._resume_reading()
         if self._transport is not None and self._transport.can_write_eof():
-            self._transport.write_eof()
+            with contextlib.suppress(OSError):  # the peer has reset it: not noticed yet
+                self._transport.write_eof()
 
     def close_idle(self) -> bool:
         """Close it if nothing is on it; False if a request is, which may not have been read yet, or the rest
