Whole lists are bounded by their records and encoded once a moment

Change: up to 40,000 records in half a second (at least 4 lists); the parts are kept for 0.3 s, and the transport keeps the frames of large messages for half a second.

--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -15,6 +15,7 @@
     AnnounceTaken,
     Beat,
     Compare,
+    InstanceList,
     News,
     Same,
     SilenceReport,
@@ -27,6 +28,7 @@
 
 JUDGE_PERIOD = 0.5
 REPORT_FOR = 10.0
+LIST_KEPT = 0.3  # ages told in it are too young by so much at most
 NEWS_SPACING = 0.05  # at the first start, thousands of servers have news at once: they are put together
 
 
@@ -40,6 +42,9 @@
         self._judge = SilenceJudge(heartbeat_interval)
         self._next_judgement = 0.0
         self._report_until = 0.0
+        self._list: tuple[InstanceList, ...] = ()
+        self._list_key = (0, -1)
+        self._listed_at = 0.0
         self._passed_at = -NEWS_SPACING
         self._waiting: dict[str, None] = {}  # ids of what is to be passed on next
         self._answers: list[Send] = []  # to go out after these
@@ -116,17 +121,25 @@
         """A subscriber's list may differ."""
         table = self._servers.table
         agrees = message.digest == table.digest and message.count == table.live_count
-        wants_list = self._subscribers.heard(now, ip, agrees=agrees)
+        wants_list = self._subscribers.heard(now, ip, agrees=agrees, list_length=table.live_count)
         sends: list[Send] = []
         if self.is_head and (self._servers.silent or now < self._report_until):
             sends.append(self._silence_report(ip))
         if agrees:
             sends.append(Send(ip, Same(message.digest, round(self._subscribers.compare_period * 1000))))
         elif wants_list:
-            records = self._servers.records(now, [each.id for each in self._servers])
-            sends += [Send(ip, part) for part in in_parts(records, wants_answer=True)]
+            sends += [Send(ip, part) for part in self._whole_list(now)]
         return sends
 
+    def _whole_list(self, now: float) -> tuple[InstanceList, ...]:
+        """The parts of the list. The same for a moment: after a restart of many, all of them want it."""
+        key = (self._servers.table.digest, self._servers.table.live_count)
+        if key != self._list_key or now - self._listed_at > LIST_KEPT:
+            records = self._servers.records(now, [each.id for each in self._servers])
+            self._list = tuple(in_parts(records, wants_answer=True))
+            self._list_key, self._listed_at = key, now
+        return self._list
+
     def tick(self, now: float) -> list[Send | ListEffect]:
         """News not taken in time, and as head the judgement on silence."""
         self._judge.ticked(now)
--- a/cloverrouter/control/subscribers.py
+++ b/cloverrouter/control/subscribers.py
@@ -12,7 +12,8 @@
 SHORTEST_COMPARE_PERIOD = 2.0
 COMPARES_A_SECOND = 100
 EXPIRE_PERIODS = 3.5
-LISTS_A_WINDOW = 4
+LEAST_LISTS_A_WINDOW = 4
+RECORDS_A_WINDOW = 40_000  # about 3 MB
 LIST_WINDOW = 0.5
 
 
@@ -55,8 +56,9 @@
         """This machine is no voter any more."""
         self._subscribers.clear()
 
-    def heard(self, now: float, ip: str, *, agrees: bool) -> bool:
-        """A subscriber compared its list; returns whether it is to be sent the whole list.
+    def heard(self, now: float, ip: str, *, agrees: bool, list_length: int) -> bool:
+        """A subscriber compared its list; returns whether it is to be sent the whole list, which has that
+        length.
 
         A single difference is mostly news that are under way, so only the second one in a row counts, or
         the first of a new subscriber.
@@ -71,7 +73,7 @@
         if not subscriber.differed:
             subscriber.differed = True
             return False
-        return self._may_send_list(now)
+        return self._may_send_list(now, list_length)
 
     def queue(self, now: float, ids: Iterable[str], source: str) -> list[tuple[Batch, list[str]]]:
         """News for all subscribers but the one that they came from: what to send to whom."""
@@ -122,10 +124,11 @@
             subscriber.batches.clear()
             subscriber.differed = True
 
-    def _may_send_list(self, now: float) -> bool:
+    def _may_send_list(self, now: float, list_length: int) -> bool:
         """Whole lists are long: when all want one at once, some wait for their next comparison."""
         self._lists_sent = [at for at in self._lists_sent if now - at < LIST_WINDOW]
-        if len(self._lists_sent) >= LISTS_A_WINDOW:
+        most = max(LEAST_LISTS_A_WINDOW, RECORDS_A_WINDOW // max(list_length, 1))
+        if len(self._lists_sent) >= most:
             return False
         self._lists_sent.append(now)
         return True
--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -22,6 +22,9 @@
 MAX_RETRY_PAUSE_S = 0.4
 MAX_QUEUED_BYTES = 8 * 1024 * 1024  # for one peer
 READ_BYTES = 64 * 1024
+LARGE_BYTES = 4096
+MAX_LARGE = 32
+LARGE_KEPT_S = 0.5
 
 OnMessage = Callable[[str, object], None]
 
@@ -194,6 +197,7 @@
         self.writes = 0
         self.sent: dict[type, KindCount] = {}
         self._encoded: tuple[object, bytes] = (None, b"")
+        self._large: dict[int, tuple[object, bytes]] = {}  # by id; the message is held so that this stays its
         self._batches = 0
         self._held: dict[Link, None] = {}
         self._on_message = on_message
@@ -209,15 +213,13 @@
     def send(self, ip: str, message: object) -> None:
         """Send, or drop. To oneself: delivered in the loop's next turn.
 
-        The very same message to one after the other is encoded once.
+        The very same message to one after the other is encoded once; so is a large one within half a second.
         """
         self.messages_sent += 1
         if ip == self.ip:
             self.loop.call_soon(self.deliver, ip, message)
             return
-        if message is not self._encoded[0]:
-            self._encoded = message, encode(message)
-        frame = self._encoded[1]
+        frame = self._frame(message)
         self._count(message, frame)
         self._link(ip).send(frame)
 
@@ -244,6 +246,18 @@
                 self._flush_held()
                 self._encoded = (None, b"")
 
+    def _frame(self, message: object) -> bytes:
+        if message is self._encoded[0]:
+            return self._encoded[1]
+        large = self._large.get(id(message))
+        frame = encode(message) if large is None else large[1]
+        self._encoded = message, frame
+        if large is None and len(frame) >= LARGE_BYTES and len(self._large) < MAX_LARGE:
+            if not self._large:
+                self.loop.call_later(LARGE_KEPT_S, self._large.clear)
+            self._large[id(message)] = message, frame
+        return frame
+
     def hold(self, link: Link) -> bool:
         """Whether the link is to wait for the end of a batch."""
         if self._batches:
--- a/tests/system/test_registry_rush.py
+++ b/tests/system/test_registry_rush.py
@@ -6,7 +6,7 @@
 
 from cloverrouter.control.instances import Instance
 from cloverrouter.control.registry import Effect, Registry
-from cloverrouter.control.registry_messages import Announce, AnnounceTaken, Compare, News
+from cloverrouter.control.registry_messages import Announce, AnnounceTaken, Compare, InstanceList, News
 from cloverrouter.messages.sending import Send
 
 VOTER, ORIGIN, OTHER = "10.0.0.1", "10.0.0.2", "10.0.0.3"
@@ -53,3 +53,26 @@
         answer = voter.receive(at, ORIGIN, announce.message)
         assert [send.ip for send in sent(answer, News)] == [OTHER]
         assert len(sent(answer, AnnounceTaken)) == 1
+
+
+def test_many_machines_that_lost_their_lists_get_the_same_one_at_once() -> None:
+    voter = Registry(VOTER, 1.0)
+    voter.voters_changed(0.0, [VOTER])
+    for number in range(SERVERS):
+        voter.announced(1.0, Instance(f"i-{number}", "llm", f"10.1.0.{number}:9000", sequence=1))
+    lists = []
+    for number in range(100):
+        answer = voter.receive(2.0 + number / 1000, f"10.2.0.{number}", Compare(0, 0))
+        lists += sent(answer, InstanceList)
+    assert len(lists) == 100
+    assert len({id(send.message) for send in lists}) == 1
+
+
+def test_long_lists_are_sent_to_few_at_once() -> None:
+    voter = Registry(VOTER, 1.0)
+    voter.voters_changed(0.0, [VOTER])
+    for number in range(8_000):
+        address = f"10.{1 + number // 60_000}.{number // 250}.{number % 250}:9000"
+        voter.announced(1.0, Instance(f"i-{number}", "llm", address, sequence=1))
+    told = [voter.receive(2.0, f"10.2.0.{number}", Compare(0, 0)) for number in range(20)]
+    assert sum(bool(sent(answer, InstanceList)) for answer in told) == 5
