--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -32,12 +32,11 @@
 from cloverrouter.daemon.settings import Settings
 from cloverrouter.daemon.traffic import Traffic
 from cloverrouter.daemon.transport import Transport
+from cloverrouter.daemon.trouble_news import TroubleNews
 from cloverrouter.daemon.view_notice import ViewNotice
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
 from cloverrouter.placement import quota_messages, trouble_messages
-from cloverrouter.placement.trouble import TroubleDesk
-from cloverrouter.placement.trouble_messages import TroubleReport, TroubleWarning
 
 if TYPE_CHECKING:
     from cloverrouter.control.api import ControlApi, ControlExchange
@@ -75,7 +74,7 @@
         self._opening: asyncio.Task[None] | None = None
         self._genesis: GenesisProposer | None = None
         self._quota_duty: QuotaDuty | None = None
-        self._trouble_desk = TroubleDesk(lambda: traffic.fleet_size)
+        self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop)
         self._api: ControlApi | None = None
@@ -104,6 +103,19 @@
         self._handlers.update(dict.fromkeys(messages_of(chain_messages.__name__), self._on_chain))
         self._handlers.update(dict.fromkeys(chain_messages.GENESIS_MESSAGES, self._on_genesis))
 
+    def _trouble_news(self) -> TroubleNews:
+        news = TroubleNews(
+            self._settings.ip,
+            self.traffic,
+            self.transport.send,
+            lambda: self.summary.head if self.summary is not None else None,
+            lambda: self._lead_until() is not None,
+            self.registry.subscribers,
+            self._log,
+        )
+        self.traffic.on_trouble = lambda: news.report(self._loop.time())
+        return news
+
     # Coming and going
 
     async def open(self) -> None:
@@ -189,18 +201,7 @@
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
         if self._quota_duty is not None:
             self._send_all(self._quota_duty.tick(now, self._lead_until()))
-        self._report_trouble(now)
-
-    def _report_trouble(self, now: float) -> None:
-        """Tell the head of servers that failed requests here."""
-        report = self.traffic.trouble.flush(now)
-        head = self.summary.head if self.summary is not None else None
-        if report is None or not head:
-            return
-        if head == self._settings.ip:
-            self._on_trouble(now, head, report)
-        else:
-            self.transport.send(head, report)
+        self._trouble.report(now)
 
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
@@ -294,21 +295,14 @@
         self._view_learned(now, message.summary)
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, quota_messages.QuotaAsk | quota_messages.QuotaReport):
+        if not isinstance(message, quota_messages.QuotaContact | quota_messages.QuotaCredit):
             if self._quota_duty is not None:
                 self._send_all(self._quota_duty.receive(now, self._lead_until(), ip, message))
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
     def _on_trouble(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, TroubleWarning):
-            self.traffic.warned(message)
-        elif isinstance(message, TroubleReport) and self._lead_until() is not None:
-            for warning in self._trouble_desk.receive(now, ip, message):
-                self._log.change("servers-failing", instances=warning.ids, zone=warning.zone)
-                self.traffic.warned(warning)
-                for proxy in self.registry.subscribers():
-                    self.transport.send(proxy, warning)
+        self._trouble.receive(now, ip, message)
 
     # What the cores ask for
 
@@ -380,7 +374,7 @@
         self.registry.set_head(now, head == self._settings.ip)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
         if self._quota_duty is not None:
-            self._quota_duty.view_changed(now, summary.epoch, head)
+            self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
+from cloverrouter.placement.calm import CalmServers
 from cloverrouter.placement.first_token import FirstTokenModel
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
@@ -28,16 +29,11 @@
 ROOM_FACTOR = 1.5
 """A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there,"""
 ROOM_PART = 0.17
-"""or less than this part of what it runs at once: other proxies send there too."""
+"""or less than this part of what it runs at once, other proxies send there too;"""
+ROOM_SHARE = 1.2
+"""or, in larger fleets, less than so many times this proxy's even share of that,"""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
-CALM_PART = 4
-"""One server in so many is kept calm for requests that talk, while there are both kinds of requests."""
-CALM_SHARE = 0.2
-"""Part of the other requests' subjects that may go to calm servers all the same: calm ones have time left."""
-CALM_MEMORY_S = 20.0
-"""So long a kind of request is expected to come again."""
-CALM_KEY = 0x9E3779B97F4A7C15
 ORDERS_KEPT = 2_048
 ORDER_LENGTH = 8
 """Servers of an order that are kept for the next request of the same subject."""
@@ -72,8 +68,8 @@
         self._caches: dict[str, PrefixCache] = {}
         self._orders: OrderedDict[tuple[int, _Layout], list[Standing]] = OrderedDict()
         self._orders_of = -1
-        self._calm: set[Standing] = set()
-        self._talked_at = self._read_at = -CALM_MEMORY_S
+        self._calm = CalmServers()
+        self._room_part = ROOM_PART
 
     def configure(self, kv_tokens: int | None) -> None:
         """The service's settings changed."""
@@ -81,6 +77,11 @@
         for cache in self._caches.values():
             cache.capacity_tokens = kv_tokens or DEFAULT_KV_TOKENS
 
+    def fleet_changed(self, size: int) -> None:
+        """So many proxies send to the servers."""
+        self._calm.fleet_size = size
+        self._room_part = min(ROOM_PART, ROOM_SHARE / max(1, size))
+
     def told(self, server: Server) -> None:
         """A server of this service was added or changed."""
         self.servers.told(server)
@@ -98,7 +99,9 @@
         ready = [one for one in self.servers.ready if one.server.id not in tried]
         if len(ready) < 2:
             return ready[0] if ready else None
-        self._note_kind(prompt, now)
+        self._calm.note(prompt, now)
+        if prompt.talks and self._calm.adapt(now, self.first_token.usual_ms):
+            self._orders.clear()
         candidates = self._candidates(prompt, tried, now, careful) if prompt.parts else []
         if not candidates:
             usable = self.servers.usable(ready, now, careful)
@@ -110,7 +113,7 @@
         for instance_id in ids:
             standing = self.servers.standings.get(instance_id)
             if standing is not None:
-                standing.warned_until = now + span_s * (0.75 + 0.5 * self._random())
+                standing.warned(now, now + span_s * (0.75 + 0.5 * self._random()))
 
     def overdue(self, now: float) -> list[str]:
         """The few servers at which requests have been waiting for far too long."""
@@ -142,7 +145,7 @@
         if self._orders_of != self.servers.generation:
             self._orders.clear()
             self._orders_of = self.servers.generation
-            self._calm = set(self._ranked(CALM_KEY)[: len(self.servers.ready) // CALM_PART])
+            self._calm.servers_changed(self.servers.ready)
         subject = prompt.subject
         key = (subject.key if subject is not None else 0, self._layout(prompt))
         known = self._orders.get(key)
@@ -154,23 +157,13 @@
             self._orders.popitem(last=False)
         return order
 
-    def _note_kind(self, prompt: Prompt, now: float) -> None:
-        if prompt.talks:
-            self._talked_at = now
-        elif prompt.tokens_out:
-            self._read_at = now
-
     def _layout(self, prompt: Prompt) -> _Layout:
         """Where in the order the calm servers stand."""
-        apart_s = abs(self._talked_at - self._read_at)
-        if not prompt.tokens_out or apart_s > CALM_MEMORY_S:
+        if not prompt.tokens_out or not self._calm.wanted:
             return _Layout.EVEN
         if prompt.talks:
             return _Layout.CALM_FIRST
-        subject = prompt.subject
-        if subject is not None and subject.key % 1000 < CALM_SHARE * 1000:
-            return _Layout.EVEN
-        return _Layout.CALM_LAST
+        return _Layout.CALM_LAST if self._calm.spared_by(prompt) else _Layout.EVEN
 
     def _laid_out(self, key: int, layout: _Layout) -> list[Standing]:
         ranked = self._ranked(key)
@@ -201,13 +194,12 @@
         return candidates
 
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
-        if standing.in_flight >= max(room, standing.server.capacity * ROOM_PART):
+        if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
 
     def _delay_ms(self, standing: Standing, now: float) -> float:
-        """How much later than usual an answer is expected to begin there."""
-        return max(standing.delay_ms(now), standing.waited_ms(now) - self.first_token.usual_ms)
+        return standing.late_ms(now, self.first_token.usual_ms)
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
         home = candidates[0]
