--- a/cloverrouter/control/quota_allocator.py
+++ b/cloverrouter/control/quota_allocator.py
@@ -9,7 +9,8 @@
 So an allocator needs to know nothing of the one before, except that its credit has run out. One that is
 still there hands over what is left of its pools.
 
-State: some 200 bytes a tenant, and 300 a proxy.
+State: 1.5 MB for 670 tenants and 350 proxies. A report takes it 34 us there, an ask 16 us, besides 4 to
+5 us for the decoding and encoding of each message.
 """
 
 from __future__ import annotations
--- a/cloverrouter/placement/quota.py
+++ b/cloverrouter/placement/quota.py
@@ -10,7 +10,7 @@
 
 The right to an own rate ends `OWN_FOR_S` after the last contact, on this process's own clock; for so
 long, and longer, the fleet's size that the allocator and other proxies know still counts this machine.
-State: some 200 bytes a limited tenant.
+State: some 370 bytes a limited tenant.
 """
 
 from __future__ import annotations
@@ -221,12 +221,12 @@
         return self._ask(now, {}, spare) if spare else []
 
     def _asked_for(self, now: float) -> Iterator[tuple[str, int]]:
-        """By tenant: what waits, less what is there."""
+        """By tenant: all that waits. What is there meanwhile goes to requests that need no more."""
         for tenant in self._wanting:
             account = self._accounts.get(tenant)
             if account is None:
                 continue
-            yield tenant, int(max(account.wanted - account.available(), 0.0)) + 1
+            yield tenant, int(account.wanted) + 1
             account.wanted = 0.0
             account.asking_until = now + ANSWER_EXPECTED_S
 
--- a/cloverrouter/placement/quota_messages.py
+++ b/cloverrouter/placement/quota_messages.py
@@ -1,9 +1,9 @@
 """What proxies and the allocator of quotas say to each other, as datagrams that may be lost, doubled or
 late.
 
-Cost: a report, its answer, and an ask are 25 to 35 bytes each, a credit 45; each further tenant in an
-ask or credit adds its name and a few bytes. `sent_at` is on the proxy's steady clock and is read only
-by the proxy that sent it.
+Cost: a report and its answer are 23 and 28 bytes, an ask 41, a credit 49; each further tenant in an ask or
+credit adds its name and a few bytes. `sent_at` is on the proxy's steady clock and is read only by the proxy
+that sent it.
 """
 
 from __future__ import annotations
