--- a/cloverrouter/decide/__init__.py
+++ b/cloverrouter/decide/__init__.py
@@ -9,35 +9,11 @@
 served answers refill, has the tokens. Departures from it are named where they stand.
 
 What a decision costs does not grow with the list of servers: docs/design/fleet.md.
-
-The names below are loaded when they are first asked for.
 """
 
-from __future__ import annotations
-
-from importlib import import_module
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from cloverrouter.decide.balancer import Balancer
-    from cloverrouter.decide.budget import RetryBudget, backoff_ms
-    from cloverrouter.decide.endpoint import Endpoint
-    from cloverrouter.decide.request import NEVER_RAN, Attempt, Request
+from cloverrouter.decide.balancer import Balancer
+from cloverrouter.decide.budget import RetryBudget, backoff_ms
+from cloverrouter.decide.endpoint import Endpoint
+from cloverrouter.decide.request import NEVER_RAN, Attempt, Request
 
 __all__ = ["NEVER_RAN", "Attempt", "Balancer", "Endpoint", "Request", "RetryBudget", "backoff_ms"]
-
-_MODULES = {
-    "Balancer": "balancer",
-    "RetryBudget": "budget",
-    "backoff_ms": "budget",
-    "Endpoint": "endpoint",
-    "NEVER_RAN": "request",
-    "Attempt": "request",
-    "Request": "request",
-}
-
-
-def __getattr__(name: str) -> Any:
-    if name not in _MODULES:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
