One class says that a message is to be sent

Cause: coordination/effects.py had a Send of its own beside messages/sending.py, which is meant for all pure cores. Ruled out: aliases.

--- a/cloverrouter/coordination/context.py
+++ b/cloverrouter/coordination/context.py
@@ -7,11 +7,12 @@
 import attrs
 
 from cloverrouter.coordination.disk import DiskQueue
-from cloverrouter.coordination.effects import Effect, ReplicaConfig, Send, ViewInfo
+from cloverrouter.coordination.effects import Effect, ReplicaConfig, ViewInfo
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.messages import Report
 from cloverrouter.coordination.views import Member, View
 from cloverrouter.messages import Decoder, encode
+from cloverrouter.messages.sending import Send
 
 
 @attrs.define(slots=True)
--- a/cloverrouter/coordination/effects.py
+++ b/cloverrouter/coordination/effects.py
@@ -8,6 +8,7 @@
 import attrs
 
 from cloverrouter.coordination.views import Member
+from cloverrouter.messages.sending import Send
 from cloverrouter.store import Record
 
 
@@ -85,14 +86,6 @@
         return self.chain[0] if self.chain else None
 
 
-@attrs.frozen(slots=True)
-class Send:
-    """Send a message to an address; it may be lost."""
-
-    ip: str
-    message: object
-
-
 @attrs.frozen(slots=True)
 class Persist:
     """Write a record, then call `persisted` with the token. One at a time."""
--- a/cloverrouter/coordination/genesis.py
+++ b/cloverrouter/coordination/genesis.py
@@ -16,7 +16,6 @@
 
 import attrs
 
-from cloverrouter.coordination.effects import Send
 from cloverrouter.coordination.messages import (
     Genesis,
     GenesisQuery,
@@ -28,6 +27,7 @@
     SeedRefused,
 )
 from cloverrouter.coordination.views import GENESIS_EPOCH, Member, majority
+from cloverrouter.messages.sending import Send
 
 
 @attrs.frozen(slots=True)
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -255,9 +255,9 @@
     def _peer_error(self, ip: str, error: Exception) -> None:
         self._log.error("peer-malformed", peer=ip, error=str(error))
 
-    def _send_all(self, effects: Iterable[object]) -> None:
+    def _send_all(self, effects: Iterable[Send]) -> None:
         for effect in effects:
-            self.transport.send(effect.ip, effect.message)  # type: ignore[attr-defined]
+            self.transport.send(effect.ip, effect.message)
 
     def _on_sampling(self, now: float, ip: str, message: object) -> None:
         self._sampled(now, self.sampler.receive(now, ip, message))
--- a/cloverrouter/daemon/replica_driver.py
+++ b/cloverrouter/daemon/replica_driver.py
@@ -14,10 +14,10 @@
     Effect,
     Persist,
     Restored,
-    Send,
     ViewChanged,
 )
 from cloverrouter.coordination.replica import Replica
+from cloverrouter.messages.sending import Send
 from cloverrouter.store.errors import StoreError
 from cloverrouter.store.replica_store import ReplicaStore
 
--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -13,8 +13,8 @@
 
 import attrs
 
-from cloverrouter.coordination.effects import Send
 from cloverrouter.coordination.messages import Heartbeat, Report
+from cloverrouter.messages.sending import Send
 from tests.system.replica_world import Client, Crowd, Node, Reader, Violation, Weather, World
 
 SIZES = (
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -5,8 +5,9 @@
 import json
 from collections.abc import Callable
 
-from cloverrouter.coordination.effects import Answer, Outcome, Send
+from cloverrouter.coordination.effects import Answer, Outcome
 from cloverrouter.coordination.messages import Install, Propose, State
+from cloverrouter.messages.sending import Send
 from tests.system.replica_chaos import check_healed
 from tests.system.replica_world import Client, Node, Reader, Violation, World
 
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -27,7 +27,6 @@
     Persist,
     ReplicaConfig,
     Restored,
-    Send,
     ViewChanged,
 )
 from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
@@ -35,6 +34,7 @@
 from cloverrouter.coordination.replica import Replica
 from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
 from cloverrouter.messages import Decoder, encode
+from cloverrouter.messages.sending import Send
 from cloverrouter.store import Meta, Record, StoredReplica
 from cloverrouter.store.replica_store import ReplicaStore
 
