A process that was told to end begins only what surely ends before it

Ruled out: the platform's readiness (503 at once, two questions later new connections go elsewhere, but where most of a zone leaves they still come); connections kept (each ends with its next answer).

Change: placement/leaving.py decides, purely, by the deadline, or early in the grace by twice the longest answer that the route had lately; the rest is answered 503 at once with Connection: close and a short Retry-After, also a send that would be repeated. At the end what is open is answered (503 never ran, 502 else) instead of cut. Readiness follows from the router alone, at the signal. The drain's loop is daemon/drain.py, on a clock that is handed in.

--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+import math
 import os
 from random import Random
 
 from cloverrouter.daemon import settings as settings_file
 from cloverrouter.daemon.control_plane import ControlPlane
+from cloverrouter.daemon.drain import end_what_is_open
 from cloverrouter.daemon.errors import SettingsError
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.settings import Address, Settings
@@ -18,8 +20,6 @@
 
 TICK_S = 0.05
 END_MARGIN_S = 0.7  # before the platform would kill the process
-END_LOOK_S = 0.05
-QUIET_LOOKS = 6  # so many looks in a row without an open request end a process that was told to end
 CONTROL_CONNECTIONS = 512
 READINESS_CONNECTIONS = 64
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
@@ -35,6 +35,7 @@
         self._path = path
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
+        self._ends_at = math.inf
         self._log = Log(settings.log_level, settings.name)
         self._random = Random(int.from_bytes(os.urandom(8), "big"))
         self._traffic = Traffic(settings, self._random, self._log)
@@ -56,7 +57,11 @@
         return 0
 
     def stop(self) -> None:
-        """SIGTERM."""
+        """SIGTERM: not ready from now on. A second one doesn't lengthen the time that is left."""
+        if self._stopping.is_set():
+            return
+        self._ends_at = self._loop.time() + self._settings.bounds.grace_period_s - END_MARGIN_S
+        self._traffic.router.leave(self._ends_at)
         self._stopping.set()
 
     def reload(self) -> None:
@@ -87,7 +92,7 @@
         return server
 
     def _readiness(self, exchange: Exchange) -> None:
-        ready = self._traffic.router.ready() and not self._stopping.is_set()
+        ready = self._traffic.router.ready()
         body = b"ready\n" if ready else b"not ready\n"
         exchange.respond(200 if ready else 503, [], body)
 
@@ -97,16 +102,15 @@
 
     async def _drain(self) -> None:
         """Leave without losing what was taken, within the grace period."""
-        self._log.change("draining", in_flight=self._traffic.router.in_flight)
         router, frontend = self._traffic.router, self._frontend
-        router.draining = True
+        self._log.change("draining", in_flight=router.in_flight)
         self._control.resign()
         if frontend is None:
             return
         frontend.drain()
-        end_s = self._loop.time() + self._settings.bounds.grace_period_s - END_MARGIN_S
-        quiet = 0
-        while self._loop.time() < end_s and quiet < QUIET_LOOKS:
-            await asyncio.sleep(END_LOOK_S)
-            busy = frontend.open_exchanges or frontend.connections or self._control.calls_under_way
-            quiet = 0 if busy else quiet + 1
+        await end_what_is_open(router, self._is_busy, self._ends_at, self._loop.time, asyncio.sleep)
+
+    def _is_busy(self) -> bool:
+        frontend = self._frontend
+        has_clients = frontend is not None and (frontend.open_exchanges > 0 or frontend.connections > 0)
+        return has_clients or self._control.calls_under_way > 0
--- /dev/null
+++ b/cloverrouter/placement/leaving.py
@@ -0,0 +1,77 @@
+"""What a process that was told to end still begins: only what surely ends before it does.
+
+All that is under way when the process ends is cut off. A request that is refused instead has not run, and its
+client can ask another proxy at once.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+MARGIN_S = 0.2
+"""What is expected to end must do so this long before the process: timers fire late on a busy machine."""
+ESTIMATES_PART = 1 / 3
+"""Estimates are trusted in the first third of the time that is left to a process. One that was wrong still
+has the other two thirds to come true; after that only deadlines count."""
+ESTIMATE_FACTOR = 2.0
+"""An answer may take so many times as long as the longest one seen."""
+KEPT_S = 30.0
+"""An answer's time is remembered for this long at least, and for twice as long at most."""
+RETRY_AFTER_S = 0.02
+RETRY_SPREAD_S = 0.06
+"""Other proxies can take a refused request at once; clients of one that leaves are spread a little."""
+
+
+@attrs.frozen(slots=True)
+class Leave:
+    """The span between being told to end and the end. Seconds on one steady clock."""
+
+    told_at: float
+    ends_at: float
+
+
+def may_begin(leave: Leave, now: float, deadline: float, longest_s: float | None) -> bool:
+    """Whether a request that is over at its deadline may still be begun; `longest_s` is the longest that one
+    of its kind took lately, None if nobody knows."""
+    last_end = leave.ends_at - MARGIN_S
+    if deadline <= last_end:
+        return True
+    trusted_until = leave.told_at + (leave.ends_at - leave.told_at) * ESTIMATES_PART
+    if longest_s is None or now > trusted_until:
+        return False
+    return now + longest_s * ESTIMATE_FACTOR <= last_end
+
+
+def leaving_retry_after_s(draw: float) -> float:
+    """When a client that a leaving process refuses should ask again; `draw` from 0 to 1."""
+    return RETRY_AFTER_S + RETRY_SPREAD_S * draw
+
+
+class LongestAnswers:
+    """The longest time that an answer of each kind took lately."""
+
+    def __init__(self) -> None:
+        self._recent: dict[str, float] = {}
+        self._older: dict[str, float] = {}
+        self._turns_at = 0.0
+
+    def note(self, kind: str, took_s: float, now: float) -> None:
+        """An answer of that kind has come to its end."""
+        self._turn(now)
+        if took_s > self._recent.get(kind, 0.0):
+            self._recent[kind] = took_s
+
+    def of(self, kind: str, now: float) -> float | None:
+        """The longest; None if none came lately."""
+        self._turn(now)
+        found = [longest[kind] for longest in (self._recent, self._older) if kind in longest]
+        return max(found, default=None)
+
+    def _turn(self, now: float) -> None:
+        """Forget what is too old."""
+        if now < self._turns_at:
+            return
+        is_fresh = now < self._turns_at + KEPT_S
+        self._older = self._recent if is_fresh else {}
+        self._recent = {}
+        self._turns_at = now + KEPT_S
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -12,6 +12,7 @@
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange
 from cloverrouter.placement.admission import absent_retry_after_s, has_time, retry_after_s
+from cloverrouter.placement.leaving import leaving_retry_after_s
 from cloverrouter.placement.servers import Standing
 from cloverrouter.router import answers
 from cloverrouter.router.admitted import Admitted
@@ -66,6 +67,11 @@
         """The time."""
         return self._router.clock()
 
+    @property
+    def arrived_at(self) -> float:
+        """When the whole request had been read."""
+        return self.exchange.request.arrived_s
+
     def start(self) -> None:
         """Make the first send, or answer."""
         self._try()
@@ -81,7 +87,7 @@
         if self._tries.sends and self.exchange.gone():
             self._client_gone()
             return
-        if not has_time(self._left_ms()):
+        if not has_time(self._left_ms()) or not self._may_begin():
             self._finish_failed()
             return
         standing = self._pick()
@@ -94,6 +100,10 @@
         else:
             self._send(standing)
 
+    def _may_begin(self) -> bool:
+        """A stream that the client has a part of goes on in any case: the next proxy could do no more."""
+        return (self._relay is not None and self._relay.begun) or self._router.may_begin(self.admitted)
+
     def _pick(self) -> Standing | None:
         placement = self._router.placement(self.admitted.service)
         return placement.pick(
@@ -180,6 +190,7 @@
             return
         self._router.succeeded(attempt, self.admitted)
         self._record.attempt_ended("answered")
+        self._router.answered(self)
         self._pass_on(answer)
 
     def stream_began(
@@ -216,6 +227,7 @@
         assert relay is not None
         self._router.succeeded(attempt, self.admitted)
         self._record.attempt_ended("streamed")
+        self._router.answered(self)
         self._close()
         relay.end()
         self._record.ended(relay.status)
@@ -239,6 +251,8 @@
     def _may_go_on(self) -> bool:
         if self._relay is not None and self._relay.begun and not self._relay.can_continue:
             return False
+        if not self._may_begin():
+            return False
         return self._tries.may_go_on(self._router.bounds.extra_sends)
 
     def _try_again(self, end: End) -> None:
@@ -273,7 +287,9 @@
         """Tell the client that the request has not run, and when to come back."""
         self._quota.refund()
         draw = self._router.random.random()
-        if self._tries.arrivals:
+        if self._router.draining:
+            wait = leaving_retry_after_s(draw)
+        elif self._tries.arrivals:
             usual_ms = self._router.placement(self.admitted.service).first_token.usual_ms
             wait = retry_after_s(usual_ms, self._left_ms(), draw)
         else:
@@ -297,11 +313,14 @@
 
     def _deadline_passed(self) -> None:
         """Nobody waits any longer: the server may stop, and the client gets what is true."""
-        attempt = self._attempt
-        if attempt is not None:
-            self._tries.may_have_run = self._tries.may_have_run or attempt.may_have_run
-            if attempt.sent_at is not None:
-                self._router.timed_out(attempt)
+        if self._attempt is not None and self._attempt.sent_at is not None:
+            self._router.timed_out(self._attempt)
+        self.cut_off()
+
+    def cut_off(self) -> None:
+        """No more can be done: the answer that is true of it, or the end of one that has begun."""
+        if self._attempt is not None:
+            self._tries.may_have_run = self._tries.may_have_run or self._attempt.may_have_run
         self._finish_failed()
 
     def _client_gone(self) -> None:
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -12,6 +12,7 @@
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.admission import unconfigured_retry_after_s
+from cloverrouter.placement.leaving import Leave, LongestAnswers, leaving_retry_after_s, may_begin
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
@@ -76,8 +77,8 @@
         self.recorder = recorder
         self.on_trouble: Callable[[str], None] = lambda instance_id: None
         """Called with the id of an instance that failed a request."""
-        self.draining = False
-        """Set once the process is to end: answers then end their connections."""
+        self._leave: Leave | None = None
+        self._longest = LongestAnswers()
         self._pool = pool
         self._quota = quota
         self._log = log
@@ -136,6 +137,21 @@
         for flight in self._waiting.pop(tenant, {}):
             flight.quota_woken()
 
+    def leave(self, ends_at: float) -> None:
+        """The process ends then. Answers end their connections from now on, and nothing is begun that might
+        not be over by that time."""
+        self._leave = Leave(self.clock(), ends_at)
+
+    def end_flights(self) -> None:
+        """The process ends now: what is still under way is given the answer that is true of it."""
+        for flight in list(self._flights):
+            flight.cut_off()
+
+    @property
+    def draining(self) -> bool:
+        """Whether the process was told to end."""
+        return self._leave is not None
+
     @property
     def in_flight(self) -> int:
         """Requests that are not answered yet."""
@@ -175,7 +191,12 @@
         if tenant is None and self._table.needs_key and not route.anonymous:
             self._respond(exchange, answers.UNAUTHORIZED)
             return
-        flight = Flight(self, exchange, self._admit(request, route, tenant))
+        admitted = self._admit(request, route, tenant)
+        if not self.may_begin(admitted):
+            wait_s = leaving_retry_after_s(self.random.random())
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
+            return
+        flight = Flight(self, exchange, admitted)
         self._flights.add(flight)
         flight.start()
 
@@ -234,6 +255,24 @@
             found.fleet_changed(self._fleet_size)
         return found
 
+    def may_begin(self, admitted: Admitted) -> bool:
+        """Whether the request may be sent to a server: always, but in a process that ends soon."""
+        if self._leave is None:
+            return True
+        now = self.clock()
+        return may_begin(self._leave, now, admitted.deadline, self._longest_s(admitted.route, now))
+
+    def _longest_s(self, route: Route, now: float) -> float | None:
+        """The longest that a request on the route took lately, or is taking now."""
+        ages = [now - one.arrived_at for one in self._flights if one.admitted.route.name == route.name]
+        known = self._longest.of(route.name, now)
+        return known if known is None else max([known, *ages])
+
+    def answered(self, flight: Flight) -> None:
+        """A server's whole answer went to the client."""
+        now = self.clock()
+        self._longest.note(flight.admitted.route.name, now - flight.arrived_at, now)
+
     def next_key(self) -> int:
         """A number for an attempt."""
         self._keys += 1
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -338,6 +338,11 @@
             self.router.servers_changed([self.server(service, place) for place in range(servers)])
         return self
 
+    def slow_routes(self, timeout_ms: int) -> None:
+        """Allow all requests so much time."""
+        routes = tuple(attrs.evolve(one, timeout_ms=timeout_ms) for one in CONFIGURATION.routes)
+        self.router.configure(attrs.evolve(CONFIGURATION, routes=routes))
+
     def server(self, service: str, place: int, **changes: Any) -> Server:
         plain: dict[str, Any] = {
             "id": f"{service}-{place}",
--- /dev/null
+++ b/tests/system/test_leaving_process.py
@@ -0,0 +1,361 @@
+"""A process that was told to end begins only what surely ends before it does; the rest is refused at once."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from cloverrouter.daemon.drain import end_what_is_open
+from cloverrouter.daemon.node import Node
+from cloverrouter.daemon.settings import read
+from cloverrouter.http.client import Failure
+from cloverrouter.http.server import Exchange, Request
+from cloverrouter.lab.fleet import deployment, nodes
+from cloverrouter.placement.leaving import KEPT_S, Leave, LongestAnswers, may_begin
+from tests.system.router_world import (
+    CONFIGURATION,
+    NOT_EXECUTED,
+    FakeClock,
+    ScriptedCall,
+    ScriptedExchange,
+    World,
+    event,
+)
+
+GRACE_S = 7.3
+TIMED_ROUTES = ("once", "twice", "again", "talk", "resume")
+"""Their time-out is two seconds, unless a test says otherwise."""
+MOMENTS_S = [tenth / 5 for tenth in range(38)]
+"""Each fifth of a second of the grace, and a little beyond."""
+
+
+@pytest.fixture
+def world() -> World:
+    return World().set_up()
+
+
+def leave(world: World, grace_s: float = GRACE_S) -> float:
+    """SIGTERM; when the process will end."""
+    ends_at = world.clock() + grace_s
+    world.router.leave(ends_at)
+    return ends_at
+
+
+def deadline(seconds: float) -> tuple[bytes, bytes]:
+    return b"cypresswinch-deadline-ms", b"%d" % (seconds * 1000)
+
+
+def asked(
+    world: World, path: str, *more: tuple[bytes, bytes]
+) -> tuple[ScriptedExchange, ScriptedCall | None]:
+    """A request, and its call to a server if one was made."""
+    before = len(world.calls)
+    exchange = world.ask(path, *more)
+    return exchange, world.last if len(world.calls) > before else None
+
+
+def assert_refused(exchange: ScriptedExchange) -> None:
+    """Answered at once, by a promise, and told when to come back; its connection ends."""
+    assert (exchange.status, exchange.ended, exchange.closed) == (503, True, True)
+    wait_s = float(exchange.field(b"retry-after") or b"nan")
+    assert 0 < wait_s <= 0.1
+
+
+def took(world: World, path: str, seconds: float) -> None:
+    """A request of the kind is answered after so long."""
+    exchange, call = asked(world, path)
+    assert call is not None
+    serve(world, call, seconds)
+    assert exchange.status == 200
+
+
+def serve(world: World, call: ScriptedCall, seconds: float) -> None:
+    """The server answers event by event, and is done after so long."""
+    events = max(1, round(seconds * 2))
+    call.stream(event(1))
+    for number in range(2, events + 2):
+        world.clock.pass_ms(seconds * 1000 / events)
+        call.data(event(number))
+    call.end()
+
+
+# The decision
+
+
+def test_what_is_over_at_its_deadline_before_the_end_may_begin() -> None:
+    assert may_begin(Leave(0.0, 7.3), 0.0, deadline=7.0, longest_s=None)
+    assert may_begin(Leave(0.0, 7.3), 6.0, deadline=7.0, longest_s=None)
+    assert not may_begin(Leave(0.0, 7.3), 0.0, deadline=7.2, longest_s=None)
+
+
+@pytest.mark.parametrize("longest_s", [0.01, 0.5, 1.0, 2.0, 3.0, 3.5, 4.0, 8.0, 15.0])
+@pytest.mark.parametrize("now", MOMENTS_S)
+def test_an_estimate_is_trusted_early_and_with_room(longest_s: float, now: float) -> None:
+    """Twice the longest that was seen must fit, and the moment be in the first third."""
+    expected = now <= 7.3 / 3 and now + 2 * longest_s <= 7.1
+    assert may_begin(Leave(0.0, 7.3), now, now + 15.0, longest_s) is expected
+
+
+def test_the_longest_answer_is_remembered_for_a_while_and_then_forgotten() -> None:
+    longest = LongestAnswers()
+    assert longest.of("a", 0.0) is None
+    longest.note("a", 3.0, 0.0)
+    longest.note("a", 1.0, 1.0)
+    assert longest.of("a", KEPT_S - 1) == 3.0
+    assert longest.of("b", KEPT_S - 1) is None
+    longest.note("a", 2.0, KEPT_S + 1)
+    assert longest.of("a", KEPT_S + 2) == 3.0
+    assert longest.of("a", 2 * KEPT_S + 2) == 2.0
+    assert longest.of("a", 9 * KEPT_S) is None
+
+
+# What the router makes of it
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 2.0, 5.0, 15.0])
+@pytest.mark.parametrize("path", TIMED_ROUTES)
+def test_no_request_of_a_leaving_process_is_cut(path: str, seconds: float) -> None:
+    """Each kind of route, each moment of the grace, each time that the client gives, and servers that take
+    all of it: what is begun has its deadline before the end, and what isn't begun is refused at once."""
+    for moment_s in MOMENTS_S:
+        world = World().set_up()
+        ends_at = leave(world)
+        world.clock.pass_ms(moment_s * 1000)
+        exchange, call = asked(world, f"/{path}/x", deadline(seconds))
+        last_s = world.clock() + min(seconds, 2.0)
+        if call is None:
+            assert last_s > ends_at - 0.2
+            assert_refused(exchange)
+            continue
+        assert last_s <= ends_at - 0.2
+        call.write()
+        world.clock.pass_ms((ends_at - world.clock()) * 1000)
+        assert exchange.done, f"{path} at {moment_s} s would be cut"
+
+
+@pytest.mark.parametrize("path", TIMED_ROUTES)
+@pytest.mark.parametrize("usual_s", [0.2, 1.0, 2.0, 3.0])
+def test_long_requests_are_begun_by_their_usual_length(path: str, usual_s: float) -> None:
+    """The route allows 15 s. What is begun ends before the process even if it takes twice as long as any that
+    was seen."""
+    for moment_s in MOMENTS_S:
+        world = World().set_up()
+        world.slow_routes(15_000)
+        took(world, f"/{path}/x", usual_s)
+        ends_at = leave(world)
+        world.clock.pass_ms(moment_s * 1000)
+        exchange, call = asked(world, f"/{path}/x", deadline(15.0))
+        fits = moment_s <= GRACE_S / 3 and moment_s + 2 * usual_s <= GRACE_S - 0.2
+        assert (call is not None) is fits, f"at {moment_s} s"
+        if call is None:
+            assert_refused(exchange)
+            continue
+        serve(world, call, 2 * usual_s)
+        assert (exchange.status, exchange.ended) == (200, True)
+        assert world.clock() < ends_at
+
+
+def test_a_long_request_of_unknown_length_is_not_begun(world: World) -> None:
+    world.slow_routes(15_000)
+    leave(world)
+    exchange, call = asked(world, "/talk/x", deadline(15.0))
+    assert call is None
+    assert_refused(exchange)
+
+
+def test_a_stream_that_is_still_open_counts_with_its_age(world: World) -> None:
+    """The servers have just turned slow: no slow answer has ended yet."""
+    world.slow_routes(15_000)
+    took(world, "/resume/x", 1.0)
+    world.ask("/resume/x", deadline(15.0))
+    world.last.stream(event(1))
+    for number in range(2, 6):
+        world.clock.pass_ms(1000)
+        world.last.data(event(number))
+    leave(world)
+    exchange, call = asked(world, "/resume/x", deadline(15.0))
+    assert call is None
+    assert_refused(exchange)
+
+
+def test_what_is_refused_costs_no_quota_and_no_budget(world: World) -> None:
+    world.slow_routes(15_000)
+    leave(world)
+    world.ask("/talk/x", deadline(15.0))
+    assert world.quota.taken == []
+    assert world.budget.spent == 0
+
+
+def test_a_request_is_not_sent_again_when_that_would_not_end_in_time(world: World) -> None:
+    """It was turned away by one server; a second would still work on it when the process ends."""
+    exchange, call = asked(world, "/twice/x", deadline(2.0))
+    assert call is not None
+    leave(world, 2.0)
+    world.clock.pass_ms(100)
+    call.answer(503, NOT_EXECUTED)
+    assert len(world.calls) == 1
+    assert_refused(exchange)
+
+
+def test_what_may_have_run_is_not_refused_but_failed(world: World) -> None:
+    exchange, call = asked(world, "/again/x", deadline(2.0))
+    assert call is not None
+    leave(world, 2.0)
+    call.write()
+    call.fail(Failure.BROKEN)
+    assert len(world.calls) == 1
+    assert exchange.status == 502
+
+
+def test_a_stream_under_way_is_still_continued_elsewhere(world: World) -> None:
+    exchange, _ = asked(world, "/resume/x", deadline(2.0))
+    world.last.stream(event(1))
+    leave(world, 1.0)
+    world.last.fail(Failure.BROKEN)
+    assert len(world.calls) == 2
+    assert world.last.field(b"last-event-id") == b"1"
+    world.last.stream(event(2))
+    world.last.end()
+    assert exchange.body == event(1) + event(2)
+
+
+def test_a_wait_for_quota_that_ends_too_late_is_a_refusal(world: World) -> None:
+    world.quota.waits = [0.02]
+    exchange, call = asked(world, "/once/x", deadline(1.0))
+    assert call is None
+    leave(world, 1.0)
+    world.clock.pass_ms(50)
+    assert world.calls == []
+    assert_refused(exchange)
+
+
+# The end
+
+
+def test_at_the_end_each_open_request_gets_the_answer_that_is_true(world: World) -> None:
+    running, call = asked(world, "/once/x")
+    assert call is not None
+    call.write()
+    unsent, unsent_call = asked(world, "/once/x")
+    begun, _ = asked(world, "/resume/x")
+    world.last.stream(event(1), b"id: 2\ndata: ha")
+    leave(world, 0.5)
+    world.clock.pass_ms(500)
+    world.router.end_flights()
+    assert running.status == 502
+    assert call.cancelled
+    assert unsent_call is not None
+    assert unsent_call.cancelled
+    assert_refused(unsent)
+    assert begun.aborted
+    assert begun.body == event(1)  # whole events only: its client can go on elsewhere
+    assert world.router.in_flight == 0
+
+
+def test_at_the_end_a_promise_that_has_come_holds(world: World) -> None:
+    exchange, call = asked(world, "/once/x")
+    assert call is not None
+    call.head(503, NOT_EXECUTED, length=4)
+    leave(world, 0.1)
+    world.router.end_flights()
+    assert_refused(exchange)
+
+
+def test_a_process_that_stays_begins_everything(world: World) -> None:
+    world.slow_routes(15_000)
+    _, call = asked(world, "/talk/x", deadline(15.0))
+    assert call is not None
+
+
+def test_unknown_routes_and_keys_are_still_told_apart_while_leaving(world: World) -> None:
+    leave(world)
+    assert world.ask("/nowhere/x").status == 404
+    assert world.ask("/once/x", key=b"unknown").status == 401
+
+
+# The process
+
+
+class Requests:
+    """So many are open until a time, or until they are given an answer."""
+
+    def __init__(self, clock: FakeClock, until: float) -> None:
+        self._clock = clock
+        self._until = until
+        self.ended_at: float | None = None
+
+    @property
+    def in_flight(self) -> int:
+        return int(self._clock() < self._until and self.ended_at is None)
+
+    def end_flights(self) -> None:
+        self.ended_at = self._clock()
+
+
+def drained(busy_s: float, grace_s: float = GRACE_S) -> tuple[float, Requests]:
+    """How long a process stays with one request of that length, and that request."""
+    clock = FakeClock()
+    told_at = clock()
+    requests = Requests(clock, told_at + busy_s)
+
+    async def sleep(seconds: float) -> None:
+        clock.pass_ms(seconds * 1000)
+
+    asyncio.run(end_what_is_open(requests, lambda: requests.in_flight > 0, told_at + grace_s, clock, sleep))
+    return clock() - told_at, requests
+
+
+@pytest.mark.parametrize("busy_s", [0.0, 0.4, 3.0, 6.9])
+def test_a_process_ends_soon_after_its_last_request(busy_s: float) -> None:
+    stayed_s, requests = drained(busy_s)
+    assert busy_s <= stayed_s <= busy_s + 0.4
+    assert requests.ended_at is None
+
+
+def test_a_process_gives_last_answers_and_the_time_that_they_need() -> None:
+    stayed_s, requests = drained(60.0)
+    assert requests.ended_at is not None
+    assert 7.3 <= stayed_s < 7.5
+
+
+def node(tmp_path: Path) -> Node:
+    spec = deployment.nodes("127.31.251")[0]
+    path = tmp_path / "node.toml"
+    fleet = deployment.fleet_settings((spec,))
+    path.write_text(nodes.toml(nodes.settings(spec, fleet, tmp_path, bootstrap=True)))
+    return Node(read(str(path)), str(path))
+
+
+def test_sigterm_is_seen_in_the_readiness_at_once(tmp_path: Path) -> None:
+    async def scene() -> None:
+        process = node(tmp_path)
+        asks = [ScriptedExchange(Request(b"GET", b"/-/readiness", [], b"", 0.0)) for _ in range(2)]
+        router = process._traffic.router
+        router.configure(CONFIGURATION)
+        for service in ("desk", "model"):
+            router.servers_changed([World().server(service, 0)])
+        process._readiness(cast(Exchange, asks[0]))
+        process.stop()
+        process._readiness(cast(Exchange, asks[1]))
+        assert [one.status for one in asks] == [200, 503]
+
+    asyncio.run(scene())
+
+
+def test_a_second_sigterm_does_not_lengthen_the_grace(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> None:
+        process = node(tmp_path)
+        told: list[float] = []
+        monkeypatch.setattr(process._traffic.router, "leave", told.append)
+        now = asyncio.get_running_loop().time()
+        process.stop()
+        process.stop()
+        assert len(told) == 1
+        assert now + 7.0 < told[0] < now + 8.0
+
+    asyncio.run(scene())
--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -241,7 +241,7 @@
 
 def test_while_draining_answers_end_their_connections(world: World) -> None:
     exchange = world.ask("/once/x")
-    world.router.draining = True
+    world.router.leave(world.clock() + 7.0)
     world.last.answer(200, SIGNED, body=b"x")
     assert exchange.closed
     assert not world.router.ready()
