Four circles of imports are untied by ports; a test keeps modules free of them

Cause: http/answer-client-upstream, http/connection-exchange-server, router/router-flight-quota_turn and daemon/control_plane-control_calls imported each other for their types, so none of them could be read alone. Ruled out: merging the modules (larger files), Any in place of types. Change: each lower module says as a protocol what it needs (Carrier, BusyCounter, Owner, AddressPool, AnswerChannel, Host, TenantQuotas, FlightHost, PlanePort). No behaviour changes but that a flight waits for quota by its tenant's name.

--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -15,17 +15,17 @@
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
 from cloverrouter.control.registration import instance_from
 from cloverrouter.control.updates import decoded
+from cloverrouter.daemon.plane_port import PlanePort
 from cloverrouter.messages import encode
 
 if TYPE_CHECKING:
     from cloverrouter.control.api import RegisterReply
-    from cloverrouter.daemon.control_plane import ControlPlane
 
 
 class ControlCalls:
     """Implements `control.api.ControlBackend` on a process's control plane."""
 
-    def __init__(self, plane: ControlPlane, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop) -> None:
         self._plane = plane
         self._loop = loop
         self._tickets = itertools.count(1)
@@ -122,7 +122,7 @@
             "fleet-size": plane.subscriber.fleet_size(),
             "ready": plane.traffic.router.ready(),
             "in-flight": plane.traffic.router.in_flight,
-            "replica": plane.role.identity if plane.role is not None else None,
+            "replica": plane.disk_identity,
             "view": self.view(),
         }
 
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -14,7 +14,7 @@
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
 from cloverrouter.control.document import ConfigurationState
-from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, SendCall
+from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, Kind, SendCall
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
@@ -163,6 +163,11 @@
             self._api = ControlApi(self._calls)
         self._api.handle(exchange)
 
+    @property
+    def disk_identity(self) -> str | None:
+        """The identity of this machine's disk, if it is a replica."""
+        return self.role.identity if self.role is not None else None
+
     @property
     def calls_under_way(self) -> int:
         """Calls of operators and servers that wait for their answer."""
@@ -342,9 +347,9 @@
             else:
                 self._calls.call_ended(effect.ticket, effect.reply)
 
-    def ask_head(self, ticket: int, kind: object, command: bytes) -> None:
+    def ask_head(self, ticket: int, kind: Kind, command: bytes) -> None:
         """Have the head answer a call; `ControlCalls.call_ended` hears of it."""
-        self._forwarded(self._forwarder.ask(self._loop.time(), ticket, kind, command))  # type: ignore[arg-type]
+        self._forwarded(self._forwarder.ask(self._loop.time(), ticket, kind, command))
 
     def note(self, effects: Iterable[RegistryEffect]) -> None:
         """Carry out what a call of the registry gave."""
--- a/cloverrouter/http/answer.py
+++ b/cloverrouter/http/answer.py
@@ -4,14 +4,10 @@
 
 import enum
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from cloverrouter.http.fields import Headers
 
-if TYPE_CHECKING:
-    from cloverrouter.http.client import ServerPool
-    from cloverrouter.http.upstream import UpstreamConnection
-
 
 class Failure(enum.Enum):
     """How a call ends that has no whole answer."""
@@ -43,6 +39,28 @@
     def on_failure(self, failure: Failure) -> None: ...
 
 
+class Carrier(Protocol):
+    """The connection that a call is on."""
+
+    def abort(self) -> None:
+        """Close it, whatever is on it: nothing is told of that."""
+        ...
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        ...
+
+    def resume(self) -> None:
+        """Read on."""
+        ...
+
+
+class BusyCounter(Protocol):
+    """Counts the calls on their way to one address."""
+
+    busy: int
+
+
 class Call:
     """A request on its way. Once it is `done` all methods do nothing."""
 
@@ -65,8 +83,8 @@
         self.written = False  # its last byte was handed to the kernel
         self.reused = False  # it went out on a connection that had served another
         self.done = False
-        self._connection: UpstreamConnection | None = None
-        self._pool: ServerPool | None = None
+        self._connection: Carrier | None = None
+        self._pool: BusyCounter | None = None
 
     def cancel(self) -> None:
         """Give it up: the connection that anything of it went out on closes, and if it has not gone out it
@@ -87,11 +105,11 @@
 
     # For the pool and its connections
 
-    def hold(self, pool: ServerPool) -> None:
+    def hold(self, pool: BusyCounter) -> None:
         self._pool = pool
         pool.busy += 1
 
-    def assign(self, connection: UpstreamConnection) -> None:
+    def assign(self, connection: Carrier) -> None:
         self._connection = connection
 
     def finish(self) -> None:
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -16,7 +16,7 @@
 from cloverrouter.http.idle import IdlePool, close_longest_idle
 from cloverrouter.http.rest import SOON_S, RestLimits
 from cloverrouter.http.sockets import READ_BYTES, notice_dead_peer, open_socket
-from cloverrouter.http.upstream import UpstreamConnection
+from cloverrouter.http.upstream import AddressPool, UpstreamConnection
 
 __all__ = ["Address", "Call", "ConnectionPool", "Failure", "Headers", "Listener"]
 
@@ -157,7 +157,7 @@
         """Others found that servers forget idle connections: use none that rested longer, for a while."""
         self._rests.told(limit_s, for_s, self.loop.time())
 
-    def uses(self, pool: ServerPool) -> bool:
+    def uses(self, pool: AddressPool) -> bool:
         return self._pools.get(pool.address) is pool
 
     def put(self, connection: UpstreamConnection) -> None:
--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -7,16 +7,14 @@
 import enum
 import logging
 import socket
-from typing import TYPE_CHECKING, Any, cast
+from collections.abc import Callable
+from typing import Any, Protocol, cast
 
 from cloverrouter.http.exchange import Exchange
 from cloverrouter.http.fields import encode_answer
-from cloverrouter.http.request import Request, RequestReader
+from cloverrouter.http.request import Request, RequestReader, ServerLimits
 from cloverrouter.http.sockets import hung_up, reset_at_close, unread
 
-if TYPE_CHECKING:
-    from cloverrouter.http.server import Server
-
 WRITE_HIGH = 32 * 1024  # bytes that its client has not taken up, at which the handler is told to pause
 # Requests that wait behind an open one, and their bytes: past this nothing more is read.
 MOST_WAITING = 8
@@ -37,7 +35,41 @@
     LINGERING = 6  # the last answer is out: what still comes is read and dropped
 
 
+class Host(Protocol):
+    """The server that a connection belongs to."""
+
+    loop: asyncio.AbstractEventLoop
+    buffer: memoryview
+    limits: ServerLimits
+    held_bytes: int
+    deaf: set[ServerConnection]
+
+    @property
+    def sheds(self) -> bool:
+        """Do answers end their connections now?"""
+        ...
+
+    @property
+    def handle(self) -> Callable[[Exchange], None]:
+        """Called once for each whole request."""
+        ...
+
+    def add(self, connection: ServerConnection) -> None:
+        """It has a socket."""
+        ...
+
+    def remove(self, connection: ServerConnection) -> None:
+        """It has ended."""
+        ...
+
+    def move(self, connection: ServerConnection, stage: Stage) -> None:
+        """It is at another stage."""
+        ...
+
+
 class ServerConnection(asyncio.BufferedProtocol):
+    """A client's connection, from its acceptance to its end."""
+
     __slots__ = (
         "_data",
         "_exchange",
@@ -54,7 +86,7 @@
         "until_close",
     )
 
-    def __init__(self, server: Server, sock: socket.socket) -> None:
+    def __init__(self, server: Host, sock: socket.socket) -> None:
         self._server = server
         self._sock = sock
         self._transport: asyncio.Transport | None = None
--- a/cloverrouter/http/exchange.py
+++ b/cloverrouter/http/exchange.py
@@ -3,20 +3,62 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from cloverrouter.http.fields import CLOSE, Headers, encode_answer, encode_fields, status_line
 from cloverrouter.http.request import Request
 
-if TYPE_CHECKING:
-    from cloverrouter.http.connection import ServerConnection
-
 KEEP_ALIVE = b"Connection: keep-alive\r\n"  # what an HTTP/1.0 client must be told
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 BODILESS = frozenset((204, 304))
 
 
+class AnswerChannel(Protocol):
+    """The connection that an exchange's answer goes out on."""
+
+    paused: bool
+    until_close: bool
+
+    @property
+    def data(self) -> dict[str, Any]:
+        """For the handler, as long as the connection lives."""
+        ...
+
+    @property
+    def peer(self) -> tuple[str, int] | None:
+        """The client's address."""
+        ...
+
+    def hung_up(self) -> bool:
+        """Has the client left?"""
+        ...
+
+    def ends_with(self, request: Request) -> bool:
+        """Does the connection end with the answer to `request`?"""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Send at once."""
+        ...
+
+    def write_soon(self, data: bytes) -> None:
+        """Send with what else comes in this turn of the loop."""
+        ...
+
+    def flush(self) -> None:
+        """Send what `write_soon` has kept."""
+        ...
+
+    def answered(self, close: bool) -> None:
+        """The last byte of the answer has been written."""
+        ...
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        ...
+
+
 class Exchange:
     """Answer it once: by `respond`, or by `begin`, any number of `write`, and `end` or `abort`.
 
@@ -37,12 +79,12 @@
         "request",
     )
 
-    def __init__(self, request: Request, connection: ServerConnection) -> None:
+    def __init__(self, request: Request, connection: AnswerChannel) -> None:
         self.request = request
         self.on_gone: Callable[[], None] | None = None  # its client left before the answer's end
         self.on_pause: Callable[[], None] | None = None  # its client does not take up what is written
         self.on_resume: Callable[[], None] | None = None
-        self._connection: ServerConnection | None = connection
+        self._connection: AnswerChannel | None = connection
         self._begun = self._bodiless = self._chunked = self._close = False
         self._left: int | None = None  # of a body of known length
 
--- a/cloverrouter/http/upstream.py
+++ b/cloverrouter/http/upstream.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import socket
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -17,16 +17,46 @@
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.sockets import unread
 
-if TYPE_CHECKING:
-    from cloverrouter.http.client import ConnectionPool, ServerPool
-
 MOST_HEAD_BYTES = 64 * 1024
 KEEP_SHARE = 0.8  # of the time after which the server says that it closes an idle connection
 KEEP_MARGIN_S = 0.2
 log = logging.getLogger(__name__)
 
 
+class Owner(Protocol):
+    """Who opens connections, and keeps those that may be used again."""
+
+    loop: asyncio.AbstractEventLoop
+    buffer: memoryview
+    idle_timeout_s: float
+    connections: set[UpstreamConnection]
+
+    def put(self, connection: UpstreamConnection) -> None:
+        """It has nothing to do."""
+        ...
+
+    def reset_unheard(self, connection: UpstreamConnection, sent_s: float) -> None:
+        """A request that went out on a connection that had rested was reset without a byte of an answer."""
+        ...
+
+
+class AddressPool(Protocol):
+    """The connections to one address."""
+
+    address: tuple[str, int]
+
+    def rest(self, connection: UpstreamConnection, now_s: float) -> None:
+        """It waits for the next call."""
+        ...
+
+    def forget(self, connection: UpstreamConnection) -> None:
+        """It is of no further use."""
+        ...
+
+
 class UpstreamConnection(asyncio.BufferedProtocol):
+    """A connection to a server: one call at a time."""
+
     __slots__ = (
         "_call",
         "_complete",
@@ -55,7 +85,7 @@
         "pool",
     )
 
-    def __init__(self, owner: ConnectionPool, pool: ServerPool, sock: socket.socket) -> None:
+    def __init__(self, owner: Owner, pool: AddressPool, sock: socket.socket) -> None:
         self._owner = owner
         self.pool = pool
         self._sock = sock
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange
 from cloverrouter.placement.admission import absent_retry_after_s, has_time, retry_after_s
@@ -16,6 +14,7 @@
 from cloverrouter.router import answers
 from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
+from cloverrouter.router.flight_host import FlightHost
 from cloverrouter.router.headers import ATTEMPT_ID, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, encode_request
 from cloverrouter.router.patience import LEAST_LEFT_S, Patience
 from cloverrouter.router.ports import Timer
@@ -24,9 +23,6 @@
 from cloverrouter.router.tries import Tries
 from cloverrouter.router.verdict import Answer, End
 
-if TYPE_CHECKING:
-    from cloverrouter.router.router import Router
-
 
 class Flight:
     """Owns its exchange: nobody else answers it."""
@@ -35,7 +31,7 @@
                  "_request_id", "_retry_timer", "_router", "_tail", "_tries", "admitted", "exchange",
                  "whole_answer_bytes")  # fmt: skip
 
-    def __init__(self, router: Router, exchange: Exchange, admitted: Admitted) -> None:
+    def __init__(self, router: FlightHost, exchange: Exchange, admitted: Admitted) -> None:
         self.exchange = exchange
         self.whole_answer_bytes = router.bounds.whole_answer_bytes
         self._router = router
@@ -105,7 +101,7 @@
         tenant = self.admitted.tenant
         if self._quota.worth_waiting and tenant is not None:
             self._retry_timer = self._router.call_later(self._quota.wait_s, self._try)
-            self._router.waits_for_quota(self, tenant)
+            self._router.waits_for_quota(self, tenant.name)
         else:
             self._respond(answers.TOO_MANY, answers.retry_after(self._quota.retry_after_s))
 
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -20,6 +20,7 @@
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.flight import Flight
+from cloverrouter.router.flight_host import HostedFlight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
     MODEL,
@@ -85,8 +86,8 @@
         self._table: RoutingTable | None = None
         self._ranks: Ranks | None = None
         self._placements: dict[str, ServicePlacement] = {}
-        self._flights: set[Flight] = set()
-        self._waiting: dict[str, dict[Flight, None]] = {}
+        self._flights: set[HostedFlight] = set()
+        self._waiting: dict[str, dict[HostedFlight, None]] = {}
         self._keys = 0
         self._started_at = clock()
         self._fleet_size = 1
@@ -251,9 +252,9 @@
             return 0.0
         return self._quota.admit(tenant.name, admitted.tokens, self.clock(), again=again)
 
-    def waits_for_quota(self, flight: Flight, tenant: Tenant) -> None:
+    def waits_for_quota(self, flight: HostedFlight, tenant: str) -> None:
         """The flight is to hear of news about its tenant's quota."""
-        self._waiting.setdefault(tenant.name, {})[flight] = None
+        self._waiting.setdefault(tenant, {})[flight] = None
 
     def refund(self, admitted: Admitted) -> None:
         """A request that was counted for its tenant never ran."""
@@ -310,7 +311,7 @@
         else:
             attempt.standing.failed()
 
-    def landed(self, flight: Flight) -> None:
+    def landed(self, flight: HostedFlight) -> None:
         """A flight is over."""
         self._flights.discard(flight)
         tenant = flight.admitted.tenant
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -94,6 +94,35 @@
         assert not top & (IMPURE - ({"random"} if part == "decide" else set())), path.name
 
 
+def module_graph() -> dict[str, set[str]]:
+    """Which module imports which, by name; also what is imported for the type checker or within functions."""
+    modules = {}
+    for path in ROOT.rglob("*.py"):
+        parts = path.relative_to(ROOT.parent).with_suffix("").parts
+        modules[".".join(parts).removesuffix(".__init__")] = path
+    return {name: (imported(path) & set(modules)) - {name} for name, path in modules.items()}
+
+
+def reachable(graph: dict[str, set[str]], start: str) -> set[str]:
+    found: set[str] = set()
+    waiting = list(graph[start])
+    while waiting:
+        name = waiting.pop()
+        if name not in found:
+            found.add(name)
+            waiting += graph[name]
+    return found
+
+
+def test_no_module_imports_itself_by_way_of_others() -> None:
+    """A package's own name stands for its `__init__`, which may gather what its modules offer."""
+    graph = module_graph()
+    packages = {name for name in graph if any(other.startswith(f"{name}.") for other in graph)}
+    plain = {name: imports - packages for name, imports in graph.items() if name not in packages}
+    circles = sorted(name for name in plain if name in reachable(plain, name))
+    assert not circles
+
+
 def test_the_proxy_loads_no_tools() -> None:
     """What `run` starts is not to pay for the explorer or the command line."""
     code = "import sys, cloverrouter.proxy.program; print(*sys.modules)"
