Calls for the head are numbered apart in each life of a process

Cause: a proxy numbered its calls from 1 in each life. The head keeps a forwarded call by (address, number) until it is answered; a proxy that was started again meanwhile had its new call 1 taken for the old one sent again, and the new caller (an operator) was given the answer to the old order. Ruled out: dropping what the head holds when a link breaks (the link of a frozen head breaks later than the process ends). Change: a process begins at a random number of 42 bits, followed by 20 bits of its own calls; the message stays as it is.

--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -7,15 +7,26 @@
 from __future__ import annotations
 
 from enum import Enum
+from random import Random
 
 import attrs
 
 from cloverrouter.messages import message
 
 RESEND_S = 0.35
+LIFE_BITS = 42
+CALL_BITS = 20  # a process takes fewer calls than 2 ** 20 in its life
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
 
 
+def first_ticket(random: Random) -> int:
+    """Where a process begins to number its calls, apart from all processes that had its address before.
+
+    Danger: a head may still hold a call of an earlier process at the same address. Numbered alike, a new call
+    would be taken for that one sent again, and its caller would get the answer to the other."""
+    return random.getrandbits(LIFE_BITS) << CALL_BITS
+
+
 class Kind(Enum):
     ORDER = 0
     READ = 1
@@ -23,7 +34,8 @@
 
 @message(330)
 class HeadCall:
-    """A call for the head. `kind`: see `Kind`; `command`: an order's bytes, empty for a read."""
+    """A call for the head. `ticket`: see `first_ticket`; `kind`: see `Kind`; `command`: of an order, empty
+    for a read."""
 
     ticket: int
     kind: int
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -25,10 +25,11 @@
 class ControlCalls:
     """Implements `control.api.ControlBackend` on a process's control plane."""
 
-    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop, first_ticket: int) -> None:
+        """`first_ticket`: of `control.forwarding.first_ticket`."""
         self._plane = plane
         self._loop = loop
-        self._tickets = itertools.count(1)
+        self._tickets = itertools.count(first_ticket)
         self._calls: dict[int, asyncio.Future[bytes | None]] = {}
         self._changes: dict[int, asyncio.Future[bool]] = {}
 
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -14,7 +14,15 @@
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
 from cloverrouter.control.document import ConfigurationState
-from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer, HeadCall, Kind, SendCall
+from cloverrouter.control.forwarding import (
+    Finished,
+    Forwarder,
+    HeadAnswer,
+    HeadCall,
+    Kind,
+    SendCall,
+    first_ticket,
+)
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
@@ -76,7 +84,7 @@
         self._quota_duty: QuotaDuty | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
-        self._calls = ControlCalls(self, self._loop)
+        self._calls = ControlCalls(self, self._loop, first_ticket(random))
         self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
--- /dev/null
+++ b/tests/system/test_head_desk.py
@@ -0,0 +1,96 @@
+"""The head's side of forwarded calls: who gets which answer, also when a proxy was started again."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any, cast
+
+from cloverrouter.control.forwarding import HeadAnswer, HeadCall, Kind, first_ticket
+from cloverrouter.control.orders import OrderReply
+from cloverrouter.coordination.effects import Answer, Effect, Outcome
+from cloverrouter.coordination.replica import Replica
+from cloverrouter.daemon.control_calls import ControlCalls
+from cloverrouter.daemon.head_desk import HeadDesk
+from cloverrouter.daemon.plane_port import PlanePort
+from cloverrouter.messages import Decoder, encode
+
+PROXY = "10.0.0.9"
+
+
+class HoldingReplica:
+    """Takes commands, and answers none by itself."""
+
+    def __init__(self) -> None:
+        self.commands: dict[int, bytes] = {}
+
+    def submit(self, now: float, ticket: int, command: bytes) -> list[Effect]:
+        self.commands[ticket] = command
+        return []
+
+    def read(self, now: float, ticket: int) -> list[Effect]:
+        return self.submit(now, ticket, b"read")
+
+
+class ScriptedPlane:
+    """Passes a process's calls to the head's desk."""
+
+    def __init__(self, desk: HeadDesk) -> None:
+        self._desk = desk
+        self.tickets: list[int] = []
+
+    def ask_head(self, ticket: int, kind: Kind, command: bytes) -> None:
+        self.tickets.append(ticket)
+        self._desk.called(0.0, PROXY, HeadCall(ticket, kind.value, command))
+
+
+def reply_to(body: bytes) -> bytes:
+    return encode(OrderReply(200, body, 1))
+
+
+def test_a_process_started_again_gets_no_answer_to_a_call_of_the_one_before() -> None:
+    replica = HoldingReplica()
+    sent: list[HeadAnswer] = []
+    desk = HeadDesk(cast(Replica, replica), lambda ip, message: sent.append(cast(HeadAnswer, message)))
+
+    async def play() -> tuple[OrderReply, set[int], set[int]]:
+        loop = asyncio.get_running_loop()
+        first, second = ScriptedPlane(desk), ScriptedPlane(desk)
+        before = ControlCalls(cast(PlanePort, first), loop, first_ticket(Random(1)))
+        lost = asyncio.ensure_future(before.order("PUT", "0", b"of the first life"))
+        await asyncio.sleep(0)
+        after = ControlCalls(cast(PlanePort, second), loop, first_ticket(Random(2)))
+        asked = asyncio.ensure_future(after.order("PUT", "1", b"of the second life"))
+        await asyncio.sleep(0)
+        for ticket, command in list(replica.commands.items()):
+            which = b"first" if b"of the first life" in command else b"second"
+            desk.answered(Answer(ticket, Outcome.DONE, reply_to(which)))
+        for answer in sent:
+            after.call_ended(answer.ticket, answer.reply)
+        reply = await asyncio.wait_for(asked, 1.0)
+        lost.cancel()
+        return reply, set(first.tickets), set(second.tickets)
+
+    reply, first_tickets, second_tickets = asyncio.run(play())
+    assert reply.body == b"second"
+    assert not first_tickets & second_tickets
+
+
+def test_a_call_that_is_sent_again_joins_the_first_and_is_answered_once() -> None:
+    replica = HoldingReplica()
+    sent: list[Any] = []
+    desk = HeadDesk(cast(Replica, replica), lambda ip, message: sent.append((ip, message)))
+    call = HeadCall(first_ticket(Random(3)), Kind.ORDER.value, b"order")
+    desk.called(0.0, PROXY, call)
+    desk.called(0.4, PROXY, call)
+    assert len(replica.commands) == 1
+    (ticket,) = replica.commands
+    desk.answered(Answer(ticket, Outcome.DONE, b"reply"))
+    assert sent == [(PROXY, HeadAnswer(call.ticket, True, b"reply"))]
+
+
+def test_tickets_of_many_lives_never_meet_and_fit_their_field() -> None:
+    firsts = [first_ticket(Random(seed)) for seed in range(2000)]
+    assert len({first >> 20 for first in firsts}) == len(firsts)
+    largest = HeadCall(max(firsts) + 2**20 - 1, Kind.READ.value, b"")
+    assert list(Decoder().feed(encode(largest))) == [largest]
