--- a/cloverrouter/router/flight_host.py
+++ b/cloverrouter/router/flight_host.py
@@ -21,6 +21,15 @@
 
     admitted: Admitted
 
+    @property
+    def arrived_at(self) -> float:
+        """When the whole request had been read."""
+        ...
+
+    def cut_off(self) -> None:
+        """No more can be done: end it."""
+        ...
+
     def quota_woken(self) -> None:
         """News of the tenant's quota came."""
         ...
@@ -56,6 +65,10 @@
         """The servers of a service."""
         ...
 
+    def may_begin(self, admitted: Admitted) -> bool:
+        """Whether the request may be sent to a server now: it is to end before the process does."""
+        ...
+
     def next_key(self) -> int:
         """A number for an attempt."""
         ...
@@ -76,6 +89,10 @@
         """The server's own answer is whole."""
         ...
 
+    def answered(self, flight: HostedFlight) -> None:
+        """A server's whole answer went to the client."""
+        ...
+
     def failed(self, attempt: Attempt, end: End, admitted: Admitted) -> None:
         """An attempt ended without an answer of worth."""
         ...
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -269,7 +269,7 @@
         known = self._longest.of(route.name, now)
         return known if known is None else max([known, *ages])
 
-    def answered(self, flight: Flight) -> None:
+    def answered(self, flight: HostedFlight) -> None:
         """A server's whole answer went to the client."""
         now = self.clock()
         self._longest.note(flight.admitted.route.name, now - flight.arrived_at, now)
