A copy of an order that was answered gets the same answer, and is not decided again

For an order that was refused with 412 because it builds on a version to come, the second decision could take it, once another order had brought that version: refused, and yet in force. Ruled out: a marker in the replicated state (its format would change for an operator's mistake). Reads are always made anew.

--- a/tests/system/test_head_desk.py
+++ b/tests/system/test_head_desk.py
@@ -11,7 +11,7 @@
 from cloverrouter.coordination.effects import Answer, Effect, Outcome
 from cloverrouter.coordination.replica import Replica
 from cloverrouter.daemon.control_calls import ControlCalls
-from cloverrouter.daemon.head_desk import HeadDesk
+from cloverrouter.daemon.head_desk import ANSWERS_KEPT, HeadDesk
 from cloverrouter.daemon.plane_port import PlanePort
 from cloverrouter.messages import Decoder, encode
 
@@ -89,6 +89,43 @@
     assert sent == [(PROXY, HeadAnswer(call.ticket, True, b"reply"))]
 
 
+def test_a_copy_of_an_answered_order_gets_the_same_answer_and_is_not_decided_again() -> None:
+    """The order built on a version to come and was refused; that version is there when the copy arrives."""
+    replica = HoldingReplica()
+    sent: list[Any] = []
+    desk = HeadDesk(cast(Replica, replica), lambda ip, message: sent.append(message))
+    call = HeadCall(first_ticket(Random(3)), Kind.ORDER.value, b"order on version 8")
+    desk.called(0.0, PROXY, call)
+    (ticket,) = replica.commands
+    desk.answered(Answer(ticket, Outcome.DONE, encode(OrderReply(412, b"", 7))))
+    desk.called(0.4, PROXY, call)
+    assert len(replica.commands) == 1
+    assert [answer.reply for answer in sent] == [encode(OrderReply(412, b"", 7))] * 2
+
+
+def test_an_unclear_answer_is_no_answer_and_reads_are_always_made_anew() -> None:
+    replica = HoldingReplica()
+    desk = HeadDesk(cast(Replica, replica), lambda ip, message: None)
+    order = HeadCall(first_ticket(Random(3)), Kind.ORDER.value, b"order")
+    read = HeadCall(order.ticket + 1, Kind.READ.value, b"")
+    for call, outcome in ((order, Outcome.UNAVAILABLE), (read, Outcome.DONE)):
+        before = len(replica.commands)
+        desk.called(0.0, PROXY, call)
+        desk.answered(Answer(max(replica.commands), outcome, b"state"))
+        desk.called(0.4, PROXY, call)
+        assert len(replica.commands) == before + 2
+
+
+def test_answers_are_kept_for_a_bounded_number_of_orders() -> None:
+    replica = HoldingReplica()
+    desk = HeadDesk(cast(Replica, replica), lambda ip, message: None)
+    for number in range(4 * ANSWERS_KEPT):
+        desk.called(0.0, PROXY, HeadCall(number, Kind.ORDER.value, b"order"))
+        desk.answered(Answer(max(replica.commands), Outcome.DONE, b"x" * 5))
+    assert len(desk._answered) == ANSWERS_KEPT
+    assert not desk._orders and not desk._under_way
+
+
 def test_tickets_of_many_lives_never_meet_and_fit_their_field() -> None:
     firsts = [first_ticket(Random(seed)) for seed in range(2000)]
     assert len({first >> 20 for first in firsts}) == len(firsts)
