Streams that can be resumed are begun early in a leaving process

Ruled out: a longer estimate (the streams there do last nearly the grace). Estimates count as long as that.

--- a/cloverrouter/control/configuration.py
+++ b/cloverrouter/control/configuration.py
@@ -88,7 +88,12 @@
     @property
     def may_repeat(self) -> bool:
         """Whether a request of this route may run more than once."""
-        return self.kind == IDEMPOTENT or (self.kind == STREAMING and self.resumable)
+        return self.kind == IDEMPOTENT or self.can_resume
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether answers of this route are streams that may be continued elsewhere."""
+        return self.kind == STREAMING and self.resumable
 
 
 @attrs.frozen(slots=True)
--- a/cloverrouter/placement/leaving.py
+++ b/cloverrouter/placement/leaving.py
@@ -1,7 +1,8 @@
-"""What a process that was told to end still begins: only what surely ends before it does.
+"""What a process that was told to end still begins: what surely ends before it does.
 
 All that is under way when the process ends is cut off. A request that is refused instead has not run, and its
-client can ask another proxy at once.
+client can ask another proxy at once. Streams that their clients can resume elsewhere are begun for a while:
+a cut costs such a client the same further try as a refusal, later and only if the stream is so long.
 """
 
 from __future__ import annotations
@@ -10,9 +11,12 @@
 
 MARGIN_S = 0.2
 """What is expected to end must do so this long before the process: timers fire late on a busy machine."""
-ESTIMATES_PART = 1 / 3
-"""Estimates are trusted in the first third of the time that is left to a process. One that was wrong still
-has the other two thirds to come true; after that only deadlines count."""
+EARLY_S = 2.5
+"""By then those who send clients here have learnt that they should not; they ask for readiness each second,
+and believe the second answer."""
+EARLY_PART = 1 / 3
+"""The same, where little time is left. What is begun early on an estimate that was wrong still has the other
+two thirds to come true; after that only deadlines count."""
 ESTIMATE_FACTOR = 2.0
 """An answer may take so many times as long as the longest one seen."""
 KEPT_S = 30.0
@@ -30,16 +34,28 @@
     ends_at: float
 
 
-def may_begin(leave: Leave, now: float, deadline: float, longest_s: float | None) -> bool:
-    """Whether a request that is over at its deadline may still be begun; `longest_s` is the longest that one
-    of its kind took lately, None if nobody knows."""
+@attrs.frozen(slots=True)
+class Expectation:
+    """What is known of a request before it is begun."""
+
+    deadline: float
+    """It is over then, whatever its server does."""
+    longest_s: float | None
+    """The longest that one of its kind took lately; None if nobody knows."""
+    can_resume: bool
+    """Its client can go on elsewhere after a cut."""
+
+
+def may_begin(leave: Leave, now: float, request: Expectation) -> bool:
+    """Whether a request may still be begun."""
     last_end = leave.ends_at - MARGIN_S
-    if deadline <= last_end:
+    if request.deadline <= last_end:
         return True
-    trusted_until = leave.told_at + (leave.ends_at - leave.told_at) * ESTIMATES_PART
-    if longest_s is None or now > trusted_until:
+    if now > leave.told_at + min(EARLY_S, (leave.ends_at - leave.told_at) * EARLY_PART):
         return False
-    return now + longest_s * ESTIMATE_FACTOR <= last_end
+    if request.can_resume:
+        return True
+    return request.longest_s is not None and now + request.longest_s * ESTIMATE_FACTOR <= last_end
 
 
 def leaving_retry_after_s(draw: float) -> float:
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -12,7 +12,13 @@
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.admission import unconfigured_retry_after_s
-from cloverrouter.placement.leaving import Leave, LongestAnswers, leaving_retry_after_s, may_begin
+from cloverrouter.placement.leaving import (
+    Expectation,
+    Leave,
+    LongestAnswers,
+    leaving_retry_after_s,
+    may_begin,
+)
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
@@ -260,8 +266,9 @@
         """Whether the request may be sent to a server: always, but in a process that ends soon."""
         if self._leave is None:
             return True
-        now = self.clock()
-        return may_begin(self._leave, now, admitted.deadline, self._longest_s(admitted.route, now))
+        now, route = self.clock(), admitted.route
+        expectation = Expectation(admitted.deadline, self._longest_s(route, now), route.can_resume)
+        return may_begin(self._leave, now, expectation)
 
     def _longest_s(self, route: Route, now: float) -> float | None:
         """The longest that a request on the route took lately, or is taking now."""
--- a/tests/system/test_http_client.py
+++ b/tests/system/test_http_client.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cloverrouter.http.client import Call, ConnectionPool, Failure
+from cloverrouter.http.client import Address, Call, ConnectionPool, Failure
 from tests.system.peers import Answered, Peer, Upstream, play, pool, until
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -331,6 +331,41 @@
     play(scene())
 
 
+@pytest.mark.parametrize("said", [OK, b"noise", b""])
+def test_server_that_speaks_or_closes_before_it_is_asked_has_not_been_asked(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On a connection that has just come up: nothing goes out there, and no answer is taken from it."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        connect, held = loop.sock_connect, []
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+
+            async def connect_and_hear(sock: socket.socket, address: Address) -> None:
+                await connect(sock, address)
+                server, _ = await loop.sock_accept(listener)
+                held.append(server)
+                if said:
+                    server.send(said)
+                else:
+                    server.close()
+
+            monkeypatch.setattr(loop, "sock_connect", connect_and_hear)
+            connections, answered = pool(), Answered()
+            connections.send(listener.getsockname(), MESSAGE, answered)
+            await answered.over.wait()
+            assert answered.told == ["failure"]
+            assert answered.failure is Failure.CONNECT_FAILED
+            assert connections.idle(listener.getsockname()) == 0
+            connections.close()
+            for server in held:
+                server.close()
+
+    play(scene())
+
+
 def test_connection_is_not_used_until_it_has_settled() -> None:
     async def scene() -> None:
         upstream = await saying(OK, OK).start()
