A process's calls for the head never meet those of the process before it

Cause: the head knows a forwarded call by the machine and its ticket, and an answer finds its call by the ticket; tickets were counted from 1 in each life. An order could be told the answer of another one that the process before had under way: two operators acknowledged, one of whose changes is nowhere. Ruled out: the chain and the digests of taken orders. Change: the tickets of a life begin at a random number of 62 bits; the wire is unchanged.

--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Iterator
 from enum import Enum
+from random import Random
 
 import attrs
 
@@ -14,6 +17,16 @@
 
 RESEND_S = 0.35
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
+TICKET_BITS = 62  # of Avro's 63, so that a life never runs out of them
+
+
+def tickets(random: Random) -> Iterator[int]:
+    """The tickets of one life of a process, from a random number on.
+
+    The head knows a call by its machine and its ticket. A call of an earlier life may still wait there, or
+    its answer be on its way: neither may meet a call of this life.
+    """
+    return itertools.count(random.getrandbits(TICKET_BITS))
 
 
 class Kind(Enum):
@@ -23,7 +36,7 @@
 
 @message(330)
 class HeadCall:
-    """A call for the head. `kind`: see `Kind`; `command`: an order's bytes, empty for a read."""
+    """A call for the head. `ticket`: of `tickets`; `kind`: of `Kind`; `command`: an order, or nothing."""
 
     ticket: int
     kind: int
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
 from collections.abc import Iterable
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from cloverrouter.control.errors import Unavailable
-from cloverrouter.control.forwarding import Kind
+from cloverrouter.control.forwarding import Kind, tickets
 from cloverrouter.control.instances import Instance
 from cloverrouter.control.metrics import Figure
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
@@ -25,10 +25,10 @@
 class ControlCalls:
     """Implements `control.api.ControlBackend` on a process's control plane."""
 
-    def __init__(self, plane: ControlPlane, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, plane: ControlPlane, loop: asyncio.AbstractEventLoop, random: Random) -> None:
         self._plane = plane
         self._loop = loop
-        self._tickets = itertools.count(1)
+        self._tickets = tickets(random)
         self._calls: dict[int, asyncio.Future[bytes | None]] = {}
         self._changes: dict[int, asyncio.Future[bool]] = {}
 
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -76,7 +76,7 @@
         self._quota_duty: QuotaDuty | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
-        self._calls = ControlCalls(self, self._loop)
+        self._calls = ControlCalls(self, self._loop, random)
         self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -27,6 +27,7 @@
     Persist,
     ReplicaConfig,
     Restored,
+    StateMachine,
     ViewChanged,
 )
 from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
@@ -111,7 +112,15 @@
         known = self.log.setdefault(seq, update)
         if known != update:
             raise Violation(f"update {seq} is committed as {update!r} and as {known!r}")
-        self.order(seq, json.loads(update)["id"])
+        self.order(seq, self.order_of(update))
+
+    def order_of(self, update: bytes) -> str:
+        """The order behind an update."""
+        return str(json.loads(update)["id"])
+
+    def orders_of(self, state: bytes) -> dict[str, int]:
+        """The orders that led to a state, with the numbers of their updates."""
+        return dict(json.loads(state)[2])
 
     def order(self, seq: int, order: str) -> None:
         known = self.orders.setdefault(seq, order)
@@ -122,7 +131,7 @@
         known = self.states.setdefault(seq, state)
         if known != state:
             raise Violation(f"state {seq} is {state!r} and {known!r}")
-        for order, number in json.loads(state)[2].items():
+        for order, number in self.orders_of(state).items():
             self.order(number, order)
 
     def lead(self, now: float, untils: dict[str, float]) -> None:
@@ -287,7 +296,7 @@
         self.replica_class = replica_class
         self.wire = wire
         self.tick_s = tick_s
-        self.ledger = Ledger()
+        self.ledger = self.new_ledger()
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
@@ -386,6 +395,14 @@
 
     # -- processes --
 
+    def new_ledger(self) -> Ledger:
+        """What must hold, for the state machine of this world."""
+        return Ledger()
+
+    def new_machine(self) -> StateMachine:
+        """The state machine of a process that starts."""
+        return Register()
+
     def start(self, node: Node, delay_s: float = 0.0) -> None:
         """Start a node's process."""
         node.life += 1
@@ -399,7 +416,7 @@
                 return
             self.say(f"{node.name} starts as {node.disk.stored.identity[:4]}")
             node.replica = self.replica_class(
-                node.member, node.disk.load(), Register(), self.config, Random(self.random.random())
+                node.member, node.disk.load(), self.new_machine(), self.config, Random(self.random.random())
             )
             self.carry_out(node, node.replica.start(self.now))
             if node.ip in self.seeds and node.replica.adoptable:
@@ -630,13 +647,12 @@
             raise Violation(f"update {seq} is acknowledged and on {holders} disks")
         self.ledger.acknowledged = max(self.ledger.acknowledged, seq)
 
-    @staticmethod
-    def _holds(disk: Disk, seq: int, order: str) -> bool:
+    def _holds(self, disk: Disk, seq: int, order: str) -> bool:
         held = disk.held.get(seq)
-        if held is not None and json.loads(held)["id"] == order:
+        if held is not None and self.ledger.order_of(held) == order:
             return True
         snapshot = disk.stored.snapshot
-        return snapshot is not None and json.loads(snapshot.data)[2].get(order) == seq
+        return snapshot is not None and self.ledger.orders_of(snapshot.data).get(order) == seq
 
     def check_read(self, answer: Answer, least: int) -> None:
         """A client has read; `least` was acknowledged before it asked."""
--- a/tests/system/test_forwarding.py
+++ b/tests/system/test_forwarding.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+from random import Random
+
 from cloverrouter.control.forwarding import (
     GIVE_UP_S,
     RESEND_S,
@@ -11,7 +14,9 @@
     HeadCall,
     Kind,
     SendCall,
+    tickets,
 )
+from cloverrouter.messages import Decoder, encode
 
 CALL = HeadCall(1, Kind.ORDER.value, b"order")
 
@@ -48,3 +53,14 @@
     assert forwarder.tick(GIVE_UP_S) == [Finished(1, None)]
     assert forwarder.tick(GIVE_UP_S + 1) == []
     assert forwarder.answered(GIVE_UP_S + 1, HeadAnswer(1, True, b"late")) == []
+
+
+def test_no_two_lives_of_a_process_use_the_same_tickets() -> None:
+    lives = [list(itertools.islice(tickets(Random(seed)), 1000)) for seed in range(100)]
+    assert len({ticket for life in lives for ticket in life}) == 100 * 1000
+
+
+def test_tickets_travel() -> None:
+    for seed in range(100):
+        call = HeadCall(next(tickets(Random(seed))), Kind.READ.value, b"")
+        assert list(Decoder().feed(encode(call))) == [call]
