--- a/cloverrouter/coordination/desk.py
+++ b/cloverrouter/coordination/desk.py
@@ -36,6 +36,7 @@
     reply: bytes | None  # None: the committed state
     since: float
     round: int | None = None  # the round of heartbeats that must be answered
+    outcome: Outcome = Outcome.DONE
 
 
 class Desk:
--- a/cloverrouter/coordination/disk.py
+++ b/cloverrouter/coordination/disk.py
@@ -142,8 +142,13 @@
             self._snapshot = record.snapshot
             self._updates[:0] = record.updates
 
-    def _compact(self) -> None:
-        """Fold the updates into a snapshot when they take more room than it."""
-        if self._update_bytes > max(self._compact_bytes, self._snapshot_bytes):
+    def fold(self) -> None:
+        """Have one snapshot of the newest state in place of the snapshot and the updates since."""
+        if self._update_bytes:
             newest = self._newest()
             self.replace(newest.seq, newest.data)
+
+    def _compact(self) -> None:
+        """Fold the updates when they take more room than the snapshot."""
+        if self._update_bytes > max(self._compact_bytes, self._snapshot_bytes):
+            self.fold()
--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -198,13 +198,22 @@
             newest = context.history.newest
             desk.asked.append(Asked(ticket, newest, decision.reply, now))
             return
-        if context.disk.state_bytes + len(decision.update) > context.config.max_state_bytes:
-            context.effects.append(Answer(ticket, Outcome.TOO_LARGE))
+        if not self._has_room(len(decision.update)):
+            too_large = Asked(ticket, context.history.newest, b"", now, outcome=Outcome.TOO_LARGE)
+            desk.asked.append(too_large)
             return
         seq = context.history.append(decision.update)
         context.disk.append(seq, decision.update)
         desk.flying.append(Flying(ticket, seq, decision.reply))
 
+    def _has_room(self, update_bytes: int) -> bool:
+        """Whether the disk takes an update of that size, if need be after its updates are folded."""
+        context = self._context
+        room = context.config.max_state_bytes - update_bytes
+        if context.disk.state_bytes > room:
+            context.disk.fold()
+        return context.disk.state_bytes <= room
+
     def ask_rounds(self, now: float) -> None:
         """Begin a round for reads that have come since the last."""
         asked = [entry for entry in self._desk.asked if entry.round is None]
@@ -223,7 +232,7 @@
             if not self.active or not confirmed or history.committed < entry.seq:
                 left.append(entry)
             elif entry.reply is not None:
-                self._context.effects.append(Answer(entry.ticket, Outcome.DONE, entry.reply, entry.seq))
+                self._context.effects.append(Answer(entry.ticket, entry.outcome, entry.reply, entry.seq))
             elif history.newest == history.committed:
                 state = history.snapshot()
                 self._context.effects.append(Answer(entry.ticket, Outcome.DONE, state.data, state.seq))
