Only the head that a machine knows of marks servers as silent, or warns of them

Cause: reports of silence and warnings name no epoch, and were taken from any machine; one that had been the head and is cut off from the other voters went on warning as long as it had not heard of another, as it never asked whether its time as head was over. Change: they are taken from the head of the newest known view only; warnings are given only before lead_until. Tests: test_registry (two new), test_trouble_news.

--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -53,6 +53,7 @@
     def __init__(self, own_ip: str, heartbeat_interval: float) -> None:
         self._own_ip = own_ip
         self._voters: tuple[str, ...] = ()
+        self._head: str | None = None
         self._servers = ServersList()
         self._announcements = Announcements()
         self._exchange = ListExchange()
@@ -105,9 +106,10 @@
             self._voter.resign()
         return self.tick(now)
 
-    def set_head(self, now: float, is_head: bool) -> None:
-        """Whether this machine is the head of the chain, which judges silence."""
-        self._voter.set_head(now, is_head)
+    def set_head(self, now: float, head: str | None) -> None:
+        """Which machine is the head of the chain, which judges silence; None while none is known."""
+        self._head = head
+        self._voter.set_head(now, head == self._own_ip)
 
     def link_up(self, now: float, ip: str) -> list[Effect]:
         """The link to a machine is up (again)."""
@@ -184,7 +186,7 @@
                 self._agreed(now, ip, message)
             case InstanceList():
                 return self._take_list(now, ip, message)
-            case SilenceReport() if not self._voter.is_head:
+            case SilenceReport() if ip == self._head:
                 return [*self._servers.mark(frozenset(message.ids))]
         return []
 
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -109,7 +109,7 @@
             self.traffic,
             self.transport.send,
             lambda: self.summary.head if self.summary is not None else None,
-            lambda: self._lead_until() is not None,
+            self._lead_until,
             self.registry.subscribers,
             self._log,
         )
@@ -371,7 +371,7 @@
             self._subscribed(self.subscriber.voters_changed(now, addresses))
         head = summary.head if summary.active else None
         self._forwarded(self._forwarder.head_changed(now, head))
-        self.registry.set_head(now, head == self._settings.ip)
+        self.registry.set_head(now, head)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
         if self._quota_duty is not None:
             self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
--- a/cloverrouter/daemon/trouble_news.py
+++ b/cloverrouter/daemon/trouble_news.py
@@ -12,8 +12,8 @@
 
 
 class TroubleNews:
-    """Reports from here to the head, and as head the warnings to all. `head` is the head's address, `leads`
-    whether that is this machine for sure, `proxies` the addresses of all machines."""
+    """Reports from here to the head, and as head the warnings to all. `head` is the head's address,
+    `lead_until` until when that is this machine for sure, `proxies` the addresses of all machines."""
 
     def __init__(
         self,
@@ -21,7 +21,7 @@
         traffic: Traffic,
         send: Callable[[str, object], None],
         head: Callable[[], str | None],
-        leads: Callable[[], bool],
+        lead_until: Callable[[], float | None],
         proxies: Callable[[], Iterable[str]],
         log: Log,
     ) -> None:
@@ -29,7 +29,7 @@
         self._traffic = traffic
         self._send = send
         self._head = head
-        self._leads = leads
+        self._lead_until = lead_until
         self._proxies = proxies
         self._log = log
         self._failing = TroubleDesk(lambda: traffic.fleet_size)
@@ -47,10 +47,11 @@
                 self._send(head, report)
 
     def receive(self, now: float, ip: str, message: object) -> None:
-        """A report, or a warning of the head."""
+        """A report, or a warning of the head. One that was the head is not listened to."""
         if isinstance(message, TroubleWarning | RestWarning):
-            self._traffic.warned(message)
-        elif not self._leads():
+            if ip == self._head():
+                self._traffic.warned(message)
+        elif not self._leads(now):
             return
         elif isinstance(message, TroubleReport):
             for warning in self._failing.receive(now, ip, message):
@@ -62,6 +63,10 @@
                 self._log.change("connections-forgotten", limit_ms=found.limit_ms)
                 self._warn_all(found)
 
+    def _leads(self, now: float) -> bool:
+        until = self._lead_until()
+        return until is not None and now < until
+
     def _warn_all(self, warning: TroubleWarning | RestWarning) -> None:
         self._traffic.warned(warning)
         for proxy in self._proxies():
--- a/tests/system/registry_fleet.py
+++ b/tests/system/registry_fleet.py
@@ -24,7 +24,7 @@
     def start(self, now: float) -> list[Effect]:
         self.started_at = now
         effects = self.registry.voters_changed(now, self.fleet.voters)
-        self.registry.set_head(now, self.ip == self.fleet.head)
+        self.registry.set_head(now, self.fleet.head)
         return effects
 
     def tick(self, now: float) -> list[Effect]:
@@ -100,6 +100,12 @@
 
         self.world.at(self.world.now + self.world.random.uniform(0, INTERVAL), call)
 
+    def told_head(self, ips: Iterable[str]) -> None:
+        """These machines learn who is the head."""
+        for ip in ips:
+            if ip in self.world.cores:
+                self.registry(ip).set_head(self.world.now, self.head)
+
     def hush(self, instance_id: str) -> None:
         """The server dies without a word."""
         self.beating[instance_id] = False
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cloverrouter.control.instances import InstanceState
-from cloverrouter.control.registry_messages import AnnounceTaken
+from cloverrouter.control.registry_messages import AnnounceTaken, SilenceReport
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
 from tests.system.lossy_world import World
 from tests.system.registry_fleet import INTERVAL, RegistryFleet
@@ -264,13 +264,38 @@
     made.world.stop(made.head)
     made.hush("a")
     made.head = made.voters[1]
-    made.registry(made.head).set_head(made.world.now, True)
+    made.told_head(made.ips[1:])
     made.world.run(made.world.now + 3 * INTERVAL + 0.9)
     assert not any(made.world.seen(ip, InstancesSilent) for ip in made.ips)
     made.world.run(made.world.now + 3)
     assert made.registry(made.ips[9]).is_silent("a")
 
 
+def test_a_machine_that_is_not_the_head_any_more_marks_nobody() -> None:
+    """Cut off from the other voters, it does not hear that it is none, nor the heartbeats that go to them."""
+    made = fleet()
+    for name in ("a", "b", "c"):
+        made.beat(name, [made.ips[7], made.ips[8]])
+    made.world.run(20)
+    old, made.head = made.head, made.voters[1]
+    made.told_head([ip for ip in made.ips if ip != old])
+    for ip in made.ips:
+        if ip != old:
+            assert made.registry(ip).receive(made.world.now, old, SilenceReport(("a",))) == []
+            assert not made.registry(ip).is_silent("a"), ip
+
+
+def test_a_head_that_is_one_no_more_listens_to_the_next_one() -> None:
+    made = fleet()
+    for name in ("a", "b", "c"):
+        made.beat(name, [made.ips[7], made.ips[8]])
+    made.world.run(20)
+    old, made.head = made.head, made.voters[1]
+    made.told_head(made.ips)
+    made.world.take(old, made.registry(old).receive(made.world.now, made.head, SilenceReport(("a",))))
+    assert made.registry(old).is_silent("a")
+
+
 def test_an_address_used_again_belongs_to_the_newer_server() -> None:
     made = fleet()
     made.announce(made.ips[7], "old", 9, address="x:80")
@@ -321,7 +346,7 @@
     made.head = made.ips[3]
     for ip in made.ips:
         made.world.take(ip, made.registry(ip).voters_changed(made.world.now, made.voters))
-        made.registry(ip).set_head(made.world.now, ip == made.head)
+        made.registry(ip).set_head(made.world.now, made.head)
     change = made.announce(made.ips[9], "new", 1)
     made.world.run(made.world.now + 0.1)
     assert made.was_acknowledged(made.ips[9], change)
