--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -21,7 +21,6 @@
     HeadCall,
     Kind,
     SendCall,
-    first_ticket,
 )
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
@@ -84,7 +83,7 @@
         self._quota_duty: QuotaDuty | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
-        self._calls = ControlCalls(self, self._loop, first_ticket(random))
+        self._calls = ControlCalls(self, self._loop, random)
         self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
@@ -117,7 +116,7 @@
             self.traffic,
             self.transport.send,
             lambda: self.summary.head if self.summary is not None else None,
-            lambda: self._lead_until() is not None,
+            self._lead_until,
             self.registry.subscribers,
             self._log,
         )
@@ -384,7 +383,7 @@
             self._subscribed(self.subscriber.voters_changed(now, addresses))
         head = summary.head if summary.active else None
         self._forwarded(self._forwarder.head_changed(now, head))
-        self.registry.set_head(now, head == self._settings.ip)
+        self.registry.set_head(now, head)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
         if self._quota_duty is not None:
             self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
