Orders, their distribution and the cores' clock under bad input and slow links

- An order of a newer kind, or spoilt, is refused by the state machine; the error went through the head's tick before.
- An error of one tick no longer stops the clock of all cores.
- An order on a version older than the oldest digest kept is left without a clear answer (503): it may have been taken.
- More than one If-Match is refused with 400; the first one was taken before.
- A forwarded order is not sent again while it may be on its way: 1 MB went out 11 times in 3.6 s without an answer.
- A voter keeps the parts that a slow machine is fetching, though newer ones are fetched by others: three long changes later it began anew, so that it never got through while changes came faster than it fetched them.
- Messages of unknown kinds are counted (cypresswinch_peer_skipped_messages_total).

--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -48,7 +48,10 @@
     def body(self) -> bytes: ...
 
     def header(self, name: bytes) -> bytes | None:
-        """The value of a field, its name in lower case."""
+        """The value of the first field of that name, in lower case."""
+
+    def count(self, name: bytes) -> int:
+        """How many fields of that name there are."""
 
 
 class ControlExchange(Protocol):
@@ -182,6 +185,8 @@
         # An order sent again may have been taken, so that it can't be told to be refused for want of room.
         if self._orders_under_way >= MAX_ORDERS_UNDER_WAY:
             raise Unavailable(f"{MAX_ORDERS_UNDER_WAY} orders are under way")
+        if request.count(b"if-match") > 1:
+            raise bottle.HTTPError(400, "more than one If-Match: an order builds on one version")
         match = request.header(b"if-match")
         if_match = None if match is None else match.decode("latin-1")
         self._orders_under_way += 1
--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -17,6 +17,7 @@
 
 RESEND_S = 0.35
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
+SLOWEST_BYTES_A_SECOND = 250_000  # that a link surely carries: what is still on its way is not sent again
 TICKET_BITS = 62  # of Avro's 63, so that a life never runs out of them
 
 
@@ -111,6 +112,7 @@
                 del self._pending[ticket]
                 effects.append(Finished(ticket, None))
             elif self._head is not None and now >= pending.send_at:
-                pending.send_at = now + RESEND_S
+                on_its_way_s = len(pending.call.command) / SLOWEST_BYTES_A_SECOND
+                pending.send_at = now + max(RESEND_S, on_its_way_s)
                 effects.append(SendCall(self._head, pending.call))
         return effects
--- a/cloverrouter/control/orders.py
+++ b/cloverrouter/control/orders.py
@@ -24,6 +24,7 @@
     decoded_update,
 )
 from cloverrouter.messages.codec import encode, message
+from cloverrouter.messages.errors import MessageError
 
 if TYPE_CHECKING:
     from cloverrouter.coordination.effects import Decision
@@ -42,6 +43,7 @@
     OTHER_METHOD = 405
     OTHER_VERSION = 412
     NO_BASE = 428
+    UNCLEAR = 503
 
 
 @message(300)
@@ -106,7 +108,10 @@
         """The answer to an encoded `Order`, and the update that it brings where it is taken."""
         from cloverrouter.coordination.effects import Decision  # only replicas load the chain
 
-        order = decoded(command, Order)
+        try:
+            order = decoded(command, Order)
+        except MessageError as error:
+            return Decision(self._refused(Status.INVALID, f"not an order: {error}"), None)
         digest = order_digest(order)
         taken = self._taken.get(digest)
         if taken is not None:
@@ -122,11 +127,18 @@
             return self._refused(Status.OTHER_METHOD, f"no order is given by {order.method}")
         if order.if_match is None:
             return self._refused(Status.NO_BASE, "If-Match has to name the version that the order builds on")
-        if base_version(order.if_match) != self.version:
+        base = base_version(order.if_match)
+        if base is not None and self._may_be_forgotten(base):
+            return self._refused(Status.UNCLEAR, f"orders on version {base} are not remembered any more")
+        if base != self.version:
             text = f"version {self.version} is current; the order builds on {order.if_match[:40]}"
             return self._refused(Status.OTHER_VERSION, text)
         return None
 
+    def _may_be_forgotten(self, base: int) -> bool:
+        """Whether an order on that version may have been taken so long ago that its digest is gone."""
+        return len(self._taken) >= MAX_TAKEN_ORDERS and base < next(iter(self._taken.values()))
+
     def _reviewed(self, order: Order, digest: bytes) -> Decision:
         from cloverrouter.control.review import review_document, review_patch  # only the head ever checks
         from cloverrouter.coordination.effects import Decision
--- a/cloverrouter/control/publisher.py
+++ b/cloverrouter/control/publisher.py
@@ -190,14 +190,18 @@
         return [Send(ip, self._package(sequence, True, snapshot).part(0))]
 
     def _part_pulled(self, now: float, ip: str, message: PullPart) -> list[Effect]:
-        package = self._packages.get((message.sequence, message.is_snapshot))
-        if package is None:
-            package = self._package_again(message.sequence, message.is_snapshot)
+        package = self._package_again(message.sequence, message.is_snapshot)
         if package is None or not 0 <= message.offset < max(1, len(package.data)):
             return self._pulled(now, ip, self._subscriptions[ip].acknowledged)
         return [Send(ip, package.part(message.offset))]
 
     def _package_again(self, sequence: int, is_snapshot: bool) -> Package | None:
+        """A package that was begun to be sent. One that is asked for stays, though newer ones come, so that
+        who has a slow link gets through in a storm of changes.
+        """
+        known = self._packages.get((sequence, is_snapshot))
+        if known is not None:
+            return self._package(sequence, is_snapshot, known.data)
         if is_snapshot:
             if self._snapshot is not None and self._snapshot[0] == sequence:
                 return self._package(sequence, True, self._snapshot[1])
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -160,6 +160,12 @@
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
         yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
+        yield Figure.single(
+            "cypresswinch_peer_skipped_messages_total",
+            "counter",
+            "Messages from peers of kinds that are not known here.",
+            transport.messages_skipped,
+        )
         kinds = sorted(transport.sent.items(), key=lambda item: item[0].__name__)
         yield Figure(
             "cypresswinch_peer_sent_messages_total",
--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -92,8 +92,10 @@
         exchange.respond(200 if ready else 503, [], body)
 
     def _tick(self) -> None:
-        self._control.tick(self._loop.time())
-        self._loop.call_later(TICK_S, self._tick)
+        try:
+            self._control.tick(self._loop.time())
+        finally:  # an error of one tick, which the loop logs, does not stop the clock of all cores
+            self._loop.call_later(TICK_S, self._tick)
 
     async def _drain(self) -> None:
         """Leave without losing what was taken, within the grace period."""
--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -66,6 +66,8 @@
             with self._owner.batch():
                 for message in self._decoder.feed(data):
                     self._owner.deliver(self._ip, message)
+            self._owner.messages_skipped += self._decoder.skipped
+            self._decoder.skipped = 0
         except MessageError as error:
             self._owner.on_error(self._ip, error)
             if self._transport is not None:
@@ -194,6 +196,7 @@
         self.incoming: set[asyncio.BaseTransport] = set()
         self.bytes_sent = self.bytes_received = 0
         self.messages_sent = self.messages_received = 0
+        self.messages_skipped = 0  # of kinds, or of a version of the protocol, that are not known here
         self.writes = 0
         self.sent: dict[type, KindCount] = {}
         self._encoded: tuple[object, bytes] = (None, b"")
--- a/cloverrouter/messages/codec.py
+++ b/cloverrouter/messages/codec.py
@@ -226,6 +226,7 @@
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         self._buffer = bytearray()
         self._max_frame_bytes = max_frame_bytes
+        self.skipped = 0  # frames of unknown types, or of other versions of the protocol
 
     def feed(self, data: bytes) -> Iterator[object]:
         """The messages that are whole by now. Raises `MessageError`, after which nothing more may be fed."""
@@ -239,10 +240,10 @@
                 return
             body = bytes(self._buffer[HEADER.size : end])
             del self._buffer[:end]
-            if version != PROTOCOL_VERSION:
-                continue
-            found = _decode(type_id, body)
-            if found is not None:
+            found = _decode(type_id, body) if version == PROTOCOL_VERSION else None
+            if found is None:
+                self.skipped += 1
+            else:
                 yield found
 
 
--- a/tests/system/test_codec.py
+++ b/tests/system/test_codec.py
@@ -47,7 +47,9 @@
     frame = bytearray(encode(EXAMPLE))
     unknown_type = bytes(frame[:5]) + b"\xff\xfe" + bytes(frame[7:])
     other_version = bytes(frame[:4]) + b"\x63" + bytes(frame[5:])
-    assert list(Decoder().feed(unknown_type + other_version + bytes(frame))) == [EXAMPLE]
+    decoder = Decoder()
+    assert list(decoder.feed(unknown_type + other_version + bytes(frame))) == [EXAMPLE]
+    assert decoder.skipped == 2
 
 
 def test_a_frame_that_is_too_large_is_refused_before_it_is_read() -> None:
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -9,8 +9,14 @@
 import pytest
 
 from cloverrouter.control.errors import UpdateOutOfOrder
-from cloverrouter.control.orders import MAX_TAKEN_ORDERS, ConfigurationMachine, Order, state_of_snapshot
-from cloverrouter.control.updates import applied_frame, whole
+from cloverrouter.control.orders import (
+    MAX_TAKEN_ORDERS,
+    ConfigurationMachine,
+    Order,
+    OrderReply,
+    state_of_snapshot,
+)
+from cloverrouter.control.updates import applied_frame, decoded, whole
 from cloverrouter.coordination.effects import StateMachine
 from cloverrouter.messages.codec import encode
 
@@ -83,6 +89,30 @@
     assert (0).to_bytes(16) not in machine._taken
 
 
+def test_an_order_that_may_be_forgotten_is_not_refused() -> None:
+    """It may have been taken, and its digest is gone."""
+    machine = ConfigurationMachine()
+    newest = 9000
+    assert send(machine, "PUT", "0", document(newest)).status == 200
+    machine._taken = {index.to_bytes(16): 2 + index for index in range(MAX_TAKEN_ORDERS)}
+    machine.restore(machine.snapshot())
+    for version in range(newest + 1, newest + 4):
+        assert send(machine, "PUT", str(machine.version), document(version)).status == 200
+    assert min(machine._taken.values()) == 5
+    assert send(machine, "PUT", "2", document(9)).status == 503
+    assert send(machine, "PUT", "4", document(9)).status == 503
+    assert send(machine, "PUT", "5", document(9)).status == 412
+    assert send(machine, "PUT", str(newest + 5), document(newest + 9)).status == 412
+
+
+def test_a_command_that_is_no_order_is_refused(machine: ConfigurationMachine) -> None:
+    """Of a newer kind, or spoilt: whoever decides goes on."""
+    for command in (b"", b"spoilt", encode(Order("PUT", "5", b""))[:-1], machine.snapshot()):
+        decision = machine.decide(command)
+        assert decision.update is None
+        assert decoded(decision.reply, OrderReply).status == 400
+
+
 def changed(**changes: Any) -> dict[str, Any]:
     return document(7, **changes)
 
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -44,10 +44,14 @@
     target: bytes
     body: bytes = b""
     headers: dict[bytes, bytes] = attrs.field(factory=dict)
+    doubled: int = 1  # how often each header came
 
     def header(self, name: bytes) -> bytes | None:
         return self.headers.get(name)
 
+    def count(self, name: bytes) -> int:
+        return self.doubled if name in self.headers else 0
+
 
 @attrs.define
 class Waiting:
@@ -162,6 +166,14 @@
     assert told(answer)["error-message"]
 
 
+def test_an_order_with_two_bases_is_refused_and_changes_nothing() -> None:
+    backend = Backend()
+    call = put(document(5))
+    call.doubled = 2
+    assert ask(call, backend=backend).status == 400
+    assert backend.machine.version == 0
+
+
 def test_what_a_path_allows() -> None:
     answer = ask(Call(b"POST", b"/-/configuration"))
     assert dict(answer.headers)[b"Allow"] in (b"GET,PATCH,PUT", b"PUT,PATCH,GET")
--- a/tests/system/test_distribution.py
+++ b/tests/system/test_distribution.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterable
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverrouter.control.distribution import NOTHING, Apply, Publisher, Replace, Subscriber, VoterAddress
+from cloverrouter.control.distribution import (
+    NOTHING,
+    Apply,
+    Publisher,
+    Replace,
+    SnapshotWanted,
+    Subscriber,
+    VoterAddress,
+)
 from cloverrouter.control.distribution_messages import (
     Acknowledge,
     Delta,
@@ -286,6 +295,28 @@
     assert send.ip == "s"
 
 
+def part_of(effects: Iterable[object]) -> Part:
+    """The one part that is sent."""
+    (send,) = sends(effects, Part)
+    assert isinstance(send.message, Part)
+    return send.message
+
+
+def test_a_slow_link_gets_through_in_a_storm_of_long_changes() -> None:
+    """One machine takes part after part, while each change is fetched whole by another one."""
+    publisher, random = Publisher(), Random(1)
+    publisher.restored(0.0, 0, random.randbytes(1_000_000))
+    publisher.receive(0.0, "slow", Subscribe(NOTHING, True))
+    parts = [part_of(publisher.receive(0.0, "slow", Pull(NOTHING)))]
+    offsets = range(0, parts[0].total, PART_BYTES)
+    for sequence, offset in enumerate(offsets[1:], 1):
+        if SnapshotWanted() in publisher.committed(0.1, sequence, random.randbytes(500_000)):
+            publisher.restored(0.1, sequence, random.randbytes(1_000_000))
+        publisher.receive(0.1, "fast", Pull(sequence - 1))
+        parts.append(part_of(publisher.receive(0.1, "slow", PullPart(0, True, offset))))
+    assert [(part.sequence, part.offset) for part in parts] == [(0, offset) for offset in offsets]
+
+
 def test_pushing_stops_for_one_that_does_not_acknowledge() -> None:
     publisher = Publisher()
     publisher.restored(0.0, 0, b"")
--- a/tests/system/test_forwarding.py
+++ b/tests/system/test_forwarding.py
@@ -64,3 +64,13 @@
     for seed in range(100):
         call = HeadCall(next(tickets(Random(seed))), Kind.READ.value, b"")
         assert list(Decoder().feed(encode(call))) == [call]
+
+
+def test_a_large_order_is_not_sent_again_while_it_is_on_its_way() -> None:
+    forwarder = Forwarder()
+    forwarder.head_changed(0.0, "10.0.0.1")
+    order = b"x" * 1_000_000
+    sent = [SendCall("10.0.0.1", HeadCall(1, Kind.ORDER.value, order))]
+    assert forwarder.ask(0.0, 1, Kind.ORDER, order) == sent
+    assert [effect for tick in range(1, 70) for effect in forwarder.tick(tick * 0.05)] == []
+    assert forwarder.head_changed(3.5, "10.0.0.2") == [SendCall("10.0.0.2", sent[0].call)]
--- a/tests/system/test_transport.py
+++ b/tests/system/test_transport.py
@@ -6,7 +6,7 @@
 import socket
 
 from cloverrouter.daemon.transport import Transport
-from cloverrouter.messages import message
+from cloverrouter.messages import encode, message
 
 HOSTS = ("127.31.9.1", "127.31.9.2")
 
@@ -120,3 +120,21 @@
         await two.transport.close()
 
     asyncio.run(run())
+
+
+def test_a_message_of_a_newer_kind_is_ignored_and_counted() -> None:
+    async def run() -> None:
+        port = free_port()
+        two = Peer(HOSTS[1], port)
+        await two.transport.listen()
+        known = encode(Ping(1, b""))
+        newer = known[:5] + b"\xff\xfe" + known[7:]
+        _, writer = await asyncio.open_connection(HOSTS[1], port, local_addr=(HOSTS[0], 0))
+        writer.write(newer + newer + known)
+        async with asyncio.timeout(10):
+            assert await two.heard.get() == (HOSTS[0], Ping(1, b""))
+        assert two.transport.messages_skipped == 2
+        writer.close()
+        await two.transport.close()
+
+    asyncio.run(run())
