--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Iterator
 from enum import Enum
 from random import Random
 
@@ -16,18 +14,18 @@
 from cloverrouter.messages import message
 
 RESEND_S = 0.35
+LIFE_BITS = 42
+CALL_BITS = 20  # a process takes fewer calls than 2 ** 20 in its life
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
 SLOWEST_BYTES_A_SECOND = 250_000  # that a link surely carries: what is still on its way is not sent again
-TICKET_BITS = 62  # of Avro's 63, so that a life never runs out of them
 
 
-def tickets(random: Random) -> Iterator[int]:
-    """The tickets of one life of a process, from a random number on.
+def first_ticket(random: Random) -> int:
+    """Where a process begins to number its calls, apart from all processes that had its address before.
 
-    The head knows a call by its machine and its ticket. A call of an earlier life may still wait there, or
-    its answer be on its way: neither may meet a call of this life.
-    """
-    return itertools.count(random.getrandbits(TICKET_BITS))
+    Danger: a head may still hold a call of an earlier process at the same address. Numbered alike, a new call
+    would be taken for that one sent again, and its caller would get the answer to the other."""
+    return random.getrandbits(LIFE_BITS) << CALL_BITS
 
 
 class Kind(Enum):
@@ -37,7 +35,8 @@
 
 @message(330)
 class HeadCall:
-    """A call for the head. `ticket`: of `tickets`; `kind`: of `Kind`; `command`: an order, or nothing."""
+    """A call for the head. `ticket`: see `first_ticket`; `kind`: see `Kind`; `command`: of an order, empty
+    for a read."""
 
     ticket: int
     kind: int
