--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 from collections.abc import Iterable
-from random import Random
 from typing import TYPE_CHECKING, Any
 
 from cloverrouter.control.errors import Unavailable
-from cloverrouter.control.forwarding import Kind, tickets
+from cloverrouter.control.forwarding import Kind
 from cloverrouter.control.instances import Instance
 from cloverrouter.control.metrics import Figure
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
@@ -25,10 +25,11 @@
 class ControlCalls:
     """Implements `control.api.ControlBackend` on a process's control plane."""
 
-    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop, random: Random) -> None:
+    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop, first_ticket: int) -> None:
+        """`first_ticket`: of `control.forwarding.first_ticket`."""
         self._plane = plane
         self._loop = loop
-        self._tickets = tickets(random)
+        self._tickets = itertools.count(first_ticket)
         self._calls: dict[int, asyncio.Future[bytes | None]] = {}
         self._changes: dict[int, asyncio.Future[bool]] = {}
 
@@ -160,6 +161,12 @@
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
         yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
+        yield Figure.single(
+            "cypresswinch_peer_skipped_messages_total",
+            "counter",
+            "Messages from peers of kinds that are not known here.",
+            transport.messages_skipped,
+        )
         kinds = sorted(transport.sent.items(), key=lambda item: item[0].__name__)
         yield Figure(
             "cypresswinch_peer_sent_messages_total",
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -21,6 +21,7 @@
     HeadCall,
     Kind,
     SendCall,
+    first_ticket,
 )
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
@@ -83,7 +84,7 @@
         self._quota_duty: QuotaDuty | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
-        self._calls = ControlCalls(self, self._loop, random)
+        self._calls = ControlCalls(self, self._loop, first_ticket(random))
         self._api: ControlApi | None = None
         self._handlers = self._handler_table()
         self._next_look = 0.0
