A server is handed what is left, told when its connection is up; the prompt's fields always go along

Found and mended: - The deadline was told when the send was planned, before the connection was up (0.4 s at most), and counted from the last byte of the request, not from its first: a slow body gave a server seconds too many. The message is now renewed for a connection that had to be opened, and a request's time runs from its first byte. - A client's Connection that names Cypresswinch-Model, -Token-Usage or -Prompt-Prefix took them away. - A client's Expect-Version went along: a 421 for it took the server for gone. It is the system's own word, as Priority is.

--- a/cloverrouter/http/answer.py
+++ b/cloverrouter/http/answer.py
@@ -46,8 +46,8 @@
 class Call:
     """A request on its way. Once it is `done` all methods do nothing."""
 
-    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "reused",
-                 "wanted", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "renewed",
+                 "reused", "written")  # fmt: skip
 
     def __init__(
         self,
@@ -55,13 +55,13 @@
         listener: Listener,
         expected_id: bytes,
         id_header: bytes,
-        wanted: Callable[[], bool],
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> None:
         self.message = message
         self.listener = listener
         self.expected_id = expected_id
         self.id_header = id_header
-        self.wanted = wanted
+        self.renewed = renewed
         self.written = False  # its last byte was handed to the kernel
         self.reused = False  # it went out on a connection that had served another
         self.done = False
@@ -94,6 +94,15 @@
     def assign(self, connection: UpstreamConnection) -> None:
         self._connection = connection
 
+    def renew(self) -> bool:
+        """Its connection has come up, after a while: what is to go out on it now. False: nothing any more."""
+        if self.renewed is None:
+            return True
+        message = self.renewed()
+        if message is not None:
+            self.message = message
+        return message is not None
+
     def finish(self) -> None:
         self.done, self._connection = True, None
         pool, self._pool = self._pool, None
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -75,15 +75,15 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = lambda: True,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
         """Start a call. Of the listener's methods only `on_written` can come before this returns.
 
-        With `expected_id`, an answer whose field `id_header` holds anything else is `SPOILT`. `wanted` is
-        asked before the first byte goes out on a connection that had to be opened: after a no nothing goes
-        out, and the call ends as `NOT_SENT`.
+        With `expected_id`, an answer whose field `id_header` holds anything else is `SPOILT`. `renewed` is
+        asked before the first byte goes out on a connection that had to be opened: for the message as it is
+        then, or None: nothing goes out, and the call ends as `NOT_SENT`.
         """
-        call = Call(message, listener, expected_id, id_header, wanted)
+        call = Call(message, listener, expected_id, id_header, renewed)
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ServerPool(address)
@@ -199,7 +199,7 @@
             # would count as one that may have run.
             connection.abort()
             call.fail(Failure.CONNECT_FAILED)
-        elif call.done or not call.wanted():
+        elif call.done or not call.renew():
             self.put(connection)
             call.fail(Failure.NOT_SENT)
         else:
--- a/cloverrouter/http/request.py
+++ b/cloverrouter/http/request.py
@@ -38,7 +38,7 @@
     target: bytes  # path and query, exactly as received
     headers: Headers
     body: bytes  # without the marks of chunks
-    arrived_s: float  # when its last byte was read, on the loop's clock
+    arrived_s: float  # when its first byte was read, on the loop's clock: its client has waited since then
     http_1_0: bool = False
     keep_alive: bool = True  # its client would like to go on with this connection
 
@@ -54,6 +54,7 @@
     """Feed it bytes; whole requests come out in `ready`, or `error` is set and nothing more may be fed."""
 
     __slots__ = (
+        "_arrived_s",
         "_body",
         "_clock",
         "_head_size",
@@ -110,6 +111,7 @@
         self._target = b""
         self._body: list[bytes] = []
         self._head_size = self._unended = self.body_size = 0
+        self._arrived_s = self._clock()
         self.begun = self.in_head = True
         self.wants_continue = False
 
@@ -176,7 +178,7 @@
             self._target,
             self._headers,
             b"".join(self._body),
-            self._clock(),
+            self._arrived_s,
             parser.get_http_version() == "1.0",
             keep_alive,
         )
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -132,7 +132,7 @@
         if self._tries.may_run_once_more:
             self._patience = Patience(attempt, placement, router.clock, router.call_later, self._give_up)
         attempt.call = router.send(
-            attempt, self._message(standing), self._request_id, lambda: self._wanted(attempt)
+            attempt, self._message(standing), self._request_id, lambda: self._renewed(attempt)
         )
 
     def _give_up(self, attempt: Attempt) -> bool:
@@ -162,14 +162,13 @@
             fields += b"%b: %b\r\n" % (LAST_EVENT_ID, self._relay.last_id)
         return self._head + fields + self._tail
 
-    def _wanted(self, attempt: Attempt) -> bool:
-        """Whether the request is to go out on a connection that has just come up."""
-        return (
-            not attempt.over
-            and attempt.standing.ready
-            and has_time(self._left_ms())
-            and not self.exchange.gone()
-        )
+    def _renewed(self, attempt: Attempt) -> bytes | None:
+        """The request as it is to go out on a connection that has just come up: with less time left."""
+        if attempt.over or not attempt.standing.ready:
+            return None
+        if not has_time(self._left_ms()) or self.exchange.gone():
+            return None
+        return self._message(attempt.standing)
 
     # What the attempt tells
 
--- a/cloverrouter/router/headers.py
+++ b/cloverrouter/router/headers.py
@@ -18,6 +18,7 @@
 PROMPT_PREFIX = b"cypresswinch-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 PRIORITY = b"priority"
+EXPECT_VERSION = b"expect-version"
 AUTHORIZATION = b"authorization"
 CONTENT_ENCODING = b"content-encoding"
 CONTENT_TYPE = b"content-type"
@@ -26,12 +27,14 @@
 EVENT_STREAM = b"text/event-stream"
 BEARER = b"bearer "
 MAX_DEADLINE_MS = 86_400_000.0
-# Told anew by the router, or about this connection, or a secret.
+# Told anew by the router, or about this connection, or a secret, or the router's own word to servers. Danger:
+# a version that no server has would make each of them answer as if another instance had its address.
 _OWN = frozenset(
     (
         AUTHORIZATION,
         TENANT,
         EXPECTED_INSTANCE,
+        EXPECT_VERSION,
         DEADLINE,
         PRIORITY,
         LAST_EVENT_ID,
@@ -40,7 +43,8 @@
     )
 )
 _DROPPED = HOP_BY_HOP | _OWN | {b"http2-settings"}
-_ALWAYS_KEPT = frozenset((b"host", ATTEMPT_ID))
+# Danger: a `Connection` that names them takes nothing from what the client asks for.
+_ALWAYS_KEPT = frozenset((b"host", ATTEMPT_ID, MODEL, TOKEN_USAGE, PROMPT_PREFIX))
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
--- a/cloverrouter/router/ports.py
+++ b/cloverrouter/router/ports.py
@@ -35,7 +35,7 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = ...,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
         """Start a call."""
         ...
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -239,10 +239,12 @@
         self._keys += 1
         return self._keys
 
-    def send(self, attempt: Attempt, message: bytes, request_id: bytes, wanted: Callable[[], bool]) -> Call:
-        """Start a send."""
+    def send(
+        self, attempt: Attempt, message: bytes, request_id: bytes, renewed: Callable[[], bytes | None]
+    ) -> Call:
+        """Start a send; `renewed` gives the message for a connection that came up later, if it is wanted."""
         address = attempt.standing.server.address
-        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, wanted)
+        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, renewed)
 
     def quota_wait(self, admitted: Admitted, again: bool) -> float:
         """Count a request for its tenant, if it has a quota: 0.0, or seconds after which to ask again."""
--- a/tests/system/http_world.py
+++ b/tests/system/http_world.py
@@ -74,7 +74,7 @@
     owner, answered, transport = FakeOwner(), Answered(), FakeTransport()
     connection = UpstreamConnection(cast(Any, owner), cast(Any, FakePool()), cast(Any, None))
     connection.connection_made(cast(Any, transport))
-    connection.send(Call(b"POST / HTTP/1.1\r\n\r\n", answered, expected_id, b"x-id", lambda: True))
+    connection.send(Call(b"POST / HTTP/1.1\r\n\r\n", answered, expected_id, b"x-id"))
     for piece in pieces:
         if transport.ended:
             break
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -61,15 +61,23 @@
     """One send, which the test answers as the server would."""
 
     def __init__(
-        self, address: Address, message: bytes, listener: Listener, wanted: Callable[[], bool]
+        self,
+        address: Address,
+        message: bytes,
+        listener: Listener,
+        renewed: Callable[[], bytes | None] | None,
     ) -> None:
         self.address = address
         self.listener = listener
-        self.wanted = wanted
+        self.renewed = renewed
         self.written = False
         self.reused = False
         self.cancelled = False
         self.pauses: list[str] = []
+        self.message = message
+        self._read(message)
+
+    def _read(self, message: bytes) -> None:
         head, _, self.body = message.partition(b"\r\n\r\n")
         self.request_line, *lines = head.split(b"\r\n")
         self.fields = [(name, value) for name, _, value in (line.partition(b": ") for line in lines)]
@@ -98,9 +106,11 @@
 
     def write(self) -> bool:
         """The connection is up: the request goes out if it is still wanted."""
-        if not self.wanted():
+        message = self.renewed() if self.renewed is not None else self.message
+        if message is None:
             self.fail(Failure.NOT_SENT)
             return False
+        self._read(message)
         self.written = True
         self.listener.on_written()
         return True
@@ -147,9 +157,9 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = lambda: True,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
-        call = ScriptedCall(address, message, listener, wanted)
+        call = ScriptedCall(address, message, listener, renewed)
         assert call.field(id_header) == expected_id
         self.calls.append(call)
         return cast(Call, call)
--- a/tests/system/test_http_client.py
+++ b/tests/system/test_http_client.py
@@ -535,7 +535,7 @@
     async def scene() -> None:
         upstream = await saying(OK).start()
         connections, answered = pool(), Answered()
-        connections.send(upstream.address, MESSAGE, answered, wanted=lambda: False)
+        connections.send(upstream.address, MESSAGE, answered, renewed=lambda: None)
         await answered.over.wait()
         assert answered.told == ["failure"] and answered.failure is Failure.NOT_SENT
         assert connections.idle(upstream.address) == 1
@@ -546,6 +546,28 @@
     play(scene())
 
 
+def test_request_is_renewed_for_a_connection_that_had_to_be_opened() -> None:
+    async def scene() -> None:
+        seen = []
+
+        async def script(peer: Peer) -> None:
+            while True:
+                seen.append(await peer.head())
+                peer.send(OK)
+
+        upstream = await Upstream(script).start()
+        connections = pool()
+        for first in (b"GET /old HTTP/1.1\r\n\r\n", b"GET /at-once HTTP/1.1\r\n\r\n"):
+            answered = Answered()
+            renewed = lambda: b"GET /new HTTP/1.1\r\n\r\n"  # noqa: E731
+            connections.send(upstream.address, first, answered, renewed=renewed)
+            await answered.over.wait()
+        assert [head.split()[1] for head in seen] == [b"/new", b"/at-once"]
+        connections.close()
+
+    play(scene())
+
+
 @pytest.mark.parametrize("part", [b"", b"HTTP/1.1 200", OK[:-1], CHUNKED + b"2\r\nok\r\n"])
 @pytest.mark.parametrize("end", [Peer.close, Peer.reset])
 def test_connection_that_ends_before_the_answer_does_may_have_run_it(part: bytes, end: object) -> None:
--- /dev/null
+++ b/tests/system/test_pages_requests.py
@@ -0,0 +1,370 @@
+"""What the pages ask of a request's way: what a server is handed, for how long, and who is refused how."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+from typing import cast
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverrouter.control.distribution_messages import NOTHING
+from cloverrouter.control.document import ConfigurationState
+from cloverrouter.control.orders import ConfigurationMachine
+from cloverrouter.control.subscriber import Replace
+from cloverrouter.daemon.configuration_feed import ConfigurationFeed
+from cloverrouter.http.client import Failure
+from cloverrouter.http.request import RequestReader, ServerLimits
+from cloverrouter.http.server import Exchange
+from cloverrouter.placement.admission import LEAST_TIME_MS
+from cloverrouter.router.attempt import Attempt
+from tests.system.router_world import (
+    CONFIGURATION,
+    EVENTS,
+    NOT_EXECUTED,
+    SIGNED,
+    ScriptedExchange,
+    World,
+    event,
+    route,
+    tenant,
+)
+
+DEADLINE = b"cypresswinch-deadline-ms"
+HALF_A_SECOND_MS = 500
+TIMEOUT_MS = 2000
+
+
+@pytest.fixture
+def world() -> World:
+    return World().set_up()
+
+
+def ask_in_bytes(world: World, *lines: bytes) -> ScriptedExchange | None:
+    """A request as it comes off the wire; None if it is refused before it is one."""
+    reader = RequestReader(ServerLimits(), world.clock)
+    head = (
+        b"POST /once/x HTTP/1.1",
+        b"Host: front.example",
+        b"Cypresswinch-Attempt-Id: t",
+        b"Authorization: Bearer key-of-a",
+        *lines,
+        b"Content-Length: 0",
+    )
+    reader.feed(memoryview(b"\r\n".join(head) + b"\r\n\r\n"))
+    if reader.error:
+        return None
+    exchange = ScriptedExchange(reader.ready.popleft())
+    world.router.handle(cast(Exchange, exchange))
+    return exchange
+
+
+# UNASKED: what the client says of its prompt
+
+PROMPT_FIELDS = (b"Cypresswinch-Model", b"Cypresswinch-Token-Usage", b"Cypresswinch-Prompt-Prefix")
+ODD_VALUES = (b"m", b"1460 ,  80", b"5c1e07a2:800,91bd3f06:410", b"", b"  a\t b  ", b"0,0", b"\xff", b"M;q=1")
+
+
+def odd_case(name: bytes, draw: int) -> bytes:
+    return bytes(
+        letter ^ 0x20 if draw >> place & 1 and chr(letter).isalpha() else letter
+        for place, letter in enumerate(name)
+    )
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(PROMPT_FIELDS), st.integers(0, 2**27), st.sampled_from(ODD_VALUES)),
+        max_size=6,
+    ),
+    st.sampled_from([b"", b" ", b"  ", b"\t"]),
+    st.booleans(),
+)
+def test_what_the_client_says_of_its_prompt_is_passed_on_unchanged(
+    fields: list[tuple[bytes, int, bytes]], space: bytes, named: bool
+) -> None:
+    """Also doubled, in odd case or spacing, and where its `Connection` names the fields."""
+    world = World().set_up()
+    lines = [odd_case(name, draw) + b":" + space + value + space for name, draw, value in fields]
+    if named:
+        lines.insert(0, b"Connection: " + b", ".join(PROMPT_FIELDS))
+    assert ask_in_bytes(world, *lines) is not None
+    names = {name.lower() for name in PROMPT_FIELDS}
+    passed = [field for field in world.last.fields if field[0] in names]
+    assert passed == [(name.lower(), value.strip()) for name, _, value in fields]
+
+
+def test_a_field_over_two_lines_is_refused_rather_than_changed(world: World) -> None:
+    exchange = ask_in_bytes(world, b"Cypresswinch-Prompt-Prefix: 5c1e07a2:800,", b" 91bd3f06:410")
+    if exchange is not None:
+        values = [value for name, value in world.last.fields if name == b"cypresswinch-prompt-prefix"]
+        assert values == [b"5c1e07a2:800, 91bd3f06:410"]
+
+
+# On the wire: what the system may say to a server, and clients may not
+
+
+def test_the_version_that_a_server_is_to_have_is_not_the_client_s_to_say(world: World) -> None:
+    world.ask("/once/x", (b"expect-version", b"7"), (b"priority", b"0"))
+    assert world.last.field(b"expect-version") is None
+    assert world.last.field(b"priority") != b"0"
+
+
+def test_a_421_for_its_version_goes_to_the_next_server_and_never_to_the_client(world: World) -> None:
+    exchange = world.ask("/resume/x")
+    world.last.answer(421, (b"cypresswinch-instance-id", b"model-0"), (b"versions", b"4"))
+    assert len(world.calls) == 2
+    world.last.answer(200, SIGNED, EVENTS, (b"versions", b"5"), body=event(1))
+    assert (exchange.status, exchange.field(b"versions")) == (200, b"5")
+
+
+def test_an_event_that_tells_a_version_is_passed_on_as_it_is_and_keeps_its_id(world: World) -> None:
+    exchange = world.ask("/resume/x")
+    told = b"versions: 4\n" + event(2)
+    world.last.stream(event(1), told[:15])
+    world.last.data(told[15:])
+    assert exchange.body == event(1) + told
+    world.last.fail(Failure.BROKEN)
+    assert world.last.field(b"last-event-id") == b"2"
+    world.last.stream(b"versions: 5\n" + event(3))
+    world.last.end()
+    assert exchange.body == event(1) + told + b"versions: 5\n" + event(3)
+
+
+# DENIED: nobody is refused by a machine that knows no configuration
+
+
+@pytest.mark.parametrize("key", [b"key-of-a", b"nobody's", None])
+@pytest.mark.parametrize("path", ["/once/x", "/none/x", "/"])
+@pytest.mark.parametrize("up_ms", [0, 5_000, 3_600_000])
+def test_without_a_configuration_every_request_is_answered_503(
+    path: str, key: bytes | None, up_ms: int
+) -> None:
+    """For as long as it lasts: a machine that is out of touch may be without one for the whole day."""
+    world = World()
+    world.clock.pass_ms(up_ms)
+    world.router.servers_changed([world.server("desk", 0)])
+    exchange = world.ask(path, key=key)
+    assert exchange.status == 503
+    assert exchange.field(b"retry-after") is not None
+    assert not world.router.ready()
+
+
+def test_a_state_without_a_configuration_is_none() -> None:
+    """What the replicas hold before the first order is handed to all machines; put in force it would know no
+    route and answer 404."""
+    taken: list[ConfigurationState] = []
+    feed = ConfigurationFeed(taken.append, lambda *how, **why: pytest.fail(str(why)))
+    feed.take(Replace(NOTHING + 1, ConfigurationMachine().snapshot()))
+    assert not taken
+
+
+# BUDGET: the time that a server is handed
+
+ENDS = ("broken", "spoilt", "unreached", "full", "misplaced", "event and broken")
+
+
+def end_send(world: World, how: str, numbers: Callable[[], int]) -> None:
+    call = world.last
+    match how:
+        case "broken":
+            call.fail(Failure.BROKEN)
+        case "spoilt":
+            call.fail(Failure.SPOILT)
+        case "unreached":
+            call.fail(Failure.CONNECT_FAILED)
+        case "full":
+            call.answer(503, NOT_EXECUTED)
+        case "misplaced":
+            call.answer(421)
+        case _:
+            call.stream(event(numbers()))
+            call.fail(Failure.BROKEN)
+
+
+@given(
+    st.sampled_from(["/once/x", "/again/x", "/talk/x", "/resume/x"]),
+    st.sampled_from([None, 300, 1500, 15_000]),
+    st.lists(
+        st.tuples(st.integers(0, 400), st.integers(0, 900), st.sampled_from(ENDS)), min_size=1, max_size=6
+    ),
+)
+def test_every_send_is_handed_what_is_left_of_the_first_deadline(
+    path: str, told_ms: int | None, sends: list[tuple[int, int, str]]
+) -> None:
+    world = World().set_up()
+    began = world.clock()
+    numbers = count(1)
+    fields = [] if told_ms is None else [(DEADLINE, b"%d" % told_ms)]
+    world.ask(path, *fields)
+    allowed_ms = min(told_ms or TIMEOUT_MS, TIMEOUT_MS)
+    for connecting_ms, working_ms, how in sends:
+        made, call = len(world.calls), world.last
+        world.clock.pass_ms(connecting_ms)
+        if world.last is not call or call.cancelled or not call.write():
+            break
+        handed_ms = int(call.field(DEADLINE) or b"0")
+        left_ms = allowed_ms - (world.clock() - began) * 1000
+        assert 0 < handed_ms <= left_ms + 0.001
+        world.clock.pass_ms(working_ms)
+        if call.cancelled or world.last is not call:
+            break
+        end_send(world, how, lambda: next(numbers))
+        world.clock.pass_ms(200)
+        if len(world.calls) == made:
+            break
+
+
+@pytest.mark.parametrize("told", [b"1500", b"15000", None])
+def test_the_second_send_ends_with_the_first(world: World, told: bytes | None) -> None:
+    world.ask("/again/x", *([] if told is None else [(DEADLINE, told)]))
+    world.last.write()
+    first_ms = int(world.last.field(DEADLINE) or b"0")
+    world.clock.pass_ms(900)
+    world.last.fail(Failure.BROKEN)
+    world.clock.pass_ms(200)
+    world.last.write()
+    assert len(world.calls) == 2
+    assert int(world.last.field(DEADLINE) or b"0") <= first_ms - 900
+
+
+def test_a_request_without_time_to_run_is_handed_to_nobody(world: World) -> None:
+    exchange = world.ask("/once/x", (DEADLINE, b"%d" % (LEAST_TIME_MS - 1)))
+    assert not world.calls and exchange.status == 503
+
+
+def test_a_request_s_time_runs_from_its_first_byte(world: World) -> None:
+    reader = RequestReader(ServerLimits(), world.clock)
+    reader.feed(memoryview(b"POST /once/x HTTP/1.1\r\nHost: front.example\r\nCypresswinch-Attempt-Id: t\r\n"))
+    world.clock.pass_ms(600)
+    reader.feed(memoryview(b"Authorization: Bearer key-of-a\r\nContent-Length: 2\r\n\r\no"))
+    world.clock.pass_ms(900)
+    reader.feed(memoryview(b"k"))
+    world.router.handle(cast(Exchange, ScriptedExchange(reader.ready.popleft())))
+    assert int(world.last.field(DEADLINE) or b"0") <= TIMEOUT_MS - 1500
+
+
+# Where a request may be when its client leaves (GONE), or its time runs out (CONFIG)
+
+Field = tuple[bytes, bytes]
+Place = Callable[..., ScriptedExchange]
+
+
+def at_the_quota(world: World, *more: Field) -> ScriptedExchange:
+    world.quota.waits = [0.025] * 9
+    return world.ask("/again/x", *more)
+
+
+def connecting(world: World, *more: Field) -> ScriptedExchange:
+    return world.ask("/again/x", *more)
+
+
+def at_work(world: World, *more: Field) -> ScriptedExchange:
+    exchange = world.ask("/again/x", *more)
+    world.last.write()
+    return exchange
+
+
+def between_two_sends(world: World, *more: Field) -> ScriptedExchange:
+    exchange = at_work(world, *more)
+    world.last.fail(Failure.BROKEN)
+    return exchange
+
+
+def at_work_again(world: World, *more: Field) -> ScriptedExchange:
+    exchange = between_two_sends(world, *more)
+    world.clock.pass_ms(200)
+    world.last.write()
+    return exchange
+
+
+def before_its_first_event(world: World, *more: Field) -> ScriptedExchange:
+    exchange = world.ask("/talk/x", *more)
+    world.last.head(200, SIGNED, EVENTS)
+    return exchange
+
+
+def in_a_stream(world: World, *more: Field) -> ScriptedExchange:
+    exchange = world.ask("/talk/x", *more)
+    world.last.stream(event(1))
+    return exchange
+
+
+def in_a_stream_that_is_continued(world: World, *more: Field) -> ScriptedExchange:
+    exchange = world.ask("/resume/x", *more)
+    world.last.stream(event(1))
+    world.last.fail(Failure.BROKEN)
+    world.last.stream(event(2))
+    return exchange
+
+
+def in_a_stream_that_the_client_does_not_read(world: World, *more: Field) -> ScriptedExchange:
+    exchange = in_a_stream(world, *more)
+    exchange.paused = True
+    assert exchange.on_pause is not None
+    exchange.on_pause()
+    return exchange
+
+
+PLACES = (
+    at_the_quota,
+    connecting,
+    at_work,
+    between_two_sends,
+    at_work_again,
+    before_its_first_event,
+    in_a_stream,
+    in_a_stream_that_is_continued,
+    in_a_stream_that_the_client_does_not_read,
+)
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_when_its_client_leaves_nothing_is_at_work_or_goes_out(world: World, place: Place) -> None:
+    exchange = place(world)
+    under_way = world.calls[-1] if world.calls and place is not between_two_sends else None
+    sent = len(world.calls)
+    exchange.leave()
+    assert under_way is None or under_way.cancelled
+    assert world.router.in_flight == 0
+    world.quota.waits = []
+    world.router.quota_woken("a")
+    world.clock.pass_ms(10_000)
+    assert len(world.calls) == sent
+
+
+@pytest.mark.parametrize("told", [[], [(DEADLINE, b"15000")]])
+@pytest.mark.parametrize("place", PLACES)
+def test_at_the_route_s_timeout_there_is_a_final_answer(
+    world: World, place: Place, told: list[Field]
+) -> None:
+    began = world.clock()
+    exchange = place(world, *told)
+    world.clock.pass_ms(TIMEOUT_MS + HALF_A_SECOND_MS - (world.clock() - began) * 1000)
+    assert exchange.done
+    assert world.router.in_flight == 0
+    assert all(cast(Attempt, call.listener).over for call in world.calls)
+
+
+# Prices: the more urgent first
+
+
+def test_a_less_urgent_request_never_has_the_better_rank(world: World) -> None:
+    """Over all pairs of tenants and routes: the tenant's priority decides first, then the route's."""
+    routes = tuple(route(f"r{rank}", priority=rank) for rank in (0, 2, 5))
+    tenants = (tenant("a"), tenant("b", priority=0), tenant("c", priority=7), tenant("d", priority=None))
+    world.router.configure(attrs.evolve(CONFIGURATION, version=4, routes=routes, tenants=tenants))
+    ranks = []
+    for one in tenants:
+        for path in routes:
+            world.ask(f"/{path.name}/x", key=one.keys[0].encode())
+            rank = int(world.last.field(b"priority") or b"5")
+            own = path.priority if one.priority is None else one.priority
+            ranks.append((own, path.priority, rank))
+    assert all(0 <= rank <= 9 for *_, rank in ranks)
+    ranks.sort()
+    assert [rank for *_, rank in ranks] == sorted(rank for *_, rank in ranks)
+    assert ranks[0][-1] < ranks[-1][-1]
