--- a/cloverrouter/router/flight_host.py
+++ b/cloverrouter/router/flight_host.py
@@ -60,7 +60,9 @@
         """A number for an attempt."""
         ...
 
-    def send(self, attempt: Attempt, message: bytes, request_id: bytes, wanted: Callable[[], bool]) -> Call:
+    def send(
+        self, attempt: Attempt, message: bytes, request_id: bytes, renewed: Callable[[], bytes | None]
+    ) -> Call:
         """Start a send."""
         ...
 
