A head that is cut off judges no server's silence

Cause: who is head is known from the newest view that a machine has heard of. One that was cut off from the other voters goes on as head, and after 60 s gave up every server that it did not hear; as soon as it was joined again that news took them from all lists until their next heartbeat. Change: the head judges, and tells its judgement, only while lead_until says that no other can be head; after a while without that it waits as after a freeze.

--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -109,6 +109,10 @@
         """Whether this machine is the head of the chain, which judges silence."""
         self._voter.set_head(now, is_head)
 
+    def lead_confirmed(self, confirmed: bool) -> None:
+        """Whether this machine, as far as it is the head, is the only one for sure."""
+        self._voter.leads = confirmed
+
     def link_up(self, now: float, ip: str) -> list[Effect]:
         """The link to a machine is up (again)."""
         self._exchange.link_up(now, ip)
--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -37,6 +37,9 @@
 
     def __init__(self, servers: ServersList, heartbeat_interval: float) -> None:
         self.is_head = False
+        self.leads = True
+        """As head: no other machine can be head now. One that is cut off takes itself for the head for long, and
+        hears few servers: it is not to judge them."""
         self._servers = servers
         self._subscribers = Subscribers()
         self._judge = SilenceJudge(heartbeat_interval)
@@ -123,7 +126,7 @@
         agrees = message.digest == table.digest and message.count == table.live_count
         wants_list = self._subscribers.heard(now, ip, agrees=agrees, list_length=table.live_count)
         sends: list[Send] = []
-        if self.is_head and (self._servers.silent or now < self._report_until):
+        if self.is_head and self.leads and (self._servers.silent or now < self._report_until):
             sends.append(self._silence_report(ip))
         if agrees:
             sends.append(Send(ip, Same(message.digest, round(self._subscribers.compare_period * 1000))))
@@ -142,13 +145,14 @@
 
     def tick(self, now: float) -> list[Send | ListEffect]:
         """News not taken in time, and as head the judgement on silence."""
-        self._judge.ticked(now)
+        if self.leads:
+            self._judge.ticked(now)
         self._subscribers.expire(now)
         effects: list[Send | ListEffect] = []
         if self._waiting:
             effects += self._pass_waiting(now)
         effects += [Send(ip, self._news(now, batch)) for ip, batch in self._subscribers.to_resend(now)]
-        if self.is_head and now >= self._next_judgement:
+        if self.is_head and self.leads and now >= self._next_judgement:
             self._next_judgement = now + JUDGE_PERIOD
             effects += self._judge_silence(now)
         return effects
--- a/cloverrouter/control/silence.py
+++ b/cloverrouter/control/silence.py
@@ -70,7 +70,7 @@
         self._deaf_until = now + self._limit
 
     def ticked(self, now: float) -> None:
-        """Notices a freeze."""
+        """Notices a freeze, or a while in which it was not to judge."""
         if now - self._last_tick > FROZEN_GAP:
             self._deaf_until = max(self._deaf_until, now + self._limit)
         self._last_tick = now
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -208,12 +208,14 @@
             self._send_all(self._genesis.tick(now))
             if self._genesis.over:
                 self._genesis = None
+        lead_until = self._lead_until()
+        self.registry.lead_confirmed(lead_until is not None and now < lead_until)
         self._registered(self.registry.tick(now))
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
         if self._quota_duty is not None:
-            self._send_all(self._quota_duty.tick(now, self._lead_until()))
+            self._send_all(self._quota_duty.tick(now, lead_until))
         self._trouble.report(now)
 
     def _look(self, now: float) -> None:
