--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -38,7 +38,7 @@
     def __init__(self, servers: ServersList, heartbeat_interval: float) -> None:
         self.is_head = False
         self.leads = True
-        """As head: no other machine can be head now. One that is cut off takes itself for the head for long, and
+        """As head: no other machine can be head now. One that is cut off takes itself for it for long, and
         hears few servers: it is not to judge them."""
         self._servers = servers
         self._subscribers = Subscribers()
--- a/tests/system/test_pages_wire.py
+++ b/tests/system/test_pages_wire.py
@@ -99,7 +99,7 @@
     play(scene())
 
 
-@pytest.mark.parametrize("leave", [Peer.close, Peer.reset])
+@pytest.mark.parametrize("leave", LEAVING)
 def test_a_client_that_leaves_without_reading_its_answer_is_seen_to(leave: Callable[[Peer], None]) -> None:
     async def scene() -> None:
         world = await WireWorld().start()
