The explorer searches any model of pure cores, by deviations from a prompt schedule

Cause: the explorer's search is tied to the client proxy's world; the cores of control need other bounds. Change: a Model protocol with a search that opens all states of no deviation, then of one, and so on, a table of scopes for the command line, saved traces that are replayed. No model is in the table yet.

--- a/cloverrouter/cli/explore.py
+++ b/cloverrouter/cli/explore.py
@@ -10,27 +10,43 @@
 from cyclopts import Parameter
 from cyclopts.validators import Number
 
-from cloverrouter.cli import usage
-from cloverrouter.explore import connections, trace
-from cloverrouter.explore.faults import FAULTS
+from cloverrouter.cli import explore_models, usage
+from cloverrouter.explore import connections, model_trace, models, trace
+from cloverrouter.explore.coordination.scope import ModelFault
+from cloverrouter.explore.faults import FAULTS, Fault
+from cloverrouter.explore.models import MODELS
 from cloverrouter.explore.properties import PROPERTIES
 from cloverrouter.explore.scope import SCOPES
 from cloverrouter.explore.search import Report, Search
 from cloverrouter.explore.trace import Counterexample
 
 CONNECTION = "connection"
+SECONDS = 60.0
 
 
 def _faults(as_json: bool) -> None:
+    known: dict[str, Fault | ModelFault] = {**FAULTS, **models.faults()}
     if as_json:
-        rows = {n: {"text": f.text, "scope": f.scope, "shows": f.shows} for n, f in FAULTS.items()}
+        rows = {n: {"text": f.text, "scope": f.scope, "shows": f.shows} for n, f in known.items()}
         usage.say(msgspec.json.encode(rows).decode())
         return
-    for name, fault in FAULTS.items():
+    for name, fault in known.items():
         usage.say(f"{name:26} {fault.text} (shows as: {', '.join(fault.shows)}; scope {fault.scope})")
 
 
+def _scope_of(fault: str) -> str:
+    return FAULTS[fault].scope if fault in FAULTS else models.faults()[fault].scope
+
+
+def _check_fault(scope: str, fault: str | None) -> None:
+    known = MODELS[scope].faults if scope in MODELS else FAULTS
+    if fault is not None and fault not in known:
+        raise usage.UsageError(f"--fault: {fault!r} is none of the scope {scope}; see --list-faults")
+
+
 def _replay(path: Path) -> None:
+    if model_trace.is_one(path):
+        explore_models.replay(path)
     try:
         found = trace.read(path)
     except trace.TraceError as error:
@@ -73,12 +89,13 @@
 
 def explore(
     *,
-    scope: Annotated[str | None, Parameter(validator=usage.one_of([*SCOPES, CONNECTION]))] = None,
-    seconds: Annotated[float, Parameter(validator=Number(gte=0.1))] = 60.0,
+    scope: Annotated[str | None, Parameter(validator=usage.one_of([*SCOPES, CONNECTION, *MODELS]))] = None,
+    seconds: Annotated[float | None, Parameter(validator=Number(gte=0.1))] = None,
     depth: Annotated[int | None, Parameter(validator=Number(gte=0))] = None,
     walks: Annotated[int | None, Parameter(validator=Number(gte=0))] = None,
+    deviations: Annotated[int | None, Parameter(validator=Number(gte=0))] = None,
     seed: int = 1,
-    fault: Annotated[str | None, Parameter(validator=usage.one_of(FAULTS))] = None,
+    fault: Annotated[str | None, Parameter(validator=usage.one_of([*FAULTS, *models.faults()]))] = None,
     list_faults: Annotated[bool, Parameter(negative="")] = False,
     replay: Path | None = None,
     save: Path | None = None,
@@ -92,11 +109,13 @@
     ----------
     scope
         How large a world: small, join, dial-out, ...; default small, or the fault's. 'connection': one
-        connection, whole.
+        connection, whole. 'coordination', ...: the cores of control.
     seconds
-        At most.
+        At most; default 60, or the scope's.
     depth
         Explored whole; default the scope's.
+    deviations
+        From the prompt schedule, in a scope of control; default the scope's.
     walks
         Random walks; default as time allows.
     seed
@@ -119,8 +138,11 @@
         _replay(replay)
     if scope == CONNECTION:
         _connection(as_json)
-    name = scope or (FAULTS[fault].scope if fault is not None else "small")
-    search = Search(SCOPES[name], fault, seed, seconds, depth, walks)
+    name = scope or (_scope_of(fault) if fault is not None else "small")
+    _check_fault(name, fault)
+    if name in MODELS:
+        explore_models.run(name, fault, seconds, deviations, save, as_json)
+    search = Search(SCOPES[name], fault, seed, SECONDS if seconds is None else seconds, depth, walks)
     if sys.stderr.isatty() and not as_json:
         search.progress = _progress
     report = search.run()
--- /dev/null
+++ b/cloverrouter/explore/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The explorer's part for the cores of control: their models, and the search over any of them."""
--- /dev/null
+++ b/cloverrouter/explore/models.py
@@ -0,0 +1,12 @@
+"""The models of control that `explore --scope` knows, by name. Each kind of core adds its own table."""
+
+from __future__ import annotations
+
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+
+MODELS: dict[str, ModelScope] = {}
+
+
+def faults() -> dict[str, ModelFault]:
+    """The faults of all models, by name."""
+    return {name: fault for scope in MODELS.values() for name, fault in scope.faults.items()}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,7 @@
     "indexes": set(),
     "handed": {"interface", "decide"},
     "interface": set(),
-    "explore": {"interface", "core", "decide", "proxy"},
+    "explore": {"interface", "core", "decide", "proxy", "coordination", "control", "messages", "store"},
     "proxy": {"interface", "core", "decide", "fleet", "handed", "http", "errors"},
     "fleet": {"indexes"},
     "lab": {"interface", "core", "decide", "fleet", "errors"},
