--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -117,7 +117,7 @@
             self.traffic,
             self.transport.send,
             lambda: self.summary.head if self.summary is not None else None,
-            lambda: self._lead_until() is not None,
+            self._lead_until,
             self.registry.subscribers,
             self._log,
         )
@@ -208,12 +208,14 @@
             self._send_all(self._genesis.tick(now))
             if self._genesis.over:
                 self._genesis = None
+        lead_until = self._lead_until()
+        self.registry.lead_confirmed(lead_until is not None and now < lead_until)
         self._registered(self.registry.tick(now))
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
         if self._quota_duty is not None:
-            self._send_all(self._quota_duty.tick(now, self._lead_until()))
+            self._send_all(self._quota_duty.tick(now, lead_until))
         self._trouble.report(now)
 
     def _look(self, now: float) -> None:
@@ -384,7 +386,7 @@
             self._subscribed(self.subscriber.voters_changed(now, addresses))
         head = summary.head if summary.active else None
         self._forwarded(self._forwarder.head_changed(now, head))
-        self.registry.set_head(now, head == self._settings.ip)
+        self.registry.set_head(now, head)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
         if self._quota_duty is not None:
             self._send_all(self._quota_duty.view_changed(now, summary.epoch, head))
