--- a/tests/system/reuse_world.py
+++ b/tests/system/reuse_world.py
@@ -134,9 +134,9 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = lambda: True,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
-        call = Call(message, listener, expected_id, id_header, wanted)
+        call = Call(message, listener, expected_id, id_header, renewed)
         wire = self._clean(address) or self._open(address)
         wire.transport.blocked = self.blocked
         self.last = wire
