--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -16,7 +16,6 @@
     Expectation,
     Leave,
     LongestAnswers,
-    leaving_retry_after_s,
     may_begin,
 )
 from cloverrouter.placement.pick import ServicePlacement
@@ -198,12 +197,7 @@
         if tenant is None and self._table.needs_key and not route.anonymous:
             self._respond(exchange, answers.UNAUTHORIZED)
             return
-        admitted = self._admit(request, route, tenant)
-        if not self.may_begin(admitted):
-            wait_s = leaving_retry_after_s(self.random.random())
-            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
-            return
-        flight = Flight(self, exchange, admitted)
+        flight = Flight(self, exchange, self._admit(request, route, tenant))
         self._flights.add(flight)
         flight.start()
 
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -75,6 +75,13 @@
     assert send(machine, "PUT", "7", document(7)).status == 400
 
 
+def test_the_same_bytes_as_another_kind_of_order_are_another_order(machine: ConfigurationMachine) -> None:
+    """They may have come from another operator, who is not to be told that they were taken."""
+    told = {"version": 7, "upsert": {"route-table": [route("x")]}}
+    assert send(machine, "PATCH", "5", told).status == 200
+    assert send(machine, "PUT", "5", told).status == 412
+
+
 def test_of_two_orders_on_one_base_one_wins(machine: ConfigurationMachine) -> None:
     assert send(machine, "PUT", "5", document(7)).status == 200
     assert send(machine, "PUT", "5", document(7, 3)).status == 412
--- a/tests/system/test_http_server.py
+++ b/tests/system/test_http_server.py
@@ -530,7 +530,9 @@
         for piece in pieces:
             exchange.write(piece)
         exchange.end()
-        assert len(await peer.rest()) < 200
+        head, _, body = (await peer.rest()).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"abcd".startswith(body)  # nothing beyond what was told: it would be taken for the next answer
         assert exchange.done and len(handler.seen) == 1
         server.close()
 
@@ -597,6 +599,24 @@
     play(scene())
 
 
+def test_no_answer_goes_out_within_another() -> None:
+    async def scene() -> None:
+        server, handler, address = await serve()
+        peer = await Peer.connect(address)
+        peer.send(GET)
+        exchange = await handler.request()
+        exchange.begin(200, [], 4)
+        exchange.write(b"ab")
+        exchange.respond(500, [], b"no")
+        exchange.begin(500, [], None)
+        exchange.write(b"cd")
+        exchange.end()
+        assert (await peer.answer())[2] == b"abcd"
+        server.close()
+
+    play(scene())
+
+
 def test_handler_that_fails_is_a_500() -> None:
     def fail(exchange: Exchange) -> None:
         raise RuntimeError("a fault of the handler's")
--- a/tests/system/test_router_streams.py
+++ b/tests/system/test_router_streams.py
@@ -106,6 +106,26 @@
     assert exchange.body == event(1)
 
 
+@pytest.mark.parametrize(
+    ("status", "fields"), [(206, (SIGNED, EVENTS)), (200, (SIGNED, (b"content-type", b"text/plain")))]
+)
+def test_a_long_answer_that_is_no_continuation_is_not_joined(
+    world: World, status: int, fields: tuple[tuple[bytes, bytes], ...]
+) -> None:
+    """Events of another status, and a body too long to be held back that is no events."""
+    world.budget.left = 1
+    exchange = world.ask("/resume/x")
+    world.last.stream(event(1))
+    world.last.fail(Failure.BROKEN)
+    call = world.last
+    call.head(status, *fields, length=None if EVENTS in fields else 10**6)
+    call.data(event(2))
+    world.clock.pass_ms(1000)
+    assert call.cancelled
+    assert exchange.aborted
+    assert exchange.body == event(1)
+
+
 def test_events_without_ids_cannot_be_continued(world: World) -> None:
     exchange = world.ask("/resume/x")
     world.last.stream(event(1), b"data: no id\n\n")
