Tests of early answers to the client proxy, of connections that have just come up, and of what is handed over twice

Found by taking the mechanisms out one by one: no test failed without them. Measured: tests/test_upstream.py and tests/system/test_quota_cores.py pass.

--- a/tests/system/test_quota_cores.py
+++ b/tests/system/test_quota_cores.py
@@ -325,6 +325,17 @@
         one.receive(30.0, "10.0.0.1", QuotaHandover(7, 1, {"a": 50_000}))
         assert sum(lent(one, 30.0, 1_000) for _ in range(100)) <= 50_000 + PLAN.debt
 
+    def test_what_is_handed_over_counts_once_however_often_it_comes(self) -> None:
+        once, thrice = in_contact(30.0), in_contact(30.0)
+        for one, times in ((once, 1), (thrice, 3)):
+            sum(lent(one, 30.0, BIG) for _ in range(100))
+            for _ in range(times):
+                one.receive(30.0, "10.0.0.1", QuotaHandover(3, 2, {"a": 5_000}))
+        once.receive(30.0, "10.0.0.1", QuotaHandover(3, 1, {"a": 5_000}))  # another's
+        later = 30.0 + 2 * CREDIT_S  # the credit that fills the pool's room has run out
+        more = once.figures(later)["a"].tokens - thrice.figures(later)["a"].tokens
+        assert more == pytest.approx(5_000)
+
     def test_a_dry_pool_says_until_when(self) -> None:
         one = in_contact(30.0)
         for _ in range(100):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,7 +20,7 @@
     RequestClass,
     Settings,
 )
-from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_list
+from cloverrouter.proxy.config import Address, HostEntry, HostList, UnixClock, read_list
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node, read_report
@@ -116,6 +116,73 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("said", [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", b"noise", b""])
+def test_host_that_speaks_or_closes_before_it_is_asked_has_not_been_asked(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On a connection that has just come up: nothing goes out there, and no answer is taken from it."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        connect, held = loop.sock_connect, []
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+
+        async def connect_and_hear(sock: socket.socket, address: Address) -> None:
+            await connect(sock, address)
+            peer, _ = await loop.sock_accept(listener)
+            held.append(peer)
+            if said:
+                peer.send(said)
+            else:
+                peer.close()
+
+        monkeypatch.setattr(loop, "sock_connect", connect_and_hear)
+        ends: list[tuple[Outcome, object]] = []
+        upstream = Upstream(8, 60_000, 1000)
+        host = ("h", listener.getsockname())
+        exchange = upstream.send(host, FakeCall(), 2000, lambda *end: ends.append(end))
+        await until(lambda: ends)
+        assert ends == [(Outcome.CONNECT_FAILED, None)]
+        assert not exchange.written
+        await until(lambda: upstream.open == 0)
+        listener.close()
+        for peer in held:
+            peer.close()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    "early",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ],
+    ids=["whole", "long", "chunked"],
+)
+def test_success_before_the_last_byte_is_none(early: bytes) -> None:
+    """The host can't have had the request: what it says belongs to another, or to nobody."""
+
+    async def scene() -> None:
+        listener = narrow_listener()
+        ends: list[tuple[Outcome, object]] = []
+        upstream = Upstream(8, 60_000, 1000)
+        call = FakeCall(b"x" * 32_000_000)
+        upstream.send(("h", listener.getsockname()), call, 2000, lambda *end: ends.append(end))
+        peer, _ = await asyncio.get_running_loop().sock_accept(listener)
+        peer.send(early)
+        await until(lambda: ends)
+        assert ends == [(Outcome.CONNECT_FAILED, None)]
+        assert not call.given
+        await until(lambda: upstream.open == 0)
+        peer.close()
+        listener.close()
+
+    asyncio.run(scene())
+
+
 def test_reset_before_the_last_byte_has_not_run() -> None:
     async def scene() -> None:
         listener = narrow_listener()
