--- a/cloverrouter/cli/check.py
+++ b/cloverrouter/cli/check.py
@@ -43,6 +43,7 @@
 
     build: str
     roles: dict[str, Role]
+    packages: list[str] = msgspec.field(default_factory=list)
 
 
 class Wrong(Exception):
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,9 +1,11 @@
-"""The README's example of embedding runs as it stands."""
+"""What the README says holds: its example of embedding runs, and it lists the system's packages."""
 
 import re
+import tomllib
 from pathlib import Path
 
-README = Path(__file__).parent.parent / "README.md"
+ROOT = Path(__file__).parent.parent
+README = ROOT / "README.md"
 
 
 def test_embedding_example_runs() -> None:
@@ -11,3 +13,9 @@
     names: dict[str, object] = {}
     exec(code, names)
     assert names["actions"]
+
+
+def test_the_system_packages_are_those_of_the_deploy_file() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    (listed,) = re.findall(r"`packages` in\s+`deploy/system\.toml` lists: ([^.]*)\.", README.read_text())
+    assert re.findall(r"`([^`]+)`", listed) == deploy["packages"] == sorted(set(deploy["packages"]))
