--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -7,13 +7,25 @@
 from __future__ import annotations
 
 from enum import Enum
+from random import Random
 
 import attrs
 
 from cloverrouter.messages import message
 
 RESEND_S = 0.35
+LIFE_BITS = 42
+CALL_BITS = 20  # a process takes fewer calls than 2 ** 20 in its life
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
+SLOWEST_BYTES_A_SECOND = 250_000  # that a link surely carries: what is still on its way is not sent again
+
+
+def first_ticket(random: Random) -> int:
+    """Where a process begins to number its calls, apart from all processes that had its address before.
+
+    Danger: a head may still hold a call of an earlier process at the same address. Numbered alike, a new call
+    would be taken for that one sent again, and its caller would get the answer to the other."""
+    return random.getrandbits(LIFE_BITS) << CALL_BITS
 
 
 class Kind(Enum):
@@ -23,7 +35,8 @@
 
 @message(330)
 class HeadCall:
-    """A call for the head. `kind`: see `Kind`; `command`: an order's bytes, empty for a read."""
+    """A call for the head. `ticket`: see `first_ticket`; `kind`: see `Kind`; `command`: of an order, empty
+    for a read."""
 
     ticket: int
     kind: int
@@ -98,6 +111,7 @@
                 del self._pending[ticket]
                 effects.append(Finished(ticket, None))
             elif self._head is not None and now >= pending.send_at:
-                pending.send_at = now + RESEND_S
+                on_its_way_s = len(pending.call.command) / SLOWEST_BYTES_A_SECOND
+                pending.send_at = now + max(RESEND_S, on_its_way_s)
                 effects.append(SendCall(self._head, pending.call))
         return effects
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -15,20 +15,21 @@
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
 from cloverrouter.control.registration import instance_from
 from cloverrouter.control.updates import decoded
+from cloverrouter.daemon.plane_port import PlanePort
 from cloverrouter.messages import encode
 
 if TYPE_CHECKING:
     from cloverrouter.control.api import RegisterReply
-    from cloverrouter.daemon.control_plane import ControlPlane
 
 
 class ControlCalls:
     """Implements `control.api.ControlBackend` on a process's control plane."""
 
-    def __init__(self, plane: ControlPlane, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, plane: PlanePort, loop: asyncio.AbstractEventLoop, first_ticket: int) -> None:
+        """`first_ticket`: of `control.forwarding.first_ticket`."""
         self._plane = plane
         self._loop = loop
-        self._tickets = itertools.count(1)
+        self._tickets = itertools.count(first_ticket)
         self._calls: dict[int, asyncio.Future[bytes | None]] = {}
         self._changes: dict[int, asyncio.Future[bool]] = {}
 
@@ -122,7 +123,7 @@
             "fleet-size": plane.subscriber.fleet_size(),
             "ready": plane.traffic.router.ready(),
             "in-flight": plane.traffic.router.in_flight,
-            "replica": plane.role.identity if plane.role is not None else None,
+            "replica": plane.disk_identity,
             "view": self.view(),
         }
 
@@ -160,6 +161,12 @@
             "cypresswinch_peer_received_bytes_total", "counter", "Bytes from peers.", transport.bytes_received
         )
         yield Figure.single("cypresswinch_peer_writes_total", "counter", "Writes to peers.", transport.writes)
+        yield Figure.single(
+            "cypresswinch_peer_skipped_messages_total",
+            "counter",
+            "Messages from peers of kinds that are not known here.",
+            transport.messages_skipped,
+        )
         kinds = sorted(transport.sent.items(), key=lambda item: item[0].__name__)
         yield Figure(
             "cypresswinch_peer_sent_messages_total",
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -7,15 +7,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange
 from cloverrouter.placement.admission import absent_retry_after_s, has_time, retry_after_s
+from cloverrouter.placement.leaving import leaving_retry_after_s
 from cloverrouter.placement.servers import Standing
 from cloverrouter.router import answers
 from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
+from cloverrouter.router.flight_host import FlightHost
 from cloverrouter.router.headers import ATTEMPT_ID, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, encode_request
 from cloverrouter.router.patience import LEAST_LEFT_S, Patience
 from cloverrouter.router.ports import Timer
@@ -24,9 +24,6 @@
 from cloverrouter.router.tries import Tries
 from cloverrouter.router.verdict import Answer, End
 
-if TYPE_CHECKING:
-    from cloverrouter.router.router import Router
-
 
 class Flight:
     """Owns its exchange: nobody else answers it."""
@@ -35,7 +32,7 @@
                  "_request_id", "_retry_timer", "_router", "_tail", "_tries", "admitted", "exchange",
                  "whole_answer_bytes")  # fmt: skip
 
-    def __init__(self, router: Router, exchange: Exchange, admitted: Admitted) -> None:
+    def __init__(self, router: FlightHost, exchange: Exchange, admitted: Admitted) -> None:
         self.exchange = exchange
         self.whole_answer_bytes = router.bounds.whole_answer_bytes
         self._router = router
@@ -66,6 +63,11 @@
         """The time."""
         return self._router.clock()
 
+    @property
+    def arrived_at(self) -> float:
+        """When the whole request had been read."""
+        return self.exchange.request.arrived_s
+
     def start(self) -> None:
         """Make the first send, or answer."""
         self._try()
@@ -81,7 +83,7 @@
         if self._tries.sends and self.exchange.gone():
             self._client_gone()
             return
-        if not has_time(self._left_ms()):
+        if not has_time(self._left_ms()) or not self._may_begin():
             self._finish_failed()
             return
         standing = self._pick()
@@ -94,6 +96,10 @@
         else:
             self._send(standing)
 
+    def _may_begin(self) -> bool:
+        """A stream that the client has a part of goes on in any case: the next proxy could do no more."""
+        return (self._relay is not None and self._relay.begun) or self._router.may_begin(self.admitted)
+
     def _pick(self) -> Standing | None:
         placement = self._router.placement(self.admitted.service)
         return placement.pick(
@@ -105,7 +111,7 @@
         tenant = self.admitted.tenant
         if self._quota.worth_waiting and tenant is not None:
             self._retry_timer = self._router.call_later(self._quota.wait_s, self._try)
-            self._router.waits_for_quota(self, tenant)
+            self._router.waits_for_quota(self, tenant.name)
         else:
             self._respond(answers.TOO_MANY, answers.retry_after(self._quota.retry_after_s))
 
@@ -132,7 +138,7 @@
         if self._tries.may_run_once_more:
             self._patience = Patience(attempt, placement, router.clock, router.call_later, self._give_up)
         attempt.call = router.send(
-            attempt, self._message(standing), self._request_id, lambda: self._wanted(attempt)
+            attempt, self._message(standing), self._request_id, lambda: self._renewed(attempt)
         )
 
     def _give_up(self, attempt: Attempt) -> bool:
@@ -162,14 +168,13 @@
             fields += b"%b: %b\r\n" % (LAST_EVENT_ID, self._relay.last_id)
         return self._head + fields + self._tail
 
-    def _wanted(self, attempt: Attempt) -> bool:
-        """Whether the request is to go out on a connection that has just come up."""
-        return (
-            not attempt.over
-            and attempt.standing.ready
-            and has_time(self._left_ms())
-            and not self.exchange.gone()
-        )
+    def _renewed(self, attempt: Attempt) -> bytes | None:
+        """The request as it is to go out on a connection that has just come up: with less time left."""
+        if attempt.over or not attempt.standing.ready:
+            return None
+        if not has_time(self._left_ms()) or self.exchange.gone():
+            return None
+        return self._message(attempt.standing)
 
     # What the attempt tells
 
@@ -180,6 +185,7 @@
             return
         self._router.succeeded(attempt, self.admitted)
         self._record.attempt_ended("answered")
+        self._router.answered(self)
         self._pass_on(answer)
 
     def stream_began(
@@ -216,6 +222,7 @@
         assert relay is not None
         self._router.succeeded(attempt, self.admitted)
         self._record.attempt_ended("streamed")
+        self._router.answered(self)
         self._close()
         relay.end()
         self._record.ended(relay.status)
@@ -239,6 +246,8 @@
     def _may_go_on(self) -> bool:
         if self._relay is not None and self._relay.begun and not self._relay.can_continue:
             return False
+        if not self._may_begin():
+            return False
         return self._tries.may_go_on(self._router.bounds.extra_sends)
 
     def _try_again(self, end: End) -> None:
@@ -273,7 +282,9 @@
         """Tell the client that the request has not run, and when to come back."""
         self._quota.refund()
         draw = self._router.random.random()
-        if self._tries.arrivals:
+        if self._router.draining:
+            wait = leaving_retry_after_s(draw)
+        elif self._tries.arrivals:
             usual_ms = self._router.placement(self.admitted.service).first_token.usual_ms
             wait = retry_after_s(usual_ms, self._left_ms(), draw)
         else:
@@ -297,11 +308,14 @@
 
     def _deadline_passed(self) -> None:
         """Nobody waits any longer: the server may stop, and the client gets what is true."""
-        attempt = self._attempt
-        if attempt is not None:
-            self._tries.may_have_run = self._tries.may_have_run or attempt.may_have_run
-            if attempt.sent_at is not None:
-                self._router.timed_out(attempt)
+        if self._attempt is not None and self._attempt.sent_at is not None:
+            self._router.timed_out(self._attempt)
+        self.cut_off()
+
+    def cut_off(self) -> None:
+        """No more can be done: the answer that is true of it, or the end of one that has begun."""
+        if self._attempt is not None:
+            self._tries.may_have_run = self._tries.may_have_run or self._attempt.may_have_run
         self._finish_failed()
 
     def _client_gone(self) -> None:
