--- /dev/null
+++ b/tests/system/slow_links.py
@@ -0,0 +1,80 @@
+"""A world of replicas whose links carry so many bytes a second, in order, and whose states are long."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from cloverrouter.coordination.effects import Answer, Outcome, StateMachine
+from cloverrouter.messages.sending import Send
+from tests.system.replica_world import Node, Register, World
+
+SMALL_BYTES = 100
+SPACING_S = 0.0008  # more than the links' jitter, so that nothing overtakes
+RATE = 1_250_000  # bytes a second
+
+
+class LongRegister(Register):
+    """A register whose state is blown up by blanks."""
+
+    def __init__(self, blanks: int) -> None:
+        super().__init__()
+        self._blanks = blanks
+
+    def snapshot(self) -> bytes:
+        return super().snapshot() + b" " * self._blanks
+
+
+class SlowWorld(World):
+    """`state_s`: how long a whole state takes on a link."""
+
+    def __init__(self, seed: int, count: int, tolerance: int, state_s: float, **options: Any) -> None:
+        self._blanks = int(state_s * RATE)
+        self._free: dict[tuple[str, str], float] = {}
+        super().__init__(seed, count, tolerance, **options)
+        self.nemesis = self._held_s
+
+    def new_machine(self) -> StateMachine:
+        return LongRegister(self._blanks)
+
+    def _held_s(self, node: Node, effect: Send) -> float:
+        """How long a message waits until the link has carried it and all before it."""
+        link = (node.ip, effect.ip)
+        begins = max(self.now, self._free.get(link, 0.0) + SPACING_S)
+        self._free[link] = begins + size_of(effect.message) / RATE
+        return self._free[link] - self.now
+
+    def put(self, name: str, done: Callable[[bool], None]) -> None:
+        """Send an order to the head, again until it is taken."""
+        head = self.head()
+        if head is None:
+            self.at(self.now + 0.05, lambda: self.put(name, done))
+            return
+        life = head.life
+        answers: list[Answer] = []
+
+        def on_answer(answer: Answer) -> None:
+            answers.append(answer)
+            if answer.outcome is Outcome.DONE:
+                self.check_acknowledged(json.loads(answer.reply)[1], name)
+                done(True)
+            else:
+                self.at(self.now + 0.05, lambda: self.put(name, done))
+
+        def look() -> None:
+            if not answers and head.life != life:
+                self.put(name, done)
+            elif not answers:
+                self.at(self.now + 0.1, look)
+
+        command = json.dumps({"id": name, "expect": None, "value": name}).encode()
+        self.submit(head, command, on_answer)
+        self.at(self.now + 0.1, look)
+
+
+def size_of(message: object) -> int:
+    """About how many bytes a message takes."""
+    snapshot = getattr(message, "snapshot", None) or b""
+    updates = getattr(message, "updates", ())
+    return SMALL_BYTES + len(snapshot) + sum(len(update) for update in updates)
