A state that takes long on a link is fetched once or twice, not until the proposer gives up

Cause: a proposer asked for the newest state each 0.2 s, and each question brought the whole state; it gave up 0.7 s after the quorum, forgot what was on its way, and began anew, while the one that had the state stood up as well. Ruled out: smaller states (a state of up to some 2 MB at 100 Mbit/s came at the first question). Change: questions are spaced by doubling pauses, the patience doubles, a state that comes late counts if a quorum stands, and whoever is asked for its state takes the proposer for alive.

--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -71,12 +71,13 @@
         self._promise_due = (message.epoch, message.sender, ip)
         return not same
 
-    def on_fetch(self, ip: str, message: Fetch) -> None:
-        """The proposer that has the promise asks for the state."""
+    def on_fetch(self, now: float, ip: str, message: Fetch) -> None:
+        """The proposer that has the promise asks for the state. A long one takes a while to arrive."""
         context = self._context
         meta = context.disk.meta
         if message.epoch != meta.promised or message.sender != meta.promised_to:
             return
+        self.contact.hear(now, message.sender)
         newest = context.history.snapshot()
         reply = State(
             sender=context.me.identity,
--- a/cloverrouter/coordination/proposal.py
+++ b/cloverrouter/coordination/proposal.py
@@ -57,8 +57,11 @@
         self._attempt = attempt
         self._supporters = {context.me.identity}
         self._asked_at = now
+        self._retry_s = context.config.retry_s
         self._quorum_at: float | None = None
-        self._fetch_from: str | None = None
+        self._source: Promise | None = None  # of the one that the state was asked of
+        self._fetch_until = 0.0
+        self._patience_s = context.config.failure_timeout_s  # with a source; grows, as states may be long
         if plan is not None:
             self._reserve()
         else:
@@ -71,7 +74,9 @@
         """Time has passed."""
         if self.phase is Phase.COLLECTING:
             self._choose(now)
-        if now - self._asked_at >= self._context.config.retry_s:
+        if self.phase is Phase.FETCHING and now >= self._fetch_until:
+            self._do_without(now)
+        elif now - self._asked_at >= self._retry_s:
             self._ask(now)
 
     def _ask(self, now: float) -> None:
@@ -87,7 +92,7 @@
                 propose = Propose(self._context.me.identity, member.identity, self.epoch)
                 self._context.send(self._context.address(member), propose)
         elif self.phase is Phase.FETCHING:
-            self._ask_state(now)
+            self._ask_state()
 
     @property
     def _view(self) -> View:
@@ -182,23 +187,27 @@
 
     def _choose(self, now: float) -> None:
         """With a quorum, and when the slower ones had a moment, go on with the newest state."""
-        if not self._view.has_quorum(self.promises, self._context.settled):
+        if not self._has_quorum():
             return
         if self._quorum_at is None:
             self._quorum_at = now
         is_over = now - self._quorum_at >= self._gather_s()
         if not is_over and not self._all_answered():
             return
-        if len(self._chain_members()) < self._least_chain():
+        if not self._has_chain():
             return
         best = max(self.promises.values(), key=lambda promise: (promise.synced, promise.seq))
         own = self.promises[self._context.me.identity]
         if (best.synced, best.seq) == (own.synced, own.seq):
             self.phase = Phase.READY
             return
-        self.phase = Phase.FETCHING
-        self._fetch_from = best.sender
-        self._ask_state(now)
+        self._fetch(now, best)
+
+    def _has_quorum(self) -> bool:
+        return self._view.has_quorum(self.promises, self._context.settled)
+
+    def _has_chain(self) -> bool:
+        return len(self._chain_members()) >= self._least_chain()
 
     def _gather_s(self) -> float:
         """How long the slower ones are waited for: longer for those that were well a moment ago."""
@@ -213,32 +222,50 @@
 
     # -- the newest state --
 
-    def _ask_state(self, now: float) -> None:
-        """Ask for the state. A source that does not answer is done without."""
-        context = self._context
-        source = self._fetch_from
-        members = [member for member in self._others(()) if member.identity == source]
-        if source is None or not members:
+    def _fetch(self, now: float, source: Promise) -> None:
+        self.phase = Phase.FETCHING
+        self._source = source
+        self._fetch_until = now + self._patience_s
+        self._retry_s = self._context.config.retry_s
+        self._asked_at = now
+        self._ask_state()
+
+    def _ask_state(self) -> None:
+        """Ask for the state, again after longer and longer: each question brings all of it."""
+        context, source = self._context, self._source
+        members = [member for member in self._others(()) if source and member.identity == source.sender]
+        if not members:
             self.phase = Phase.DEAD
             return
-        if now - (self._quorum_at or now) > context.config.failure_timeout_s:
-            del self.promises[source]
-            self._quorum_at = None
-            self.phase = Phase.COLLECTING
-            return
-        context.send(context.address(members[0]), Fetch(context.me.identity, source, self.epoch))
+        self._retry_s *= 2
+        question = Fetch(context.me.identity, members[0].identity, self.epoch)
+        context.send(context.address(members[0]), question)
+
+    def _do_without(self, now: float) -> None:
+        """The source does not answer. Its state counts if it comes after all."""
+        if self._source is not None:
+            self.promises.pop(self._source.sender, None)
+        self._patience_s *= 2
+        self._quorum_at = None
+        self._retry_s = self._context.config.retry_s
+        self.phase = Phase.COLLECTING
+        self._ask(now)
 
     def on_state(self, message: State) -> None:
         """The state has come."""
-        context = self._context
-        if self.phase is not Phase.FETCHING or message.epoch != self.epoch:
+        context, promise = self._context, self._source
+        if self.phase not in (Phase.FETCHING, Phase.COLLECTING) or promise is None:
+            return
+        if message.epoch != self.epoch or message.sender != promise.sender:
             return
-        if message.sender != self._fetch_from:
+        if any((each.synced, each.seq) > (promise.synced, promise.seq) for each in self.promises.values()):
             return
-        promise = self.promises[message.sender]
         if (message.synced, message.seq) != (promise.synced, promise.seq):
             self.phase = Phase.DEAD
             return
+        self.promises[promise.sender] = promise  # which it holds to, also if it was done without meanwhile
+        if not self._has_quorum() or not self._has_chain():
+            return
         context.history.replace(message.seq, message.snapshot)
         context.disk.replace(message.seq, message.snapshot)
         context.disk.change(synced=message.synced)
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -353,7 +353,7 @@
         self._context.effects += self._follower.on_commit(message)
 
     def _on_fetch(self, now: float, ip: str, message: Fetch) -> None:
-        self._follower.on_fetch(ip, message)
+        self._follower.on_fetch(now, ip, message)
 
     def _on_heartbeat(self, now: float, ip: str, message: Heartbeat) -> None:
         self._yield_to(now, message.epoch)
--- a/tests/system/test_large_states.py
+++ b/tests/system/test_large_states.py
@@ -9,6 +9,7 @@
 from cloverrouter.store.replica_store import ReplicaStore
 from tests.system.replica_scenarios import cut, leader
 from tests.system.replica_world import Node, World
+from tests.system.slow_links import SlowWorld
 
 FILE_BYTES = 8 * 1024 * 1024  # an eighth of a disk of 64 MB
 
@@ -87,3 +88,27 @@
     head = world.head()
     view = head.replica.view_info if head is not None and head.replica is not None else None
     return view.chain if view is not None else ()
+
+
+def test_a_state_that_is_asked_for_is_not_sent_again_and_again() -> None:
+    """On a link on which it takes longer than a silent head is waited for."""
+    world = SlowWorld(6, 3, 1, state_s=1.5)
+    world.run(8.0)
+    away = next(node for node in world.nodes if node is not leader(world))
+    world.kill(away, power=True)
+    world.run(3.0)
+    assert put_one(world, "order")
+    world.messages_by_type.clear()
+    world.kill(leader(world), power=True)
+    world.start(away)
+    begun = world.now
+    assert put_one(world, "after")
+    assert world.now - begun < 5.0
+    assert world.messages_by_type["State"] <= 2
+
+
+def put_one(world: SlowWorld, name: str) -> bool:
+    """Whether an order is taken within a while."""
+    taken: list[bool] = []
+    world.put(name, taken.append)
+    return world.run_while(lambda: not taken, 15.0)
