A voter that leaves hands its vote over first; late heartbeats and last lives bind

Cause: a planned replacement (newcomer first, then SIGTERM) gave the newcomer its vote only when the leaver had been silent, after its process had ended. Found on the way: a chain that would be too short was not filled up with members that leave or are on probation (orders waited up to 4.8 s with two well members of three), and a head that had planned an exchange could wait for ever for a chain without the new voter.

By review, of `lead_until` (who may be sure that no other is head): a heartbeat that comes late could free a voter from the head that it had answered since; a voter that started again was freed from its last promise by any head that it heard; a round counted for a proposer of the same epoch that has no promise.

Change: Roster._exchange takes leaving voters, Replica.may_end and Node._drain wait for it within the grace period, Roster._long_enough, Proposal._chain_members, heartbeats at once when a view is in force and remembered outside the chain; HeadContact._is_bound_by_last_life, Follower.on_heartbeat.

Ruled out: loss of anything acknowledged; the ledger of the simulated world found none in any of it.

--- a/cloverrouter/coordination/context.py
+++ b/cloverrouter/coordination/context.py
@@ -27,6 +27,7 @@
     view: View | None  # of the highest epoch that is known
     effects: list[Effect] = attrs.Factory(list)
     addresses: dict[str, str] = attrs.Factory(dict)  # of members that have moved
+    active_epoch: int = 0  # newest whose view a head has told to be in force
     seen_epoch: int = 0  # highest that any message has told
     round_epoch: int = 0  # of the newest heartbeat that was taken
     round: int = 0
@@ -64,14 +65,14 @@
         if view.epoch > known:
             self.view = view
             facts = {"view": encode_view(view), "view_epoch": view.epoch}
-            self.disk.note(now, **facts, settled=settled or not view.old_voters, adoptable=False)
+            self.disk.note(now, **facts, settled=settled or self._is_in_force(view), adoptable=False)
         elif view.epoch == known and settled and not self.settled:
             self.disk.note(now, settled=True)
 
     def take_view(self, view: View, proposer: str, synced: bool) -> None:
         """A head has told its view, and its state if `synced`: to be stored at once."""
         self.seen_epoch = max(self.seen_epoch, view.epoch)
-        settled = not view.old_voters
+        settled = self._is_in_force(view)
         if self.view is not None and self.view.epoch == view.epoch:
             settled = settled or self.settled
         self.view = view
@@ -86,6 +87,10 @@
         if synced:
             self.disk.change(synced=view.epoch)
 
+    def _is_in_force(self, view: View) -> bool:
+        """Whether a view needs no old voters, as far as is known here."""
+        return not view.old_voters or view.epoch == self.active_epoch
+
     def report(self, now: float, ip: str, receiver: str) -> None:
         """Tell a head how things stand here."""
         durable = self.disk.durable
--- a/cloverrouter/coordination/follower.py
+++ b/cloverrouter/coordination/follower.py
@@ -222,18 +222,23 @@
         context = self._context
         context.seen_epoch = max(context.seen_epoch, message.epoch)
         known = context.view.epoch if context.view is not None else 0
-        if message.epoch < known:
+        is_late = (message.epoch, message.round) < (context.round_epoch, context.round)
+        if message.epoch < known or is_late:
             context.report(now, ip, message.sender)
             return []
         self.contact.judge(now, message)
         # A head is sure by the word of those only that will know it after a loss of power.
-        if message.epoch == context.epoch == context.disk.durable.meta.promised:
+        promise = context.disk.durable.meta
+        is_promised = message.epoch == context.epoch == promise.promised
+        if is_promised and message.sender == promise.promised_to:
             context.round_epoch, context.round = message.epoch, message.round
         context.report(now, ip, message.sender)
+        if message.active:
+            context.active_epoch = max(context.active_epoch, message.epoch)
+            if message.epoch == known and not context.settled:
+                context.disk.note(now, settled=True)
         if not self._is_in_chain(message.epoch):
             return []
-        if message.active and not context.settled:
-            context.disk.note(now, settled=True)
         return self._commit(message.committed)
 
     # -- what follows from a write that is done --
--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -295,6 +295,7 @@
         if begins:
             self.active = True
             self._context.disk.note(now, settled=True)
+            self.beat(now)  # that the view is in force is to be known by many: see `View.old_voters`
         if not self.active:
             return False
         self._tell_stored()
--- a/cloverrouter/coordination/head_contact.py
+++ b/cloverrouter/coordination/head_contact.py
@@ -50,16 +50,19 @@
 
     def is_bound(self, now: float, sender: str) -> bool:
         """Whether a promise to `sender` has to wait, as the head was heard a moment ago."""
-        context = self._context
-        if sender == self.head or self._ill_since is not None:
+        if self._is_bound_by_last_life(now, sender):
+            return True
+        if self.head is None or sender == self.head or self._ill_since is not None:
             return False
-        if self.head is not None:
-            return now - self.heard_at < context.config.sticky_s
-        # Of the life before this one only the last promise is known. No other head than the one that it was
-        # given to can be sure of itself by this replica's word.
-        if sender == context.disk.meta.promised_to:
+        return now - self.heard_at < self._context.config.sticky_s
+
+    def _is_bound_by_last_life(self, now: float, sender: str) -> bool:
+        """Of the life before this one only the last promise is known. The one that it was given to may be
+        sure of itself by this replica's word, whoever else was heard since; no other can be."""
+        context = self._context
+        if context.epoch == 0 or sender == context.disk.meta.promised_to:
             return False
-        return context.epoch > 0 and now - self._started < context.config.sticky_s
+        return now - self._started < context.config.sticky_s
 
     def stands_up_at(self, jitter: float) -> float | None:
         """When this replica tries to become head if the head stays silent; None if it may not."""
--- a/cloverrouter/coordination/proposal.py
+++ b/cloverrouter/coordination/proposal.py
@@ -263,11 +263,10 @@
         voters = self._voters()
         present = set(self.promises)
         if self.plan is not None and self._plan_holds():
-            known = {member.identity for member in self._view.voters}
-            planned = self.plan.chain & (present | (self.plan.chain - known))
-            planned_members = [member for member in voters if member.identity in planned]
-            if len(planned_members) >= self._least_chain():
-                return planned_members
+            present |= self.plan.chain - {member.identity for member in self._view.voters}
+            planned = [member for member in voters if member.identity in self.plan.chain & present]
+            if len(planned) >= self._least_chain():
+                return planned
         return [member for member in voters if member.identity in present]
 
     def new_view(self) -> View:
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -132,6 +132,17 @@
         """Until when surely no other is head: None if this replica isn't or can't be sure."""
         return self._head.lead_until if self._head is not None else None
 
+    @property
+    def may_end(self) -> bool:
+        """Whether the process may end as far as the others need it: it surely has no vote any more, or nobody
+        is there who could take it over."""
+        view = self._context.view
+        if view is None:
+            return True
+        if view.voter(self.me.identity) is None:
+            return self._context.settled
+        return not self._roster.spares(self._now, view)
+
     @property
     def fleet_size(self) -> int:
         """The size of the fleet that was remembered last; 0: none."""
--- a/cloverrouter/coordination/roster.py
+++ b/cloverrouter/coordination/roster.py
@@ -110,13 +110,22 @@
     def wanted_spares(self, now: float, view: View) -> list[Member]:
         """Spares that may be needed, so that it should be known whether they are well."""
         spares = self.spares(now, view)
-        silent = any(self.silent_s(now, member) >= self._config.failure_timeout_s for member in view.voters)
+        is_vacant = any(self._is_vacant(now, member) for member in view.voters)
         places = {member.ip for member in view.voters} | {member.name for member in view.voters}
-        wanted = [spare for spare in spares if silent or spare.ip in places or spare.name in places]
+        wanted = [spare for spare in spares if is_vacant or spare.ip in places or spare.name in places]
         for member in wanted:
             self._peer(now, member)
         return wanted
 
+    def _is_vacant(self, now: float, member: Member) -> bool:
+        """Whether a voter's place may have to be given to a spare."""
+        return self._is_leaving(member) or self.silent_s(now, member) >= self._config.failure_timeout_s
+
+    def _is_leaving(self, member: Member) -> bool:
+        """Whether a member has said that its process is about to end."""
+        peer = self.peers.get(member.identity)
+        return peer is not None and peer.report is not None and peer.report.resigning
+
     def silent_s(self, now: float, member: Member) -> float:
         """For how long a member has not answered."""
         peer = self.peers.get(member.identity)
@@ -159,6 +168,7 @@
         """The same voters, another chain."""
         present = {self._me.identity}
         reasons: list[str] = []
+        is_fenced = False
         for member in view.voters:
             peer = self.peers.get(member.identity)
             if peer is None:
@@ -170,10 +180,34 @@
             if is_fit != in_chain:
                 reasons.append(f"{member.name} {'joins' if is_fit else 'leaves'}")
             elif in_chain and self._is_fenced(now, peer):
+                is_fenced = True
                 reasons.append(f"{member.name} has promised more")
-        if not reasons or len(present) < least_chain(len(view.voters), self._config.tolerance):
+        if not reasons:
+            return None
+        chain = self._long_enough(now, view, present)
+        if chain is None or (chain == set(view.chain) and not is_fenced):
             return None
-        return Plan(view.epoch, view.voters, frozenset(present), ", ".join(reasons))
+        return Plan(view.epoch, view.voters, frozenset(chain), ", ".join(reasons))
+
+    def _long_enough(self, now: float, view: View, fit: set[str], gone: str = "") -> set[str] | None:
+        """A chain of those that are fit, made long enough by others that answer and whose disks work, though
+        they leave or have yet to prove themselves. None if there are too few of them."""
+        chain = set(fit)
+        least = least_chain(len(view.voters), self._config.tolerance)
+        for member in view.voters:
+            if len(chain) >= least:
+                break
+            if member.identity != gone and self._may_help(now, member, view):
+                chain.add(member.identity)
+        return chain if len(chain) >= least else None
+
+    def _may_help(self, now: float, member: Member, view: View) -> bool:
+        peer = self.peers.get(member.identity)
+        if peer is None or peer.report is None or now - peer.heard >= self._config.failure_timeout_s:
+            return False
+        if peer.report.trouble_ms >= self._config.failure_timeout_s * 500:
+            return False
+        return peer.report.view_epoch == view.epoch or self._is_fenced(now, peer)
 
     def _may_join(self, now: float, peer: Peer, view: View) -> bool:
         """Whether one outside the chain is to come in: well for a while, and its disk took this view."""
@@ -190,23 +224,33 @@
         return peer.fenced_since is not None and now - peer.fenced_since >= FENCED_WAIT_S
 
     def _exchange(self, now: float, view: View) -> Plan | None:
-        """A spare in the place of a voter that is lost, one at a time."""
+        """A spare in the place of a voter that is lost or leaves, one at a time.
+
+        One that leaves is exchanged while it still answers: its promise may be needed for that, if another
+        disk is lost at the same moment."""
         config = self._config
         fit = [spare for spare in self.spares(now, view) if self._spare_is_fit(now, spare)]
         if not fit:
             return None
         lost = [member for member in view.voters if self._seems_lost(now, member)]
-        pair = self._same_place(fit, lost) or self._longest_silent(now, fit, lost)
+        leaving = [member for member in view.voters if self._is_leaving(member)]
+        pair = (
+            self._same_place(fit, lost)
+            or self._longest_silent(now, fit, lost)
+            or self._same_place(fit, leaving)
+            or self._nearest(fit, leaving)
+        )
         if pair is None:
             return None
         gone, spare = pair
         voters = tuple(spare if member == gone else member for member in view.voters)
-        chain = {self._me.identity, spare.identity}
+        fit_ones = {self._me.identity, spare.identity}
         for identity in view.chain:
             peer = self.peers.get(identity)
             if peer is not None and identity != gone.identity and peer.is_well(now, config):
-                chain.add(identity)
-        if len(chain) < least_chain(len(voters), config.tolerance):
+                fit_ones.add(identity)
+        chain = self._long_enough(now, view, fit_ones, gone.identity)
+        if chain is None:
             return None
         return Plan(view.epoch, voters, frozenset(chain), f"{spare.name} in the place of {gone.name}")
 
@@ -234,5 +278,12 @@
         if not silent:
             return None
         gone = max(silent, key=lambda member: (self.silent_s(now, member), member.identity))
-        spare = min(fit, key=lambda member: (member.zone != gone.zone, member.identity))
-        return gone, spare
+        return self._nearest(fit, [gone])
+
+    @staticmethod
+    def _nearest(fit: list[Member], gone: list[Member]) -> tuple[Member, Member] | None:
+        """The first that goes, and a spare of its zone if there is one."""
+        if not gone:
+            return None
+        spare = min(fit, key=lambda member: (member.zone != gone[0].zone, member.identity))
+        return gone[0], spare
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -155,6 +155,11 @@
         if self.role is not None:
             self.role.resign(self._loop.time())
 
+    @property
+    def may_end(self) -> bool:
+        """Whether this machine's vote isn't waited for: see `Replica.may_end`."""
+        return self.role is None or self.role.replica.may_end
+
     def called(self, exchange: ControlExchange) -> None:
         """A call of an operator or a server. The API and bottle are loaded for the first of them."""
         if self._api is None:
--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -109,4 +109,5 @@
         while self._loop.time() < end_s and quiet < QUIET_LOOKS:
             await asyncio.sleep(END_LOOK_S)
             busy = frontend.open_exchanges or frontend.connections or self._control.calls_under_way
+            busy = busy or not self._control.may_end
             quiet = 0 if busy else quiet + 1
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from cloverrouter.coordination import proposal, roster, views
+from cloverrouter.coordination import head, proposal, roster, rounds, views
 from cloverrouter.coordination.context import Context
 from cloverrouter.coordination.desk import Desk
 from cloverrouter.coordination.disk import DiskQueue, Durable
@@ -26,6 +26,8 @@
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.proposal import Phase, Proposal
 from cloverrouter.coordination.replica import Replica
+from cloverrouter.coordination.roster import Roster
+from cloverrouter.coordination.rounds import Rounds
 from cloverrouter.coordination.views import Member, View
 from tests.system.replica_chaos import play
 from tests.system.replica_scenarios import SCENARIOS, Unmet
@@ -418,6 +420,119 @@
         yield
 
 
+@fault
+@contextmanager
+def a_voter_that_leaves_does_not_wait_for_its_successor() -> Iterator[None]:
+    with patch.object(Replica, "may_end", True):
+        yield
+
+
+@fault
+@contextmanager
+def a_voter_that_leaves_is_exchanged_only_when_it_is_silent() -> Iterator[None]:
+    with patch.object(Roster, "_is_leaving", lambda *_: False):
+        yield
+
+
+@fault
+@contextmanager
+def a_voter_that_leaves_ends_before_its_successor_has_the_state() -> Iterator[None]:
+    def hasty(self: Replica) -> bool:
+        view = self._context.view
+        return (
+            view is None or view.voter(self.me.identity) is None or not self._roster.spares(self._now, view)
+        )
+
+    with patch.object(Replica, "may_end", property(hasty)):
+        yield
+
+
+@fault
+@contextmanager
+def only_members_that_stay_make_a_chain() -> Iterator[None]:
+    with patch.object(Roster, "_may_help", lambda *_: False):
+        yield
+
+
+@fault
+@contextmanager
+def a_view_is_in_force_without_the_old_voters() -> Iterator[None]:
+    original = Head._is_in_force
+
+    def hasty(self: Head) -> bool:
+        with patch.object(head, "is_majority", lambda *_: True):
+            return original(self)
+
+    with patch.object(Head, "_is_in_force", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def a_proposer_asks_the_new_voters_only() -> Iterator[None]:
+    original = View.has_quorum
+
+    def careless(self: View, identities: Iterable[str], settled: bool) -> bool:
+        return original(self, identities, True)
+
+    with patch.object(View, "has_quorum", careless):
+        yield
+
+
+@fault
+@contextmanager
+def an_exchange_begins_before_the_last_is_in_force() -> Iterator[None]:
+    original = Roster.plan
+
+    def hasty(self: Roster, now: float, view: View, settled: bool) -> Any:
+        return original(self, now, view, True)
+
+    with patch.object(Roster, "plan", hasty):
+        yield
+
+
+@fault
+@contextmanager
+def a_voter_that_starts_again_promises_at_once() -> Iterator[None]:
+    with patch.object(HeadContact, "_is_bound_by_last_life", lambda *_: False):
+        yield
+
+
+@fault
+@contextmanager
+def a_head_that_leaves_stays_sure_of_itself() -> Iterator[None]:
+    original = Rounds.begin
+    with patch.object(Rounds, "begin", lambda self, now, is_fit: original(self, now, True)):
+        yield
+
+
+@fault
+@contextmanager
+def one_answer_confirms_a_round() -> Iterator[None]:
+    with patch.object(rounds, "majority", lambda count: 1):
+        yield
+
+
+@fault
+@contextmanager
+def a_fetched_state_keeps_the_lineage_of_the_own() -> Iterator[None]:
+    original = Replica._become_head
+
+    def careless(self: Replica, now: float, proposal: Proposal) -> None:
+        proposal.fetched = False
+        original(self, now, proposal)
+
+    with patch.object(Replica, "_become_head", careless):
+        yield
+
+
+@fault
+@contextmanager
+def a_head_without_a_majority_stays_head() -> Iterator[None]:
+    with patch.object(Rounds, "has_lost_quorum", lambda *_: False):
+        yield
+
+
 SCENARIO_SEEDS = (1, 3)
 FOUND = (Violation, AssertionError, ValueError, IndexError, KeyError)
 
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import Callable
 
 from cloverrouter.coordination.effects import Answer, Outcome
-from cloverrouter.coordination.messages import Install, Propose, State
+from cloverrouter.coordination.messages import Announce, Install, Propose, State
+from cloverrouter.coordination.views import Member
 from cloverrouter.messages.sending import Send
 from tests.system.replica_chaos import check_healed
 from tests.system.replica_world import Client, Node, Reader, Violation, World
@@ -21,6 +23,11 @@
 }
 
 
+# A machine that was added, or is back, counts after so long.
+COUNTS_AFTER_S = 4.0
+LEAVES_WITHIN_S = 4.0
+
+
 class Unmet(AssertionError):
     """A race did not come to its point: it shows nothing."""
 
@@ -275,6 +282,222 @@
     settle(world)
 
 
+def the_oldest_disks_are_lost_while_replaced_voters_leave(seed: int) -> None:
+    """A planned replacement: the newcomers first, long enough to count; then the others are told to end, and
+    as many disks as may be lost, the oldest, are lost in that second."""
+    for (count, tolerance), lost_after_s in itertools.product(((3, 1), (5, 2)), (0.0, 0.4)):
+        world = World(seed, count, tolerance)
+        leave_and_lose(world, tolerance, head_leaves=seed % 4 == 1, lost_after_s=lost_after_s)
+
+
+def leave_and_lose(
+    world: World, many: int, head_leaves: bool, lost_after_s: float, same_name: bool = False
+) -> None:
+    """So many voters leave whose successors are there, and so many of the oldest disks are lost then."""
+    world.run(2.0)
+    head = leader(world)
+    others = [node for node in world.nodes if node is not head]
+    voters = [head, *others] if head_leaves else [*others, head]
+    leavers, oldest = voters[:many], voters[-many:]
+    run_to(world, order(world, head, "first"), 2.0, "an order")
+    for leaver in leavers:
+        world.add_node(place=world.nodes.index(leaver), name=leaver.name if same_name else "")
+    world.run(COUNTS_AFTER_S)
+    for leaver in leavers:
+        leaver.disk.slowness = 20.0  # that it has stored the view without it comes a moment after the view
+        world.leave(leaver)
+    world.run(lost_after_s)
+    for node in oldest:
+        if node.replica is not None:
+            world.kill(node, power=True)
+        world.wipe(node)
+        world.start(node, 1.0)
+    if not world.run_while(lambda: any(node.replica for node in leavers), LEAVES_WITHIN_S):
+        raise Violation(f"voters whose successors are there have not left within {LEAVES_WITHIN_S} s")
+    for leaver in leavers:
+        world.remove(leaver)
+    world.run(COUNTS_AFTER_S)
+    settle(world)
+
+
+def the_chain_is_short_and_the_third_has_relapsed(seed: int) -> None:
+    """A member that has often left the chain is well again and waits to come back; a disk of the two in the
+    chain is lost then. The third is needed at once: one copy is too few, and orders wait."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    follower, third = [node for node in world.nodes if node is not head]
+    for number in range(6):
+        third.disk.stalled_until = world.now + 1.5
+        order(world, leader(world), f"relapse-{number}")
+        run_to(world, lambda: third.member not in chain_of(world), 3.0, "the third out of the chain")
+        run_to(world, lambda: third.member in chain_of(world), 9.0, "the third back in the chain")
+    third.disk.stalled_until = world.now + 1.5
+    run_to(world, order(world, leader(world), "two"), 3.0, "an order of two")
+    run_to(world, lambda: third.member not in chain_of(world), 3.0, "the third out of the chain")
+    run_to(world, lambda: world.now > third.disk.stalled_until + 0.2, 3.0, "the third's disk is well")
+    lost = follower if leader(world) is head else head
+    world.kill(lost, power=True)
+    world.wipe(lost)
+    world.run(0.8)  # its silence is noticed
+    acknowledged = order(world, leader(world), "late")
+    if not world.run_while(lambda: not acknowledged(), 1.0):
+        raise Violation("a member that is well is not taken into a chain that is too short")
+    world.start(lost)
+    settle(world)
+
+
+def chain_of(world: World) -> tuple[Member, ...]:
+    """The chain as its head knows it; empty if nobody leads."""
+    head = world.head()
+    view = head.replica.view_info if head is not None and head.replica is not None else None
+    return view.chain if view is not None else ()
+
+
+def the_old_voters_know_nothing_of_an_exchange(seed: int) -> None:
+    """Two of five have promised and have yet to come back into the chain. The head exchanges a third that is
+    only cut off from it, and the two hear of the new view too late: these three are a majority of before."""
+    world = World(seed, 5, 2, config={"rejoin_s": 5.0})
+    world.run(2.0)
+    head = leader(world)
+    second, third, *slow = [node for node in world.nodes if node is not head]
+    for node in slow:
+        node.disk.stalled_until = world.now + 1.5
+    run_to(world, order(world, head, "first"), 3.0, "an order without the slow ones")
+    run_to(world, lambda: len(chain_of(world)) == 3, 3.0, "the slow ones out of the chain")
+    world.run(1.0)
+    spare = world.add_node(place=1, name=third.name)
+    world.run(0.5)
+    cut(world, [head, second, spare], [third])
+
+    def hold(node: Node, effect: Send) -> float:
+        message = effect.message
+        is_new = isinstance(message, Announce | Install) and spare.member in message.view.voters
+        return 9.0 if is_new and effect.ip in {node.ip for node in slow} else 0.0
+
+    world.nemesis = hold
+    run_to(world, lambda: spare.member in voters_at(head), 3.0, "the exchange")
+    client = Client(world, "operator", pause_s=0.05)
+    world.run(1.0)
+    cut(world, [head, second, spare], slow)
+    world.run(3.0)
+    client.stopped = True
+    world.cuts.clear()
+    world.run(9.0)  # those that have yet to prove themselves do
+    settle(world)
+
+
+def a_second_exchange_before_the_first_is_in_force(seed: int) -> None:
+    """A voter is exchanged, its successor does not get the state, and a second voter says that it leaves."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    second, third = [node for node in world.nodes if node is not head]
+    run_to(world, order(world, head, "first"), 3.0, "an order")
+    spare = world.add_node(place=1)
+    world.run(0.5)
+    cut(world, [head, spare], [third])
+
+    def hold(node: Node, effect: Send) -> float:
+        message = effect.message
+        if isinstance(message, Install) and effect.ip == spare.ip:
+            return 9.0
+        is_new = isinstance(message, Announce | Install) and spare.member in message.view.voters
+        return 9.0 if is_new and effect.ip == second.ip else 0.0
+
+    world.nemesis = hold
+    run_to(world, lambda: voters_at(head) > {spare.member}, 3.0, "the first exchange is begun")
+    other = world.add_node(place=2)
+    world.run(0.5)
+    if second.replica is not None:
+        world.carry_out(second, second.replica.resign(world.now))
+    client = Client(world, "operator", pause_s=0.05)
+    world.run(2.0)
+    cut(world, [head, spare, other], [second])
+    world.run(3.0)
+    client.stopped = True
+    world.kill(second)
+    world.start(second)
+    settle(world)
+
+
+def voters_at(node: Node) -> set[Member]:
+    """The voters of the view that a node knows."""
+    view = node.replica.view_info if node.replica is not None else None
+    return set(view.voters) if view is not None else set()
+
+
+def a_voter_starts_again_while_its_head_is_sure(seed: int) -> None:
+    """A third that can't hear the head asks a voter that has answered the head and starts again at once."""
+    world = World(seed, 3, 1, config={"retry_s": 0.02, "jitter_s": 0.01})
+    world.run(2.0)
+    head = leader(world)
+    voter, third = [node for node in world.nodes if node is not head]
+    cut(world, [head], [third])
+    world.run(1.5)
+    for _ in range(4):
+        world.kill(voter)
+        world.start(voter)
+        world.run(0.5)
+        if voter.replica is None:
+            raise Unmet("the voter does not run")
+    settle(world)
+
+
+def a_head_that_leaves_hears_nothing_more(seed: int) -> None:
+    """It says that it leaves, is answered, and then nobody reaches it: another is head at once."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    others = [node for node in world.nodes if node is not head]
+    if head.replica is not None:
+        world.carry_out(head, head.replica.resign(world.now))
+    world.run(0.004)
+    world.cuts |= {(other.ip, head.ip) for other in others}
+    run_to(world, lambda: world.head() in others, 0.4, "another head")
+    world.run(1.0)
+    world.kill(head)
+    world.start(head)
+    settle(world)
+
+
+def a_head_takes_up_a_newer_state_than_its_own(seed: int) -> None:
+    """Head and one member have an order that the others never saw; these went on under another head. The
+    first one leads again: the state of that member is no beginning of the newest one."""
+    world = World(seed, 5, 2, config={"lost_quorum_s": 10.0})
+    world.run(2.0)
+    head = leader(world)
+    run_to(world, order(world, head, "first"), 2.0, "an order")
+    partner, *others = [node for node in world.nodes if node is not head]
+    cut(world, [head, partner], others)
+    order(world, head, "never acknowledged")
+    run_to(world, lambda: world.head() in others, 3.0, "another head")
+    second = leader(world)
+    for number in range(3):
+        run_to(world, order(world, second, f"second-{number}"), 2.0, "an order at the other head")
+    world.kill(second, power=True)
+    world.cuts.clear()
+    client = Client(world, "operator", pause_s=0.05)
+    world.run(3.0)
+    client.stopped = True
+    world.start(second)
+    settle(world)
+
+
+def a_head_that_is_cut_off_says_so(seed: int) -> None:
+    """An order at a head that the others hear no more is given back soon: whoever sent it asks elsewhere."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    cut(world, [head], [node for node in world.nodes if node is not head])
+    answers: list[Answer] = []
+    command = json.dumps({"id": "late", "expect": None, "value": "late"}).encode()
+    world.submit(head, command, answers.append)
+    if not world.run_while(lambda: not answers, 1.5) or answers[0].outcome is Outcome.DONE:
+        raise Violation("a head that is cut off keeps an order for more than 1.5 s, or confirms it")
+    settle(world)
+
+
 SCENARIOS = (
     an_order_reaches_a_member_that_has_promised_more,
     a_member_loses_power_when_it_has_promised,
@@ -285,4 +508,12 @@
     a_wiped_machine_and_one_that_was_away_are_alone,
     a_view_comes_after_the_next,
     a_voter_starts_again_that_has_promised_the_head_nothing,
+    the_oldest_disks_are_lost_while_replaced_voters_leave,
+    the_chain_is_short_and_the_third_has_relapsed,
+    the_old_voters_know_nothing_of_an_exchange,
+    a_second_exchange_before_the_first_is_in_force,
+    a_voter_starts_again_while_its_head_is_sure,
+    a_head_that_leaves_hears_nothing_more,
+    a_head_takes_up_a_newer_state_than_its_own,
+    a_head_that_is_cut_off_says_so,
 )
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -43,6 +43,8 @@
 FILE_BYTES = 8 * 1024 * 1024
 STALL_LOOK_S = 0.02  # how often a write looks whether its disk still stalls
 KEPT_DIGESTS = 64
+LEAST_LEAVE_S = 0.3  # a process that was told to end looks so long whether anything is left to do,
+MOST_LEAVE_S = 7.3  # and ends then in any case
 ZONES = ("east", "north", "west")
 
 
@@ -148,6 +150,7 @@
         self.stalled_until = 0.0
         self.full = False
         self.slowness = 1.0
+        self.since = 0.0  # when it was put in
         self.syncs = True  # False: a fault on purpose, of a store that does not sync
         self.held: dict[int, bytes] = {}  # updates that were ever durable here
         self.file: ReplicaStore | None = None
@@ -327,6 +330,7 @@
         zone = ZONES[(number if place is None else place) % len(ZONES)]
         ip = f"10.{1 + ZONES.index(zone)}.0.{10 + number}"
         node = Node(ip, name or f"node-{number}", zone, Disk(adoptable, self.random))
+        node.disk.since = self.now
         self.nodes.append(node)
         if start:
             self.start(node)
@@ -450,6 +454,7 @@
         self.say(f"{node.name} is wiped")
         self.buried.append(node.disk)
         node.disk = Disk(False, self.random)
+        node.disk.since = self.now
 
     def remove(self, node: Node) -> None:
         """Take a machine away for good."""
@@ -458,6 +463,24 @@
         node.removed = True
         self.buried.append(node.disk)
 
+    def leave(self, node: Node) -> None:
+        """Tell a node's process to end (SIGTERM): it resigns, and ends when it may, as `Node._drain` does."""
+        replica, life = node.replica, node.life
+        assert replica is not None
+        self.say(f"{node.name} is told to end")
+        self.carry_out(node, replica.resign(self.now))
+        begun = self.now
+
+        def look() -> None:
+            if node.life != life:
+                return
+            if self.now - begun >= MOST_LEAVE_S or replica.may_end:
+                self.kill(node)
+                return
+            self.at(self.now + self.tick_s, look)
+
+        self.at(self.now + LEAST_LEAVE_S, look)
+
     def freeze(self, node: Node, seconds: float) -> None:
         """Stop a process for a while; what comes meanwhile waits."""
         self.say(f"{node.name} freezes for {seconds:.2f}")
--- a/tests/system/test_replica.py
+++ b/tests/system/test_replica.py
@@ -9,7 +9,7 @@
 
 from tests.system.replica_chaos import check_healed, play
 from tests.system.replica_faults import SCENARIO_SEEDS, whole_states
-from tests.system.replica_scenarios import SCENARIOS
+from tests.system.replica_scenarios import SCENARIOS, leave_and_lose
 from tests.system.replica_world import Client, World
 
 SIZES = [(1, 0), (2, 0), (3, 1), (5, 2), (6, 1), (8, 2)]
@@ -52,6 +52,17 @@
         scenario(seed)
 
 
+@pytest.mark.parametrize("lost_after_s", [0.0, 0.1, 0.2, 0.4, 0.8])
+@pytest.mark.parametrize("head_leaves", [True, False])
+@pytest.mark.parametrize(("count", "tolerance"), [(3, 1), (5, 2), (8, 2)])
+def test_the_oldest_disks_are_lost_while_replaced_voters_leave(
+    count: int, tolerance: int, head_leaves: bool, lost_after_s: float
+) -> None:
+    for seed in (1, 2, 6):
+        world = World(seed, count, tolerance)
+        leave_and_lose(world, tolerance, head_leaves, lost_after_s, same_name=seed % 2 == 1)
+
+
 def test_real_files_hold_what_the_replicas_wrote(tmp_path: Path) -> None:
     """Kills, starts and a lost disk, each start from lmdb's file; updates are folded many times."""
     world = World(5, 3, 1, config={"compact_bytes": 500}, directory=tmp_path)
