--- a/cloverrouter/http/answer.py
+++ b/cloverrouter/http/answer.py
@@ -4,14 +4,10 @@
 
 import enum
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from cloverrouter.http.fields import Headers
 
-if TYPE_CHECKING:
-    from cloverrouter.http.client import ServerPool
-    from cloverrouter.http.upstream import UpstreamConnection
-
 
 class Failure(enum.Enum):
     """How a call ends that has no whole answer."""
@@ -43,11 +39,33 @@
     def on_failure(self, failure: Failure) -> None: ...
 
 
+class Carrier(Protocol):
+    """The connection that a call is on."""
+
+    def abort(self) -> None:
+        """Close it, whatever is on it: nothing is told of that."""
+        ...
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        ...
+
+    def resume(self) -> None:
+        """Read on."""
+        ...
+
+
+class BusyCounter(Protocol):
+    """Counts the calls on their way to one address."""
+
+    busy: int
+
+
 class Call:
     """A request on its way. Once it is `done` all methods do nothing."""
 
-    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "reused",
-                 "wanted", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "renewed",
+                 "reused", "written")  # fmt: skip
 
     def __init__(
         self,
@@ -55,18 +73,18 @@
         listener: Listener,
         expected_id: bytes,
         id_header: bytes,
-        wanted: Callable[[], bool],
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> None:
         self.message = message
         self.listener = listener
         self.expected_id = expected_id
         self.id_header = id_header
-        self.wanted = wanted
+        self.renewed = renewed
         self.written = False  # its last byte was handed to the kernel
         self.reused = False  # it went out on a connection that had served another
         self.done = False
-        self._connection: UpstreamConnection | None = None
-        self._pool: ServerPool | None = None
+        self._connection: Carrier | None = None
+        self._pool: BusyCounter | None = None
 
     def cancel(self) -> None:
         """Give it up: the connection that anything of it went out on closes, and if it has not gone out it
@@ -87,13 +105,22 @@
 
     # For the pool and its connections
 
-    def hold(self, pool: ServerPool) -> None:
+    def hold(self, pool: BusyCounter) -> None:
         self._pool = pool
         pool.busy += 1
 
-    def assign(self, connection: UpstreamConnection) -> None:
+    def assign(self, connection: Carrier) -> None:
         self._connection = connection
 
+    def renew(self) -> bool:
+        """Its connection has come up, after a while: what is to go out on it now. False: nothing any more."""
+        if self.renewed is None:
+            return True
+        message = self.renewed()
+        if message is not None:
+            self.message = message
+        return message is not None
+
     def finish(self) -> None:
         self.done, self._connection = True, None
         pool, self._pool = self._pool, None
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -16,7 +16,7 @@
 from cloverrouter.http.idle import IdlePool, close_longest_idle
 from cloverrouter.http.rest import SOON_S, RestLimits
 from cloverrouter.http.sockets import READ_BYTES, notice_dead_peer, open_socket
-from cloverrouter.http.upstream import UpstreamConnection
+from cloverrouter.http.upstream import AddressPool, UpstreamConnection
 
 __all__ = ["Address", "Call", "ConnectionPool", "Failure", "Headers", "Listener"]
 
@@ -75,15 +75,15 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = lambda: True,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
         """Start a call. Of the listener's methods only `on_written` can come before this returns.
 
-        With `expected_id`, an answer whose field `id_header` holds anything else is `SPOILT`. `wanted` is
-        asked before the first byte goes out on a connection that had to be opened: after a no nothing goes
-        out, and the call ends as `NOT_SENT`.
+        With `expected_id`, an answer whose field `id_header` holds anything else is `SPOILT`. `renewed` is
+        asked before the first byte goes out on a connection that had to be opened: for the message as it is
+        then, or None: nothing goes out, and the call ends as `NOT_SENT`.
         """
-        call = Call(message, listener, expected_id, id_header, wanted)
+        call = Call(message, listener, expected_id, id_header, renewed)
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ServerPool(address)
@@ -157,7 +157,7 @@
         """Others found that servers forget idle connections: use none that rested longer, for a while."""
         self._rests.told(limit_s, for_s, self.loop.time())
 
-    def uses(self, pool: ServerPool) -> bool:
+    def uses(self, pool: AddressPool) -> bool:
         return self._pools.get(pool.address) is pool
 
     def put(self, connection: UpstreamConnection) -> None:
@@ -199,7 +199,7 @@
             # would count as one that may have run.
             connection.abort()
             call.fail(Failure.CONNECT_FAILED)
-        elif call.done or not call.wanted():
+        elif call.done or not call.renew():
             self.put(connection)
             call.fail(Failure.NOT_SENT)
         else:
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -12,6 +12,13 @@
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.admission import unconfigured_retry_after_s
+from cloverrouter.placement.leaving import (
+    Expectation,
+    Leave,
+    LongestAnswers,
+    leaving_retry_after_s,
+    may_begin,
+)
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
@@ -20,6 +27,7 @@
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.flight import Flight
+from cloverrouter.router.flight_host import HostedFlight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
     MODEL,
@@ -76,8 +84,8 @@
         self.recorder = recorder
         self.on_trouble: Callable[[str], None] = lambda instance_id: None
         """Called with the id of an instance that failed a request."""
-        self.draining = False
-        """Set once the process is to end: answers then end their connections."""
+        self._leave: Leave | None = None
+        self._longest = LongestAnswers()
         self._pool = pool
         self._quota = quota
         self._log = log
@@ -85,8 +93,8 @@
         self._table: RoutingTable | None = None
         self._ranks: Ranks | None = None
         self._placements: dict[str, ServicePlacement] = {}
-        self._flights: set[Flight] = set()
-        self._waiting: dict[str, dict[Flight, None]] = {}
+        self._flights: set[HostedFlight] = set()
+        self._waiting: dict[str, dict[HostedFlight, None]] = {}
         self._keys = 0
         self._started_at = clock()
         self._fleet_size = 1
@@ -136,6 +144,21 @@
         for flight in self._waiting.pop(tenant, {}):
             flight.quota_woken()
 
+    def leave(self, ends_at: float) -> None:
+        """The process ends then. Answers end their connections from now on, and nothing is begun that might
+        not be over by that time."""
+        self._leave = Leave(self.clock(), ends_at)
+
+    def end_flights(self) -> None:
+        """The process ends now: what is still under way is given the answer that is true of it."""
+        for flight in list(self._flights):
+            flight.cut_off()
+
+    @property
+    def draining(self) -> bool:
+        """Whether the process was told to end."""
+        return self._leave is not None
+
     @property
     def in_flight(self) -> int:
         """Requests that are not answered yet."""
@@ -175,7 +198,12 @@
         if tenant is None and self._table.needs_key and not route.anonymous:
             self._respond(exchange, answers.UNAUTHORIZED)
             return
-        flight = Flight(self, exchange, self._admit(request, route, tenant))
+        admitted = self._admit(request, route, tenant)
+        if not self.may_begin(admitted):
+            wait_s = leaving_retry_after_s(self.random.random())
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
+            return
+        flight = Flight(self, exchange, admitted)
         self._flights.add(flight)
         flight.start()
 
@@ -234,15 +262,36 @@
             found.fleet_changed(self._fleet_size)
         return found
 
+    def may_begin(self, admitted: Admitted) -> bool:
+        """Whether the request may be sent to a server: always, but in a process that ends soon."""
+        if self._leave is None:
+            return True
+        now, route = self.clock(), admitted.route
+        expectation = Expectation(admitted.deadline, self._longest_s(route, now), route.can_resume)
+        return may_begin(self._leave, now, expectation)
+
+    def _longest_s(self, route: Route, now: float) -> float | None:
+        """The longest that a request on the route took lately, or is taking now."""
+        ages = [now - one.arrived_at for one in self._flights if one.admitted.route.name == route.name]
+        known = self._longest.of(route.name, now)
+        return known if known is None else max([known, *ages])
+
+    def answered(self, flight: HostedFlight) -> None:
+        """A server's whole answer went to the client."""
+        now = self.clock()
+        self._longest.note(flight.admitted.route.name, now - flight.arrived_at, now)
+
     def next_key(self) -> int:
         """A number for an attempt."""
         self._keys += 1
         return self._keys
 
-    def send(self, attempt: Attempt, message: bytes, request_id: bytes, wanted: Callable[[], bool]) -> Call:
-        """Start a send."""
+    def send(
+        self, attempt: Attempt, message: bytes, request_id: bytes, renewed: Callable[[], bytes | None]
+    ) -> Call:
+        """Start a send; `renewed` gives the message for a connection that came up later, if it is wanted."""
         address = attempt.standing.server.address
-        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, wanted)
+        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, renewed)
 
     def quota_wait(self, admitted: Admitted, again: bool) -> float:
         """Count a request for its tenant, if it has a quota: 0.0, or seconds after which to ask again."""
@@ -251,9 +300,9 @@
             return 0.0
         return self._quota.admit(tenant.name, admitted.tokens, self.clock(), again=again)
 
-    def waits_for_quota(self, flight: Flight, tenant: Tenant) -> None:
+    def waits_for_quota(self, flight: HostedFlight, tenant: str) -> None:
         """The flight is to hear of news about its tenant's quota."""
-        self._waiting.setdefault(tenant.name, {})[flight] = None
+        self._waiting.setdefault(tenant, {})[flight] = None
 
     def refund(self, admitted: Admitted) -> None:
         """A request that was counted for its tenant never ran."""
@@ -310,7 +359,7 @@
         else:
             attempt.standing.failed()
 
-    def landed(self, flight: Flight) -> None:
+    def landed(self, flight: HostedFlight) -> None:
         """A flight is over."""
         self._flights.discard(flight)
         tenant = flight.admitted.tenant
--- a/tests/system/test_http_client.py
+++ b/tests/system/test_http_client.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cloverrouter.http.client import Call, ConnectionPool, Failure
+from cloverrouter.http.client import Address, Call, ConnectionPool, Failure
 from tests.system.peers import Answered, Peer, Upstream, play, pool, until
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -331,6 +331,41 @@
     play(scene())
 
 
+@pytest.mark.parametrize("said", [OK, b"noise", b""])
+def test_server_that_speaks_or_closes_before_it_is_asked_has_not_been_asked(
+    said: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On a connection that has just come up: nothing goes out there, and no answer is taken from it."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        connect, held = loop.sock_connect, []
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+
+            async def connect_and_hear(sock: socket.socket, address: Address) -> None:
+                await connect(sock, address)
+                server, _ = await loop.sock_accept(listener)
+                held.append(server)
+                if said:
+                    server.send(said)
+                else:
+                    server.close()
+
+            monkeypatch.setattr(loop, "sock_connect", connect_and_hear)
+            connections, answered = pool(), Answered()
+            connections.send(listener.getsockname(), MESSAGE, answered)
+            await answered.over.wait()
+            assert answered.told == ["failure"]
+            assert answered.failure is Failure.CONNECT_FAILED
+            assert connections.idle(listener.getsockname()) == 0
+            connections.close()
+            for server in held:
+                server.close()
+
+    play(scene())
+
+
 def test_connection_is_not_used_until_it_has_settled() -> None:
     async def scene() -> None:
         upstream = await saying(OK, OK).start()
@@ -535,7 +570,7 @@
     async def scene() -> None:
         upstream = await saying(OK).start()
         connections, answered = pool(), Answered()
-        connections.send(upstream.address, MESSAGE, answered, wanted=lambda: False)
+        connections.send(upstream.address, MESSAGE, answered, renewed=lambda: None)
         await answered.over.wait()
         assert answered.told == ["failure"] and answered.failure is Failure.NOT_SENT
         assert connections.idle(upstream.address) == 1
@@ -546,6 +581,28 @@
     play(scene())
 
 
+def test_request_is_renewed_for_a_connection_that_had_to_be_opened() -> None:
+    async def scene() -> None:
+        seen = []
+
+        async def script(peer: Peer) -> None:
+            while True:
+                seen.append(await peer.head())
+                peer.send(OK)
+
+        upstream = await Upstream(script).start()
+        connections = pool()
+        for first in (b"GET /old HTTP/1.1\r\n\r\n", b"GET /at-once HTTP/1.1\r\n\r\n"):
+            answered = Answered()
+            renewed = lambda: b"GET /new HTTP/1.1\r\n\r\n"  # noqa: E731
+            connections.send(upstream.address, first, answered, renewed=renewed)
+            await answered.over.wait()
+        assert [head.split()[1] for head in seen] == [b"/new", b"/at-once"]
+        connections.close()
+
+    play(scene())
+
+
 @pytest.mark.parametrize("part", [b"", b"HTTP/1.1 200", OK[:-1], CHUNKED + b"2\r\nok\r\n"])
 @pytest.mark.parametrize("end", [Peer.close, Peer.reset])
 def test_connection_that_ends_before_the_answer_does_may_have_run_it(part: bytes, end: object) -> None:
