--- a/features/racing_operators.feature
+++ b/features/racing_operators.feature
@@ -33,6 +33,15 @@
     And order "a" is sent again through the first proxy until it is answered
     Then order "a" is acknowledged
 
+  Scenario: An order is sent again to one that was the head when it was taken
+    When the head freezes for 4 s, and the first proxy hears of no other
+    And order "a" on version 5 is acknowledged, and its answer is lost
+    And 3 more orders are acknowledged
+    And the last of them is sent again through the first proxy while the frozen one wakes
+    And order "a" is sent again through the first proxy until it is answered
+    Then order "a" is acknowledged
+    And the last one was not refused
+
   Scenario: Two operators send the very same bytes
     When order "a" on version 5 is sent through two proxies at once
     Then both are acknowledged with the same version
--- a/features/steps/racing_steps.py
+++ b/features/steps/racing_steps.py
@@ -151,8 +151,8 @@
 def step_more(context: Any, count: int) -> None:
     version = 7
     for number in range(count):
-        order = change(f"more-{number}", version, version + 1)
-        assert insist(context, order, context.world.proxies[1:]).status == 200
+        context.last = change(f"more-{number}", version, version + 1)
+        assert insist(context, context.last, context.world.proxies[1:]).status == 200
         version += 1
 
 
@@ -242,3 +242,32 @@
 @then("more than {count:d} orders were acknowledged")
 def step_many(context: Any, count: int) -> None:
     assert context.result.acknowledged > count
+
+
+@when("the head freezes for {seconds:g} s, and the first proxy hears of no other")
+def step_freeze_and_cut(context: Any, seconds: float) -> None:
+    world = context.world
+    context.frozen = leader(world)
+    world.freeze(context.frozen, seconds)
+    proxy = world.proxies[0]
+    cut(world, [context.frozen], others(context, context.frozen))
+    for node in others(context, context.frozen):
+        world.cuts |= {(proxy.ip, node.ip), (node.ip, proxy.ip)}
+    assert world.run_while(lambda: world.head() is None, 3.0)
+    world.run(1.0)  # until the other proxies know of it
+
+
+@when("the last of them is sent again through the first proxy while the frozen one wakes")
+def step_last_again(context: Any) -> None:
+    world = context.world
+    world.run_until(context.frozen.frozen_until - 0.01)
+    context.last_replies = []
+    context.operators.order(world.proxies[0], context.last, context.last_replies.append)
+    world.run(0.5)
+    world.cuts.clear()
+    world.run(3.6)
+
+
+@then("the last one was not refused")
+def step_last_not_refused(context: Any) -> None:
+    assert all(reply is None or reply.status == 200 for reply in context.last_replies)
--- a/tests/system/order_world.py
+++ b/tests/system/order_world.py
@@ -175,12 +175,15 @@
                 if proxy.ip == to_ip:
                     proxy.answered(message)
         elif isinstance(message, HeadCall):
-            for node in self.running():
-                if node.ip == to_ip:
-                    self.carry_out(node, self._desk(node).called(self.now, from_ip, message))
+            for node in self.nodes:
+                if node.ip == to_ip and node.replica is not None:
+                    self._hand_call(node, from_ip, message)
         else:
             super()._deliver(from_ip, to_ip, message)
 
+    def _hand_call(self, node: Node, from_ip: str, call: HeadCall) -> None:
+        self._when_awake(node, lambda: list(self._desk(node).called(self.now, from_ip, call)))
+
     def _desk(self, node: Node) -> HeadDesk:
         """The desk of a node's process."""
         life, desk = self.desks.get(node.ip, (0, None))
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -272,6 +272,22 @@
         yield
 
 
+@fault
+@contextmanager
+def a_state_handed_over_counts_at_once() -> Iterator[None]:
+    original = Follower.on_install
+
+    def hasty(self: Follower, now: float, ip: str, message: Any) -> bool:
+        taken = original(self, now, ip, message)
+        if taken:
+            history = self._context.history
+            self._context.effects += history.commit(history.newest)
+        return taken
+
+    with whole_states(), patch.object(Follower, "on_install", hasty):
+        yield
+
+
 @fault
 @contextmanager
 def a_new_head_commits_before_its_view_is_in_force() -> Iterator[None]:
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -275,6 +275,49 @@
     settle(world)
 
 
+def a_state_handed_over_is_lost_before_it_is_stored(seed: int) -> None:
+    """The head hands a member an update that no other disk holds. The head's disk is lost, the member loses
+    power before it has stored the update; the number then is another one's."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head = leader(world)
+    follower, third = [node for node in world.nodes if node is not head]
+    cut(world, [head], [follower, third])
+    order(world, head, "alone")
+    world.run(0.05)
+    cut(world, [follower], [third])
+    world.run(2.0)
+    world.kill(head)
+    handed: list[float] = []
+
+    def strike() -> None:
+        world.kill(head, power=True)
+        world.wipe(head)
+        world.kill(follower, power=True)
+        follower.disk.slowness = 1.0
+
+    def watch(node: Node, effect: Send) -> float:
+        if effect.ip == follower.ip and isinstance(effect.message, Install) and not handed:
+            handed.append(world.now)
+            follower.disk.slowness = 100.0
+            world.at(world.now + 0.01, strike)
+        return 0.0
+
+    world.nemesis = watch
+    world.cuts.clear()
+    cut(world, [third], [head, follower])
+    world.start(head)
+    run_to(world, lambda: bool(handed), 3.0, "the state is handed over")
+    run_to(world, lambda: follower.replica is None, 1.0, "the loss of power")
+    world.cuts.clear()
+    world.nemesis = None
+    world.start(follower)
+    run_to(world, lambda: world.head() is not None, 5.0, "a head")
+    run_to(world, order(world, leader(world), "other"), 5.0, "another order")
+    world.start(head)
+    settle(world)
+
+
 SCENARIOS = (
     an_order_reaches_a_member_that_has_promised_more,
     a_member_loses_power_when_it_has_promised,
@@ -285,4 +328,5 @@
     a_wiped_machine_and_one_that_was_away_are_alone,
     a_view_comes_after_the_next,
     a_voter_starts_again_that_has_promised_the_head_nothing,
+    a_state_handed_over_is_lost_before_it_is_stored,
 )
--- a/tests/system/test_large_states.py
+++ b/tests/system/test_large_states.py
@@ -57,6 +57,7 @@
     assert outcome(world, "large", 60_000) is Outcome.DONE
     old = leader(world)
     world.freeze(old, 3.0)
+    cut(world, [old], [node for node in world.nodes if node is not old])
     world.run(2.0)
     assert leader(world) is not old
     assert outcome(world, "small", 1_000) is Outcome.DONE
--- /dev/null
+++ b/tests/system/test_mechanisms.py
@@ -0,0 +1,259 @@
+"""What keeps orders, and members that were away, safe: each mechanism taken out, and the check that finds it.
+
+The scenarios and tests below pass with the mechanism (they are run by themselves, too) and fail without it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import attrs
+import pytest
+from behave.__main__ import main as behave  # type: ignore[import-untyped]
+
+from cloverrouter.control.orders import ConfigurationMachine
+from cloverrouter.control.publisher import Publisher
+from cloverrouter.control.registry import Registry
+from cloverrouter.coordination.disk import DiskQueue
+from cloverrouter.coordination.effects import Answer, Outcome
+from cloverrouter.coordination.head import Head
+from cloverrouter.coordination.proposal import Proposal
+from cloverrouter.daemon.trouble_news import TroubleNews
+from cloverrouter.store import StoreFull, replica_store
+from tests.system import (
+    order_world,
+    test_configuration_orders,
+    test_distribution,
+    test_large_states,
+    test_registry,
+    test_replica_store,
+    test_trouble_news,
+)
+
+_evolve: Any = (
+    attrs.evolve
+)  # messages are attrs classes by a decorator that the type checker can't see through
+
+AWAY = "500 changes with a member away, which is restarted at change 100, 300 and 499 -- @1.3"
+FEATURES = Path(__file__).parents[2] / "features"
+
+
+@attrs.frozen
+class Mechanism:
+    """One mechanism: how it is taken out, and what then fails."""
+
+    without: Callable[[], Any]
+    check: Callable[[], object]
+
+
+MECHANISMS: dict[str, Mechanism] = {}
+
+
+def mechanism(
+    check: Callable[[], object],
+) -> Callable[[Callable[[], Iterator[None]]], Callable[[], Iterator[None]]]:
+    """Register the way to do without a mechanism, under its function's name."""
+
+    def register(without: Callable[[], Iterator[None]]) -> Callable[[], Iterator[None]]:
+        name = without.__name__.replace("_", " ")
+        MECHANISMS[name] = Mechanism(contextlib.contextmanager(without), check)
+        return without
+
+    return register
+
+
+def scenario(feature: str, name: str) -> Callable[[], None]:
+    """A check: the scenarios of that name, or whose name begins so."""
+
+    def play() -> None:
+        arguments = [str(FEATURES / f"{feature}.feature"), "--name", name, "--format", "null", "--no-summary"]
+        with contextlib.redirect_stdout(io.StringIO()) as told:
+            failed = behave(arguments)
+        assert not failed, told.getvalue()
+
+    return play
+
+
+def of_race(name: str) -> Callable[[], None]:
+    return scenario("racing_operators", name)
+
+
+def of_catching_up(name: str) -> Callable[[], None]:
+    return scenario("catching_up", name)
+
+
+# -- orders --
+
+
+@mechanism(of_race("A process ends with an order under way, and the next order"))
+def tickets_apart_in_each_life() -> Iterator[None]:
+    with patch.object(order_world, "first_ticket", lambda _: 1):
+        yield
+
+
+@mechanism(of_race("The answer of the winner is lost"))
+def digests_of_taken_orders() -> Iterator[None]:
+    with patch.object(ConfigurationMachine, "_remember", lambda *_: None):
+        yield
+
+
+@mechanism(of_race("An order is known in every life"))
+def digests_in_the_snapshot() -> Iterator[None]:
+    original = ConfigurationMachine.restore
+
+    def forgetful(self: ConfigurationMachine, snapshot: bytes) -> None:
+        original(self, snapshot)
+        self._taken = {}
+
+    with patch.object(ConfigurationMachine, "restore", forgetful):
+        yield
+
+
+@mechanism(of_race("Two operators race"))
+def orders_build_on_the_version_in_force() -> Iterator[None]:
+    with patch.object(ConfigurationMachine, "_refusal", lambda *_: None):
+        yield
+
+
+@mechanism(of_race("An order is sent again to one that was the head"))
+def refusals_wait_for_a_majority() -> Iterator[None]:
+    original = Head.answer_asked
+
+    def hasty(self: Head) -> None:
+        self.rounds.confirmed, kept = self.rounds.newest, self.rounds.confirmed
+        original(self)
+        self.rounds.confirmed = kept
+
+    with patch.object(Head, "answer_asked", hasty):
+        yield
+
+
+@mechanism(test_large_states.test_a_head_that_is_none_any_more_does_not_say_that_an_order_is_too_large)
+def refusals_for_size_wait_for_a_majority() -> Iterator[None]:
+    original = Head._decide
+
+    def hasty(self: Head, now: float, ticket: int, command: bytes) -> None:
+        original(self, now, ticket, command)
+        asked = self._desk.asked
+        if asked and asked[-1].outcome is Outcome.TOO_LARGE:
+            asked.pop()
+            self._context.effects.append(Answer(ticket, Outcome.TOO_LARGE))
+
+    with patch.object(Head, "_decide", hasty):
+        yield
+
+
+@mechanism(test_large_states.test_large_states_replace_each_other_for_ever)
+def updates_are_folded_before_an_order_is_refused_for_size() -> Iterator[None]:
+    original = DiskQueue.fold
+
+    def only_when_due(self: DiskQueue) -> None:
+        if self._update_bytes > max(self._compact_bytes, self._snapshot_bytes):
+            original(self)
+
+    with patch.object(DiskQueue, "fold", only_when_due):
+        yield
+
+
+@mechanism(test_configuration_orders.test_an_order_that_may_be_forgotten_is_not_refused)
+def orders_that_may_be_forgotten_are_left_open() -> Iterator[None]:
+    with patch.object(ConfigurationMachine, "_may_be_forgotten", lambda *_: False):
+        yield
+
+
+# -- members that were away --
+
+
+@mechanism(of_catching_up(AWAY))
+def the_newest_state_is_fetched_by_who_will_lead() -> Iterator[None]:
+    original = Proposal._choose
+
+    def proud(self: Proposal, now: float) -> None:
+        own = self.promises.get(self._context.me.identity)
+        for identity, promise in list(self.promises.items()):
+            if own is not None:
+                self.promises[identity] = _evolve(promise, synced=own.synced, seq=own.seq)
+        original(self, now)
+
+    with patch.object(Proposal, "_choose", proud):
+        yield
+
+
+@mechanism(test_large_states.test_a_state_that_is_asked_for_is_not_sent_again_and_again)
+def patience_with_a_long_state() -> Iterator[None]:
+    original = Proposal._ask_state
+
+    def impatient(self: Proposal) -> None:
+        original(self)
+        self._retry_s = self._context.config.retry_s
+
+    with patch.object(Proposal, "_ask_state", impatient):
+        yield
+
+
+@mechanism(test_distribution.test_a_slow_link_gets_through_in_a_storm_of_long_changes)
+def what_is_being_fetched_is_kept() -> Iterator[None]:
+    original = Publisher._package_again
+
+    def forgetful(self: Publisher, sequence: int, is_snapshot: bool) -> Any:
+        kept = list(self._packages)
+        found = original(self, sequence, is_snapshot)
+        self._packages = {key: self._packages[key] for key in kept if key in self._packages}
+        return found
+
+    with patch.object(Publisher, "_package_again", forgetful):
+        yield
+
+
+# -- what is not in the chain --
+
+
+@mechanism(test_registry.test_a_machine_that_is_not_the_head_any_more_marks_nobody)
+def silence_is_taken_from_the_head_only() -> Iterator[None]:
+    original = Registry.receive
+
+    def credulous(self: Registry, now: float, ip: str, message: object) -> Any:
+        kept, self._head = self._head, ip
+        found = original(self, now, ip, message)
+        self._head = kept
+        return found
+
+    with patch.object(Registry, "receive", credulous):
+        yield
+
+
+@mechanism(lambda: test_trouble_news.test_a_head_warns_only_while_no_other_can_be_head(0.9, False))
+def warnings_are_given_while_the_lead_is_sure() -> Iterator[None]:
+    with patch.object(TroubleNews, "_leads", lambda self, now: self._lead_until() is not None):
+        yield
+
+
+@pytest.mark.parametrize("name", MECHANISMS)
+def test_its_check_fails_without_it(name: str) -> None:
+    found = MECHANISMS[name]
+    with found.without(), pytest.raises(AssertionError):
+        found.check()
+
+
+def test_a_torn_snapshot_is_found(tmp_path: Path) -> None:
+    """Without checksums a snapshot whose bytes were turned would be taken."""
+
+    def trusting(key: bytes, value: bytes) -> bytes:
+        return value[replica_store._CHECKSUM.size :]
+
+    with patch.object(replica_store, "_checked", trusting), pytest.raises(AssertionError):
+        test_replica_store.test_a_value_that_was_changed_is_a_lost_disk(tmp_path)
+
+
+def test_disks_outgrow_their_room_without_folding(tmp_path: Path) -> None:
+    with (
+        patch.object(DiskQueue, "_compact", lambda _: None),
+        patch.object(Head, "_has_room", lambda *_: True),
+        pytest.raises(StoreFull),
+    ):
+        test_large_states.test_disks_hold_many_states_near_their_room(tmp_path)
