--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -111,6 +111,10 @@
         self._head = head
         self._voter.set_head(now, head == self._own_ip)
 
+    def lead_confirmed(self, confirmed: bool) -> None:
+        """Whether this machine, as far as it is the head, is the only one for sure."""
+        self._voter.leads = confirmed
+
     def link_up(self, now: float, ip: str) -> list[Effect]:
         """The link to a machine is up (again)."""
         self._exchange.link_up(now, ip)
