--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -74,27 +74,16 @@
     )
 
 
-def play(bench: Path, site: Path, seed: int, folder: Path, why: str) -> Played:
+def play(bench: Path, site: Path, seed: int, folder: Path, options: list[str]) -> Played:
     """Plays the day of a seed, unless its report is there."""
     stem = folder / f"{site.stem}-{seed}"
     report = stem.with_suffix(".json")
     if not report.exists():
         day = stem.with_suffix(".toml")
         day.write_text(day_toml(draw_day(read_site(site), seed)))
-        command = [
-            str(bench),
-            "run",
-            str(site),
-            str(day),
-            "--seed",
-            str(seed),
-            "--report",
-            str(report),
-            "--why",
-            why,
-        ]
+        command = [str(bench), "run", str(site), str(day), "--seed", str(seed), "--report", str(report)]
         with stem.with_suffix(".txt").open("w") as output:
-            subprocess.run(command, stdout=output, stderr=subprocess.STDOUT, check=False)
+            subprocess.run([*command, *options], stdout=output, stderr=subprocess.STDOUT, check=False)
     return read_report(site.stem, seed, report)
 
 
@@ -118,6 +107,7 @@
     last: int,
     why: str,
     jobs: int = 2,
+    small: bool = False,
     folder: Path = FOLDER,
 ) -> int:
     """Plays the days of a range of seeds on each site.
@@ -136,14 +126,17 @@
         For the bench's journal.
     jobs
         How many days at a time.
+    small
+        Play the small twins of a large deployment's days.
     folder
         Where days and reports go.
     """
+    options = ["--why", why, *(["--small"] if small else [])]
     folder.mkdir(parents=True, exist_ok=True)
     days = [(path, seed) for seed in range(first, last + 1) for path in site]
     ended: list[Played] = []
     with ThreadPoolExecutor(jobs) as pool:
-        for day in pool.map(lambda drawn: play(bench, drawn[0], drawn[1], folder, why), days):
+        for day in pool.map(lambda drawn: play(bench, drawn[0], drawn[1], folder, options), days):
             print(day.line(), flush=True)
             ended.append(day)
     print(table(ended))
--- a/benchmarks/trouble_days.py
+++ b/benchmarks/trouble_days.py
@@ -24,6 +24,7 @@
 DAY_S = 34.0  # without a length of its own in the site file
 CALM_START_S = 1.5  # the first trouble comes no sooner
 CALM_END_S = 5.0  # and none begins later than so long before the end of traffic
+LOAD_FIELDS = ("traffic", "small")
 LONG_S = (20.0, 25.0)  # long enough to outlast every bound of a deployment
 
 CUT_WAYS = ("", "all", "near", "oldest", "one_way", "seeds", "both", "lure")
@@ -56,7 +57,9 @@
     tolerated: int
     services: tuple[str, ...]
     classes: tuple[str, ...]
-    traffics: tuple[list[Entry], ...]
+    loads: tuple[
+        Entry, ...
+    ]  # of its own days: the traffic, and what their small twin changes, if they have one
 
 
 @attrs.frozen
@@ -79,7 +82,7 @@
         tolerated=int(content["tolerate"]["machines"]),
         services=tuple(service["name"] for service in content["services"]),
         classes=tuple(kind["name"] for kind in content["classes"]),
-        traffics=tuple(day["traffic"] for day in content["day"]),
+        loads=tuple({name: day[name] for name in LOAD_FIELDS if name in day} for day in content["day"]),
     )
 
 
@@ -441,8 +444,7 @@
         day["closing"] = closing(random)
     day["plan"] = sorted(plan, key=lambda item: float(item["at"]))
     day["faults"] = sorted(faults, key=lambda item: float(item["at"]))
-    day["traffic"] = random.choice(site.traffics)
-    return day
+    return {**day, **random.choice(site.loads)}
 
 
 def toml_value(value: Any) -> str:
--- a/tests/system/test_trouble_days.py
+++ b/tests/system/test_trouble_days.py
@@ -72,7 +72,7 @@
     tolerated=2,
     services=("engines", "desk"),
     classes=("ask", "look-up"),
-    traffics=(TRAFFIC, [{**TRAFFIC[0], "per_s": 35.0}]),
+    loads=({"traffic": TRAFFIC}, {"traffic": [{**TRAFFIC[0], "per_s": 35.0}], "small": {"shrink": 5.0}}),
 )
 SEEDS = range(200)
 
@@ -112,7 +112,7 @@
         assert entries(day)
         assert all(0.0 < item["at"] < SITE.length_s for item in entries(day))
         assert all(item["count"] <= SITE.tolerated for item in day["faults"] if item["kind"] == "core_cut")
-        assert day["traffic"] in SITE.traffics
+        assert {name: day[name] for name in ("traffic", "small") if name in day} in SITE.loads
         assert day.get("closing", {"kind": "kill_all"})["kind"] in {
             "power_off_all",
             "wipe_after_ack",
@@ -152,7 +152,7 @@
         '[[day]]\nname = "quiet"\ntraffic = [{ zone = "north", per_s = 5.0 }]\n'
     )
     site = read_site(path)
-    assert site == Site(34.0, 1, ("engines",), ("ask",), ([{"zone": "north", "per_s": 5.0}],))
+    assert site == Site(34.0, 1, ("engines",), ("ask",), ({"traffic": [{"zone": "north", "per_s": 5.0}]},))
 
 
 def test_a_day_without_a_report_did_not_pass(tmp_path: Path) -> None:
