A peer that connects to here is connected to at once; a refused connect is soon tried again

Cause: a connect begun while the peer's machine was dark waited for its time-out of 0.5 s and a pause, with the answers for that peer queued behind it, although the peer was back and had connected to here. After a loss of power everywhere the head of before got no answer to its question who would promise; another one led 0.6 s later. Ruled out by following the messages: waits before a promise, the order of standing up, the disk.

--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -19,7 +19,8 @@
 CONNECT_TIMEOUT_S = 0.5
 USER_TIMEOUT_MS = 1500
 RETRY_PAUSE_S = 0.1  # after a failed connect
-MAX_RETRY_PAUSE_S = 0.4
+MAX_RETRY_PAUSE_S = 0.4  # where nothing answers, after several
+LATE_CONNECT_S = 0.05  # under way for so long: what it began with may have been lost
 MAX_QUEUED_BYTES = 8 * 1024 * 1024  # for one peer
 READ_BYTES = 64 * 1024
 LARGE_BYTES = 4096
@@ -50,6 +51,7 @@
         if sock is not None:
             _tune(sock)
         self._owner.incoming.add(transport)
+        self._owner.peer_is_up(self._ip)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._transport is not None:
@@ -84,6 +86,35 @@
         self._link.lost()
 
 
+class ConnectPause:
+    """How long a link waits until it tries to connect once more.
+
+    A machine that refuses is up, and its process may be just about to listen: it is asked again soon. Where
+    nothing answers, the waits grow.
+    """
+
+    def __init__(self) -> None:
+        self._pause_s = RETRY_PAUSE_S
+        self._not_before_s = 0.0
+
+    def may_try(self, now_s: float) -> bool:
+        """Whether the wait is over."""
+        return now_s >= self._not_before_s
+
+    def failed(self, now_s: float, *, refused: bool) -> None:
+        """There was no connection. `refused`: the machine itself said so."""
+        if refused:
+            self._pause_s = RETRY_PAUSE_S
+        self._not_before_s = now_s + self._pause_s
+        if not refused:
+            self._pause_s = min(MAX_RETRY_PAUSE_S, 2 * self._pause_s)
+
+    def over(self) -> None:
+        """The peer is there: nothing is waited for."""
+        self._pause_s = RETRY_PAUSE_S
+        self._not_before_s = 0.0
+
+
 class Link:
     """Everything that goes to one peer."""
 
@@ -94,8 +125,8 @@
         self._queue: list[bytes] = []
         self._queued_bytes = 0
         self._opening: asyncio.Task[None] | None = None
-        self._pause_s = RETRY_PAUSE_S
-        self._not_before_s = 0.0
+        self._opening_since_s = 0.0
+        self._pause = ConnectPause()
 
     @property
     def connected(self) -> bool:
@@ -126,8 +157,22 @@
     def open(self) -> None:
         """Begin to connect, unless that is under way, done, or was tried just now."""
         loop = self._owner.loop
-        if self._transport is None and self._opening is None and loop.time() >= self._not_before_s:
+        if self._transport is None and self._opening is None and self._pause.may_try(loop.time()):
             self._opening = loop.create_task(self._connect())
+            self._opening_since_s = loop.time()
+
+    def peer_is_up(self) -> None:
+        """The peer has just connected to here. A connect that was begun while it was away would wait for
+        its time-out; it is begun anew, with all that is queued for it.
+        """
+        if self._transport is not None:
+            return
+        self._pause.over()
+        is_late = self._owner.loop.time() - self._opening_since_s >= LATE_CONNECT_S
+        if self._opening is not None and is_late:
+            self._opening.cancel()
+            self._opening = None
+            self.open()
 
     async def _connect(self) -> None:
         loop, owner = self._owner.loop, self._owner
@@ -136,18 +181,18 @@
                 transport, _ = await loop.create_connection(
                     lambda: _Outgoing(self), self.ip, owner.port, local_addr=(owner.ip, 0)
                 )
-        except (OSError, TimeoutError):
-            self._not_before_s = loop.time() + self._pause_s
-            self._pause_s = min(MAX_RETRY_PAUSE_S, 2 * self._pause_s)
+        except (OSError, TimeoutError) as error:
+            self._pause.failed(loop.time(), refused=isinstance(error, ConnectionRefusedError))
             self._drop_queue()
             return
         finally:
-            self._opening = None
+            if self._opening is asyncio.current_task():
+                self._opening = None
         sock = transport.get_extra_info("socket")
         if sock is not None:
             _tune(sock)
         self._transport = transport
-        self._pause_s = RETRY_PAUSE_S
+        self._pause.over()
         owner.on_link(self.ip, True)
         self.flush()
 
@@ -285,6 +330,12 @@
         if ip != self.ip:
             self._link(ip).open()
 
+    def peer_is_up(self, ip: str) -> None:
+        """A peer has connected to here."""
+        link = self._links.get(ip)
+        if link is not None:
+            link.peer_is_up()
+
     def connected(self, ip: str) -> bool:
         link = self._links.get(ip)
         return ip == self.ip or (link is not None and link.connected)
--- a/tests/system/test_transport.py
+++ b/tests/system/test_transport.py
@@ -4,8 +4,15 @@
 
 import asyncio
 import socket
-
-from cloverrouter.daemon.transport import Transport
+from typing import Any
+
+from cloverrouter.daemon.transport import (
+    LATE_CONNECT_S,
+    MAX_RETRY_PAUSE_S,
+    RETRY_PAUSE_S,
+    ConnectPause,
+    Transport,
+)
 from cloverrouter.messages import encode, message
 
 HOSTS = ("127.31.9.1", "127.31.9.2")
@@ -138,3 +145,101 @@
         await two.transport.close()
 
     asyncio.run(run())
+
+
+def waits(pause: ConnectPause, refused: list[bool]) -> list[float]:
+    """The wait after each of these failures, one after the other, in steps of 10 ms."""
+    now_s, found = 100.0, []
+    for each in refused:
+        pause.failed(now_s, refused=each)
+        steps = next(step for step in range(100) if pause.may_try(now_s + step / 100 + 1e-6))
+        found.append(steps / 100)
+        now_s += 1.0
+    return found
+
+
+def test_a_machine_that_refuses_is_asked_again_soon_however_often_it_did() -> None:
+    assert waits(ConnectPause(), [True] * 6) == [RETRY_PAUSE_S] * 6
+
+
+def test_waits_grow_where_nothing_answers() -> None:
+    assert waits(ConnectPause(), [False] * 4) == [0.1, 0.2, MAX_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S]
+
+
+def test_a_machine_that_was_dark_and_refuses_now_is_up_again() -> None:
+    pause = ConnectPause()
+    assert waits(pause, [False, False, False, True, True]) == [0.1, 0.2, 0.4, 0.1, 0.1]
+    pause.over()
+    assert waits(pause, [False]) == [RETRY_PAUSE_S]
+
+
+class DarkAtFirst:
+    """A loop whose first connect finds the peer dark: it gets no answer. Its clock can be put on."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.connects = 0
+        self.later_s = 0.0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+    def time(self) -> float:
+        return self._loop.time() + self.later_s
+
+    async def create_connection(self, *args: Any, **options: Any) -> Any:
+        self.connects += 1
+        if self.connects == 1:
+            await asyncio.Event().wait()
+        return await self._loop.create_connection(*args, **options)
+
+
+def test_a_peer_that_has_come_back_is_connected_to_as_soon_as_it_connects_to_here() -> None:
+    async def run() -> None:
+        port = free_port()
+        one, two = (Peer(host, port) for host in HOSTS)
+        loop = DarkAtFirst()
+        one.transport.loop = loop  # type: ignore[assignment]
+        await one.transport.listen()
+        await two.transport.listen()
+        one.transport.send(HOSTS[1], Ping(1, b""))  # to a peer that is dark
+        await asyncio.sleep(0)
+        assert loop.connects == 1
+        loop.later_s = 2 * LATE_CONNECT_S
+        two.transport.send(HOSTS[0], Ping(2, b""))
+        async with asyncio.timeout(10):
+            assert await one.heard.get() == (HOSTS[1], Ping(2, b""))
+            assert await two.heard.get() == (HOSTS[0], Ping(1, b""))  # what was sent first isn't lost
+        assert loop.connects == 2
+        await one.transport.close()
+        await two.transport.close()
+
+    asyncio.run(run())
+
+
+def test_two_that_connect_to_each_other_at_once_connect_once_each() -> None:
+    async def run() -> None:
+        port = free_port()
+        one, two = (Peer(host, port) for host in HOSTS)
+        await one.transport.listen()
+        await two.transport.listen()
+        one.transport.send(HOSTS[1], Ping(1, b""))
+        two.transport.send(HOSTS[0], Ping(2, b""))
+        async with asyncio.timeout(10):
+            await one.heard.get()
+            await two.heard.get()
+        assert one.links == [(HOSTS[1], True)]
+        assert two.links == [(HOSTS[0], True)]
+        assert len(one.transport.incoming) == len(two.transport.incoming) == 1
+        await one.transport.close()
+        await two.transport.close()
+
+    asyncio.run(run())
+
+
+def test_a_peer_that_was_given_up_is_tried_again_as_soon_as_it_connects_to_here() -> None:
+    pause = ConnectPause()
+    pause.failed(100.0, refused=False)
+    assert not pause.may_try(100.05)
+    pause.over()
+    assert pause.may_try(100.05)
