--- a/tests/system/test_pages_node.py
+++ b/tests/system/test_pages_node.py
@@ -15,7 +15,7 @@
 from cloverrouter.control.configuration import Limits
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.node import Node
-from cloverrouter.daemon.settings import Settings, settings_of
+from cloverrouter.daemon.settings import Settings, read, settings_of
 from cloverrouter.daemon.traffic import BODY_TIMEOUT_S, Traffic
 from cloverrouter.http.server import Server, ServerLimits
 from tests.system.peers import LONG_S, Peer, Upstream, play, until
@@ -57,7 +57,8 @@
         "internal-port-range": [7000, 7001],
         "seed-nodes": seeds,
     }
-    return "".join(f"{name} = {json.dumps(value)}\n" for name, value in lines.items())
+    written = "".join(f"{name} = {json.dumps(value)}\n" for name, value in lines.items())
+    return written + f'[listen-addresses]\nfrontend = "{ip}:7010"\n'
 
 
 async def readiness(told: Settings) -> int:
@@ -158,6 +159,7 @@
         path = tmp_path / "node.toml"
         if found:
             path.write_text(settings_text("127.77.3.1", seeds=["127.77.3.9:1"]))
+            assert read(str(path)).seeds == ("127.77.3.9",)
         node = Node(told, str(path))
         running = asyncio.create_task(node.run())
         await until(lambda: node._frontend is not None)
