Events of no told length that end inside an event were cut off

Change: of such a stream the end of the last event is looked at (EventTail); without it the stream broke, and goes on elsewhere or is torn off. What a server frames itself stays its whole body. Tests: test_pages_wire.py; what continues a stream, late heartbeats at another's address, one voter only.

--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -11,7 +11,8 @@
 from cloverrouter.http.client import Call, Failure, Headers
 from cloverrouter.http.fields import end_to_end
 from cloverrouter.placement.servers import Standing
-from cloverrouter.router.headers import is_event_stream
+from cloverrouter.router.events import EventTail
+from cloverrouter.router.headers import is_event_stream, is_unframed
 from cloverrouter.router.verdict import Answer, End, Verdict, judge_head
 
 
@@ -54,7 +55,7 @@
 class Attempt:
     """A send. `key` is its number within the router."""
 
-    __slots__ = ("_body", "_headers", "_size", "_status", "_streaming", "call", "heard_at", "key",
+    __slots__ = ("_body", "_headers", "_size", "_status", "_streaming", "_tail", "call", "heard_at", "key",
                  "missing_tokens", "over", "owner", "sent_at", "standing", "verdict")  # fmt: skip
 
     def __init__(self, owner: Owner, standing: Standing, key: int, missing_tokens: int) -> None:
@@ -72,6 +73,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._streaming = False
+        self._tail: EventTail | None = None
 
     @property
     def status(self) -> int:
@@ -110,6 +112,8 @@
             return
         self._headers = end_to_end(headers)
         events = is_event_stream(headers)
+        if events and is_unframed(headers, length):
+            self._tail = EventTail()
         if self.verdict is Verdict.GOOD and (events or (length or 0) > self.owner.whole_answer_bytes):
             self._begin_stream(length, events)
 
@@ -120,6 +124,8 @@
         if self._streaming:
             self.heard_at = self.owner.now()
             self.standing.alive(self.heard_at)
+            if self._tail is not None:
+                self._tail.feed(data)
             self.owner.stream_data(self, data)
             return
         self._size += len(data)
@@ -132,7 +138,9 @@
         if self.over:
             return
         self._finish()
-        if self._streaming:
+        if self._streaming and self._tail is not None and not self._tail.is_whole:
+            self.owner.stream_broke(self, End.LOST)  # cut off, though in an orderly way
+        elif self._streaming:
             self.owner.stream_ended(self)
         elif self.verdict is Verdict.GOOD:
             self.owner.answer_whole(self, self._answer())
--- a/cloverrouter/router/events.py
+++ b/cloverrouter/router/events.py
@@ -10,6 +10,8 @@
 # A blank line, whatever ends its lines. After LF CR an LF may follow: it then begins the next event, where
 # it says nothing.
 _BLANK_LINE = re.compile(rb"\n\r?\n|\r\r|\n\r")
+_EVENT_END = re.compile(rb"(?:\n\r?\n|\r\r|\n\r)\Z")
+_LONGEST_END = 3
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 _SAYS_SOMETHING = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 
@@ -56,6 +58,25 @@
             self.resumable = False
 
 
+class EventTail:
+    """Whether the latest event is whole: where nothing but the connection's end ends a stream, a stream that
+    ends inside an event was cut off."""
+
+    __slots__ = ("_last",)
+
+    def __init__(self) -> None:
+        self._last = b""
+
+    def feed(self, data: bytes) -> None:
+        """More of the stream came."""
+        self._last = (self._last + data[-_LONGEST_END:])[-_LONGEST_END:]
+
+    @property
+    def is_whole(self) -> bool:
+        """False, too, if nothing came at all."""
+        return _EVENT_END.search(self._last) is not None
+
+
 def event_id(event: bytes) -> bytes | None:
     """The id of a whole event, None if it has none."""
     found = _ID_LINE.findall(event)
--- a/cloverrouter/router/headers.py
+++ b/cloverrouter/router/headers.py
@@ -4,7 +4,7 @@
 
 import math
 
-from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields
+from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields, first
 from cloverrouter.http.request import Request
 
 ATTEMPT_ID = b"cypresswinch-attempt-id"
@@ -102,6 +102,11 @@
     )
 
 
+def is_unframed(headers: Headers, length: int | None) -> bool:
+    """Whether nothing but the end of its connection tells that an answer is whole."""
+    return length is None and first(headers, b"transfer-encoding") is None
+
+
 def encode_request(request: Request, tenant: str | None, priority: int | None) -> tuple[bytes, bytes]:
     """What all sends of a request have in common: the head up to where the fields of one send follow, and the
     rest. All is unchanged but the fields of one connection, secrets and what the router tells itself."""
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -21,6 +21,7 @@
 SIGNED = (b"cypresswinch-server-signature", b"stamp-1")
 NOT_EXECUTED = (b"cypresswinch-not-executed", b"1")
 EVENTS = (b"content-type", b"text/event-stream")
+CHUNKED = (b"transfer-encoding", b"chunked")
 
 
 class FakeClock:
@@ -140,7 +141,7 @@
 
     def stream(self, *events: bytes) -> None:
         """A head of events, and the first of them."""
-        self.head(200, SIGNED, EVENTS)
+        self.head(200, SIGNED, EVENTS, CHUNKED)
         for event in events:
             self.data(event)
 
--- a/tests/system/test_pages_requests.py
+++ b/tests/system/test_pages_requests.py
@@ -390,3 +390,21 @@
     ranks.sort()
     assert [rank for *_, rank in ranks] == sorted(rank for *_, rank in ranks)
     assert ranks[0][-1] < ranks[-1][-1]
+
+
+# ORDER, MIXED: what continues a stream
+
+
+@pytest.mark.parametrize(
+    "status, kind", [(201, EVENTS), (206, EVENTS), (200, (b"content-type", b"application/json"))]
+)
+def test_only_events_with_the_same_status_continue_a_stream(world: World, status: int, kind: Field) -> None:
+    world.budget.left = 1
+    exchange = world.ask("/resume/x")
+    world.last.stream(event(1))
+    world.last.fail(Failure.BROKEN)
+    world.last.head(status, SIGNED, kind, length=10_000_000)
+    world.last.data(event(2))
+    assert exchange.body == event(1)
+    world.clock.pass_ms(1000)
+    assert exchange.aborted and exchange.status == 200
--- a/tests/system/test_pages_servers.py
+++ b/tests/system/test_pages_servers.py
@@ -202,3 +202,32 @@
     for _ in range(60):
         made.world.run(made.world.now + 0.05)
         assert made.all_know(expected, made.ips[1:])
+
+
+def test_a_late_heartbeat_of_the_server_before_takes_no_address_back() -> None:
+    made = fleet()
+    made.announce(made.ips[7], "old", 9, address="x:80")
+    made.world.run(made.world.now + 3)
+    made.announce(made.ips[3], "new", 1, address="x:80")
+    made.world.run(made.world.now + 2)
+    made.announce(made.ips[5], "old", 8, address="x:80")
+    made.world.run(made.world.now + 2)
+    assert made.all_know({"new": READY})
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_a_machine_that_hears_one_voter_only_knows_of_a_leaving_server_before_it_is_acknowledged(
+    state: InstanceState,
+) -> None:
+    """That voter stands still for a moment: the others are a majority, and the news are not with all."""
+    made = fleet()
+    made.announce(made.ips[7], "a", 1)
+    made.world.run(made.world.now + 4)
+    alone, voter, origin = made.ips[10], made.voters[2], made.ips[8]
+    made.world.cut([alone], [ip for ip in made.ips if ip not in (alone, voter)])
+    made.world.freeze(voter)
+    change = made.withdraw(origin, "a") if state is GONE else made.announce(origin, "a", 2, state=state)
+    made.world.at(made.world.now + 0.1, lambda: made.world.thaw(voter))
+    made.world.run_until(lambda: made.was_acknowledged(origin, change), ACKNOWLEDGED_WITHIN_S, step=0.001)
+    made.world.run(made.world.now + 0.01)
+    assert made.knows(alone) == ({} if state is GONE else {"a": DRAINING})
--- a/tests/system/test_pages_wire.py
+++ b/tests/system/test_pages_wire.py
@@ -207,3 +207,28 @@
         world.close()
 
     play(scene())
+
+
+@pytest.mark.parametrize("path", ["/talk/x", "/resume/x"])
+@pytest.mark.parametrize("kept", [0, 1, 9, len(EVENT) - 1, len(EVENT), len(EVENT) + 5, 2 * len(EVENT)])
+def test_events_that_end_with_their_connection_are_whole_only_behind_a_whole_event(
+    path: str, kept: int
+) -> None:
+    """A server that breaks off inside an event may do so by an orderly end."""
+
+    async def scene() -> None:
+        world = await WireWorld().start()
+        client = await world.client()
+        client.send(request(path, b"t1", close=True))
+        server = await world.upstream.peer()
+        await server.head()
+        body = (EVENT + EVENT.replace(b"1", b"2"))[:kept]
+        server.send(head(200, b"t1", b"Connection: close", b"Content-Type: text/event-stream") + body)
+        server.close()
+        came = await all_that_comes(client)
+        is_whole = kept in (len(EVENT), 2 * len(EVENT))
+        assert came.endswith(b"0\r\n\r\n") == is_whole
+        assert is_whole or path == "/talk/x" or came.count(b"data:") == came.count(b"word\n\n")
+        world.close()
+
+    play(scene())
