--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -82,7 +82,8 @@
             await self._serve(settings.control, self._control.called, CONTROL_CONNECTIONS)
         if settings.frontend is not None:
             self._frontend = await self._serve(settings.frontend, self._traffic.router.handle, most)
-            self._traffic.frontend = self._frontend
+            self._frontend.limits.provisional = True
+            self._traffic.serve_clients(self._frontend)
 
     async def _serve(self, address: Address, handle: object, connections: int) -> Server:
         limits = ServerLimits(max_connections=connections, body_bytes=MAX_CONTROL_BODY_BYTES)
@@ -107,12 +108,11 @@
         router, frontend = self._traffic.router, self._frontend
         self._log.change("draining", in_flight=router.in_flight)
         self._control.resign()
-        if frontend is None:
-            return
-        frontend.drain()
+        if frontend is not None:
+            frontend.drain()
         await end_what_is_open(router, self._is_busy, self._ends_at, self._loop.time, asyncio.sleep)
 
     def _is_busy(self) -> bool:
         frontend = self._frontend
         has_clients = frontend is not None and (frontend.open_exchanges > 0 or frontend.connections > 0)
-        return has_clients or self._control.calls_under_way > 0
+        return has_clients or self._control.calls_under_way > 0 or not self._control.may_end
