--- a/tests/system/test_distribution.py
+++ b/tests/system/test_distribution.py
@@ -264,6 +264,38 @@
     assert core.have == 5
 
 
+def test_a_stranger_is_not_heard() -> None:
+    """A machine that is no voter any more, or never was one."""
+    core = subscriber()
+    for message in (Offer(9, 0, 500), Delta(6, (b"6",), 6), pack(9, True, b"state").part(0)):
+        assert core.receive(1.0, "stranger", message) == []
+    assert core.have == 5
+    assert core.newest_offered() == 5
+
+
+def test_parts_count_from_whom_they_were_asked_of() -> None:
+    """One that comes late, of a voter that was given up meanwhile."""
+    core = subscriber()
+    core.receive(1.0, "v1", Offer(9, 0, 500))
+    package = pack(9, True, b"state")
+    assert not any(isinstance(effect, Replace) for effect in core.receive(1.0, "v2", package.part(0)))
+    assert core.have == 5
+    assert any(isinstance(effect, Replace) for effect in core.receive(1.0, "v1", package.part(0)))
+
+
+def test_parts_of_two_wholes_are_not_put_together() -> None:
+    """Two voters' states of the same number may differ in their bytes, though not in what they say."""
+    one, other = (pack(9, True, Random(seed).randbytes(2 * PART_BYTES)) for seed in (1, 2))
+    core = subscriber()
+    core.receive(1.0, "v1", Offer(9, 0, 500))
+    core.receive(1.0, "v1", one.part(0))
+    core.receive(1.0, "v1", other.part(PART_BYTES))  # begins anew
+    assert core.have == 5
+    (done, *_) = core.receive(1.0, "v1", other.part(0))
+    assert isinstance(done, Replace)
+    assert done.snapshot == Random(2).randbytes(2 * PART_BYTES)
+
+
 def test_another_source_continues_the_same_transfer() -> None:
     core = subscriber()
     package = pack(9, True, Random(1).randbytes(4 * PART_BYTES))
--- a/tests/test_control_commands.py
+++ b/tests/test_control_commands.py
@@ -21,6 +21,9 @@
 }
 
 
+HANGS_UP = 0  # as a status: the connection ends without an answer
+
+
 class ScriptedNode:
     """Answers each call with the next of its script, or with what stands under the path."""
 
@@ -40,6 +43,9 @@
                 else:
                     known = self.path in node.told
                     status, told = (200, node.told[self.path]) if known else (404, {"error-message": "no"})
+                if status == HANGS_UP:
+                    self.close_connection = True
+                    return
                 raw = json.dumps(told).encode()
                 self.send_response(status)
                 if status == 307:
@@ -173,6 +179,18 @@
     assert node.script == []
 
 
+def test_an_order_without_an_answer_is_repeated_by_the_command_alone(
+    node: ScriptedNode, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Not by the library beneath it, of whose repeats nobody would know."""
+    monkeypatch.setattr(config, "TRIES", 2)
+    node.script = [(HANGS_UP, None)] * 9
+    code, _ = run("config", "apply", write(tmp_path / "new.json", {"version": 7}), "--node", node.address)
+    assert code == 1
+    orders = [call for call in node.calls if call[0] == "PUT"]
+    assert orders == [("PUT", "/-/configuration", "5", {"version": 7})] * 2
+
+
 def test_redirects_are_followed_with_the_same_order(node: ScriptedNode, tmp_path: Path) -> None:
     node.script = [(307, f"http://{node.address}/-/configuration"), (200, None)]
     assert run("config", "apply", write(tmp_path / "w.json", CURRENT), "--node", node.address)[0] == 0
