--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -167,6 +167,27 @@
     asyncio.run(scene())
 
 
+def test_connection_is_not_used_until_it_has_settled(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cloverrouter.proxy.upstream.SETTLE_S", 60.0)
+
+    async def scene() -> None:
+        host = await Host("h", answer_ok).start()
+        upstream = Upstream(8, 60_000, 1000)
+        for number in (1, 2):
+            ends: list[Outcome] = []
+            upstream.send(
+                ("h", ("127.0.0.1", host.port)),
+                FakeCall(),
+                2000,
+                lambda outcome, _: ends.append(outcome),  # noqa: B023
+            )
+            await until(lambda: ends)  # noqa: B023
+            assert ends == [Outcome.OK]
+            assert len({seen.connection for seen in host.seen}) == number
+
+    asyncio.run(scene())
+
+
 def test_unread_copy_keeps_a_connection_from_being_used_again() -> None:
     async def scene() -> None:
         host = await Host("h").start()
