--- a/features/steps/catching_up_steps.py
+++ b/features/steps/catching_up_steps.py
@@ -56,8 +56,15 @@
     world, away = context.world, context.away
 
     def start() -> None:
+        if away.replica is not None:  # the changes went by in less time than it was to run
+            world.kill(away, power=True)
         world.start(away)
-        world.at(world.now + seconds, lambda: world.kill(away, power=True))
+        life = away.life
+        world.at(world.now + seconds, lambda: stop(life))
+
+    def stop(life: int) -> None:
+        if away.life == life:
+            world.kill(away, power=True)
 
     change_many(context, count, {100: start, 300: start, 499: start})
     world.run(seconds)
--- a/tests/system/test_replica_answers.py
+++ b/tests/system/test_replica_answers.py
@@ -158,8 +158,9 @@
 def test_a_state_is_taken_from_whom_it_was_asked_of_in_this_try(chain: Chain, what: str) -> None:
     node, proposal = chain.proposer(Phase.COLLECTING)
     other = chain.middle if node is chain.tail else chain.tail
-    proposal.phase, proposal._fetch_from = Phase.FETCHING, name(other)
-    proposal.promises[name(other)] = Promise(name(other), name(node), proposal.epoch, 5, 7, None, True)
+    promise = Promise(name(other), name(node), proposal.epoch, 5, 7, None, True)
+    proposal.phase, proposal._source = Phase.FETCHING, promise
+    proposal.promises[name(other)] = promise
     history = replica_of(node)._context.history
     before = history.newest
     sender = chain.head if what == "sender" else other
