--- a/tests/system/test_replica_answers.py
+++ b/tests/system/test_replica_answers.py
@@ -158,15 +158,16 @@
 def test_a_state_is_taken_from_whom_it_was_asked_of_in_this_try(chain: Chain, what: str) -> None:
     node, proposal = chain.proposer(Phase.COLLECTING)
     other = chain.middle if node is chain.tail else chain.tail
-    promise = Promise(name(other), name(node), proposal.epoch, 5, 7, None, True)
+    synced = proposal.promises[name(node)].synced + 1  # newer than what this one holds
+    promise = Promise(name(other), name(node), proposal.epoch, synced, 7, None, True)
     proposal.phase, proposal._source = Phase.FETCHING, promise
     proposal.promises[name(other)] = promise
     history = replica_of(node)._context.history
     before = history.newest
     sender = chain.head if what == "sender" else other
     epoch = proposal.epoch - (what == "epoch")
-    proposal.on_state(State(name(sender), name(node), epoch, 5, 7, b'[7, "v", {}]'))
+    proposal.on_state(State(name(sender), name(node), epoch, synced, 7, b'[7, "v", {}]'))
     assert proposal.phase is Phase.FETCHING
     assert history.newest == before
-    proposal.on_state(State(name(other), name(node), proposal.epoch, 5, 7, b'[7, "v", {}]'))
+    proposal.on_state(State(name(other), name(node), proposal.epoch, synced, 7, b'[7, "v", {}]'))
     assert history.newest == 7
