--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -60,6 +60,18 @@
     deadline: float
     assembly: Assembly | None = None
     in_flight: set[int] = attrs.field(factory=set)
+    is_answered: bool = False
+
+    def begins_with(self, part: Part) -> bool:
+        """Whether to put together what this part is of, instead of what was begun before.
+
+        Danger: where two questions were answered, with states of different ages, parts of both come in turn.
+        If each put an end to the other, neither would ever be whole. So only the newer one may, or any where
+        this question has no answer yet.
+        """
+        if self.assembly is None or not self.is_answered:
+            return True
+        return part.sequence > self.assembly.sequence
 
 
 class Subscriber:
@@ -189,8 +201,11 @@
         if fetch is None or fetch.source != ip or not is_sensible(part) or part.sequence <= self._have:
             return []
         if fetch.assembly is None or not fetch.assembly.takes(part):
+            if not fetch.begins_with(part):
+                return []
             fetch.assembly = Assembly(part)
             fetch.in_flight = set()
+        fetch.is_answered = True
         fetch.assembly.add(part)
         self._patience = 1.0
         fetch.in_flight.discard(part.offset)
--- a/tests/system/test_distribution.py
+++ b/tests/system/test_distribution.py
@@ -286,6 +286,30 @@
     assert zlib.crc32(done.snapshot) == zlib.crc32(Random(1).randbytes(4 * PART_BYTES))
 
 
+def test_answers_to_two_questions_with_states_of_different_ages_end() -> None:
+    """Found by the explorer: each put an end to the other, as fast as the link is."""
+    publisher, subscriber = Publisher(), Subscriber("m", "", Random(1))
+    older, newer = (Random(seed).randbytes(3 * PART_BYTES) for seed in (1, 2))
+    publisher.receive(0.0, "m", Subscribe(NOTHING, True))
+    publisher.restored(0.0, 1, older)
+    first = publisher.receive(0.0, "m", Pull(NOTHING))
+    publisher.restored(0.0, 2, newer)
+    second = publisher.receive(0.0, "m", Pull(NOTHING))
+    subscriber.voters_changed(0.0, [VoterAddress("v", "")])
+    assert sends(subscriber.receive(0.0, "v", Offer(2, 1, 500)), Pull)
+    put_in_force: list[Apply | Replace] = []
+    letters = [*sends(first, Part), *sends(second, Part)]
+    for _ in range(50):
+        if not letters:
+            break
+        effects = subscriber.receive(0.0, "v", letters.pop(0).message)
+        put_in_force += [each for each in effects if isinstance(each, Apply | Replace)]
+        asked = sends(effects, PullPart)
+        letters += [sent for ask in asked for sent in sends(publisher.receive(0.0, "m", ask.message), Part)]
+    assert not letters
+    assert put_in_force == [Replace(2, newer)]
+
+
 def test_a_pull_before_there_is_a_snapshot_is_answered_when_there_is() -> None:
     publisher = Publisher()
     publisher.receive(0.0, "s", Subscribe(NOTHING, True))
