--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -170,12 +170,18 @@
         ends: list[tuple[Outcome, object]] = []
         upstream = Upstream(8, 60_000, 1000)
         call = FakeCall(b"x" * 32_000_000)
-        upstream.send(("h", listener.getsockname()), call, 2000, lambda *end: ends.append(end))
+        begun: list[StreamHead] = []
+
+        def begin(head: StreamHead, source: Source) -> None:
+            begun.append(head)
+
+        upstream.send(("h", listener.getsockname()), call, 2000, lambda *end: ends.append(end), begin)
         peer, _ = await asyncio.get_running_loop().sock_accept(listener)
+        assert await asyncio.get_running_loop().sock_recv(peer, 100)
         peer.send(early)
         await until(lambda: ends)
         assert ends == [(Outcome.CONNECT_FAILED, None)]
-        assert not call.given
+        assert not call.given and not begun
         await until(lambda: upstream.open == 0)
         peer.close()
         listener.close()
