--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -27,7 +27,7 @@
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.messages import Answer
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import Connection, Upstream
+from cloverrouter.proxy.upstream import SETTLE_S, Connection, Upstream
 from tests.sockets import Discovery, Host, Seen, answer_ok, never, ok, raw, running
 from tests.test_upstream import FakeCall, full_listener, until
 
@@ -229,6 +229,50 @@
 # Sockets that are given back, however an attempt ends
 
 
+def test_two_names_at_one_address_share_no_connection() -> None:
+    """While the list still has both, too: an old host's late answer would be the new one's."""
+
+    async def scene() -> None:
+        host = await Host("h", answer_ok).start()
+        upstream = Upstream(8, 60_000, 1000)
+        for number, name in enumerate(("old", "new"), 1):
+            ends: list[Outcome] = []
+            upstream.send(
+                (name, ("127.0.0.1", host.port)),
+                FakeCall(),
+                2000,
+                lambda outcome, _: ends.append(outcome),  # noqa: B023
+            )
+            await until(lambda: ends)  # noqa: B023
+            await asyncio.sleep(2 * SETTLE_S)
+            assert len({seen.connection for seen in host.seen}) == number
+
+    asyncio.run(scene())
+
+
+def test_bytes_that_nobody_asked_for_end_an_idle_connection() -> None:
+    async def scene() -> None:
+        host = await Host("h").start()
+        upstream = Upstream(8, 60_000, 1000)
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            writer.write(ok())
+
+        host.respond = answer
+        ends: list[Outcome] = []
+        upstream.send(
+            ("h", ("127.0.0.1", host.port)), FakeCall(), 2000, lambda outcome, _: ends.append(outcome)
+        )
+        await until(lambda: ends)
+        assert upstream.open == 1
+        writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal")
+        await until(lambda: upstream.open == 0)
+
+    asyncio.run(scene())
+
+
 def test_given_up_before_its_first_step_an_attempt_gives_its_socket_back() -> None:
     async def scene() -> None:
         listener, _fillers = full_listener()
