--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,7 +9,7 @@
 
 from cloverrouter.interface import Idempotency
 from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.messages import Call
+from cloverrouter.proxy.messages import Answer, Call
 from tests.sockets import (
     LONG_S,
     SETTINGS,
@@ -370,6 +370,27 @@
         return True
 
 
+def test_an_answer_to_a_call_that_is_over_does_not_reach_the_next_one() -> None:
+    async def scene() -> None:
+        handler = Patient()
+        frontend = Frontend(handler, {"unsafe": Idempotency.UNSAFE}, 10)
+        client = Client(*await asyncio.open_connection(*await frontend.listen(("127.0.0.1", 0))))
+        for number in range(2):
+            client.send("/unsafe")
+            async with asyncio.timeout(LONG_S):
+                while len(handler.calls) <= number:
+                    await asyncio.sleep(0)
+            if not number:
+                handler.calls[0].served(Answer(200, b"first", b"", False, None))
+                assert (await client.read()).body == b"first"
+        handler.calls[0].served(Answer(200, b"first", b"", False, None))
+        handler.calls[1].served(Answer(200, b"second", b"", False, None))
+        assert (await client.read()).body == b"second"
+        frontend.close()
+
+    asyncio.run(scene())
+
+
 def test_connections_beyond_the_limit_end_at_once() -> None:
     async def scene() -> None:
         handler = Patient()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -26,7 +27,7 @@
 from cloverrouter.proxy.node import Node, read_report
 from cloverrouter.proxy.streams import Sink, Source, StreamHead
 from cloverrouter.proxy.upstream import Upstream
-from tests.sockets import LONG_S, Discovery, Host, never, ok
+from tests.sockets import LONG_S, Discovery, Host, answer_ok, never, ok
 
 SETTINGS = Settings((RequestClass("unsafe", 1500, 3000, idempotency=Idempotency.UNSAFE),))
 
@@ -189,6 +190,32 @@
     asyncio.run(scene())
 
 
+def test_given_up_as_the_connection_comes_up_nothing_goes_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Too late to call off the connecting: the connection rests, for another."""
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        create = loop.create_connection
+        host = await Host("h", answer_ok).start()
+        upstream = Upstream(8, 60_000, 1000)
+
+        async def given_up_meanwhile(*how: Any, **more: Any) -> Any:
+            made = await create(*how, **more)
+            exchange.abandon()
+            return made
+
+        monkeypatch.setattr(loop, "create_connection", given_up_meanwhile)
+        exchange = upstream.send(
+            ("h", ("127.0.0.1", host.port)), FakeCall(), 2000, lambda *_: pytest.fail("ended")
+        )
+        await until(lambda: upstream.connections)
+        await asyncio.sleep(0.05)
+        assert not exchange.written
+        assert not host.seen
+
+    asyncio.run(scene())
+
+
 def test_reset_before_the_last_byte_has_not_run() -> None:
     async def scene() -> None:
         listener = narrow_listener()
