--- a/cloverrouter/cli/explore_models.py
+++ b/cloverrouter/cli/explore_models.py
@@ -93,10 +93,10 @@
 
 
 def _tell(name: str, result: Result, found: SavedTrace | None) -> None:
+    whole = f"whole to {result.deviations} deviations" if result.deviations >= 0 else "not whole"
     usage.say(
         f"scope {name}: {result.states} states, {result.transitions} transitions, depth {result.depth}; "
-        f"whole to {max(0, result.deviations)} deviations"
-        f"{'' if result.deviations >= 0 else ' not even'}, {result.left} states not opened; "
+        f"{whole}, {result.left} states not opened; "
         f"{ENDED[result.ended_by]}; {result.seconds:.1f} s"
     )
     if found is None:
--- /dev/null
+++ b/cloverrouter/explore/coordination/canon.py
@@ -0,0 +1,262 @@
+"""When two worlds are the same: a form in which times, epochs, rounds and attempts count from now.
+
+Each value (a core, a message, a disk) is walked once. What is kept of it is its shape and its *marks*: the
+figures that only mean something against others. Adding one to all epochs' counts, all rounds of an epoch or
+all attempts of a replica, or some seconds to all times, changes nothing that follows; so epochs count from
+the highest in the world, rounds from the newest of their epoch, times from now.
+
+Left out: what only serves the record, and times longer ago than any figure of the cores that decides
+something within a history (`LONG_AGO_S`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Any
+
+import attrs
+import xxhash
+
+from cloverrouter.coordination.context import decode_view
+from cloverrouter.coordination.desk import Asked
+from cloverrouter.coordination.disk import DiskQueue
+from cloverrouter.coordination.messages import Canvass, Support
+from cloverrouter.coordination.replica import Replica
+from cloverrouter.coordination.rounds import Rounds
+from cloverrouter.coordination.views import GENESIS_EPOCH, PROPOSER_BITS
+from cloverrouter.explore.coordination.cores import FROZEN, TIMES_FROM_S, Cores
+from cloverrouter.explore.coordination.figures import LONG_AGO_S
+from cloverrouter.store import Meta
+
+NOW = 2 * TIMES_FROM_S  # any time will do
+
+EPOCHS = {
+    "epoch",
+    "promised",
+    "synced",
+    "view_epoch",
+    "seen_epoch",
+    "round_epoch",
+    "base_epoch",
+    "from_synced",
+    "_link_epoch",
+}
+EPOCH_FIRST = {"_promise_due", "_report_due", "_inactive_since"}  # pairs and triples that begin with one
+NEVER_IS_LONG_AGO = {"handed_at", "repaired_at"}  # 0 where it never was
+NOT_BEFORE = {"_not_before", "_retry_at"}  # once passed they mean nothing
+SKIPPED = {
+    "_handlers",
+    "_config",
+    "config",
+    "random",
+    "_random",
+    "_newest",
+    "_cached",
+    "_told",
+    "_token",
+    "_context",
+    "_roster",
+    "_desk",
+}
+PARTS = {"_context", "_roster", "_desk"}  # of a replica; its parts only refer to them
+
+Mark = tuple[str, Any, Any]
+
+
+class Template:
+    """A value without its marks, and these."""
+
+    __slots__ = ("attempts", "epoch", "marks", "rounds", "shape")
+
+    def __init__(self, shape: tuple[Any, ...], marks: tuple[Mark, ...]) -> None:
+        self.shape = xxhash.xxh3_128_intdigest(repr(shape).encode())
+        self.marks = marks
+        self.epoch = max((value for kind, value, _ in marks if kind == "epoch"), default=0)
+        self.rounds = [(of, value) for kind, value, of in marks if kind == "round"]
+        self.attempts = [(of, value) for kind, value, of in marks if kind == "attempt"]
+
+
+class _Walk:
+    """One walk over a value."""
+
+    def __init__(self, canon: Canon, root: object) -> None:
+        self._canon = canon
+        self.root = root
+        self.shape: list[Any] = []
+        self.marks: list[Mark] = []
+        self.head_epoch = 0
+        self.me = ""
+
+    def mark(self, kind: str, value: Any, of: Any = None) -> None:
+        self.marks.append((kind, value, of))
+        self.shape.append(kind)
+
+    def value(self, name: str, value: Any) -> None:
+        if isinstance(value, bool) or value is None or isinstance(value, str | bytes):
+            self.shape.append(value)
+        elif isinstance(value, float):
+            self._float(name, value)
+        elif isinstance(value, int):
+            self._int(name, value)
+        elif isinstance(value, Enum):
+            self.shape.append(value.name)
+        elif isinstance(value, dict):
+            self._dict(name, value)
+        elif isinstance(value, list | tuple | set | frozenset) or type(value).__name__ == "deque":
+            self._row(name, value)
+        elif type(value) in FROZEN and not self.is_root(value):
+            self._known(self._canon.frozen(value))
+        else:
+            self._object(value)
+
+    def is_root(self, value: Any) -> bool:
+        """Whether the walk is over this very value."""
+        return value is self.root
+
+    def _known(self, one: Template) -> None:
+        self.shape.append(one.shape)
+        self.marks += one.marks
+
+    def _float(self, name: str, value: float) -> None:
+        if name in NEVER_IS_LONG_AGO and not value:
+            self.shape.append(-LONG_AGO_S)
+        elif name in NOT_BEFORE:
+            self.shape.append(max(value - NOW, 0.0))
+        else:
+            self.shape.append(max(value - NOW, -LONG_AGO_S) if value > TIMES_FROM_S else value)
+
+    def _int(self, name: str, value: int) -> None:
+        if name in EPOCHS:
+            self.mark("epoch", value)
+        elif name == "ticket":
+            self.mark("ticket", value)
+        else:
+            self.shape.append(value)
+
+    def _dict(self, name: str, value: dict[Any, Any]) -> None:
+        self.shape.append(len(value))
+        for key in sorted(value):
+            self.value("epoch" if name == "_lineage" else name, key)
+            self.value(name, value[key])
+
+    def _row(self, name: str, value: Any) -> None:
+        row = sorted(value) if isinstance(value, set | frozenset) else list(value)
+        self.shape.append(len(row))
+        for place, entry in enumerate(row):
+            self.value("epoch" if name in EPOCH_FIRST and place == 0 else name, entry)
+
+    def _object(self, value: Any) -> None:
+        self.shape.append(type(value).__name__)
+        if isinstance(value, Replica):
+            self.me = value.me.identity
+            self.head_epoch = value._head.view.epoch if value._head is not None else 0
+        if isinstance(value, Rounds):
+            self._rounds(value)
+            return
+        for name, field in _fields(value):
+            if name not in SKIPPED or (name in PARTS and isinstance(value, Replica)):
+                self._field(value, name, field)
+
+    def _field(self, owner: Any, name: str, value: Any) -> None:
+        if name == "view" and isinstance(owner, Meta):
+            self.value("view", decode_view(value) if value else None)
+        elif name == "_begun" and isinstance(owner, DiskQueue) and owner._flying is None:
+            self.shape.append(None)
+        elif name == "round" and value is not None:
+            self.mark("round", value, self._epoch_of_round(owner))
+        elif name in ("attempt", "_attempt", "_attempts"):
+            self.mark("attempt", value, self._asker(owner))
+        else:
+            self.value(name, value)
+
+    def _epoch_of_round(self, owner: Any) -> int:
+        if isinstance(owner, Asked):
+            return self.head_epoch
+        epoch: int = getattr(owner, "round_epoch", 0) or getattr(owner, "epoch", 0)
+        return epoch
+
+    def _asker(self, owner: Any) -> str:
+        if isinstance(owner, Canvass):
+            return owner.sender
+        return owner.receiver if isinstance(owner, Support) else self.me
+
+    def _rounds(self, rounds: Rounds) -> None:
+        epoch = rounds._view.epoch
+        for number in (rounds.newest, rounds.confirmed, rounds._no_lead_round):
+            self.mark("round", number, epoch)
+        for identity, number in sorted(rounds._answered.items()):
+            self.shape.append(identity)
+            self.mark("round", number, epoch)
+        for number, begun in sorted(rounds._begun.items()):
+            if number > rounds.confirmed:  # the others are never looked at again
+                self.mark("round", number, epoch)
+                self.value("at", begun)
+        for at in (rounds.followed_at, rounds._heard_at, rounds._lead_from):
+            self.value("at", at)
+
+
+def _fields(value: Any) -> Iterable[tuple[str, Any]]:
+    if attrs.has(type(value)):
+        return [(field.name, getattr(value, field.name)) for field in attrs.fields(type(value))]
+    return sorted(vars(value).items())
+
+
+class Canon:
+    """The templates of all cores and of all values that never change."""
+
+    def __init__(self, cores: Cores) -> None:
+        self._cores = cores
+        self._of_cores: dict[int, Template] = {}
+        self._of_frozen: dict[int, Template] = {}
+
+    def core(self, number: int) -> Template:
+        """That of a core's state."""
+        found = self._of_cores.get(number)
+        if found is None:
+            found = self._of_cores[number] = self._walk(self._cores.load(number, NOW))
+        return found
+
+    def frozen(self, value: object) -> Template:
+        """That of a message, a disk, ..."""
+        number = self._cores.frozen.number(value)
+        found = self._of_frozen.get(number)
+        if found is None:
+            found = self._of_frozen[number] = self._walk(value)
+        return found
+
+    def _walk(self, value: object) -> Template:
+        walk = _Walk(self, value)
+        walk.value("", value)
+        return Template(tuple(walk.shape), tuple(walk.marks))
+
+
+class Base:
+    """From what the figures of one world count."""
+
+    def __init__(self, templates: Iterable[Template], ticket: Callable[[int], Any]) -> None:
+        self._ticket = ticket
+        self._count = 0
+        self._rounds: dict[int, int] = {}
+        self._attempts: dict[str, int] = {}
+        for one in templates:
+            self._count = max(self._count, one.epoch >> PROPOSER_BITS)
+            for epoch, number in one.rounds:
+                self._rounds[epoch] = max(number, self._rounds.get(epoch, 0))
+            for asker, number in one.attempts:
+                self._attempts[asker] = max(number, self._attempts.get(asker, 0))
+
+    def resolve(self, one: Template) -> tuple[Any, ...]:
+        """A value as this world sees it, without negative figures, as Python has one hash for -1 and -2."""
+        return one.shape, *[self._relative(kind, value, of) for kind, value, of in one.marks]
+
+    def _relative(self, kind: str, value: Any, of: Any) -> Any:
+        if kind == "epoch":
+            if value <= GENESIS_EPOCH:
+                return value
+            return self._count - (value >> PROPOSER_BITS), value & ((1 << PROPOSER_BITS) - 1)
+        if kind == "round":
+            return self._rounds[of] - value if value else None
+        if kind == "attempt":
+            return self._attempts[of] - value
+        return self._ticket(value)
--- a/cloverrouter/explore/coordination/search.py
+++ b/cloverrouter/explore/coordination/search.py
@@ -63,6 +63,7 @@
     age: int = 1_000_000
     states: int = 5_000_000
     seconds: float = 60.0
+    depth_first: bool = False  # among equal deviations; else the shortest history first
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +131,8 @@
             if opened % CLOCK_EVERY == 0 and not self._may_go_on(begun):
                 return False
             opened += 1
-            if not self._open(deviations, level.popleft()):
+            entry = level.pop() if self.limits.depth_first else level.popleft()
+            if not self._open(deviations, entry):
                 return False
         return True
 
@@ -223,6 +225,8 @@
     if start not in states:
         return None
     state, timeline = states[start], [f"     from: {start}"]
+    if wrong := list(model.breaches(state)):
+        return Played(wrong, 0, [*timeline, *(f"      BROKEN  {text}" for text in wrong)])
     for number, label in enumerate(steps, 1):
         action = next((action for action in model.actions(state) if action.label == label), None)
         if action is None:
--- a/cloverrouter/explore/models.py
+++ b/cloverrouter/explore/models.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scopes import SCOPES as REPLICAS
 
-MODELS: dict[str, ModelScope] = {}
+MODELS: dict[str, ModelScope] = {**REPLICAS}
 
 
 def faults() -> dict[str, ModelFault]:
