--- a/cloverrouter/router/headers.py
+++ b/cloverrouter/router/headers.py
@@ -4,7 +4,7 @@
 
 import math
 
-from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields
+from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields, first
 from cloverrouter.http.request import Request
 
 ATTEMPT_ID = b"cypresswinch-attempt-id"
@@ -18,6 +18,7 @@
 PROMPT_PREFIX = b"cypresswinch-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 PRIORITY = b"priority"
+EXPECT_VERSION = b"expect-version"
 AUTHORIZATION = b"authorization"
 CONTENT_ENCODING = b"content-encoding"
 CONTENT_TYPE = b"content-type"
@@ -26,12 +27,14 @@
 EVENT_STREAM = b"text/event-stream"
 BEARER = b"bearer "
 MAX_DEADLINE_MS = 86_400_000.0
-# Told anew by the router, or about this connection, or a secret.
+# Told anew by the router, or about this connection, or a secret, or the router's own word to servers. Danger:
+# a version that no server has would make each of them answer as if another instance had its address.
 _OWN = frozenset(
     (
         AUTHORIZATION,
         TENANT,
         EXPECTED_INSTANCE,
+        EXPECT_VERSION,
         DEADLINE,
         PRIORITY,
         LAST_EVENT_ID,
@@ -40,7 +43,8 @@
     )
 )
 _DROPPED = HOP_BY_HOP | _OWN | {b"http2-settings"}
-_ALWAYS_KEPT = frozenset((b"host", ATTEMPT_ID))
+# Danger: a `Connection` that names them takes nothing from what the client asks for.
+_ALWAYS_KEPT = frozenset((b"host", ATTEMPT_ID, MODEL, TOKEN_USAGE, PROMPT_PREFIX))
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
@@ -98,6 +102,11 @@
     )
 
 
+def is_unframed(headers: Headers, length: int | None) -> bool:
+    """Whether nothing but the end of its connection tells that an answer is whole."""
+    return length is None and first(headers, b"transfer-encoding") is None
+
+
 def encode_request(request: Request, tenant: str | None, priority: int | None) -> tuple[bytes, bytes]:
     """What all sends of a request have in common: the head up to where the fields of one send follow, and the
     rest. All is unchanged but the fields of one connection, secrets and what the router tells itself."""
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -27,6 +27,7 @@
     Persist,
     ReplicaConfig,
     Restored,
+    StateMachine,
     ViewChanged,
 )
 from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
@@ -43,6 +44,8 @@
 FILE_BYTES = 8 * 1024 * 1024
 STALL_LOOK_S = 0.02  # how often a write looks whether its disk still stalls
 KEPT_DIGESTS = 64
+LEAST_LEAVE_S = 0.3  # a process that was told to end looks so long whether anything is left to do,
+MOST_LEAVE_S = 7.3  # and ends then in any case
 ZONES = ("east", "north", "west")
 
 
@@ -111,7 +114,15 @@
         known = self.log.setdefault(seq, update)
         if known != update:
             raise Violation(f"update {seq} is committed as {update!r} and as {known!r}")
-        self.order(seq, json.loads(update)["id"])
+        self.order(seq, self.order_of(update))
+
+    def order_of(self, update: bytes) -> str:
+        """The order behind an update."""
+        return str(json.loads(update)["id"])
+
+    def orders_of(self, state: bytes) -> dict[str, int]:
+        """The orders that led to a state, with the numbers of their updates."""
+        return dict(json.loads(state)[2])
 
     def order(self, seq: int, order: str) -> None:
         known = self.orders.setdefault(seq, order)
@@ -122,7 +133,7 @@
         known = self.states.setdefault(seq, state)
         if known != state:
             raise Violation(f"state {seq} is {state!r} and {known!r}")
-        for order, number in json.loads(state)[2].items():
+        for order, number in self.orders_of(state).items():
             self.order(number, order)
 
     def lead(self, now: float, untils: dict[str, float]) -> None:
@@ -148,6 +159,7 @@
         self.stalled_until = 0.0
         self.full = False
         self.slowness = 1.0
+        self.since = 0.0  # when it was put in
         self.syncs = True  # False: a fault on purpose, of a store that does not sync
         self.held: dict[int, bytes] = {}  # updates that were ever durable here
         self.file: ReplicaStore | None = None
@@ -287,7 +299,7 @@
         self.replica_class = replica_class
         self.wire = wire
         self.tick_s = tick_s
-        self.ledger = Ledger()
+        self.ledger = self.new_ledger()
         self.nodes: list[Node] = []
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
@@ -327,6 +339,7 @@
         zone = ZONES[(number if place is None else place) % len(ZONES)]
         ip = f"10.{1 + ZONES.index(zone)}.0.{10 + number}"
         node = Node(ip, name or f"node-{number}", zone, Disk(adoptable, self.random))
+        node.disk.since = self.now
         self.nodes.append(node)
         if start:
             self.start(node)
@@ -386,6 +399,14 @@
 
     # -- processes --
 
+    def new_ledger(self) -> Ledger:
+        """What must hold, for the state machine of this world."""
+        return Ledger()
+
+    def new_machine(self) -> StateMachine:
+        """The state machine of a process that starts."""
+        return Register()
+
     def start(self, node: Node, delay_s: float = 0.0) -> None:
         """Start a node's process."""
         node.life += 1
@@ -399,7 +420,7 @@
                 return
             self.say(f"{node.name} starts as {node.disk.stored.identity[:4]}")
             node.replica = self.replica_class(
-                node.member, node.disk.load(), Register(), self.config, Random(self.random.random())
+                node.member, node.disk.load(), self.new_machine(), self.config, Random(self.random.random())
             )
             self.carry_out(node, node.replica.start(self.now))
             if node.ip in self.seeds and node.replica.adoptable:
@@ -450,6 +471,7 @@
         self.say(f"{node.name} is wiped")
         self.buried.append(node.disk)
         node.disk = Disk(False, self.random)
+        node.disk.since = self.now
 
     def remove(self, node: Node) -> None:
         """Take a machine away for good."""
@@ -458,6 +480,24 @@
         node.removed = True
         self.buried.append(node.disk)
 
+    def leave(self, node: Node) -> None:
+        """Tell a node's process to end (SIGTERM): it resigns, and ends when it may, as `Node._drain` does."""
+        replica, life = node.replica, node.life
+        assert replica is not None
+        self.say(f"{node.name} is told to end")
+        self.carry_out(node, replica.resign(self.now))
+        begun = self.now
+
+        def look() -> None:
+            if node.life != life:
+                return
+            if self.now - begun >= MOST_LEAVE_S or replica.may_end:
+                self.kill(node)
+                return
+            self.at(self.now + self.tick_s, look)
+
+        self.at(self.now + LEAST_LEAVE_S, look)
+
     def freeze(self, node: Node, seconds: float) -> None:
         """Stop a process for a while; what comes meanwhile waits."""
         self.say(f"{node.name} freezes for {seconds:.2f}")
@@ -630,13 +670,12 @@
             raise Violation(f"update {seq} is acknowledged and on {holders} disks")
         self.ledger.acknowledged = max(self.ledger.acknowledged, seq)
 
-    @staticmethod
-    def _holds(disk: Disk, seq: int, order: str) -> bool:
+    def _holds(self, disk: Disk, seq: int, order: str) -> bool:
         held = disk.held.get(seq)
-        if held is not None and json.loads(held)["id"] == order:
+        if held is not None and self.ledger.order_of(held) == order:
             return True
         snapshot = disk.stored.snapshot
-        return snapshot is not None and json.loads(snapshot.data)[2].get(order) == seq
+        return snapshot is not None and self.ledger.orders_of(snapshot.data).get(order) == seq
 
     def check_read(self, answer: Answer, least: int) -> None:
         """A client has read; `least` was acknowledged before it asked."""
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -21,6 +21,7 @@
 SIGNED = (b"cypresswinch-server-signature", b"stamp-1")
 NOT_EXECUTED = (b"cypresswinch-not-executed", b"1")
 EVENTS = (b"content-type", b"text/event-stream")
+CHUNKED = (b"transfer-encoding", b"chunked")
 
 
 class FakeClock:
@@ -61,15 +62,23 @@
     """One send, which the test answers as the server would."""
 
     def __init__(
-        self, address: Address, message: bytes, listener: Listener, wanted: Callable[[], bool]
+        self,
+        address: Address,
+        message: bytes,
+        listener: Listener,
+        renewed: Callable[[], bytes | None] | None,
     ) -> None:
         self.address = address
         self.listener = listener
-        self.wanted = wanted
+        self.renewed = renewed
         self.written = False
         self.reused = False
         self.cancelled = False
         self.pauses: list[str] = []
+        self.message = message
+        self._read(message)
+
+    def _read(self, message: bytes) -> None:
         head, _, self.body = message.partition(b"\r\n\r\n")
         self.request_line, *lines = head.split(b"\r\n")
         self.fields = [(name, value) for name, _, value in (line.partition(b": ") for line in lines)]
@@ -98,9 +107,11 @@
 
     def write(self) -> bool:
         """The connection is up: the request goes out if it is still wanted."""
-        if not self.wanted():
+        message = self.renewed() if self.renewed is not None else self.message
+        if message is None:
             self.fail(Failure.NOT_SENT)
             return False
+        self._read(message)
         self.written = True
         self.listener.on_written()
         return True
@@ -130,7 +141,7 @@
 
     def stream(self, *events: bytes) -> None:
         """A head of events, and the first of them."""
-        self.head(200, SIGNED, EVENTS)
+        self.head(200, SIGNED, EVENTS, CHUNKED)
         for event in events:
             self.data(event)
 
@@ -147,9 +158,9 @@
         listener: Listener,
         expected_id: bytes = b"",
         id_header: bytes = b"",
-        wanted: Callable[[], bool] = lambda: True,
+        renewed: Callable[[], bytes | None] | None = None,
     ) -> Call:
-        call = ScriptedCall(address, message, listener, wanted)
+        call = ScriptedCall(address, message, listener, renewed)
         assert call.field(id_header) == expected_id
         self.calls.append(call)
         return cast(Call, call)
@@ -338,6 +349,11 @@
             self.router.servers_changed([self.server(service, place) for place in range(servers)])
         return self
 
+    def slow_routes(self, timeout_ms: int) -> None:
+        """Allow all requests so much time."""
+        routes = tuple(attrs.evolve(one, timeout_ms=timeout_ms) for one in CONFIGURATION.routes)
+        self.router.configure(attrs.evolve(CONFIGURATION, routes=routes))
+
     def server(self, service: str, place: int, **changes: Any) -> Server:
         plain: dict[str, Any] = {
             "id": f"{service}-{place}",
--- a/tests/system/test_distribution.py
+++ b/tests/system/test_distribution.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterable
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverrouter.control.distribution import NOTHING, Apply, Publisher, Replace, Subscriber, VoterAddress
+from cloverrouter.control.distribution import (
+    NOTHING,
+    Apply,
+    Publisher,
+    Replace,
+    SnapshotWanted,
+    Subscriber,
+    VoterAddress,
+)
 from cloverrouter.control.distribution_messages import (
     Acknowledge,
     Delta,
@@ -277,6 +286,30 @@
     assert zlib.crc32(done.snapshot) == zlib.crc32(Random(1).randbytes(4 * PART_BYTES))
 
 
+def test_answers_to_two_questions_with_states_of_different_ages_end() -> None:
+    """Found by the explorer: each put an end to the other, as fast as the link is."""
+    publisher, subscriber = Publisher(), Subscriber("m", "", Random(1))
+    older, newer = (Random(seed).randbytes(3 * PART_BYTES) for seed in (1, 2))
+    publisher.receive(0.0, "m", Subscribe(NOTHING, True))
+    publisher.restored(0.0, 1, older)
+    first = publisher.receive(0.0, "m", Pull(NOTHING))
+    publisher.restored(0.0, 2, newer)
+    second = publisher.receive(0.0, "m", Pull(NOTHING))
+    subscriber.voters_changed(0.0, [VoterAddress("v", "")])
+    assert sends(subscriber.receive(0.0, "v", Offer(2, 1, 500)), Pull)
+    put_in_force: list[Apply | Replace] = []
+    letters = [*sends(first, Part), *sends(second, Part)]
+    for _ in range(50):
+        if not letters:
+            break
+        effects = subscriber.receive(0.0, "v", letters.pop(0).message)
+        put_in_force += [each for each in effects if isinstance(each, Apply | Replace)]
+        asked = sends(effects, PullPart)
+        letters += [sent for ask in asked for sent in sends(publisher.receive(0.0, "m", ask.message), Part)]
+    assert not letters
+    assert put_in_force == [Replace(2, newer)]
+
+
 def test_a_pull_before_there_is_a_snapshot_is_answered_when_there_is() -> None:
     publisher = Publisher()
     publisher.receive(0.0, "s", Subscribe(NOTHING, True))
@@ -286,6 +319,28 @@
     assert send.ip == "s"
 
 
+def part_of(effects: Iterable[object]) -> Part:
+    """The one part that is sent."""
+    (send,) = sends(effects, Part)
+    assert isinstance(send.message, Part)
+    return send.message
+
+
+def test_a_slow_link_gets_through_in_a_storm_of_long_changes() -> None:
+    """One machine takes part after part, while each change is fetched whole by another one."""
+    publisher, random = Publisher(), Random(1)
+    publisher.restored(0.0, 0, random.randbytes(1_000_000))
+    publisher.receive(0.0, "slow", Subscribe(NOTHING, True))
+    parts = [part_of(publisher.receive(0.0, "slow", Pull(NOTHING)))]
+    offsets = range(0, parts[0].total, PART_BYTES)
+    for sequence, offset in enumerate(offsets[1:], 1):
+        if SnapshotWanted() in publisher.committed(0.1, sequence, random.randbytes(500_000)):
+            publisher.restored(0.1, sequence, random.randbytes(1_000_000))
+        publisher.receive(0.1, "fast", Pull(sequence - 1))
+        parts.append(part_of(publisher.receive(0.1, "slow", PullPart(0, True, offset))))
+    assert [(part.sequence, part.offset) for part in parts] == [(0, offset) for offset in offsets]
+
+
 def test_pushing_stops_for_one_that_does_not_acknowledge() -> None:
     publisher = Publisher()
     publisher.restored(0.0, 0, b"")
