--- a/cloverrouter/explore/coordination/model.py
+++ b/cloverrouter/explore/coordination/model.py
@@ -89,7 +89,7 @@
         elif event[0] == "late":
             self.take(after, after.held.pop(event[1]).item)
         else:
-            troubles.strike(self, after, event)
+            troubles.strike(after, event)
         return after
 
     def age(self, state: State) -> int:
@@ -129,7 +129,7 @@
         self._tick(state)
         for machine in state.machines:
             if machine.back_at is not None and machine.back_at <= state.step:
-                troubles.start(self, state, machine.place)
+                troubles.start(self.cores, state, machine.place, self.bounds.seeds)
         check_sure(self.cores, state)
         clients.call(self.cores, state, self.orders[:orders])
 
