The explorer's scopes of the replicas: one for each situation that a fault needs, and two of pairs of troubles

Cause: two situations in one scope took old-voters-left-out 45 s and read-without-contact over 60 s on a busy machine. Change: coordination-return, coordination-cut with one situation, two scopes of pairs.

--- a/cloverrouter/explore/coordination/faults.py
+++ b/cloverrouter/explore/coordination/faults.py
@@ -79,7 +79,7 @@
         yield
 
 
-@_fault("coordination-exchange", "order", "lost", "sure", "view")
+@_fault("coordination-return", "order", "lost", "sure", "view")
 def old_voters_left_out() -> Iterator[None]:
     """A view with another voter does not need the old voters."""
     original = Proposal.new_view
--- a/cloverrouter/explore/coordination/scopes.py
+++ b/cloverrouter/explore/coordination/scopes.py
@@ -62,8 +62,8 @@
         Limits(deviations=2, age=40, seconds=7200.0),
     ),
     "coordination-cut": _scope(
-        "a chain, and cuts before and after an order",
-        ("one confirmed", "orders later"),
+        "a chain that has confirmed an order, and the next come when a cut may have struck",
+        ("orders later",),
         Bounds(window=3),
         Limits(deviations=1, age=30),
     ),
@@ -92,11 +92,29 @@
         Limits(deviations=2, age=30),
     ),
     "coordination-exchange": _scope(
-        "an exchange of voters: the lost one has gone, or comes back meanwhile",
-        ("exchange begun", "voter silent"),
+        "an exchange of voters, as the newcomer is handed view and state",
+        ("exchange begun",),
         Bounds(window=2),
         Limits(deviations=1, age=30),
     ),
+    "coordination-return": _scope(
+        "an exchange of voters while the silent one comes back with its disk",
+        ("voter silent",),
+        Bounds(window=2),
+        Limits(deviations=1, age=30),
+    ),
+    "coordination-exchange-pairs": _scope(
+        "two troubles in the step of time in which an exchange of voters is handed out",
+        ("exchange begun", "voter silent"),
+        Bounds(window=1, holds=False),
+        Limits(deviations=2, age=24, seconds=1800.0, depth_first=True),
+    ),
+    "coordination-genesis-pairs": _scope(
+        "a crash and a cut in the first start",
+        ("first start",),
+        Bounds(most={CRASH: 1, CUT: 1}, window=8, holds=False, seeds=(0, 1, 2)),
+        Limits(deviations=2, age=30, seconds=1800.0, depth_first=True),
+    ),
     "coordination-genesis": _scope(
         "the first start",
         ("first start",),
