Bytes from outside that fuzzing found not to be borne: each has its clear error now

A disk that holds something and no identity is a lost one. What lmdb calls a missing page is damage as well, and no passing failure. - settings: bytes that aren't UTF-8, long numbers, deep nesting and senseless dates came out as errors of the parser's own; 5 and true passed as IP numbers, nan and inf as numbers, a zero byte as a folder. - configuration: an unknown list whose items have a list or an object as name was answered 500. - registration: a number like 1e19 passed the checks, and no message between nodes could hold it: numbers end at 2^53 everywhere. An id of a withdrawn server is bounded like that of a registered one, since it is kept for a while after its end. - event streams: an id of more than 4,300 digits raised inside of the relay; an event without end was kept whole in memory: past 1 MiB it is passed on in parts, and the stream isn't continued inside of it.

--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -19,7 +19,7 @@
 from cloverrouter.control.errors import Invalid, Redirected, Unavailable
 from cloverrouter.control.metrics import CONTENT_TYPE, Figure, prometheus_text
 from cloverrouter.control.orders import OrderReply
-from cloverrouter.control.registration import read_registration
+from cloverrouter.control.registration import check_id, read_registration
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_ORDERS_UNDER_WAY = 8
@@ -209,6 +209,7 @@
         return _json(200, {} if endpoint is None else {"heartbeat-endpoint": endpoint})
 
     async def _withdraw(self, request: ControlRequest, instance_id: str) -> Answer:
+        check_id(instance_id)
         return _json(200, {"known": await self._backend.withdraw(instance_id)})
 
     async def _trace(self, request: ControlRequest, request_id: str) -> Answer:
--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -147,7 +147,8 @@
 
 def _finding(error: Any, schema: Any, document: Mapping[str, Any], place: str) -> Finding:
     path = _joined(place, error.document_path)
-    wanted = _wanted(schema, error.document_path)
+    is_too_large = error.rule == "max"
+    wanted = f"at most {error.constraint}" if is_too_large else _wanted(schema, error.document_path)
     found, present = _at(document, error.document_path)
     if not present:
         return Finding(path, f"missing, wanted {wanted}")
--- a/cloverrouter/control/document.py
+++ b/cloverrouter/control/document.py
@@ -50,8 +50,8 @@
     """Whether a value is a list of objects with a name each, all different: such lists can be patched."""
     if not isinstance(value, list):
         return False
-    names = {item.get("name") if isinstance(item, dict) else None for item in value}
-    return len(names) == len(value) and all(isinstance(name, str) for name in names)
+    names = [item.get("name") if isinstance(item, dict) else None for item in value]
+    return all(isinstance(name, str) for name in names) and len(set(names)) == len(names)
 
 
 @attrs.frozen(slots=True, eq=False)
--- a/cloverrouter/control/registration.py
+++ b/cloverrouter/control/registration.py
@@ -23,9 +23,8 @@
 
 def read_registration(instance_id: str, body: bytes) -> dict[str, Any]:
     """The fields of an announcement, unknown ones included. Raises `RegistrationInvalid`."""
+    check_id(instance_id)
     findings: Findings = []
-    if not instance_id.isprintable() or len(instance_id) > MAX_ID_CHARACTERS:
-        findings.append(Finding("instance-id", f"wanted up to {MAX_ID_CHARACTERS} printable characters"))
     fields = read_object(body, findings)
     if findings:
         raise RegistrationInvalid(findings)
@@ -34,6 +33,13 @@
     return fields
 
 
+def check_id(instance_id: str) -> None:
+    """Raises `RegistrationInvalid` for what can't be a server's id: it is kept for a while after its end."""
+    if not instance_id.isprintable() or len(instance_id) > MAX_ID_CHARACTERS:
+        wanted = f"wanted up to {MAX_ID_CHARACTERS} printable characters"
+        raise RegistrationInvalid([Finding("instance-id", wanted)])
+
+
 def instance_from(now: float, instance_id: str, fields: dict[str, Any]) -> Instance:
     """The instance that checked fields tell of, received at `now` on the local steady clock."""
     warmup_ms = fields.get("warmup-remaining-ms") or 0
--- a/cloverrouter/control/schemas.py
+++ b/cloverrouter/control/schemas.py
@@ -14,7 +14,8 @@
 from cloverrouter.control.configuration import ROUTE_KINDS, ROUTES, SERVICES, TENANTS, VERSION
 
 Schema = dict[str, Any]
-MAX_VERSION = 2**53
+MAX_NUMBER = 2**53
+"""The largest number of any field: as a whole number it fits into messages between nodes."""
 
 
 class Rules(cerberus.Validator):  # type: ignore[misc]
@@ -49,9 +50,9 @@
 
 NAME = _field("a name", type="string", required=True, empty=False)
 FLAG = _optional("true or false", type="boolean")
-ABOVE_ZERO = _optional("a number above 0", type="number", above=0)
-ZERO_OR_MORE = _optional("a number, 0 or more", type="number", min=0)
-COUNT = _optional("a whole number, 0 or more", type="number", min=0, whole=True)
+ABOVE_ZERO = _optional("a number above 0", type="number", above=0, max=MAX_NUMBER)
+ZERO_OR_MORE = _optional("a number, 0 or more", type="number", min=0, max=MAX_NUMBER)
+COUNT = _optional("a whole number, 0 or more", type="number", min=0, max=MAX_NUMBER, whole=True)
 WORD = _optional("a string", type="string")
 MODELS = _optional(
     "a list of models",
@@ -61,7 +62,7 @@
 
 TARGET: Schema = {
     "backend": _field("the name of a service", type="string", required=True, empty=False),
-    "weight": _field("a number, 0 or more", type="number", required=True, min=0),
+    "weight": _field("a number, 0 or more", type="number", required=True, min=0, max=MAX_NUMBER),
 }
 ROUTE: Schema = {
     "name": NAME,
@@ -70,7 +71,7 @@
         "a path that begins and ends with /", type="string", required=True, regex=r"/(.*/)?\Z"
     ),
     "route-type": _optional(f"one of {', '.join(ROUTE_KINDS)}", type="string", allowed=ROUTE_KINDS),
-    "timeout-ms": _field("a number above 0", type="number", above=0),
+    "timeout-ms": _field("a number above 0", type="number", above=0, max=MAX_NUMBER),
     "target-latency-ms": ZERO_OR_MORE,
     "priority": COUNT,
     "backend": _optional("the name of a service", type="string", empty=False),
@@ -79,7 +80,7 @@
         type="list",
         schema=_field("a service with a weight", type="dict", schema=TARGET),
     ),
-    "attempt-limit": _optional("a whole number, 1 or more", type="number", min=1, whole=True),
+    "attempt-limit": _optional("a whole number, 1 or more", type="number", min=1, max=MAX_NUMBER, whole=True),
     "anonymous-access": FLAG,
     "session-affinity": FLAG,
     "stream-resumption": FLAG,
@@ -121,7 +122,7 @@
     "burst-size": ZERO_OR_MORE,
 }
 _VERSION = _field(
-    "a whole number, 1 or more", type="number", required=True, min=1, max=MAX_VERSION, whole=True
+    "a whole number, 1 or more", type="number", required=True, min=1, max=MAX_NUMBER, whole=True
 )
 _ITEMS = _field("a list of objects", type="list", required=True)
 DOCUMENT: Schema = {
@@ -158,7 +159,7 @@
     "lifecycle-state": _field("ready or draining", type="string", allowed=("ready", "draining")),
     "warmup-remaining-ms": ZERO_OR_MORE,
     "sequence-number": _field(
-        "a whole number, 0 or more", type="number", required=True, min=0, max=MAX_VERSION, whole=True
+        "a whole number, 0 or more", type="number", required=True, min=0, max=MAX_NUMBER, whole=True
     ),
     "phase": WORD,
     "model-list": _optional(
--- a/cloverrouter/daemon/settings.py
+++ b/cloverrouter/daemon/settings.py
@@ -64,7 +64,7 @@
     "seed-nodes": Key(checks.each(checks.address)),
     "bootstrap": Key(checks.flag, False),
     "counts-for-quorum": Key(checks.flag, False),
-    "data-directory": Key(checks.text, ""),
+    "data-directory": Key(checks.folder, ""),
     "heartbeat-interval-ms": Key(checks.number(1), 1000),
     "listen-addresses": Key(checks.table(_LISTENERS)),
     "limits": Key(checks.table(_LIMITS), {}),
@@ -130,7 +130,7 @@
     try:
         with open(path, "rb") as file:
             document = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:  # not all that tomllib refuses is its own error
         raise SettingsError(path, [f"{type(error).__name__}: {error}"]) from error
     return settings_of(document, path)
 
--- a/cloverrouter/daemon/settings_checks.py
+++ b/cloverrouter/daemon/settings_checks.py
@@ -17,6 +17,7 @@
 
 REQUIRED: Any = object()
 _NUMBER = (int, float)
+MAX_NUMBER = 2**53
 
 
 @attrs.frozen(slots=True)
@@ -43,6 +44,14 @@
         yield _finding(place, value, "type 'string'")
 
 
+def folder(place: str, value: Any) -> Iterator[str]:
+    """A string that can name a folder, or an empty one."""
+    if not isinstance(value, str):
+        yield _finding(place, value, "type 'string'")
+    elif "\0" in value:
+        yield _finding(place, value, "a folder")
+
+
 def filled(place: str, value: Any) -> Iterator[str]:
     """A string that isn't empty."""
     if not isinstance(value, str):
@@ -58,22 +67,22 @@
 
 
 def number(least: float = 0) -> Check:
-    """A number, whole or not."""
-    return _between(_NUMBER, "number", least, None)
+    """A finite number, whole or not."""
+    return _between(_NUMBER, "number", least, MAX_NUMBER)
 
 
-def whole(least: int, most: int | None = None) -> Check:
+def whole(least: int, most: int = MAX_NUMBER) -> Check:
     """A whole number."""
     return _between(int, "integer", least, most)
 
 
-def _between(kind: Any, name: str, least: float, most: float | None) -> Check:
+def _between(kind: Any, name: str, least: float, most: float) -> Check:
     def check(place: str, value: Any) -> Iterator[str]:
         if not isinstance(value, kind) or isinstance(value, bool):
             yield _finding(place, value, f"type {name!r}")
-        elif value < least:
+        elif not value >= least:  # not-a-number is neither
             yield _finding(place, value, f"min {least}")
-        elif most is not None and value > most:
+        elif value > most:
             yield _finding(place, value, f"max {most}")
 
     return check
@@ -82,7 +91,7 @@
 def ip_number(place: str, value: Any) -> Iterator[str]:
     """An IP number."""
     try:
-        ipaddress.ip_address(value)
+        ipaddress.ip_address(value if isinstance(value, str) else "")  # it takes whole numbers, too
     except ValueError:
         yield _finding(place, value, "an IP number")
 
--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -34,7 +34,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-class _Incoming(asyncio.BufferedProtocol):
+class Incoming(asyncio.BufferedProtocol):
     """A connection from a peer: messages in."""
 
     def __init__(self, owner: Transport) -> None:
@@ -210,7 +210,7 @@
     async def listen(self) -> None:
         """Raises OSError if the port is taken."""
         self._server = await self.loop.create_server(
-            lambda: _Incoming(self), self.ip, self.port, reuse_address=True, backlog=256
+            lambda: Incoming(self), self.ip, self.port, reuse_address=True, backlog=256
         )
 
     def send(self, ip: str, message: object) -> None:
--- a/cloverrouter/router/events.py
+++ b/cloverrouter/router/events.py
@@ -11,17 +11,20 @@
 # it says nothing.
 _BLANK_LINE = re.compile(rb"\n\r?\n|\r\r|\n\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+_ENDS = (b"\n\n", b"\n\r\n", b"\r\r", b"\n\r")
+MAX_EVENT_BYTES = 1024 * 1024  # a longer event is passed on in parts; no stream can be continued inside of it
 _SAYS_SOMETHING = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 
 
 class EventSplitter:
     """Feed it bytes; it gives back the whole events and keeps the rest."""
 
-    __slots__ = ("_from", "_rest", "last_id", "resumable")
+    __slots__ = ("_from", "_in_part", "_rest", "last_id", "resumable")
 
     def __init__(self, last_id: bytes | None = None) -> None:
         self._rest = b""
         self._from = 0
+        self._in_part = False  # the beginning of an event that is too long has been passed on
         self.last_id = last_id
         """Id of the last whole event; the id to continue at."""
         self.resumable = True
@@ -33,7 +36,7 @@
         return self._rest
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The events that these bytes complete."""
+        """The events that these bytes complete, or a part of one that is too long."""
         buffer = self._rest + data if self._rest else data
         events = []
         start = 0
@@ -42,12 +45,19 @@
             end = found.end()
             events.append(buffer[start:end])
             start = search = end
+        if len(buffer) - start > MAX_EVENT_BYTES:  # danger: a server that never ends it would take all memory
+            events.append(buffer[start:])
+            start = len(buffer)
         self._rest = buffer[start:]
         self._from = max(0, len(self._rest) - 2)
         return events
 
     def passed_on(self, event: bytes) -> None:
         """The event went to the client."""
+        was_in_part, self._in_part = self._in_part, not event.endswith(_ENDS)
+        if was_in_part or self._in_part:
+            self.resumable = False
+            return
         found = event_id(event)
         if found is not None:
             self.last_id = found
@@ -69,4 +79,10 @@
     found = event_id(event)
     if found is None or not found.isdigit() or not last_id.isdigit():
         return True
-    return int(found) > int(last_id)
+    return _magnitude(found) > _magnitude(last_id)
+
+
+def _magnitude(digits: bytes) -> tuple[int, bytes]:
+    """What whole numbers are ordered by. Danger: Python reads no number of more than 4,300 digits."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -4,8 +4,9 @@
 
 - No file, or a file that never got an identity (power went during first use): an empty disk. An identity is
   drawn and synced before anything else.
-- A file that lmdb can't open, or in which any value fails its checksum or is missing: the disk is lost. Its
-  file is removed and a new identity is drawn, so that it never votes as the machine that it was.
+- A file that lmdb can't open, whose pages are not as lmdb writes them (`store/pages.py`), or in which any
+  value fails its checksum or is missing: the disk is lost. Its file is removed and a new identity is drawn,
+  so that it never votes as the machine that it was.
 - Anything else is whole: lmdb's transactions are either there or not.
 
 An object is used by one thread at a time, a directory by one process.
@@ -26,6 +27,7 @@
 import lmdb
 
 from cloverrouter.store.errors import StoreError, StoreFailed, StoreFull
+from cloverrouter.store.pages import PAGE_BYTES, PagesDamaged, check_pages
 from cloverrouter.store.records import Meta, Record, Snapshot, StoredReplica, Update
 
 FILE_NAME = "replica.mdb"
@@ -34,7 +36,6 @@
 MAP_SHARE = 0.7
 # A state, the updates on it, the next state, and the pages of the state before that are not free yet.
 STATE_PARTS = 5
-PAGE_BYTES = 4096
 # Chunks fill whole pages with lmdb's page header: large values would need a long run of free pages.
 CHUNK_BYTES = 8 * PAGE_BYTES - 16 - 4
 
@@ -53,6 +54,16 @@
     """A stored value is not what was written."""
 
 
+_DAMAGE = (
+    _Damaged,
+    PagesDamaged,
+    lmdb.InvalidError,
+    lmdb.CorruptedError,
+    lmdb.PageNotFoundError,
+    lmdb.VersionMismatchError,
+)
+
+
 class ReplicaStore:
     """The disk of one replica."""
 
@@ -87,7 +98,7 @@
         try:
             self._open_environment()
             stored = self._read()
-        except (_Damaged, lmdb.InvalidError, lmdb.CorruptedError, lmdb.VersionMismatchError) as error:
+        except _DAMAGE as error:
             damage = f"{type(error).__name__}: {error}"
             stored = None
             self._empty()
@@ -121,19 +132,21 @@
             return
         path = self._directory / FILE_NAME
         is_new = not path.exists()
+        if not is_new and path.stat().st_size:
+            with path.open("rb") as file:
+                check_pages(file)
         self._environment = lmdb.open(
             str(path), map_size=self._map_bytes, subdir=False, lock=False, max_spare_txns=1, readahead=False
         )
         if is_new:
             self._environment.sync(True)
             _sync_directory(self._directory)
-        # A file that is shorter than its pages say would end the process when they are read.
-        if path.stat().st_size < (self._environment.info()["last_pgno"] + 1) * PAGE_BYTES:
-            raise _Damaged("the file is cut short")
 
     def _read(self) -> StoredReplica | None:
         with self._environment.begin() as transaction:
             identity = _get(transaction, _IDENTITY)
+            if identity is None and transaction.stat()["entries"]:
+                raise _Damaged("no identity")
             if identity is None:
                 return None
             meta = _get(transaction, _META)
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -260,11 +260,28 @@
     assert told(answer)["findings"] == [problem]
 
 
-def test_an_endless_id_is_refused() -> None:
-    call = Call(b"PUT", b"/-/instances/" + b"x" * 999, json.dumps(ANNOUNCEMENT).encode())
+@pytest.mark.parametrize("method", [b"PUT", b"DELETE"])
+@pytest.mark.parametrize("instance_id", [b"x" * 999, b"a%00b"])
+def test_an_endless_or_unprintable_id_is_refused(method: bytes, instance_id: bytes) -> None:
+    call = Call(method, b"/-/instances/" + instance_id, json.dumps(ANNOUNCEMENT).encode())
     assert ask(call).status == 400
 
 
+@pytest.mark.parametrize("field", ["capacity", "warmup-remaining-ms"])
+def test_a_number_that_no_message_holds_is_refused(field: str) -> None:
+    body = json.dumps({**ANNOUNCEMENT, field: 1e19}).encode()
+    answer = ask(Call(b"PUT", b"/-/instances/i-1", body))
+    assert answer.status == 400
+    assert told(answer)["findings"] == [f"{field}: found 1e+19, wanted at most {2**53}"]
+
+
+def test_an_unknown_list_whose_names_are_no_names_is_taken_as_it_is() -> None:
+    body = json.dumps(document(notes=[{"name": []}, {"name": {}}])).encode()
+    backend = Backend()
+    assert ask(Call(b"PUT", b"/-/configuration", body, {b"if-match": b"0"}), backend=backend).status == 200
+    assert backend.machine.document["notes"] == [{"name": []}, {"name": {}}]
+
+
 def test_few_fields_make_a_registration() -> None:
     body = {"backend": "model", "address": "[::1]:80", "sequence-number": 1}
     assert read_registration("i-1", json.dumps(body).encode()) == body
--- a/tests/system/test_replica_store.py
+++ b/tests/system/test_replica_store.py
@@ -4,9 +4,11 @@
 
 from pathlib import Path
 
+import lmdb
 import pytest
 
 from cloverrouter.store import Meta, Record, Snapshot, StoreFull, Update
+from cloverrouter.store.pages import PAGE_BYTES, check_pages
 from cloverrouter.store.replica_store import FILE_NAME, ReplicaStore
 
 MAX_BYTES = 4 * 1024 * 1024
@@ -120,3 +122,47 @@
     identity = store.load().identity
     store.write(Record(meta=META, updates=(Update(1, b"one"), Update(3, b"three"))))
     assert store.load().identity != identity
+
+
+def test_turned_bytes_of_pages_are_a_lost_disk(tmp_path: Path) -> None:
+    """Each byte of the heads of pages in use: no process ends, and no update is missing without a word."""
+    store = opened(tmp_path)
+    store.load(bootstrap=True)
+    for seq in range(1, 60):
+        store.write(Record(meta=META, updates=(Update(seq, bytes([seq]) * 100),)))
+    whole = store.load()
+    store.close()
+    path = tmp_path / FILE_NAME
+    image = path.read_bytes()
+    for page in range(0, len(image), PAGE_BYTES):
+        for place in (0, 8, 10, 12, 14, 16, 24, 40, 48, 64, 72, 136, 152):
+            turned = bytearray(image)
+            turned[page + place] ^= 2
+            path.write_bytes(turned)
+            store = opened(tmp_path)
+            stored = store.load()
+            store.close()
+            assert stored == whole or stored.damage, (page // PAGE_BYTES, place)
+
+
+def test_a_disk_without_its_identity_is_a_lost_disk(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.load(bootstrap=True)
+    store.close()
+    environment = lmdb.open(str(tmp_path / FILE_NAME), subdir=False, lock=False)
+    with environment.begin(write=True) as transaction:
+        transaction.delete(b"identity")
+    environment.close()
+    stored = opened(tmp_path).load(bootstrap=True)
+    assert stored.damage and not stored.meta.adoptable
+
+
+def test_pages_of_a_file_in_use_are_sound_at_each_size(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.load()
+    for seq in range(1, 200):
+        snapshot = Snapshot(seq, bytes([seq]) * seq * 300) if seq % 7 == 0 else None
+        updates = () if snapshot is not None else (Update(seq, b"x" * (seq * 37 % 5000)),)
+        store.write(Record(meta=META, snapshot=snapshot, updates=updates))
+        with (tmp_path / FILE_NAME).open("rb") as file:
+            check_pages(file)
--- a/tests/system/test_router_streams.py
+++ b/tests/system/test_router_streams.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cloverrouter.http.client import Failure
-from cloverrouter.router.events import EventSplitter, event_id, is_after
+from cloverrouter.router.events import MAX_EVENT_BYTES, EventSplitter, event_id, is_after
 from tests.system.router_world import EVENTS, NOT_EXECUTED, SIGNED, World, event
 
 
@@ -211,3 +211,20 @@
     assert not is_after(event(9), b"9")
     assert is_after(event(1), None)
     assert is_after(b"data: x\n\n", b"9")
+    assert is_after(event(10), b"009") and not is_after(event(9), b"010")
+    assert is_after(b"id: " + b"9" * 5000 + b"\n\n", b"9" * 4999), "more digits than Python reads"
+
+
+def test_an_event_without_end_is_passed_on_in_parts() -> None:
+    splitter = EventSplitter()
+    found: list[bytes] = []
+    pieces = [event(1), b"id: 2\ndata: ", *[b"x" * 65536] * 40, b"\n\n", event(3)]
+    for piece in pieces:
+        assert len(splitter.rest) <= MAX_EVENT_BYTES
+        for each in splitter.feed(piece):
+            splitter.passed_on(each)
+            found.append(each)
+            ended = not splitter.rest and each.startswith(b"id")
+            assert splitter.resumable == (ended and len(each) < 100), "none may go on inside of an event"
+    assert b"".join(found) + splitter.rest == b"".join(pieces)
+    assert (splitter.last_id, splitter.resumable) == (b"3", True)
--- a/tests/system/test_settings_file.py
+++ b/tests/system/test_settings_file.py
@@ -97,3 +97,32 @@
     cut.write_text(EXAMPLE[:40] + "\n[limits")
     with pytest.raises(SettingsError, match=r"cut\.toml: TOMLDecodeError"):
         read(str(cut))
+
+
+@pytest.mark.parametrize("text", [b"a = \xff", b"a = " + b"9" * 5000, b"a = " + b"[" * 5000, b"a = 25:61:61"])
+def test_a_file_that_no_parser_reads_is_named(tmp_path: Path, text: bytes) -> None:
+    path = tmp_path / "odd.toml"
+    path.write_bytes(text)
+    with pytest.raises(SettingsError, match=r"odd\.toml: "):
+        read(str(path))
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("ip-address", 5),
+        ("ip-address", True),
+        ("heartbeat-interval-ms", float("nan")),
+        ("heartbeat-interval-ms", float("inf")),
+        ("heartbeat-interval-ms", 10**400),
+        ("limits", {"file-descriptors": float("inf")}),
+        ("limits", {"memory-mb": float("nan")}),
+        ("fault-tolerance", {"machines": 10**30}),
+        ("data-directory", "/data\0/x"),
+    ],
+)
+def test_values_that_nothing_can_be_done_with_are_faults(key: str, value: Any) -> None:
+    with pytest.raises(SettingsError) as raised:
+        settings_of(example(**{key: value}))
+    (finding,) = raised.value.findings
+    assert finding.startswith(key)
