--- a/cloverrouter/fuzz/store_files.py
+++ b/cloverrouter/fuzz/store_files.py
@@ -60,8 +60,7 @@
     text = "a replica's file: bytes turned, pages lost or copied, the file cut short"
 
     def __init__(self) -> None:
-        shared = Path("/dev/shm")  # each input writes a file: that need not go to a disk
-        self._folder = Path(tempfile.mkdtemp(dir=shared if shared.is_dir() else None))
+        self._folder = Path(tempfile.mkdtemp())
         self._states = _write_history(self._folder)
         self._file = self._folder / FILE_NAME
         self._image = self._file.read_bytes()
