--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -108,12 +108,11 @@
         router, frontend = self._traffic.router, self._frontend
         self._log.change("draining", in_flight=router.in_flight)
         self._control.resign()
-        if frontend is None:
-            return
-        frontend.drain()
+        if frontend is not None:
+            frontend.drain()
         await end_what_is_open(router, self._is_busy, self._ends_at, self._loop.time, asyncio.sleep)
 
     def _is_busy(self) -> bool:
         frontend = self._frontend
         has_clients = frontend is not None and (frontend.open_exchanges > 0 or frontend.connections > 0)
-        return has_clients or self._control.calls_under_way > 0
+        return has_clients or self._control.calls_under_way > 0 or not self._control.may_end
