--- a/cloverrouter/fuzz/node_messages.py
+++ b/cloverrouter/fuzz/node_messages.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib
 import types
 import typing
 from collections.abc import Sequence
-from contextlib import contextmanager
 from random import Random
 from typing import Any, cast
 from zlib import crc32
 
 import attrs
 
-from cloverrouter.daemon.transport import READ_BYTES, Incoming
+from cloverrouter.daemon.transport import READ_BYTES, Incoming, Transport
 from cloverrouter.fuzz.mutation import FRACTIONS, INTEGERS, TEXTS, mutate_bytes, pieces
 from cloverrouter.fuzz.target import expect
 from cloverrouter.messages import Decoder, MessageError, encode
@@ -70,26 +70,38 @@
     return random.choice(values[hint])
 
 
-class _Owner:
-    """What a connection tells the transport."""
+class _Heard:
+    """What comes of a connection's bytes, by the real transport."""
 
     def __init__(self) -> None:
-        self.buffer = memoryview(bytearray(READ_BYTES))
-        self.incoming: set[object] = set()
-        self.bytes_received = self.messages_skipped = 0
+        self._loop = asyncio.new_event_loop()
         self.delivered: list[object] = []
         self.errors: list[Exception] = []
+        self.owner = self._loop.run_until_complete(self._made())
 
-    @contextmanager
-    def batch(self) -> Any:
-        yield
+    async def _made(self) -> Transport:
+        return Transport("127.0.0.1", 1, self._on_message, self._on_link, self._on_error)
 
-    def deliver(self, ip: str, message: object) -> None:
+    def _on_message(self, ip: str, message: object) -> None:
         self.delivered.append(message)
 
-    def on_error(self, ip: str, error: Exception) -> None:
+    def _on_link(self, ip: str, is_up: bool) -> None:
+        """Nobody wants to know."""
+
+    def _on_error(self, ip: str, error: Exception) -> None:
         self.errors.append(error)
 
+    def connected(self, transport: _Connection) -> Incoming:
+        """A new connection, on which nothing has come yet."""
+        self.delivered.clear()
+        self.errors.clear()
+        connection = Incoming(self.owner)
+        connection.connection_made(cast(Any, transport))
+        return connection
+
+    def close(self) -> None:
+        self._loop.close()
+
 
 class _Connection:
     """A socket's transport that notes its end."""
@@ -110,6 +122,7 @@
 
     def __init__(self) -> None:
         self._classes = message_classes()
+        self._heard = _Heard()
 
     def seeds(self) -> Sequence[bytes]:
         random = Random(1)
@@ -150,21 +163,22 @@
             expect(repr(again) == repr([message]), "a message encoded and decoded is another")
 
     def _check_connection(self, parts: list[bytes], whole: list[object], error: str | None) -> None:
-        owner, transport = _Owner(), _Connection()
-        connection = Incoming(cast(Any, owner))
-        connection.connection_made(cast(Any, transport))
+        heard, transport = self._heard, _Connection()
+        connection = heard.connected(transport)
         for part in parts:
             for start in range(0, len(part), READ_BYTES):
                 piece = part[start : start + READ_BYTES]
-                owner.buffer[: len(piece)] = piece
+                heard.owner.buffer[: len(piece)] = piece
                 if not transport.is_closed:
                     connection.buffer_updated(len(piece))
-        expect(repr(owner.delivered) == repr(whole), "a connection delivers other messages")
+        expect(repr(heard.delivered) == repr(whole), "a connection delivers other messages")
         expect(transport.is_closed == (error is not None), "a connection does not end with an error")
-        expect(len(owner.errors) == (error is not None), "an error is not told once")
+        expect(len(heard.errors) == (error is not None), "an error is not told once")
+        connection.connection_lost(None)
+        expect(not heard.owner.incoming, "a connection that has ended is kept")
 
     def close(self) -> None:
-        """Nothing is kept."""
+        self._heard.close()
 
 
 def _decoded(parts: Sequence[bytes]) -> tuple[list[Any], str | None]:
