A damaged disk is told in the log

Until now a disk whose file was found damaged was emptied and used as a new one without a word: disk-damaged says so, with what was found.

--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -72,6 +72,8 @@
             try:
                 store = ReplicaStore.open(settings.data_directory, int(settings.disk_mb * MEGABYTE))
                 stored = await loop.run_in_executor(None, store.load, settings.bootstrap)
+                if stored.damage:
+                    ports.log_error("disk-damaged", damage=stored.damage, identity=stored.identity)
                 return ReplicaRole(settings, store, stored, ports, random)
             except StoreError as error:
                 ports.log_error("disk-unusable", error=str(error))
