--- a/tests/system/test_pages_requests.py
+++ b/tests/system/test_pages_requests.py
@@ -19,9 +19,10 @@
 from cloverrouter.daemon.configuration_feed import ConfigurationFeed
 from cloverrouter.http.client import Failure
 from cloverrouter.http.request import RequestReader, ServerLimits
-from cloverrouter.http.server import Exchange
+from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.admission import LEAST_TIME_MS
 from cloverrouter.router.attempt import Attempt
+from cloverrouter.router.headers import deadline_ms
 from tests.system.router_world import (
     CONFIGURATION,
     EVENTS,
@@ -408,3 +409,28 @@
     assert exchange.body == event(1)
     world.clock.pass_ms(1000)
     assert exchange.aborted and exchange.status == 200
+
+
+@given(st.binary(max_size=60), st.binary(max_size=20), st.binary(max_size=30), st.binary(max_size=30))
+def test_whatever_a_client_says_of_its_prompt_its_request_is_sent(
+    prefix: bytes, usage: bytes, model: bytes, told: bytes
+) -> None:
+    """Only quotas and the choice of a server depend on it."""
+    world = World().set_up()
+    world.ask(
+        "/talk/x",
+        (b"cypresswinch-prompt-prefix", prefix),
+        (b"cypresswinch-token-usage", usage),
+        (b"cypresswinch-model", model),
+        (DEADLINE, told),
+        key=b"key-of-a",
+    )
+    left_ms = deadline_ms(Request(b"GET", b"/", [(DEADLINE, told)], b"", 0.0))
+    assert len(world.calls) == 1 or (left_ms is not None and left_ms < LEAST_TIME_MS)
+
+
+@given(st.lists(st.sampled_from([b"5c:8", b":", b",", b"0:0", b"ff:-1", b"zz:1", b"1:99999999999999999999"])))
+def test_prefixes_that_cannot_be_read_choose_no_server(parts: list[bytes]) -> None:
+    world = World().set_up()
+    world.ask("/talk/x", (b"cypresswinch-prompt-prefix", b",".join(parts)))
+    assert len(world.calls) == 1
--- a/tests/system/test_router_patience.py
+++ b/tests/system/test_router_patience.py
@@ -116,4 +116,4 @@
     world.last.stream(event(1))
     exchange.paused = True
     world.clock.pass_ms(STALL_MS * 2)
-    assert not world.last.cancelled
+    assert not world.last.cancelled and len(world.calls) == 1
