--- a/tests/system/test_pages_servers.py
+++ b/tests/system/test_pages_servers.py
@@ -231,3 +231,24 @@
     made.world.run_until(lambda: made.was_acknowledged(origin, change), ACKNOWLEDGED_WITHIN_S, step=0.001)
     made.world.run(made.world.now + 0.01)
     assert made.knows(alone) == ({} if state is GONE else {"a": DRAINING})
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_of_many_that_leave_at_once_each_is_acknowledged_once_all_know(seed: int) -> None:
+    """News that come close together wait to be passed on together; their acknowledgements wait with them."""
+    made = fleet(seed, size=30)
+    names = [f"s{number}" for number in range(8)]
+    for name in names:
+        made.announce(made.ips[12], name, 1)
+    made.world.run(made.world.now + 3)
+    left = dict.fromkeys(names, READY)
+    for name in names:
+        change = made.withdraw(made.ips[7], name)
+        del left[name]
+        made.world.run_until(
+            lambda change=change: made.was_acknowledged(made.ips[7], change),  # type: ignore[misc]
+            ACKNOWLEDGED_WITHIN_S,
+            step=0.001,
+        )
+        made.world.run(made.world.now + 0.005)
+        assert made.all_know(left), name
