--- a/cloverrouter/explore/coordination/copies.py
+++ b/cloverrouter/explore/coordination/copies.py
@@ -59,7 +59,8 @@
     names = _slots(kind)
 
     def copy_object(value: Any, known: Known) -> Any:
-        made = known[id(value)] = object.__new__(kind)
+        made: Any = object.__new__(kind)
+        known[id(value)] = made
         for name in names:
             held = getattr(value, name, ABSENT)
             if held is not ABSENT:
--- a/cloverrouter/explore/coordination/orders_model.py
+++ b/cloverrouter/explore/coordination/orders_model.py
@@ -1,9 +1,9 @@
 """Operators' orders from proxy to head and back: the real order machine, forwarder and the head's desks.
 
 Real: `ConfigurationMachine`, `Forwarder`, `HeadDesk`, and of the chain `History`, `Desk` and the work of
-`Head` on commands. Played: operators, who hear no answer and send again, to any proxy; the network, which holds
-messages back, loses them and changes their order; and the chain, as far as its own model shows that it does
-it: one replica leads, updates are committed in order by it alone, another takes over with all that was
+`Head` on commands. Played: operators, who hear no answer and send again, to any proxy; the network, which
+holds messages back, loses them and changes their order; and the chain, as far as its own model shows that it
+does it: one replica leads, updates are committed in order by it alone, another takes over with all that was
 committed, and with or without what was not; the one before goes on believing for a while that it leads.
 """
 
