--- a/tests/system/test_mechanisms.py
+++ b/tests/system/test_mechanisms.py
@@ -16,23 +16,34 @@
 import pytest
 from behave.__main__ import main as behave  # type: ignore[import-untyped]
 
+from cloverrouter.control import instance_table
+from cloverrouter.control.announcements import Announcements
+from cloverrouter.control.instances import Instance
 from cloverrouter.control.orders import ConfigurationMachine
 from cloverrouter.control.publisher import Publisher
+from cloverrouter.control.quota_allocator import QuotaAllocator
 from cloverrouter.control.registry import Registry
+from cloverrouter.control.subscriber import Subscriber
+from cloverrouter.control.subscribers import Batch, Subscribers
 from cloverrouter.coordination.disk import DiskQueue
 from cloverrouter.coordination.effects import Answer, Outcome
 from cloverrouter.coordination.head import Head
 from cloverrouter.coordination.proposal import Proposal
+from cloverrouter.coordination.sampling_messages import ViewSummary
 from cloverrouter.daemon.trouble_news import TroubleNews
+from cloverrouter.placement.quota import QuotaHolder
 from cloverrouter.store import StoreFull, replica_store
 from tests.system import (
     order_world,
     test_configuration_orders,
     test_distribution,
     test_large_states,
+    test_quota_lives,
     test_registry,
     test_replica_store,
+    test_subscribers,
     test_trouble_news,
+    test_view_learned,
 )
 
 _evolve: Any = (
@@ -233,6 +244,120 @@
         yield
 
 
+@mechanism(test_distribution.test_updates_already_in_force_are_skipped_and_a_gap_is_pulled)
+def what_is_in_force_already_is_skipped() -> Iterator[None]:
+    original = Subscriber._take_delta
+
+    def forgetful(self: Subscriber, now: float, ip: str, delta: Any) -> Any:
+        self._have = min(self._have, delta.first - 1)
+        return original(self, now, ip, delta)
+
+    with patch.object(Subscriber, "_take_delta", forgetful):
+        yield
+
+
+@mechanism(scenario("distribution", "A process starts while changes come"))
+def the_first_state_waits_for_what_followed_it() -> Iterator[None]:
+    original = Subscriber._went_on
+
+    def hasty(self: Subscriber, now: float, ip: str, change: Any) -> Any:
+        return [*self._release(), *original(self, now, ip, change)]
+
+    with patch.object(Subscriber, "_went_on", hasty):
+        yield
+
+
+@mechanism(test_registry.test_a_receipt_for_an_earlier_life_of_the_origin_counts_for_nothing_else)
+def receipts_name_what_was_taken() -> Iterator[None]:
+    original = Announcements.taken
+
+    def trusting(self: Announcements, voter: str, instance_id: str, fingerprint: int, newest: Any) -> None:
+        pending = self._pending.get(instance_id)
+        original(self, voter, instance_id, pending.fingerprint if pending else fingerprint, newest)
+
+    with patch.object(Announcements, "taken", trusting):
+        yield
+
+
+@mechanism(test_registry.test_a_late_call_does_not_bring_back_what_drains_or_is_gone)
+def states_of_servers_only_rise() -> Iterator[None]:
+    def newest_wins(one: Instance, other: Instance) -> Instance:
+        return other
+
+    with patch.object(instance_table, "merge", newest_wins):
+        yield
+
+
+@mechanism(test_subscribers.test_news_of_two_lives_never_have_the_same_number)
+def numbers_of_news_rise_over_lives() -> Iterator[None]:
+    def numbered(self: Subscribers, now: float, ids: tuple[str, ...]) -> Batch:
+        self._number += 1
+        return Batch(self._number, ids, now)
+
+    with patch.object(Subscribers, "_numbered", numbered):
+        yield
+
+
+@mechanism(test_view_learned.test_an_older_view_is_not_taken)
+def an_older_view_is_refused() -> Iterator[None]:
+    with patch.object(ViewSummary, "order", lambda self: (0, True, 0)):
+        yield
+
+
+@mechanism(lambda: test_quota_lives.test_an_allocator_answers_those_of_its_epoch(6, False))
+def the_allocator_answers_its_epoch() -> Iterator[None]:
+    original = QuotaAllocator.receive
+
+    def any_epoch(self: QuotaAllocator, now: float, ip: str, message: object) -> Any:
+        kept, self._epochs = self._epochs, range(1 << 62)
+        found = original(self, now, ip, message)
+        self._epochs = kept
+        return found
+
+    with patch.object(QuotaAllocator, "receive", any_epoch):
+        yield
+
+
+@mechanism(lambda: test_quota_lives.test_a_proxy_takes_credit_of_its_life_and_epoch(7, 4243, False))
+def credit_names_the_life_of_the_proxy() -> Iterator[None]:
+    original = QuotaHolder.receive
+
+    def any_life(self: QuotaHolder, now: float, ip: str, message: Any) -> Any:
+        kept, self._incarnation = self._incarnation, message.incarnation
+        found = original(self, now, ip, message)
+        self._incarnation = kept
+        return found
+
+    with patch.object(QuotaHolder, "receive", any_life):
+        yield
+
+
+@mechanism(lambda: test_quota_lives.test_a_proxy_is_bound_by_contact_of_its_life_and_epoch(6, 4242, False))
+def contact_names_the_epoch_of_the_head() -> Iterator[None]:
+    original = QuotaHolder.receive
+
+    def any_epoch(self: QuotaHolder, now: float, ip: str, message: Any) -> Any:
+        kept, self._epoch = self._epoch, message.epoch
+        found = original(self, now, ip, message)
+        self._epoch = kept
+        return found
+
+    with patch.object(QuotaHolder, "receive", any_epoch):
+        yield
+
+
+@mechanism(test_quota_lives.test_what_an_allocator_has_left_is_taken_over_once)
+def what_is_left_of_a_pool_is_taken_over_once() -> Iterator[None]:
+    original = QuotaAllocator._take_over
+
+    def again(self: QuotaAllocator, message: Any) -> None:
+        self._taken_over.clear()
+        original(self, message)
+
+    with patch.object(QuotaAllocator, "_take_over", again):
+        yield
+
+
 @pytest.mark.parametrize("name", MECHANISMS)
 def test_its_check_fails_without_it(name: str) -> None:
     found = MECHANISMS[name]
