--- a/features/catching_up.feature
+++ b/features/catching_up.feature
@@ -37,6 +37,14 @@
     Then within 3 s it has no vote, and leads nothing
     And 20 more changes are acknowledged
 
+  Scenario: A disk is put into another machine
+    Given a chain of 3 replicas with 3 proxies, and version 5 in force
+    When the power of the tail goes
+    And 300 changes are acknowledged, and it stays away
+    And its disk is put into a machine at another address, and the old machine gets an empty one
+    Then within 6 s the machine with the disk is in the chain, and the old machine has no vote
+    And 20 more changes are acknowledged
+
   Scenario Outline: The state takes longer to hand over than changes come
     Given a chain of replicas with a state that takes <s> s on a link
     When the power of the tail goes
--- a/features/steps/catching_up_steps.py
+++ b/features/steps/catching_up_steps.py
@@ -162,6 +162,32 @@
     assert away.replica is not None and away.replica.lead_until is None
 
 
+@when("its disk is put into a machine at another address, and the old machine gets an empty one")
+def step_disk_moves(context: Any) -> None:
+    world, away = context.world, context.away
+    context.moved = Node("10.1.0.77", "moved", away.zone, away.disk)
+    away.disk = Disk(False, world.random)
+    world.nodes.append(context.moved)
+    world.start(context.moved)
+    world.start(away)
+
+
+@then("within {seconds:g} s the machine with the disk is in the chain, and the old machine has no vote")
+def step_disk_in_chain(context: Any, seconds: float) -> None:
+    world = context.world
+
+    def view() -> Any:
+        head = world.head()
+        return head.replica.view_info if head is not None and head.replica is not None else None
+
+    def is_in() -> bool:
+        identities = [member.identity for member in view().chain] if view() is not None else []
+        return context.moved.member.identity in identities
+
+    assert world.run_while(lambda: not is_in(), seconds)
+    assert context.away.member.identity not in {member.identity for member in view().voters}
+
+
 @then("{count:d} more changes are acknowledged")
 def step_more_changes(context: Any, count: int) -> None:
     change_many(context, count, {})
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -376,3 +376,48 @@
     assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
     assert b"Content-Type: application/json\r\n" in answer
     assert answer.endswith(b'\r\n\r\n{"version":3}')
+
+
+def on_a_connection(sent: bytes) -> tuple[bytes, Backend]:
+    """What comes back for these bytes, after which the caller sends no more."""
+    backend = Backend()
+
+    async def run() -> bytes:
+        server = Server(ControlApi(backend).handle, ServerLimits())
+        host, port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(sent)
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        writer.close()
+        server.close()
+        return answer
+
+    return asyncio.run(run()), backend
+
+
+def raw_order(length: int, *fields: bytes) -> bytes:
+    """A first order, with these fields beside its own."""
+    body = json.dumps(document(3)).encode()
+    lines = [b"PUT /-/configuration HTTP/1.1", b"Host: x", b"Connection: close", *fields]
+    return b"\r\n".join([*lines, b"Content-Length: %d" % (len(body) + length), b"", body])
+
+
+def test_an_order_that_was_cut_short_on_its_way_is_not_taken() -> None:
+    answer, backend = on_a_connection(raw_order(1, b"If-Match: 0"))
+    assert b" 200 " not in answer
+    assert backend.machine.version == 0
+
+
+@pytest.mark.parametrize("doubled", [b"If-Match: 0", b"If-Match: 3", b"Content-Length: 7"])
+def test_an_order_with_a_doubled_header_is_not_taken(doubled: bytes) -> None:
+    answer, backend = on_a_connection(raw_order(0, b"If-Match: 0", doubled))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert backend.machine.version == 0
+
+
+def test_an_order_on_a_version_to_come_is_not_taken() -> None:
+    answer, backend = on_a_connection(raw_order(0, b"If-Match: 2"))
+    assert answer.startswith(b"HTTP/1.1 412 ")
+    assert backend.machine.version == 0
