--- a/tests/system/test_mechanisms.py
+++ b/tests/system/test_mechanisms.py
@@ -288,7 +288,7 @@
         yield
 
 
-@mechanism(test_subscribers.test_news_of_two_lives_never_have_the_same_number)
+@mechanism(test_subscribers.test_a_receipt_for_the_process_before_takes_no_news_of_this_one)
 def numbers_of_news_rise_over_lives() -> Iterator[None]:
     def numbered(self: Subscribers, now: float, ids: tuple[str, ...]) -> Batch:
         self._number += 1
