--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -74,13 +74,13 @@
     )
 
 
-def play(bench: Path, site: Path, seed: int, folder: Path, options: list[str]) -> Played:
+def play(bench: Path, site: Path, seed: int, heavy: bool, folder: Path, options: list[str]) -> Played:
     """Plays the day of a seed, unless its report is there."""
     stem = folder / f"{site.stem}-{seed}"
     report = stem.with_suffix(".json")
     if not report.exists():
         day = stem.with_suffix(".toml")
-        day.write_text(day_toml(draw_day(read_site(site), seed)))
+        day.write_text(day_toml(draw_day(read_site(site), seed, heavy)))
         command = [str(bench), "run", str(site), str(day), "--seed", str(seed), "--report", str(report)]
         with stem.with_suffix(".txt").open("w") as output:
             subprocess.run([*command, *options], stdout=output, stderr=subprocess.STDOUT, check=False)
@@ -107,6 +107,7 @@
     last: int,
     why: str,
     jobs: int = 2,
+    heavy: bool = False,
     small: bool = False,
     folder: Path = FOLDER,
 ) -> int:
@@ -126,6 +127,8 @@
         For the bench's journal.
     jobs
         How many days at a time.
+    heavy
+        About twice as many troubles of control a day. Wants a folder of its own.
     small
         Play the small twins of a large deployment's days.
     folder
@@ -136,7 +139,7 @@
     days = [(path, seed) for seed in range(first, last + 1) for path in site]
     ended: list[Played] = []
     with ThreadPoolExecutor(jobs) as pool:
-        for day in pool.map(lambda drawn: play(bench, drawn[0], drawn[1], folder, options), days):
+        for day in pool.map(lambda drawn: play(bench, drawn[0], drawn[1], heavy, folder, options), days):
             print(day.line(), flush=True)
             ended.append(day)
     print(table(ended))
--- a/benchmarks/trouble_days.py
+++ b/benchmarks/trouble_days.py
@@ -1,6 +1,6 @@
 """Draws days of control trouble for a deployment: a seed and a site file give one day, always the same.
 
-    python -m benchmarks.trouble_days SITE SEED [--out FILE]
+    python -m benchmarks.trouble_days SITE SEED [--heavy] [--out FILE]
 
 A day is made of several *threads*, each a story of trouble (a long cut, losses one right after the other, a
 storm of configurations, ...), which overlap. What the deployment may lose, its services, kinds of requests
@@ -24,6 +24,8 @@
 DAY_S = 34.0  # without a length of its own in the site file
 CALM_START_S = 1.5  # the first trouble comes no sooner
 CALM_END_S = 5.0  # and none begins later than so long before the end of traffic
+STORIES = (2, 3)  # of control, on a day
+HEAVY_STORIES = (4, 6)
 LOAD_FIELDS = ("traffic", "small")
 LONG_S = (20.0, 25.0)  # long enough to outlast every bound of a deployment
 
@@ -417,11 +419,11 @@
     return [item for item in moved if item["at"] <= last]
 
 
-def draw_day(site: Site, seed: int) -> Entry:
-    """The day of a seed: two or three stories of control, one or two of traffic, often a final fault."""
+def draw_day(site: Site, seed: int, heavy: bool = False) -> Entry:
+    """The day of a seed: some stories of control, some of traffic, often a final fault."""
     random = Random(seed)
     last = site.length_s - CALM_END_S
-    stories = random.sample(CONTROL_STORIES, random.randint(2, 3))
+    stories = random.sample(CONTROL_STORIES, random.randint(*(HEAVY_STORIES if heavy else STORIES)))
     stories += random.sample(TRAFFIC_STORIES, random.randint(1, 2))
     plan: list[Entry] = []
     faults: list[Entry] = []
@@ -475,7 +477,7 @@
 
 
 @app.default
-def main(site: Path, seed: int, *, out: Path | None = None) -> None:
+def main(site: Path, seed: int, *, heavy: bool = False, out: Path | None = None) -> None:
     """Prints the day of a seed, or writes it to a file.
 
     Parameters
@@ -484,10 +486,12 @@
         The site file of the deployment.
     seed
         Gives the day.
+    heavy
+        About twice as many troubles of control.
     out
         Where to write it; standard output without.
     """
-    text = day_toml(draw_day(read_site(site), seed))
+    text = day_toml(draw_day(read_site(site), seed, heavy))
     if out is None:
         sys.stdout.write(text)
     else:
--- a/tests/system/test_trouble_days.py
+++ b/tests/system/test_trouble_days.py
@@ -94,6 +94,13 @@
     assert len({day_toml(draw_day(SITE, seed)) for seed in SEEDS}) == len(SEEDS)
 
 
+def test_a_heavy_day_has_more_trouble_of_control_of_the_same_kinds() -> None:
+    heavy = [draw_day(SITE, seed, heavy=True) for seed in SEEDS]
+    usual = [draw_day(SITE, seed) for seed in SEEDS]
+    assert {item["kind"] for day in heavy for item in entries(day)} == set(KINDS)
+    assert sum(map(len, map(entries, heavy))) > 1.4 * sum(map(len, map(entries, usual)))
+
+
 def test_a_day_reads_back_from_its_file_as_it_was_drawn() -> None:
     assert all(drawn(seed) == draw_day(SITE, seed) for seed in SEEDS)
 
