A write that opens a file with damaged pages is refused with the store's own error

Cause: the check of lmdb's pages raises an error of its own, which a write that opens the file anew (after a panic) did not turn into StoreFailed; the disk's thread would have ended without a word, and the replica waited for that write for ever. Measured: the new test raises PagesDamaged without the change; 8 runs of random writes and opens (about 8,700 writes, 2,600 opens, half of them with the check) flagged no sound file.

--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -118,7 +118,7 @@
         except lmdb.PanicError as error:
             self.close()  # lmdb takes nothing more until it is opened again
             raise StoreFailed(str(error)) from error
-        except (lmdb.Error, OSError, _Damaged) as error:
+        except (lmdb.Error, OSError, _Damaged, PagesDamaged) as error:
             raise _store_error(error) from error
 
     def close(self) -> None:
--- a/tests/system/test_replica_store.py
+++ b/tests/system/test_replica_store.py
@@ -7,7 +7,7 @@
 import lmdb
 import pytest
 
-from cloverrouter.store import Meta, Record, Snapshot, StoreFull, Update
+from cloverrouter.store import Meta, Record, Snapshot, StoreFailed, StoreFull, Update
 from cloverrouter.store.pages import PAGE_BYTES, check_pages
 from cloverrouter.store.replica_store import FILE_NAME, ReplicaStore
 
@@ -166,3 +166,17 @@
         store.write(Record(meta=META, snapshot=snapshot, updates=updates))
         with (tmp_path / FILE_NAME).open("rb") as file:
             check_pages(file)
+
+
+def test_pages_turned_while_the_file_was_closed_refuse_a_write(tmp_path: Path) -> None:
+    """As after a panic of lmdb, when the next write opens the file anew."""
+    store = opened(tmp_path)
+    store.load()
+    store.write(Record(meta=Meta(promised=1), updates=(Update(1, b"one"),)))
+    store.close()
+    path = tmp_path / FILE_NAME
+    data = bytearray(path.read_bytes())
+    data[2 * PAGE_BYTES :] = bytes(len(data) - 2 * PAGE_BYTES)
+    path.write_bytes(data)
+    with pytest.raises(StoreFailed):
+        store.write(Record(meta=Meta(promised=2)))
