--- a/features/steps/chain_steps.py
+++ b/features/steps/chain_steps.py
@@ -207,6 +207,7 @@
         for node in world.nodes:
             order.send_to(node)
             assert read(context, node, 0.1) is None
+        world.run(0.05)  # all may answer at once
     assert order.result is None
 
 
--- /dev/null
+++ b/tests/system/control_world.py
@@ -0,0 +1,188 @@
+"""The world of replicas with what stands before them: machines that take the operator's calls.
+
+Every machine, with a disk or without, has the forwarder of its process; a machine with a disk answers calls
+that reach it as the head. Views travel to all machines that are not cut off.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+import attrs
+
+from cloverrouter.control.forwarding import (
+    Finished,
+    Forwarder,
+    HeadAnswer,
+    HeadCall,
+    Kind,
+    SendCall,
+    first_ticket,
+)
+from cloverrouter.coordination.effects import Answer, Effect, Outcome, StateMachine, ViewChanged
+from cloverrouter.coordination.sampling_messages import ViewSummary
+from cloverrouter.daemon.head_desk import HeadDesk
+from cloverrouter.daemon.replica_role import summary_of
+from cloverrouter.messages.sending import Send
+from tests.system.replica_world import Node, Register, World
+
+VIEW_DELAY_S = 0.002
+
+
+class PatientRegister(Register):
+    """Knows every order of a scenario again."""
+
+    kept_digests = 1_000_000
+
+
+@attrs.define(eq=False)
+class ControlCall:
+    """One call of the operator at one machine."""
+
+    ip: str
+    kind: Kind
+    name: str  # of the order
+    sent_at: float
+    least: int  # acknowledged before it was sent
+    ended_at: float | None = None
+    reply: bytes | None = None  # None: given up, a 503
+
+    @property
+    def is_confirmed(self) -> bool:
+        """An order: it is in force. A read: it was answered."""
+        if self.reply is None:
+            return False
+        return self.kind is Kind.READ or json.loads(self.reply)[0] == "done"
+
+    @property
+    def is_refused(self) -> bool:
+        """It is told that another version is in place."""
+        return self.reply is not None and not self.is_confirmed
+
+
+class Front:
+    """What a process that takes calls has: the forwarder, and the view that it knows."""
+
+    def __init__(self, ip: str, seed: float) -> None:
+        self.ip = ip
+        self.forwarder = Forwarder()
+        self.summary: ViewSummary | None = None
+        self.tickets = first_ticket(Random(seed))
+        self.calls: dict[int, ControlCall] = {}
+
+
+class ControlWorld(World):
+    """Replicas, and `proxies` more machines without a disk."""
+
+    def __init__(self, seed: int, count: int, tolerance: int, proxies: int = 2, **options: Any) -> None:
+        self.fronts: dict[str, Front] = {}
+        self._desks: dict[str, tuple[Any, HeadDesk]] = {}
+        super().__init__(seed, count, tolerance, **options)
+        for node in self.nodes:
+            self.fronts[node.ip] = Front(node.ip, self.random.random())
+        for number in range(proxies):
+            ip = f"10.9.0.{number + 1}"
+            self.fronts[ip] = Front(ip, self.random.random())
+        self.proxies = [ip for ip in self.fronts if ip.startswith("10.9.")]
+        self.at(self.now, self._tick_fronts)
+
+    def new_machine(self) -> StateMachine:
+        return PatientRegister()
+
+    # -- the operator --
+
+    def order(self, ip: str, name: str, expect: int | None = None) -> ControlCall:
+        """An order at a machine."""
+        command = json.dumps({"id": name, "expect": expect, "value": name}).encode()
+        return self._call(ip, Kind.ORDER, name, command)
+
+    def read_back(self, ip: str) -> ControlCall:
+        """The operator asks a machine for the configuration."""
+        return self._call(ip, Kind.READ, "", b"")
+
+    def _call(self, ip: str, kind: Kind, name: str, command: bytes) -> ControlCall:
+        front = self.fronts[ip]
+        front.tickets += 1
+        call = ControlCall(ip, kind, name, self.now, self.ledger.acknowledged)
+        front.calls[front.tickets] = call
+        self._forward(front, front.forwarder.ask(self.now, front.tickets, kind, command))
+        return call
+
+    def _forward(self, front: Front, effects: Iterable[SendCall | Finished]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendCall):
+                self._send_any(front.ip, effect.ip, effect.call)
+            else:
+                self._end(front.calls.pop(effect.ticket), effect.reply)
+
+    def _end(self, call: ControlCall, reply: bytes | None) -> None:
+        call.reply, call.ended_at = reply, self.now
+        if call.kind is Kind.ORDER and call.is_confirmed and reply is not None:
+            self.check_acknowledged(json.loads(reply)[1], call.name)
+        elif call.kind is Kind.READ and reply is not None:
+            version = json.loads(reply)[0] if reply else 0
+            self.check_read(Answer(0, Outcome.DONE, reply, version), call.least)
+
+    def _tick_fronts(self) -> None:
+        for front in self.fronts.values():
+            self._forward(front, front.forwarder.tick(self.now))
+        self.at(self.now + self.tick_s, self._tick_fronts)
+
+    # -- between machines --
+
+    def _send_any(self, from_ip: str, to_ip: str, message: object) -> None:
+        if from_ip == to_ip:
+            self.at(self.now, lambda: self._deliver(from_ip, to_ip, message))
+        else:
+            self._send(from_ip, Send(to_ip, message))
+
+    def _deliver(self, from_ip: str, to_ip: str, message: object) -> None:
+        if (from_ip, to_ip) in self.cuts:
+            return
+        if isinstance(message, HeadCall):
+            self._ask_desk(from_ip, to_ip, message)
+        elif isinstance(message, HeadAnswer):
+            front = self.fronts[to_ip]
+            self._forward(front, front.forwarder.answered(self.now, message))
+        else:
+            super()._deliver(from_ip, to_ip, message)
+
+    def _ask_desk(self, from_ip: str, to_ip: str, call: HeadCall) -> None:
+        for node in self.nodes:
+            if node.ip == to_ip and node.replica is not None:
+                self.carry_out(node, self._desk(node).called(self.now, from_ip, call))
+
+    def _desk(self, node: Node) -> HeadDesk:
+        """The desk of a node's process."""
+        found = self._desks.get(node.ip)
+        if found is None or found[0] is not node.replica:
+            assert node.replica is not None
+            desk = HeadDesk(node.replica, lambda ip, message: self._send_any(node.ip, ip, message))
+            found = self._desks[node.ip] = node.replica, desk
+        return found[1]
+
+    def carry_out(self, node: Node, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Answer):
+                self._desk(node).answered(effect)
+            else:
+                super().carry_out(node, [effect])
+
+    def _on_view(self, node: Node, effect: ViewChanged) -> None:
+        super()._on_view(node, effect)
+        summary = summary_of(effect.view, node.committed)
+        for ip in self.fronts:
+            if (node.ip, ip) not in self.cuts:
+                self.at(self.now + VIEW_DELAY_S, lambda ip=ip: self._learn(ip, summary))  # type: ignore[misc]
+
+    def _learn(self, ip: str, summary: ViewSummary) -> None:
+        """As the control plane of a process does."""
+        front = self.fronts[ip]
+        if front.summary is not None and summary.order() < front.summary.order():
+            return
+        front.summary = summary
+        head = summary.head if summary.active else None
+        self._forward(front, front.forwarder.head_changed(self.now, head))
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -56,6 +56,8 @@
 class Register:
     """The state machine of the tests: a value, its version, and the orders that led there."""
 
+    kept_digests = KEPT_DIGESTS
+
     def __init__(self) -> None:
         self.version = 0
         self.value = ""
@@ -78,7 +80,7 @@
         self.version = entry["version"]
         self.value = entry["value"]
         self.orders[entry["id"]] = self.version
-        if len(self.orders) > KEPT_DIGESTS:
+        if len(self.orders) > self.kept_digests:
             del self.orders[next(iter(self.orders))]
 
     def snapshot(self) -> bytes:
