--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -42,13 +42,15 @@
     raise _NotJson(f"{text}, which is no JSON")
 
 
-_decoder = json.JSONDecoder(parse_int=_whole_number, parse_float=_fraction, parse_constant=_no_number)
+def _decoder() -> json.JSONDecoder:
+    """Of its own for each document, as threads may read at the same time."""
+    return json.JSONDecoder(parse_int=_whole_number, parse_float=_fraction, parse_constant=_no_number)
 
 
 def read_object(body: bytes, findings: Findings) -> dict[str, Any]:
     """The JSON object of a body. What can't be read adds a finding and gives an empty object."""
     try:
-        document = _decoder.decode(body.decode("utf-8-sig"))
+        document = _decoder().decode(body.decode("utf-8-sig"))
     except json.JSONDecodeError as error:
         findings.append(Finding("", f"not whole JSON: {error.msg} at character {error.pos}"))
     except UnicodeDecodeError as error:
@@ -147,7 +149,8 @@
 
 def _finding(error: Any, schema: Any, document: Mapping[str, Any], place: str) -> Finding:
     path = _joined(place, error.document_path)
-    wanted = _wanted(schema, error.document_path)
+    is_too_large = error.rule == "max"
+    wanted = f"at most {error.constraint}" if is_too_large else _wanted(schema, error.document_path)
     found, present = _at(document, error.document_path)
     if not present:
         return Finding(path, f"missing, wanted {wanted}")
