--- a/tests/system/test_replica_answers.py
+++ b/tests/system/test_replica_answers.py
@@ -158,7 +158,7 @@
 def test_a_state_is_taken_from_whom_it_was_asked_of_in_this_try(chain: Chain, what: str) -> None:
     node, proposal = chain.proposer(Phase.COLLECTING)
     other = chain.middle if node is chain.tail else chain.tail
-    synced = proposal.epoch - 1  # newer than all that the others hold
+    synced = proposal.promises[name(node)].synced + 1  # newer than what this one holds
     promise = Promise(name(other), name(node), proposal.epoch, synced, 7, None, True)
     proposal.phase, proposal._source = Phase.FETCHING, promise
     proposal.promises[name(other)] = promise
