--- a/cloverrouter/fuzz/settings_files.py
+++ b/cloverrouter/fuzz/settings_files.py
@@ -86,6 +86,7 @@
         return text.encode("utf-8", "replace")
 
     def check(self, data: bytes) -> None:
+        self._path.unlink(missing_ok=True)  # some file systems flush a file that is cut off and written again
         self._path.write_bytes(data)
         try:
             settings = read(str(self._path))
--- a/cloverrouter/fuzz/store_files.py
+++ b/cloverrouter/fuzz/store_files.py
@@ -14,12 +14,15 @@
 import tempfile
 from collections.abc import Sequence
 from enum import IntEnum
+from functools import partial
 from pathlib import Path
 from random import Random
 
+import lmdb
+
 from cloverrouter.fuzz.mutation import mutate_bytes
 from cloverrouter.fuzz.target import PropertyBroken, expect
-from cloverrouter.store import Meta, Record, Snapshot, StoredReplica, StoreError, Update
+from cloverrouter.store import Meta, Record, Snapshot, StoredReplica, StoreError, Update, replica_store
 from cloverrouter.store.pages import PAGE_BYTES
 from cloverrouter.store.replica_store import FILE_NAME, ReplicaStore
 
@@ -82,6 +85,7 @@
 
     def check(self, data: bytes) -> None:
         edited, touches_meta = self._edited(data)
+        self._file.unlink(missing_ok=True)  # some file systems flush a file that is cut off and written again
         self._file.write_bytes(edited)
         result = self._read_apart()
         if edited == self._image:
@@ -124,6 +128,7 @@
         return Result(os.waitstatus_to_exitcode(status))
 
     def _read(self) -> Result:
+        _spare_the_disk()
         sys.stderr = None
         os.dup2(os.open(os.devnull, os.O_WRONLY), 2)  # lmdb tells why it aborts
         try:
@@ -149,6 +154,12 @@
         return Result.EARLIER if stored in self._states else Result.OTHER
 
 
+def _spare_the_disk() -> None:
+    """In this process what is written need not survive a loss of power, and is not waited for."""
+    lmdb.open = partial(lmdb.open, sync=False)  # type: ignore[assignment]
+    replica_store._sync_directory = lambda directory: None
+
+
 def _edit(image: bytearray, kind: int, place: int, value: int) -> None:
     page = place // PAGE_BYTES * PAGE_BYTES
     match kind:
