--- a/cloverrouter/explore/models.py
+++ b/cloverrouter/explore/models.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from cloverrouter.explore.coordination import distribution_scopes, orders_scopes
 from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scopes import SCOPES as REPLICAS
 
-MODELS: dict[str, ModelScope] = {}
+MODELS: dict[str, ModelScope] = {**REPLICAS, **orders_scopes.SCOPES, **distribution_scopes.SCOPES}
 
 
 def faults() -> dict[str, ModelFault]:
