--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -260,11 +260,28 @@
     assert told(answer)["findings"] == [problem]
 
 
-def test_an_endless_id_is_refused() -> None:
-    call = Call(b"PUT", b"/-/instances/" + b"x" * 999, json.dumps(ANNOUNCEMENT).encode())
+@pytest.mark.parametrize("method", [b"PUT", b"DELETE"])
+@pytest.mark.parametrize("instance_id", [b"x" * 999, b"a%00b"])
+def test_an_endless_or_unprintable_id_is_refused(method: bytes, instance_id: bytes) -> None:
+    call = Call(method, b"/-/instances/" + instance_id, json.dumps(ANNOUNCEMENT).encode())
     assert ask(call).status == 400
 
 
+@pytest.mark.parametrize("field", ["capacity", "warmup-remaining-ms"])
+def test_a_number_that_no_message_holds_is_refused(field: str) -> None:
+    body = json.dumps({**ANNOUNCEMENT, field: 1e19}).encode()
+    answer = ask(Call(b"PUT", b"/-/instances/i-1", body))
+    assert answer.status == 400
+    assert told(answer)["findings"] == [f"{field}: found 1e+19, wanted at most {2**53}"]
+
+
+def test_an_unknown_list_whose_names_are_no_names_is_taken_as_it_is() -> None:
+    body = json.dumps(document(notes=[{"name": []}, {"name": {}}])).encode()
+    backend = Backend()
+    assert ask(Call(b"PUT", b"/-/configuration", body, {b"if-match": b"0"}), backend=backend).status == 200
+    assert backend.machine.document["notes"] == [{"name": []}, {"name": {}}]
+
+
 def test_few_fields_make_a_registration() -> None:
     body = {"backend": "model", "address": "[::1]:80", "sequence-number": 1}
     assert read_registration("i-1", json.dumps(body).encode()) == body
@@ -376,3 +393,48 @@
     assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
     assert b"Content-Type: application/json\r\n" in answer
     assert answer.endswith(b'\r\n\r\n{"version":3}')
+
+
+def on_a_connection(sent: bytes) -> tuple[bytes, Backend]:
+    """What comes back for these bytes, after which the caller sends no more."""
+    backend = Backend()
+
+    async def run() -> bytes:
+        server = Server(ControlApi(backend).handle, ServerLimits())
+        host, port = await server.listen("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(sent)
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        writer.close()
+        server.close()
+        return answer
+
+    return asyncio.run(run()), backend
+
+
+def raw_order(length: int, *fields: bytes) -> bytes:
+    """A first order, with these fields beside its own."""
+    body = json.dumps(document(3)).encode()
+    lines = [b"PUT /-/configuration HTTP/1.1", b"Host: x", b"Connection: close", *fields]
+    return b"\r\n".join([*lines, b"Content-Length: %d" % (len(body) + length), b"", body])
+
+
+def test_an_order_that_was_cut_short_on_its_way_is_not_taken() -> None:
+    answer, backend = on_a_connection(raw_order(1, b"If-Match: 0"))
+    assert b" 200 " not in answer
+    assert backend.machine.version == 0
+
+
+@pytest.mark.parametrize("doubled", [b"If-Match: 0", b"If-Match: 3", b"Content-Length: 7"])
+def test_an_order_with_a_doubled_header_is_not_taken(doubled: bytes) -> None:
+    answer, backend = on_a_connection(raw_order(0, b"If-Match: 0", doubled))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert backend.machine.version == 0
+
+
+def test_an_order_on_a_version_to_come_is_not_taken() -> None:
+    answer, backend = on_a_connection(raw_order(0, b"If-Match: 2"))
+    assert answer.startswith(b"HTTP/1.1 412 ")
+    assert backend.machine.version == 0
