--- /dev/null
+++ b/cloverrouter/explore/coordination/lease_scopes.py
@@ -0,0 +1,89 @@
+"""The scopes `lease`, `lease-tokens` and `lease-large`, with the faults to be found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest.mock import patch
+
+from cloverrouter.coordination.lease import LeaseVoter
+from cloverrouter.coordination.lease_messages import LeaseReleased
+from cloverrouter.explore.coordination.lease_model import INVARIANTS, LeaseScope, LeaseWorld
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.search import Limits
+from cloverrouter.explore.coordination.worlds import WorldModel, told
+
+SCOPE = "lease"
+TOKENS = "lease-tokens"
+LARGE = "lease-large"
+SMALL_WORLD = LeaseScope(most_time=5)
+TOKENS_WORLD = LeaseScope(candidates=("c1",), most_time=7)
+LARGE_WORLD = LeaseScope(voters=("v1", "v2", "v3"))
+
+
+class LeaseModel(WorldModel[LeaseWorld]):
+    """The model of one world."""
+
+    def __init__(self, scope: LeaseScope) -> None:
+        super().__init__({f"{len(scope.candidates)} candidates": lambda: LeaseWorld(scope)})
+
+
+_begin = LeaseVoter.__init__
+
+
+def _begin_at_once(self: LeaseVoter, now: float, lease_s: float, tokens: Any = None) -> None:
+    _begin(self, now, lease_s, tokens)
+    self._quiet_until = now
+
+
+def _begin_without_tokens(self: LeaseVoter, now: float, lease_s: float, tokens: Any = None) -> None:
+    _begin(self, now, lease_s)
+
+
+def _release_of_anyone(self: LeaseVoter, message: LeaseReleased) -> None:
+    grant = self._grants.get(message.role)
+    if grant is not None:
+        grant.holder = ""
+
+
+def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
+    return lambda: patch.object(target, name, fault)
+
+
+FAULTS = {
+    "grants-at-once-after-a-start": ModelFault(
+        "a voter that has just started grants at once",
+        ("two",), SCOPE, _seeded(LeaseVoter, "__init__", _begin_at_once),
+    ),
+    "token-on-no-disk": ModelFault(
+        "a voter that starts knows no tokens",
+        ("token",), TOKENS, _seeded(LeaseVoter, "__init__", _begin_without_tokens),
+    ),
+    "released-by-anyone": ModelFault(
+        "a voter takes a role for free, whoever gave it back",
+        ("two",), SCOPE, _seeded(LeaseVoter, "_on_released", _release_of_anyone),
+    ),
+}  # fmt: skip
+
+
+def _faults_of(scope: str) -> dict[str, ModelFault]:
+    return {name: fault for name, fault in FAULTS.items() if fault.scope == scope}
+
+
+SCOPES = {
+    SCOPE: ModelScope(
+        "one voter and two candidates: restarts, freezes, uneven clocks, late and lost messages",
+        lambda: LeaseModel(SMALL_WORLD), Limits(deviations=1, seconds=120.0),
+        _faults_of(SCOPE), told, INVARIANTS,
+    ),
+    TOKENS: ModelScope(
+        "one voter and one candidate, both of which start again",
+        lambda: LeaseModel(TOKENS_WORLD), Limits(deviations=2, seconds=120.0),
+        _faults_of(TOKENS), told, INVARIANTS,
+    ),
+    LARGE: ModelScope(
+        "the same with three voters",
+        lambda: LeaseModel(LARGE_WORLD), Limits(deviations=2, seconds=600.0), {}, told, INVARIANTS,
+    ),
+}  # fmt: skip
--- a/cloverrouter/explore/models.py
+++ b/cloverrouter/explore/models.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from cloverrouter.explore.coordination import distribution_scopes, orders_scopes
+from cloverrouter.explore.coordination import distribution_scopes, lease_scopes, orders_scopes
 from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
 from cloverrouter.explore.coordination.scopes import SCOPES as REPLICAS
 
-MODELS: dict[str, ModelScope] = {**REPLICAS, **orders_scopes.SCOPES, **distribution_scopes.SCOPES}
+MODELS: dict[str, ModelScope] = {
+    **REPLICAS,
+    **orders_scopes.SCOPES,
+    **distribution_scopes.SCOPES,
+    **lease_scopes.SCOPES,
+}
 
 
 def faults() -> dict[str, ModelFault]:
--- a/tests/test_explore_control.py
+++ b/tests/test_explore_control.py
@@ -11,15 +11,17 @@
 import pytest
 
 from cloverrouter.control.publisher import _Subscription
-from cloverrouter.explore.coordination import distribution_scopes, orders_scopes
+from cloverrouter.explore.coordination import distribution_scopes, lease_scopes, orders_scopes
 from cloverrouter.explore.coordination.copies import Form, copied, digest
 from cloverrouter.explore.coordination.distribution_scopes import DistributionModel
+from cloverrouter.explore.coordination.lease_model import LeaseScope
+from cloverrouter.explore.coordination.lease_scopes import LeaseModel
 from cloverrouter.explore.coordination.orders_scopes import OrdersModel
 from cloverrouter.explore.coordination.scope import ModelScope
 from cloverrouter.explore.coordination.search import Limits, Model, Result, play, search
 
 LONG_S = 600.0  # never reached by what is bounded
-SCOPES: dict[str, ModelScope] = {**orders_scopes.SCOPES, **distribution_scopes.SCOPES}
+SCOPES: dict[str, ModelScope] = {**orders_scopes.SCOPES, **distribution_scopes.SCOPES, **lease_scopes.SCOPES}
 FAULTS = [(scope, fault) for scope, known in SCOPES.items() for fault in known.faults]
 
 
@@ -55,6 +57,11 @@
     check_whole(search(model, Limits(deviations=1, seconds=LONG_S)), 500)
 
 
+def test_a_role_has_one_holder_in_every_ordering() -> None:
+    model = LeaseModel(LeaseScope(candidates=("c1",), most_time=5))
+    check_whole(search(model, Limits(deviations=1, seconds=LONG_S)), 200)
+
+
 @pytest.mark.parametrize(("scope", "fault"), FAULTS)
 def test_each_seeded_fault_is_found(scope: str, fault: str) -> None:
     known = SCOPES[scope]
