--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -549,6 +549,16 @@
         yield
 
 
+@fault
+@contextmanager
+def a_freeze_is_not_noticed() -> Iterator[None]:
+    def blind(self: Replica, now: float) -> None:
+        self._now = now
+
+    with patch.object(Replica, "_look_at_clock", blind):
+        yield
+
+
 SCENARIO_SEEDS = (1, 3)
 FOUND = (Violation, AssertionError, ValueError, IndexError, KeyError)
 
--- a/tests/system/replica_scenarios.py
+++ b/tests/system/replica_scenarios.py
@@ -541,6 +541,20 @@
     settle(world)
 
 
+def all_freeze_and_wake(seed: int) -> None:
+    """Nobody has been silent: the same head leads on, with all, and takes an order at once."""
+    world = World(seed, 3, 1)
+    world.run(2.0)
+    head, before = leader(world), chain_of(world)
+    for node in world.nodes:
+        world.freeze(node, 2.0)
+    world.run(2.0)
+    run = order(world, head, "late")
+    if not world.run_while(lambda: not run(), 0.2) or chain_of(world) != before:
+        raise Violation("a head that was frozen with all others does not lead on")
+    settle(world)
+
+
 SCENARIOS = (
     an_order_reaches_a_member_that_has_promised_more,
     a_member_loses_power_when_it_has_promised,
@@ -560,4 +574,5 @@
     a_head_takes_up_a_newer_state_than_its_own,
     a_head_that_is_cut_off_says_so,
     a_state_handed_over_is_lost_before_it_is_stored,
+    all_freeze_and_wake,
 )
