--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -37,6 +37,7 @@
     "lab": Command("cloverrouter.cli.lab", "lab", "Emulated servers and clients: try a configuration."),
     "logs": Command("cloverrouter.cli.logs", "cli", "What nodes have written; one request as a tree."),
     "servers": Command("cloverrouter.cli.fleet", "system", "The list of servers, as a node knows it."),
+    "soak": Command("cloverrouter.cli.soak", "demo", "Strike fleets on this machine again and again."),
     "status": Command("cloverrouter.cli.fleet", "system", "What a node tells of itself."),
     "trace": Command("cloverrouter.cli.fleet", "system", "What a node remembers of a request."),
     "view": Command("cloverrouter.cli.fleet", "system", "The chain of replicas, as a node knows it."),
--- a/cloverrouter/lab/fleet/client.py
+++ b/cloverrouter/lab/fleet/client.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
 from cloverrouter.lab.fleet.contract import PROMISES, Event, subject_of
 from cloverrouter.lab.fleet.judge import AnswerSeen, Ask, Judge, Request
 from cloverrouter.lab.fleet.load import Draws, Kind, Wish
-from cloverrouter.lab.fleet.platform import Platform
 from cloverrouter.lab.fleet.wire import (
     EventParser,
     Head,
@@ -31,6 +30,14 @@
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+class Frontends(Protocol):
+    """Who says where new connections go."""
+
+    def frontend(self, zone: str) -> str:
+        """The address for a new connection from this zone."""
+        ...
+
+
 @attrs.define(slots=True)
 class Try:
     """How one try went."""
@@ -41,6 +48,7 @@
     body: bytes = b""
     whole: bool = False
     was_sent: bool = False
+    was_cut: bool = False
     first_event_at: float | None = None
 
     @property
@@ -57,12 +65,22 @@
 
 
 class Client:
-    """One client in one zone, with some connections that it keeps. `clock` gives seconds."""
+    """One client in one zone, with some connections that it keeps. `clock` gives seconds.
+
+    `is_stubborn`: it goes on using its connections whatever answers say of their end.
+    """
 
     def __init__(
-        self, zone: str, platform: Platform, draws: Draws, judge: Judge, clock: Callable[[], float]
+        self,
+        zone: str,
+        platform: Frontends,
+        draws: Draws,
+        judge: Judge,
+        clock: Callable[[], float],
+        is_stubborn: bool = False,
     ) -> None:
         self.zone = zone
+        self._is_stubborn = is_stubborn
         self._platform = platform
         self._draws = draws
         self._judge = judge
@@ -108,12 +126,17 @@
             sent_at=self._clock(),
             first_event=events_before + 1,
             tokens=sum(wish.tokens),
+            zone=self.zone,
         )
         self._judge.request_sent(request)
         tried = Try()
-        with contextlib.suppress(OSError, WireError, TimeoutError):
+        try:
             async with asyncio.timeout(max(0.01, deadline - self._clock())):
                 await self._send_and_read(wish, attempt_id, deadline, events_before, is_first, tried)
+        except TimeoutError:
+            pass
+        except (OSError, WireError):
+            tried.was_cut = tried.was_sent
         stamp = tried.head.get("Cypresswinch-Server-Signature") if tried.head is not None else ""
         self._judge.answer_came(
             attempt_id,
@@ -125,6 +148,7 @@
                 whole=tried.whole,
                 is_stream=kind.streaming,
                 ended_at=self._clock(),
+                was_cut=tried.was_cut,
             ),
         )
         return tried
@@ -142,11 +166,12 @@
             await writer.drain()
             head = await read_head(reader)
             if head is None:
+                tried.was_cut = True
                 return
             tried.head, tried.status = head, head.status
             await self._read_body(reader, head, wish.kind.streaming, tried)
             tried.whole = True
-            keeps = not head.closes and len(self._kept) < MOST_KEPT
+            keeps = (self._is_stubborn or not head.closes) and len(self._kept) < MOST_KEPT
         finally:
             if keeps:
                 self._kept.append(stream)
--- a/cloverrouter/lab/fleet/judge.py
+++ b/cloverrouter/lab/fleet/judge.py
@@ -31,6 +31,7 @@
     sent_at: float
     first_event: int = 1  # the first that is wanted: above 1 where a stream is resumed
     tokens: int = 0  # what it counts for its tenant's quota
+    zone: str = ""  # of its client
 
 
 @attrs.define(slots=True)
@@ -52,7 +53,8 @@
 
 @attrs.frozen(slots=True)
 class AnswerSeen:
-    """What a client got for a try: `status` None if no head came. `ended_at` in seconds."""
+    """What a client got for a try: `status` None if no head came. `ended_at` in seconds. `was_cut`: the
+    connection ended before the answer did."""
 
     status: int | None
     stamp: str = ""
@@ -61,6 +63,7 @@
     whole: bool = False
     is_stream: bool = False
     ended_at: float = 0.0
+    was_cut: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/cloverrouter/lab/fleet/nodes.py
+++ b/cloverrouter/lab/fleet/nodes.py
@@ -147,6 +147,16 @@
     def is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int | None:
+        """Of its process, if it was started."""
+        return self._process.pid if self._process is not None else None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends its process a signal, if it runs."""
+        if self.is_running and self._process is not None:
+            self._process.send_signal(number)
+
     def start(self, bootstrap: bool = False) -> None:
         """Writes its settings and starts it."""
         own = self._folder / self.spec.name
@@ -184,8 +194,7 @@
 
     def terminate(self) -> None:
         """Tells it to end; `wait` for it."""
-        if self.is_running and self._process is not None:
-            self._process.send_signal(signal.SIGTERM)
+        self.signal(signal.SIGTERM)
 
     def wait(self) -> int | None:
         """Its exit code, after a kill if it does not end in time; None if it was not running."""
--- a/cloverrouter/lab/fleet/wire.py
+++ b/cloverrouter/lab/fleet/wire.py
@@ -194,11 +194,13 @@
     headers: Mapping[str, str] | None = None,
     timeout_s: float = 1.0,
 ) -> Answer:
-    """One call with a JSON body over a connection of its own. Raises OSError, WireError or TimeoutError."""
+    """One call over a connection of its own; a body is sent as JSON, bytes as they are. Raises OSError,
+    WireError or TimeoutError.
+    """
     async with asyncio.timeout(timeout_s):
         reader, writer = await connect(address)
         try:
-            raw = b"" if body is None else json.dumps(body).encode()
+            raw = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
             lines = [("Host", address), ("Connection", "close"), ("Content-Length", str(len(raw)))]
             if body is not None:
                 lines.append(("Content-Type", "application/json"))
