--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -2,7 +2,8 @@
 
 A server calls any machine (the origin of its news). The origin sends news to all voters at once; each voter
 merges them, passes them on to all machines, and then tells the origin; with a majority the server is
-answered. What has no news is a heartbeat, answered at once and batched to the voters. The head among the
+answered. What has no news is a heartbeat, answered at once and batched to the voters; a machine that has
+not heard a majority of them lately treats it as news, so that it is answered only if it gets there. The head among the
 voters tells who has fallen silent. Lists are compared by digest every few seconds and whenever a link comes
 up; a voter that lost its list is filled again by the lists of the others, and nobody empties his meanwhile.
 
@@ -60,6 +61,7 @@
         self._voter = RegistryVoter(self._servers, heartbeat_interval)
         self._beats: dict[str, int] = {}
         self._changes = 0
+        self._in_touch = True
         self._next_flush = 0.0
         self._next_housekeeping = 0.0
 
@@ -115,6 +117,10 @@
         """Whether this machine, as far as it is the head, is the only one for sure."""
         self._voter.leads = confirmed
 
+    def in_touch(self, confirmed: bool) -> None:
+        """Whether this machine has heard a majority of the voters lately, as far as its owner knows."""
+        self._in_touch = confirmed
+
     def link_up(self, now: float, ip: str) -> list[Effect]:
         """The link to a machine is up (again)."""
         self._exchange.link_up(now, ip)
@@ -139,13 +145,23 @@
         if merged is None:
             return change, [*effects, Acknowledged(change)]
         fingerprint = table.fingerprint(instance.id)
-        if not changed and self._announcements.is_confirmed(instance.id, fingerprint):
+        is_known = not changed and self._announcements.is_confirmed(instance.id, fingerprint)
+        if is_known and self._hears_majority(now):
             self._beats[instance.id] = merged.sequence
             return change, [*effects, Acknowledged(change)]
         is_leaving = merged.state is not InstanceState.READY
         self._announcements.add(now, change, instance.id, fingerprint, is_leaving)
         return change, effects + self._send_pending(now)
 
+    def _hears_majority(self, now: float) -> bool:
+        """Whether a heartbeat that is acknowledged here will be passed on.
+
+        Danger: a server whose heartbeats are acknowledged stays here, while a head that doesn't hear of them
+        takes it for silent.
+        """
+        live = len(self._exchange.live(now)) + self.is_voter
+        return self._in_touch and 2 * live > len(self._voters)
+
     def withdrawn(self, now: float, instance_id: str) -> tuple[int, list[Effect]]:
         """A server's own call that it has ended."""
         known = self._servers.table.get(instance_id) or Instance(instance_id, "", "", sequence=-1)
--- a/cloverrouter/coordination/context.py
+++ b/cloverrouter/coordination/context.py
@@ -10,8 +10,7 @@
 from cloverrouter.coordination.effects import Effect, ReplicaConfig, ViewInfo
 from cloverrouter.coordination.history import History
 from cloverrouter.coordination.messages import Report
-from cloverrouter.coordination.views import Member, View
-from cloverrouter.messages import Decoder, encode
+from cloverrouter.coordination.views import Member, View, encode_view
 from cloverrouter.messages.sending import Send
 
 
@@ -110,19 +109,6 @@
         self.send(ip, message)
 
 
-def encode_view(view: View) -> bytes:
-    """A view as it is stored."""
-    return encode(view)
-
-
-def decode_view(data: bytes) -> View | None:
-    """A stored view. Raises MessageError."""
-    for found in Decoder().feed(data):
-        if isinstance(found, View):
-            return found
-    return None
-
-
 def view_info(context: Context, view: View, active: bool) -> ViewInfo:
     """A view as it is told outside."""
     members = [member for member in map(view.voter, view.chain) if member is not None]
--- a/cloverrouter/coordination/genesis.py
+++ b/cloverrouter/coordination/genesis.py
@@ -2,8 +2,9 @@
 
 The first seed by address collects the disks that are known to it, the others wait for it. Which voters are
 chosen is agreed by a majority of the seeds with ballots (single-decree Paxos), so that there is never a
-second choice, however the seeds are cut off from one another. A seed's memory of it ends with its process;
-what a disk has adopted is durable, and is told again by whoever finds it.
+second choice, however the seeds are cut off from one another or started again: what a seed promises and accepts is
+kept beside (`seed_acceptor`), on its disk if it has one. What a disk has adopted is told again by whoever
+finds it.
 
 A machine without a disk may be a seed. One that is none does nothing.
 """
@@ -73,8 +74,7 @@
         self._ballot = 0
         self._answers: set[str] = set()  # addresses of seeds
         self._best: tuple[int, tuple[Member, ...]] = (0, ())  # what the seeds asked have accepted
-        self._promised = 0
-        self._accepted: tuple[int, tuple[Member, ...]] = (0, ())
+        self._promised = 0  # the highest ballot that a seed has told of
         self._effects: list[Send] = []
 
     @property
@@ -178,7 +178,7 @@
         self.stage = Stage.PREPARING
         self._answers = set()
         self._best = (0, ())
-        self._tell_seeds(now, SeedPrepare(self._ballot))
+        self._tell_seeds(SeedPrepare(self._ballot))
 
     def _accept(self, now: float) -> None:
         disks = sorted(self._disks.values(), key=lambda member: member.identity)
@@ -186,39 +186,19 @@
         self.stage = Stage.ACCEPTING
         self._answers = set()
         self._chosen = voters
-        self._tell_seeds(now, SeedAccept(self._ballot, voters))
+        self._tell_seeds(SeedAccept(self._ballot, voters))
 
-    def _tell_seeds(self, now: float, message: object) -> None:
-        for seed in self._seeds:
-            if seed != self._ip:
-                self._effects.append(Send(seed, message))
-        self._on_seed(now, self._ip, message)
+    def _tell_seeds(self, message: object) -> None:
+        self._effects += [Send(seed, message) for seed in self._seeds]
 
     def _on_seed(self, now: float, ip: str, message: object) -> None:
-        if isinstance(message, SeedPrepare):
-            self._on_prepare(now, ip, message)
-        elif isinstance(message, SeedAccept):
-            self._on_accept(now, ip, message)
-        elif isinstance(message, SeedPrepared):
+        if isinstance(message, SeedPrepared):
             self._on_prepared(now, ip, message)
         elif isinstance(message, SeedAccepted):
             self._on_accepted(now, ip, message)
         elif isinstance(message, SeedRefused):
             self._promised = max(self._promised, message.promised)
 
-    def _reply(self, now: float, ip: str, message: object) -> None:
-        if ip == self._ip:
-            self._on_seed(now, ip, message)
-        else:
-            self._effects.append(Send(ip, message))
-
-    def _on_prepare(self, now: float, ip: str, message: SeedPrepare) -> None:
-        if message.ballot < self._promised:
-            self._reply(now, ip, SeedRefused(message.ballot, self._promised))
-            return
-        self._promised = message.ballot
-        self._reply(now, ip, SeedPrepared(message.ballot, *self._accepted))
-
     def _on_prepared(self, now: float, ip: str, message: SeedPrepared) -> None:
         if self.stage is not Stage.PREPARING or message.ballot != self._ballot:
             return
@@ -228,14 +208,6 @@
         if len(self._answers) >= majority(len(self._seeds)):
             self._accept(now)
 
-    def _on_accept(self, now: float, ip: str, message: SeedAccept) -> None:
-        if message.ballot < self._promised:
-            self._reply(now, ip, SeedRefused(message.ballot, self._promised))
-            return
-        self._promised = message.ballot
-        self._accepted = (message.ballot, message.voters)
-        self._reply(now, ip, SeedAccepted(message.ballot))
-
     def _on_accepted(self, now: float, ip: str, message: SeedAccepted) -> None:
         if self.stage is not Stage.ACCEPTING or message.ballot != self._ballot:
             return
--- a/cloverrouter/coordination/messages.py
+++ b/cloverrouter/coordination/messages.py
@@ -234,4 +234,7 @@
     promised: int
 
 
-GENESIS_MESSAGES = (GenesisState, SeedPrepare, SeedPrepared, SeedAccept, SeedAccepted, SeedRefused)
+GENESIS_MESSAGES = (GenesisState, SeedPrepared, SeedAccepted, SeedRefused)
+"""For a seed's `GenesisProposer`."""
+BALLOT_MESSAGES = (SeedPrepare, SeedAccept)
+"""For whoever keeps a seed's word: its replica, or its process where it has no disk."""
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from cloverrouter.coordination.context import Context, decode_view, view_info
+from cloverrouter.coordination.context import Context, view_info
 from cloverrouter.coordination.desk import Asked, Desk, Waiting
 from cloverrouter.coordination.disk import DiskQueue
 from cloverrouter.coordination.effects import (
@@ -42,14 +42,19 @@
     Propose,
     Refused,
     Report,
+    SeedAccept,
+    SeedPrepare,
     State,
     Stored,
     Support,
 )
 from cloverrouter.coordination.proposal import Phase, Plan, Proposal
 from cloverrouter.coordination.roster import Roster
-from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
+from cloverrouter.coordination.seed_acceptor import Answer as BallotAnswer
+from cloverrouter.coordination.seed_acceptor import covers, decided
+from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View, decode_view
 from cloverrouter.store import StoredReplica
+from cloverrouter.store.records import Ballot
 
 
 class Replica:
@@ -91,6 +96,7 @@
         self._not_before = 0.0  # no try to become head before that
         self._now = 0.0
         self._told: ViewInfo | None = None
+        self._ballot_answers: list[tuple[str, Ballot, BallotAnswer]] = []
         self._follower = Follower(self._context, 0.0)
         self._handlers = self._handler_table()
 
@@ -344,6 +350,8 @@
             Fetch: self._on_fetch,
             Genesis: self._on_genesis,
             GenesisQuery: self._on_genesis,
+            SeedPrepare: self._on_ballot,
+            SeedAccept: self._on_ballot,
         }
 
     @staticmethod
@@ -425,16 +433,43 @@
                 context.learn_view(now, view, settled=True)
                 context.disk.change()
                 self._follower.contact.heard_at = now
+        self._tell_genesis_state(ip)
+
+    def _tell_genesis_state(self, ip: str) -> None:
+        context = self._context
         view_epoch = context.view.epoch if context.view is not None else 0
         known = context.view.voters if context.view is not None else ()
         context.send(ip, GenesisState(self.me, context.disk.meta.adoptable, view_epoch, known))
 
+    def _on_ballot(self, now: float, ip: str, message: SeedPrepare | SeedAccept) -> None:
+        """A ballot of the first start. A disk that is not of it, or is past it, has no say any more."""
+        disk = self._context.disk
+        if not disk.meta.adoptable:
+            if self._context.view is not None:
+                self._tell_genesis_state(ip)
+            return
+        ballot, answer = decided(disk.meta.ballot, message)
+        if ballot != disk.meta.ballot:
+            disk.change(ballot=ballot)
+        self._ballot_answers.append((ip, ballot, answer))
+
+    def _answer_ballots(self) -> None:
+        """What rests on a ballot that is on the disk by now goes out."""
+        stored = self._context.disk.durable.meta.ballot
+        waiting, self._ballot_answers = self._ballot_answers, []
+        for ip, ballot, answer in waiting:
+            if covers(stored, ballot):
+                self._context.send(ip, answer)
+            else:
+                self._ballot_answers.append((ip, ballot, answer))
+
     # -- what follows --
 
     def _finish(self, now: float) -> list[Effect]:
         """Do all that follows from what has happened."""
         context = self._context
         self._follower.flush(now)
+        self._answer_ballots()
         if self._proposal is not None:
             self._proposal.flush(now)
             self._look_at_proposal(now, self._proposal)
--- a/cloverrouter/coordination/views.py
+++ b/cloverrouter/coordination/views.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from cloverrouter.messages import message, nested
+from cloverrouter.messages import Decoder, encode, message, nested
 
 # The low bits of an epoch are its proposer's, so that no two proposers ever choose the same.
 PROPOSER_BITS = 16
@@ -95,3 +95,16 @@
         key=lambda member: (member.zone, member.identity),
     )
     return view.chain[1:] + tuple(member.identity for member in others)
+
+
+def encode_view(view: View) -> bytes:
+    """A view as it is stored."""
+    return encode(view)
+
+
+def decode_view(data: bytes) -> View | None:
+    """A stored view. Raises MessageError."""
+    for found in Decoder().feed(data):
+        if isinstance(found, View):
+            return found
+    return None
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -45,6 +45,7 @@
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
 from cloverrouter.placement import quota_messages, trouble_messages
+from cloverrouter.store.records import Ballot
 
 if TYPE_CHECKING:
     from cloverrouter.control.api import ControlApi, ControlExchange
@@ -81,6 +82,7 @@
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
         self._genesis: GenesisProposer | None = None
+        self._ballot = Ballot()
         self._quota_duty: QuotaDuty | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
@@ -110,6 +112,8 @@
 
         self._handlers.update(dict.fromkeys(messages_of(chain_messages.__name__), self._on_chain))
         self._handlers.update(dict.fromkeys(chain_messages.GENESIS_MESSAGES, self._on_genesis))
+        if not self._settings.is_replica:
+            self._handlers.update(dict.fromkeys(chain_messages.BALLOT_MESSAGES, self._on_ballot))
 
     def _trouble_news(self) -> TroubleNews:
         news = TroubleNews(
@@ -215,6 +219,7 @@
                 self._genesis = None
         lead_until = self._lead_until()
         self.registry.lead_confirmed(lead_until is not None and now < lead_until)
+        self.registry.in_touch(self.subscriber.current(now))
         self._registered(self.registry.tick(now))
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
@@ -298,6 +303,16 @@
         if self._genesis is not None:
             self._send_all(self._genesis.receive(now, ip, message))
 
+    def _on_ballot(self, now: float, ip: str, message: object) -> None:
+        """This seed has no disk: its word is good for as long as its first process lives."""
+        from cloverrouter.coordination import messages as chain_messages
+        from cloverrouter.coordination.seed_acceptor import decided
+
+        if self._genesis is not None:
+            assert isinstance(message, chain_messages.BALLOT_MESSAGES)
+            self._ballot, answer = decided(self._ballot, message)
+            self.transport.send(ip, answer)
+
     def _on_head_call(self, now: float, ip: str, message: object) -> None:
         assert isinstance(message, HeadCall)
         if self.role is not None:
--- a/cloverrouter/explore/coordination/canon.py
+++ b/cloverrouter/explore/coordination/canon.py
@@ -18,16 +18,16 @@
 import attrs
 import xxhash
 
-from cloverrouter.coordination.context import decode_view
 from cloverrouter.coordination.desk import Asked
 from cloverrouter.coordination.disk import DiskQueue
 from cloverrouter.coordination.messages import Canvass, Support
 from cloverrouter.coordination.replica import Replica
 from cloverrouter.coordination.rounds import Rounds
-from cloverrouter.coordination.views import GENESIS_EPOCH, PROPOSER_BITS
+from cloverrouter.coordination.views import GENESIS_EPOCH, PROPOSER_BITS, decode_view
 from cloverrouter.explore.coordination.cores import FROZEN, TIMES_FROM_S, Cores
 from cloverrouter.explore.coordination.figures import LONG_AGO_S
 from cloverrouter.store import Meta
+from cloverrouter.store.records import Ballot
 
 NOW = 2 * TIMES_FROM_S  # any time will do
 
@@ -161,6 +161,8 @@
     def _field(self, owner: Any, name: str, value: Any) -> None:
         if name == "view" and isinstance(owner, Meta):
             self.value("view", decode_view(value) if value else None)
+        elif name == "voters" and isinstance(owner, Ballot):
+            self.value("voters", decode_view(value) if value else None)
         elif name == "_begun" and isinstance(owner, DiskQueue) and owner._flying is None:
             self.shape.append(None)
         elif name == "round" and value is not None:
--- a/cloverrouter/explore/coordination/effects.py
+++ b/cloverrouter/explore/coordination/effects.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable
 
-from cloverrouter.coordination.context import decode_view
 from cloverrouter.coordination.effects import (
     Answer,
     Committed,
@@ -14,7 +13,7 @@
     Restored,
 )
 from cloverrouter.coordination.messages import Promise, Report, Stored
-from cloverrouter.coordination.views import GENESIS_EPOCH
+from cloverrouter.coordination.views import GENESIS_EPOCH, decode_view
 from cloverrouter.explore.coordination.cores import Cores, Event
 from cloverrouter.explore.coordination.describe import epoch_name, message_text
 from cloverrouter.explore.coordination.disk import orders_on, write
--- a/cloverrouter/explore/coordination/situations.py
+++ b/cloverrouter/explore/coordination/situations.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Callable
 
-from cloverrouter.coordination.context import encode_view
 from cloverrouter.coordination.messages import Forward, Install
-from cloverrouter.coordination.views import GENESIS_EPOCH, View
+from cloverrouter.coordination.views import GENESIS_EPOCH, View, encode_view
 from cloverrouter.explore.coordination import troubles
 from cloverrouter.explore.coordination.figures import FIRST_STEP
 from cloverrouter.explore.coordination.model import BrokenError, ReplicaModel, Situation
--- a/cloverrouter/lab/soak/checks.py
+++ b/cloverrouter/lab/soak/checks.py
@@ -75,7 +75,10 @@
 def _has_rival(order: Sent, sent: Sequence[Sent]) -> bool:
     """Whether another order may have come first."""
     return any(
-        each is not order and each.may_be_in_force and each.base >= order.base and each.version != order.version
+        each is not order
+        and each.may_be_in_force
+        and each.base >= order.base
+        and each.version != order.version
         for each in sent
         if each.sent_at < (order.answered_at or 0)
     )
@@ -88,7 +91,8 @@
         confirmed = [o.version for o in sent if o.is_acknowledged and (o.answered_at or 0) <= read.sent_at]
         if read.version < max(confirmed, default=0):
             yield Finding(
-                "CONFIG", f"{read.address} reads version {read.version}, {max(confirmed)} was confirmed before"
+                "CONFIG",
+                f"{read.address} reads version {read.version}, {max(confirmed)} was confirmed before",
             )
         order = documents.get(read.version)
         if order is None:
@@ -221,4 +225,6 @@
     for number, line in enumerate(lines):
         if line.startswith("Traceback ") or "Exception in callback" in line or "never retrieved" in line:
             last = next((each for each in lines[number + 1 :] if each and not each.startswith(" ")), "")
-            yield Finding("FAULT", f"{name} logs an error that it did not handle: {line[:80]} ... {last[:160]}")
+            yield Finding(
+                "FAULT", f"{name} logs an error that it did not handle: {line[:80]} ... {last[:160]}"
+            )
--- a/cloverrouter/lab/soak/run.py
+++ b/cloverrouter/lab/soak/run.py
@@ -332,7 +332,9 @@
 def _specs(prefix: str, plan: Plan) -> list[NodeSpec]:
     zones = deployment.ZONES
     return [
-        NodeSpec(f"edge-{place}", f"{prefix}.{place + 1}", zones[place % len(zones)], place < plan.shape.disks)
+        NodeSpec(
+            f"edge-{place}", f"{prefix}.{place + 1}", zones[place % len(zones)], place < plan.shape.disks
+        )
         for place in range(plan.shape.size)
     ]
 
--- a/cloverrouter/lab/soak/watch.py
+++ b/cloverrouter/lab/soak/watch.py
@@ -57,9 +57,7 @@
     async def _ask(self, machine: Machine) -> None:
         asked_at = self._clock()
         try:
-            answer = await call(
-                machine.spec.control_plane, "GET", STATUS_PATH, timeout_s=STATUS_TIMEOUT_S
-            )
+            answer = await call(machine.spec.control_plane, "GET", STATUS_PATH, timeout_s=STATUS_TIMEOUT_S)
             told = answer.json()
         except (OSError, WireError, TimeoutError):
             return
--- a/cloverrouter/store/records.py
+++ b/cloverrouter/store/records.py
@@ -5,6 +5,15 @@
 import attrs
 
 
+@attrs.frozen(slots=True)
+class Ballot:
+    """What a seed has said in the system's first start; 0 where it has said nothing."""
+
+    promised: int = 0  # no ballot below this is taken part in
+    accepted: int = 0  # the ballot whose voters were accepted
+    voters: bytes = b""  # these, as an encoded view; opaque here
+
+
 @attrs.frozen(slots=True)
 class Meta:
     """The small facts of a replica. Epochs are 0 where there is none yet."""
@@ -18,6 +27,7 @@
     committed: int = 0  # at least so many updates are committed
     fleet_size: int = 0  # how many machines there were, when last counted
     adoptable: bool = False  # never used since the system's first start: may take part in that
+    ballot: Ballot = Ballot()
 
 
 @attrs.frozen(slots=True)
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -24,11 +24,12 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import lmdb
 
 from cloverrouter.store.errors import StoreError, StoreFailed, StoreFull
 from cloverrouter.store.pages import PAGE_BYTES, PagesDamaged, check_pages
-from cloverrouter.store.records import Meta, Record, Snapshot, StoredReplica, Update
+from cloverrouter.store.records import Ballot, Meta, Record, Snapshot, StoredReplica, Update
 
 FILE_NAME = "replica.mdb"
 IDENTITY_BYTES = 8
@@ -41,12 +42,14 @@
 
 _IDENTITY = b"identity"
 _META = b"meta"
+_BALLOT = b"ballot"  # not in a store of before: nothing was said
 _PEERS = b"peers"
 _SNAPSHOT = b"snapshot"
 _UPDATE = b"update"
 _SEQ = struct.Struct(">Q")
 _CHUNK = struct.Struct(">I")
 _CHECKSUM = struct.Struct(">I")
+_BALLOT_HEAD = struct.Struct(">QQ")
 _META_HEAD = struct.Struct(">QQQQI??B")
 
 
@@ -154,11 +157,12 @@
                 raise _Damaged("no meta record")
             snapshot = _read_snapshot(transaction)
             updates = tuple(_read_updates(transaction))
+            ballot = _get(transaction, _BALLOT)
             peers = _get(transaction, _PEERS) or b""
         _check_order(snapshot, updates)
         return StoredReplica(
             identity=identity.decode(),
-            meta=_unpack_meta(meta),
+            meta=attrs.evolve(_unpack_meta(meta), ballot=_unpack_ballot(ballot)),
             snapshot=snapshot,
             updates=updates,
             peers=tuple(peers.decode().split()),
@@ -229,6 +233,8 @@
 def _put_record(transaction: Any, record: Record) -> None:
     if record.meta is not None:
         _put(transaction, _META, _pack_meta(record.meta))
+        if record.meta.ballot != Ballot():
+            _put(transaction, _BALLOT, _pack_ballot(record.meta.ballot))
     if record.peers is not None:
         _put(transaction, _PEERS, " ".join(record.peers).encode())
     if record.snapshot is not None:
@@ -293,6 +299,17 @@
             raise _Damaged(f"update {expected} is missing")
 
 
+def _pack_ballot(ballot: Ballot) -> bytes:
+    return _BALLOT_HEAD.pack(ballot.promised, ballot.accepted) + ballot.voters
+
+
+def _unpack_ballot(data: bytes | None) -> Ballot:
+    if data is None:
+        return Ballot()
+    promised, accepted = _BALLOT_HEAD.unpack_from(data)
+    return Ballot(promised, accepted, data[_BALLOT_HEAD.size :])
+
+
 def _pack_meta(meta: Meta) -> bytes:
     proposer = meta.promised_to.encode()
     head = _META_HEAD.pack(
--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -279,7 +279,7 @@
 
 def known_voters(node: Node) -> set[str]:
     """Voters of the view that a node's disk or process knows."""
-    from cloverrouter.coordination.context import decode_view
+    from cloverrouter.coordination.views import decode_view
 
     view = decode_view(node.disk.stored.meta.view)
     if view is None:
--- a/tests/system/replica_world.py
+++ b/tests/system/replica_world.py
@@ -17,7 +17,6 @@
 
 import attrs
 
-from cloverrouter.coordination.context import encode_view
 from cloverrouter.coordination.effects import (
     Answer,
     Committed,
@@ -31,12 +30,14 @@
     ViewChanged,
 )
 from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
-from cloverrouter.coordination.messages import GENESIS_MESSAGES
+from cloverrouter.coordination.messages import BALLOT_MESSAGES, GENESIS_MESSAGES
 from cloverrouter.coordination.replica import Replica
-from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
+from cloverrouter.coordination.seed_acceptor import decided
+from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View, encode_view
 from cloverrouter.messages import Decoder, encode
 from cloverrouter.messages.sending import Send
 from cloverrouter.store import Meta, Record, StoredReplica
+from cloverrouter.store.records import Ballot
 from cloverrouter.store.replica_store import ReplicaStore
 
 TICK_S = 0.05
@@ -306,6 +307,7 @@
         self.buried: list[Disk] = []
         self.cuts: set[tuple[str, str]] = set()
         self.proposers: dict[str, GenesisProposer] = {}
+        self.ballots: dict[str, Ballot] = {}  # of seeds without a disk
         self.messages = 0
         self.healed_s: float | None = None  # how long it took after the last trouble
         self.messages_by_type: dict[str, int] = {}
@@ -327,6 +329,7 @@
             self.start(node, self.random.uniform(0.0, start_within_s))
         if genesis:
             for ip in set(self.seeds) - {node.ip for node in self.nodes}:
+                self.ballots[ip] = Ballot()
                 self.at(
                     self.now + self.random.uniform(0.0, start_within_s), partial(self._start_proposer, ip)
                 )
@@ -580,6 +583,10 @@
             if proposer is not None and not proposer.over:
                 self._send_all(to_ip, proposer.receive(self.now, from_ip, message))
             return
+        if isinstance(message, BALLOT_MESSAGES) and to_ip in self.ballots:
+            self.ballots[to_ip], answer = decided(self.ballots[to_ip], message)
+            self._send(to_ip, Send(from_ip, answer))
+            return
         for node in self.nodes:
             if node.ip == to_ip and node.replica is not None:
                 self._hand(node, node.replica, from_ip, message)
--- a/tests/system/test_genesis.py
+++ b/tests/system/test_genesis.py
@@ -6,8 +6,16 @@
 
 import pytest
 
-from cloverrouter.coordination.context import decode_view
-from cloverrouter.coordination.views import GENESIS_EPOCH
+from cloverrouter.coordination.messages import (
+    SeedAccept,
+    SeedAccepted,
+    SeedPrepare,
+    SeedPrepared,
+    SeedRefused,
+)
+from cloverrouter.coordination.seed_acceptor import decided
+from cloverrouter.coordination.views import GENESIS_EPOCH, decode_view
+from cloverrouter.store.records import Ballot
 from tests.system.replica_chaos import check_healed
 from tests.system.replica_world import Weather, World
 
@@ -130,3 +138,48 @@
     world.add_node(adoptable=False)
     world.run(5.0)
     assert count_of_voters(world) == 3
+
+
+def test_a_seeds_word_outlasts_its_process() -> None:
+    """Its disk has accepted voters; started again, it tells them to whoever asks next."""
+    world = World(1, 3, 1, genesis=True)
+    seed, *others = (node for node in world.nodes)
+    voters = tuple(node.member for node in world.nodes)
+    assert world.run_while(lambda: seed.replica is None, 1.0)
+    world._deliver(others[0].ip, seed.ip, SeedPrepare(300))
+    world._deliver(others[0].ip, seed.ip, SeedAccept(300, voters))
+    world.run(0.2)
+    assert seed.disk.stored.meta.ballot.accepted == 300
+    world.kill(seed, power=True)
+    world.start(seed)
+    heard: list[object] = []
+    world.nemesis = lambda node, effect: (heard.append(effect.message), 0.0)[1]
+    world.run(0.1)
+    world._deliver(others[1].ip, seed.ip, SeedPrepare(301))
+    world.run(0.3)
+    assert SeedPrepared(301, 300, voters) in heard
+    assert not any(isinstance(each, SeedPrepared) and not each.voters for each in heard)
+
+
+def test_a_seed_answers_only_what_its_disk_holds() -> None:
+    world = World(1, 3, 1, genesis=True)
+    seed, other, _ = world.nodes
+    assert world.run_while(lambda: seed.replica is None, 1.0)
+    seed.disk.stalled_until = world.now + 0.5
+    heard: list[object] = []
+    world.nemesis = lambda node, effect: (heard.append(effect.message), 0.0)[1]
+    world._deliver(other.ip, seed.ip, SeedPrepare(300))
+    world.run(0.4)
+    assert not any(isinstance(each, SeedPrepared) and each.ballot == 300 for each in heard)
+    world.run(0.4)
+    assert SeedPrepared(300, 0, ()) in heard
+
+
+def test_a_ballot_is_promised_once_only() -> None:
+    """A seed that was started again begins at its old numbers: they are not taken for the new ones."""
+    ballot, answer = decided(Ballot(), SeedPrepare(3))
+    assert answer == SeedPrepared(3, 0, ())
+    assert decided(ballot, SeedPrepare(3))[1] == SeedRefused(3, 3)
+    accepted, answer = decided(ballot, SeedAccept(3, ()))
+    assert answer == SeedAccepted(3) and accepted.accepted == 3
+    assert decided(accepted, SeedAccept(2, ()))[1] == SeedRefused(2, 3)
--- a/tests/system/test_long_orders.py
+++ b/tests/system/test_long_orders.py
@@ -19,8 +19,7 @@
 from cloverrouter.control.forwarding import HeadAnswer, HeadCall, Kind
 from cloverrouter.control.orders import ConfigurationMachine, Order, OrderReply
 from cloverrouter.control.updates import decoded
-from cloverrouter.coordination.context import encode_view
-from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View
+from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View, encode_view
 from cloverrouter.daemon.replica_role import REVIEWED_APART_BYTES, ReplicaRole, RolePorts
 from cloverrouter.messages import encode
 from cloverrouter.store import Meta
--- a/tests/system/test_replica_messages.py
+++ b/tests/system/test_replica_messages.py
@@ -8,7 +8,6 @@
 import attrs
 import pytest
 
-from cloverrouter.coordination.context import encode_view
 from cloverrouter.coordination.effects import Effect, Persist, ReplicaConfig
 from cloverrouter.coordination.messages import (
     Canvass,
@@ -21,7 +20,7 @@
     Support,
 )
 from cloverrouter.coordination.replica import Replica
-from cloverrouter.coordination.views import Member, View, next_epoch
+from cloverrouter.coordination.views import Member, View, encode_view, next_epoch
 from cloverrouter.messages.sending import Send
 from cloverrouter.store import Meta, StoredReplica, Update
 from tests.system.replica_world import Register
