--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -22,7 +22,7 @@
 
 
 class _NotJson(ValueError):
-    """A number that no field can hold."""
+    """JSON that can't be taken whole: a number that no field can hold, or a field that stands twice."""
 
 
 def _whole_number(text: str) -> int:
@@ -42,9 +42,23 @@
     raise _NotJson(f"{text}, which is no JSON")
 
 
+def _fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in fields if names.count(name) > 1)
+        raise _NotJson(f"{shown(twice)} twice in one object, of which one would be lost")
+    return fields
+
+
 def _decoder() -> json.JSONDecoder:
     """Of its own for each document, as threads may read at the same time."""
-    return json.JSONDecoder(parse_int=_whole_number, parse_float=_fraction, parse_constant=_no_number)
+    return json.JSONDecoder(
+        parse_int=_whole_number,
+        parse_float=_fraction,
+        parse_constant=_no_number,
+        object_pairs_hook=_fields,
+    )
 
 
 def read_object(body: bytes, findings: Findings) -> dict[str, Any]:
@@ -213,7 +227,8 @@
         if owner != route.name:
             where = place(ROUTES, route.name)
             findings.append(Finding(where, f"same host and prefix as {place(ROUTES, owner)}"))
-        for service, _ in route.targets:
+        named = [service for service, _ in route.targets]
+        for service in named if route.unused is None else [*named, route.unused]:
             if service not in services:
                 findings.append(
                     Finding(place(ROUTES, route.name), f"found {shown(service)}, wanted a known service")
--- a/cloverrouter/control/configuration.py
+++ b/cloverrouter/control/configuration.py
@@ -84,6 +84,8 @@
     resumable: bool
     gap_aim_ms: float | None
     """Longest pause between events of a stream for which it is still in time."""
+    unused: str | None = None
+    """A service that is named beside a split, which goes before it."""
 
     @property
     def may_repeat(self) -> bool:
@@ -162,6 +164,7 @@
         aim_ms=_given(item, "target-latency-ms", DEFAULT_AIM_MS),
         priority=int(_given(item, "priority", DEFAULT_PRIORITY)),
         targets=_targets(item),
+        unused=item.get("backend") if item.get("traffic-split") else None,
         attempts=int(_given(item, "attempt-limit", 1)),
         anonymous=_given(item, "anonymous-access", False),
         affinity=_given(item, "session-affinity", False),
--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -81,6 +81,7 @@
         self._voters = VoterChoice(own_ip, own_zone, random)
         self._source: str | None = None
         self._have = NOTHING
+        self._least = NOTHING
         self._fetch: _Fetch | None = None
         self._unfinished: Assembly | None = None
         self._patience = 1.0
@@ -117,6 +118,13 @@
         """Nothing to do before the voters are known."""
         return self.tick(now)
 
+    def start_over(self, now: float) -> None:
+        """What was handed out could not be put in force: a whole state, no older than that, is fetched."""
+        self._least = max(self._least, self._have)
+        self._have = NOTHING
+        self._fetch = self._unfinished = None
+        self._behind_since = now
+
     def voters_changed(self, now: float, voters: Sequence[VoterAddress]) -> list[Effect]:
         """The voters of the chain's view, as far as this machine knows."""
         self._voters.change(voters)
@@ -198,7 +206,9 @@
 
     def _take_part(self, now: float, ip: str, part: Part) -> list[Effect]:
         fetch = self._fetch
-        if fetch is None or fetch.source != ip or not is_sensible(part) or part.sequence <= self._have:
+        if fetch is None or fetch.source != ip or not is_sensible(part):
+            return []
+        if part.sequence <= self._have or part.sequence < self._least:
             return []
         if fetch.assembly is None or not fetch.assembly.takes(part):
             if not fetch.begins_with(part):
--- a/cloverrouter/daemon/__main__.py
+++ b/cloverrouter/daemon/__main__.py
@@ -13,13 +13,14 @@
 import gc  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 
 from cloverrouter.daemon.errors import SettingsError  # noqa: E402
 from cloverrouter.daemon.settings import (  # noqa: E402
     DEFAULT_PATH,
     SETTINGS_VARIABLE,
     Settings,
-    read,
+    read_patiently,
 )
 
 
@@ -43,7 +44,7 @@
     """The exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
     try:
-        settings = read(path)
+        settings = read_patiently(path, time.sleep)
     except SettingsError as error:
         for finding in error.findings:
             print(f"{error.path}: {finding}", file=sys.stderr)
--- a/cloverrouter/daemon/configuration_feed.py
+++ b/cloverrouter/daemon/configuration_feed.py
@@ -28,18 +28,20 @@
         self.state = ConfigurationState()
         self.history: deque[dict[str, Any]] = deque(maxlen=HISTORY)
 
-    def take(self, effect: Apply | Replace) -> None:
-        """Put it in force."""
+    def take(self, effect: Apply | Replace) -> bool:
+        """Put it in force. False if that can't be done: all updates after it would fail as well."""
         try:
             state = self._after(effect)
-        except (ControlError, MessageError) as error:
-            self._on_error("configuration-not-applied", sequence=effect.sequence, error=str(error))
-            return
+        except (ControlError, MessageError, AttributeError, LookupError, TypeError, ValueError) as error:
+            text = f"{type(error).__name__}: {error}"
+            self._on_error("configuration-not-applied", sequence=effect.sequence, error=text)
+            return False
         if state.version == self.state.version:
-            return
+            return True
         self.state = state
         self.history.append({"sequence": effect.sequence, "version": state.version, "at": time.time()})
         self._configure(state)
+        return True
 
     def _after(self, effect: Apply | Replace) -> ConfigurationState:
         if isinstance(effect, Replace):
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -36,6 +36,7 @@
 from cloverrouter.coordination.views import Member
 from cloverrouter.daemon.configuration_feed import ConfigurationFeed
 from cloverrouter.daemon.control_calls import ControlCalls
+from cloverrouter.daemon.listening import when_free
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.settings import Settings
 from cloverrouter.daemon.traffic import Traffic
@@ -132,7 +133,7 @@
 
     async def open(self) -> None:
         """Begin to listen and to look for others."""
-        await self.transport.listen()
+        await when_free(self.transport.listen, self._address_taken, asyncio.sleep)
         now = self._loop.time()
         if self._settings.is_replica:
             self._opening = self._loop.create_task(self._open_role())
@@ -142,6 +143,9 @@
         if self._genesis is not None:
             self._send_all(self._genesis.start(now))
 
+    def _address_taken(self, error: OSError) -> None:
+        self._log.error("address-taken", error=str(error))
+
     async def _open_role(self) -> None:
         from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
 
@@ -367,8 +371,8 @@
         for effect in effects:
             if isinstance(effect, Send):
                 self.transport.send(effect.ip, effect.message)
-            elif isinstance(effect, Apply | Replace):
-                self.feed.take(effect)
+            elif isinstance(effect, Apply | Replace) and not self.feed.take(effect):
+                self.subscriber.start_over(self._loop.time())
 
     def _forwarded(self, effects: Iterable[SendCall | Finished]) -> None:
         for effect in effects:
--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -12,6 +12,7 @@
 from cloverrouter.daemon.control_plane import ControlPlane
 from cloverrouter.daemon.drain import end_what_is_open
 from cloverrouter.daemon.errors import SettingsError
+from cloverrouter.daemon.listening import when_free
 from cloverrouter.daemon.logs import Log
 from cloverrouter.daemon.settings import Address, Settings
 from cloverrouter.daemon.signals import PlatformSignals
@@ -90,10 +91,13 @@
     async def _serve(self, address: Address, handle: object, connections: int) -> Server:
         limits = ServerLimits(max_connections=connections, body_bytes=MAX_CONTROL_BODY_BYTES)
         server = Server(handle, limits)  # type: ignore[arg-type]
-        await server.listen(*address)
+        await when_free(lambda: server.listen(*address), self._address_taken, asyncio.sleep)
         self._servers.append(server)
         return server
 
+    def _address_taken(self, error: OSError) -> None:
+        self._log.error("address-taken", error=str(error))
+
     def _readiness(self, exchange: Exchange) -> None:
         ready = self._traffic.router.ready()
         body = b"ready\n" if ready else b"not ready\n"
--- a/cloverrouter/daemon/settings.py
+++ b/cloverrouter/daemon/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +21,9 @@
 DEFAULT_PATH = "/etc/cypresswinch/node.toml"
 LOG_LEVELS = ("off", "errors", "changes", "requests")
 
+READ_AGAIN = 10
+READ_PAUSE_S = 0.1
+
 Address = tuple[str, int]
 
 _BOUNDS: dict[str, float] = {
@@ -135,6 +138,18 @@
     return settings_of(document, path)
 
 
+def read_patiently(path: str, sleep: Callable[[float], None]) -> Settings:
+    """The settings in this file, read again for a moment while they can't be used: whoever writes the file
+    may not be done. Raises `SettingsError`.
+    """
+    for _ in range(READ_AGAIN):
+        try:
+            return read(path)
+        except SettingsError:
+            sleep(READ_PAUSE_S)
+    return read(path)
+
+
 def settings_of(document: Mapping[str, Any], path: str = "settings") -> Settings:
     """The settings in this document. Raises `SettingsError`."""
     wrong = list(checks.findings(_KEYS, document))
--- a/cloverrouter/lab/soak/machines.py
+++ b/cloverrouter/lab/soak/machines.py
@@ -114,8 +114,8 @@
             self._send("KILL")
 
     def _send(self, name: str) -> None:
-        """Danger: an interpreter that has not begun with the program is ended by either signal, and no line of
-        the program can change that. SIGHUP is held back there, and counted; SIGTERM ends it as it should.
+        """Danger: an interpreter that has not begun with the program is ended by either signal, and no line
+        of the program can change that. SIGHUP is held back there, and counted; SIGTERM ends it as it should.
         """
         if name in ("HUP", "TERM") and not _takes(self.life.pid, signal.SIGHUP):
             self.life.too_soon += 1
--- a/cloverrouter/lab/soak/run.py
+++ b/cloverrouter/lab/soak/run.py
@@ -305,6 +305,7 @@
         told = deployment.BOUNDS
         bounds = checks.Bounds(
             propagation_s=told["propagation-ms"] / 1000,
+            recovery_s=RECOVERY_S,
             connectivity_s=told["connectivity-ms"] / 1000,
             grace_s=told["grace-period-s"],
             tolerance_s=told["tolerance-ms"] / 1000,
--- a/tests/system/test_configuration_orders.py
+++ b/tests/system/test_configuration_orders.py
@@ -145,6 +145,11 @@
         with_route(**{"traffic-split": split(("model", 1), ("gone", 0))}),
         'route-table[0]: found "gone", wanted a known service',
     ),
+    "unknown service beside a split": (
+        with_route(backend="gone", **{"traffic-split": split(("model", 1))}),
+        'route-table[0]: found "gone", wanted a known service',
+    ),
+    "a field twice": (b'{"version": 7, "backends": [], "version": 9}', '"version" twice in one object'),
     "no service": (with_route(backend=None), "route-table[0]: wanted a service"),
     "doubled prefix": (
         changed(**{"route-table": [route("a", "/x/"), route("b", "/x/", hostname="ONE.example:80")]}),
@@ -289,6 +294,12 @@
 
 INVALID_PATCHES = {
     "service in use": (patch(delete={"backends": ["model"]}), "route-table[r0]: found"),
+    "service in use beside a split": (
+        patch(
+            upsert={"route-table": [route("a", backend="gone", **{"traffic-split": split(("model", 1))})]},
+        ),
+        'upsert.route-table[0]: found "gone"',
+    ),
     "stale version": (patch(5), "version: found 5, wanted one above 5"),
     "no version": ({}, "version: missing"),
     "unknown service": (
--- /dev/null
+++ b/tests/system/test_start_over.py
@@ -0,0 +1,119 @@
+"""A proxy that can't put an update in force gets a whole state, and a process that can't start yet waits."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from cloverrouter.control.distribution_messages import NOTHING, Offer, Pull
+from cloverrouter.control.document import ConfigurationState
+from cloverrouter.control.orders import MachineSnapshot
+from cloverrouter.control.subscriber import Apply, Replace, Subscriber
+from cloverrouter.control.transfer import pack
+from cloverrouter.control.updates import ConfigurationPatched
+from cloverrouter.control.voter_choice import VoterAddress
+from cloverrouter.daemon.configuration_feed import ConfigurationFeed
+from cloverrouter.daemon.errors import SettingsError
+from cloverrouter.daemon.listening import PATIENCE_S, when_free
+from cloverrouter.daemon.settings import read_patiently
+from cloverrouter.lab.fleet import deployment, nodes
+from cloverrouter.messages import encode
+from cloverrouter.messages.sending import Send
+
+VOTER = "10.0.0.1"
+
+
+def with_state(sequence: int) -> Subscriber:
+    """A subscriber that has put that state in force."""
+    subscriber = Subscriber("10.0.0.9", "east", Random(1))
+    subscriber.voters_changed(0.0, [VoterAddress(VOTER, "east")])
+    subscriber.receive(0.1, VOTER, Offer(sequence, 3, 500))
+    effects = subscriber.receive(0.2, VOTER, pack(sequence, True, b"state").part(0))
+    assert Replace(sequence, b"state") in effects
+    return subscriber
+
+
+def test_what_could_not_be_put_in_force_is_fetched_whole() -> None:
+    subscriber = with_state(5)
+    subscriber.start_over(1.0)
+    effects = subscriber.tick(1.2)
+    assert Send(VOTER, Pull(NOTHING)) in effects
+    effects = subscriber.receive(1.3, VOTER, pack(6, True, b"newer").part(0))
+    assert Replace(6, b"newer") in effects and subscriber.have == 6
+
+
+def test_it_is_not_replaced_by_an_older_state() -> None:
+    subscriber = with_state(5)
+    subscriber.start_over(1.0)
+    subscriber.tick(1.2)
+    assert not subscriber.receive(1.3, VOTER, pack(4, True, b"older").part(0))
+    assert subscriber.have == NOTHING
+
+
+def test_the_feed_tells_what_it_can_not_put_in_force() -> None:
+    configured: list[ConfigurationState] = []
+    errors: list[str] = []
+    feed = ConfigurationFeed(configured.append, lambda kind, **fields: errors.append(kind))
+    document = b'{"version":3,"route-table":[],"backends":[]}'
+    assert feed.take(Replace(1, encode(MachineSnapshot(3, document, b""))))
+    assert not feed.take(Apply(2, (encode(ConfigurationPatched(7, 4, b"", b"{}")),)))
+    assert not feed.take(Apply(3, (encode(ConfigurationPatched(7, 3, b"", b'{"upsert":3}')),)))
+    assert errors == ["configuration-not-applied"] * 2
+    assert [state.version for state in configured] == [3]
+
+
+class Clock:
+    """Waits pass at once, and are counted."""
+
+    def __init__(self) -> None:
+        self.waited_s = 0.0
+
+    async def sleep(self, seconds: float) -> None:
+        self.waited_s += seconds
+
+
+def test_an_address_that_gets_free_is_waited_for() -> None:
+    clock, told = Clock(), list[OSError]()
+
+    async def listen() -> str:
+        if clock.waited_s < 3.0:
+            raise OSError(errno.EADDRINUSE, "in use")
+        return "listening"
+
+    assert asyncio.run(when_free(listen, told.append, clock.sleep)) == "listening"
+    assert len(told) == 1
+
+
+@pytest.mark.parametrize(("number", "waits_s"), [(errno.EADDRINUSE, PATIENCE_S), (errno.EACCES, 0.0)])
+def test_an_address_that_does_not_get_free_is_told(number: int, waits_s: float) -> None:
+    clock = Clock()
+
+    async def listen() -> str:
+        raise OSError(number, "no")
+
+    with pytest.raises(OSError, match="no"):
+        asyncio.run(when_free(listen, lambda error: None, clock.sleep))
+    assert clock.waited_s == pytest.approx(waits_s, abs=0.2)
+
+
+def test_a_settings_file_that_is_being_written_is_read_again(tmp_path: Path) -> None:
+    spec = deployment.nodes("127.31.253")[0]
+    whole = nodes.toml(nodes.settings(spec, deployment.fleet_settings((spec,)), tmp_path, bootstrap=True))
+    path = tmp_path / "node.toml"
+    path.write_text(whole[:100])
+
+    def go_on_writing(seconds: float) -> None:
+        path.write_text(whole)
+
+    assert read_patiently(str(path), go_on_writing).name == spec.name
+
+
+def test_a_settings_file_that_stays_wrong_is_told(tmp_path: Path) -> None:
+    waits: list[float] = []
+    with pytest.raises(SettingsError):
+        read_patiently(str(tmp_path / "none.toml"), waits.append)
+    assert sum(waits) == pytest.approx(1.0)
