After a restart no older configuration comes back: a replica hands out its state once a head has confirmed it (CONFIG)

Cause: a replica's disk knows only of some updates that they are committed (the number is noted lazily); after a start its publisher offered that state at once, before any head was there to tell of the rest. On an idle machine the window is 0.1 to 0.2 s, on one whose starts take seconds it outlasts connectivity-ms. Now the publisher offers nothing before its replica is in the chain of a view in force, or, where no head comes, for twice connectivity-ms; and a head's first heartbeat in force goes out after its commit, not before, so that it tells all. A process that is told to end while it starts doesn't listen any more; it took the whole grace period from when it was up (9.4 s after SIGTERM in the soak, 8 are allowed). The soak now writes the settings file with other seeds at SIGHUP, and sends configurations of half a megabyte.

--- a/cloverrouter/control/publisher.py
+++ b/cloverrouter/control/publisher.py
@@ -49,9 +49,15 @@
 
 
 class Publisher:
-    """The pure core on each replica. It holds the newest snapshot and a window of recent updates."""
+    """The pure core on each replica. It holds the newest snapshot and a window of recent updates.
 
-    def __init__(self) -> None:
+    Danger: a replica that was started again knows only of some updates that they are committed. Handed out
+    before a head has told of the others, its state brings back what was replaced long ago. So it offers
+    nothing before it is confirmed.
+    """
+
+    def __init__(self, is_confirmed: bool = True) -> None:
+        self._is_confirmed = is_confirmed
         self._snapshot: tuple[int, bytes] | None = None
         self._updates: deque[tuple[int, bytes]] = deque()
         self._window_bytes = 0
@@ -82,6 +88,17 @@
         self._fleet_size.note(now, remembered)
         return []
 
+    def confirm(self, now: float) -> list[Effect]:
+        """All that was committed before is known here by now."""
+        if self._is_confirmed:
+            return []
+        self._is_confirmed = True
+        return [self._offer(now, ip) for ip in self._subscriptions]
+
+    @property
+    def _offered(self) -> int:
+        return self._newest if self._is_confirmed else NOTHING
+
     def resign(self) -> None:
         """This machine is no voter any more."""
         self._subscriptions.clear()
@@ -156,7 +173,7 @@
     def _tell(self, now: float, ip: str, subscription: _Subscription) -> Send:
         """The newest update itself to those who have all before it and want it, an offer to the others."""
         sequence, update = self._updates[-1]
-        has_last = sequence - 1 in (subscription.acknowledged, subscription.pushed)
+        has_last = self._is_confirmed and sequence - 1 in (subscription.acknowledged, subscription.pushed)
         if not (subscription.wants_push and has_last and len(update) <= PART_BYTES):
             return self._offer(now, ip)
         if self._bytes_after(subscription.acknowledged) > PUSH_BYTES:
@@ -165,7 +182,7 @@
         return Send(ip, Delta(sequence, (update,), sequence))
 
     def _pulled(self, now: float, ip: str, have: int) -> list[Effect]:
-        if have >= self._newest:
+        if have >= self._offered:
             return [self._offer(now, ip)]
         following = self._updates_after(have)
         if have == NOTHING or not following or self._is_snapshot_shorter(have):
@@ -190,6 +207,8 @@
         return [Send(ip, self._package(sequence, True, snapshot).part(0))]
 
     def _part_pulled(self, now: float, ip: str, message: PullPart) -> list[Effect]:
+        if not self._is_confirmed:
+            return [self._offer(now, ip)]
         package = self._package_again(message.sequence, message.is_snapshot)
         if package is None or not 0 <= message.offset < max(1, len(package.data)):
             return self._pulled(now, ip, self._subscriptions[ip].acknowledged)
@@ -253,7 +272,7 @@
 
     def _offer(self, now: float, ip: str) -> Send:
         every_ms = round(self._offer_period() * 1000)
-        return Send(ip, Offer(self._newest, self.fleet_size(now), every_ms))
+        return Send(ip, Offer(self._offered, self.fleet_size(now), every_ms))
 
     def _offer_period(self) -> float:
         period = len(self._subscriptions) / OFFERS_A_SECOND
--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -304,13 +304,14 @@
         if begins:
             self.active = True
             self._context.disk.note(now, settled=True)
-            self.beat(now)  # that the view is in force is to be known by many: see `View.old_voters`
         if not self.active:
             return False
         self._tell_stored()
         seq = self._stored_by_all()
         if seq > self._context.history.committed or begins:
             self._commit(now, seq)
+        if begins:  # that the view is in force is to be known by many: see `View.old_voters`
+            self.beat(now)
         return begins
 
     def _tell_stored(self) -> None:
--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -49,7 +49,8 @@
     async def run(self) -> int:
         """The exit code."""
         await self._control.open()
-        await self._listen()
+        if not self._signals.told_to_end:
+            await self._listen()
         self._tick()
         self._log.change("started", ip=self._settings.ip, replica=self._settings.is_replica)
         await self._stopping.wait()
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -27,6 +27,8 @@
 
 MEGABYTE = 1024 * 1024
 DISK_RETRY_S = 0.3
+# Where no head is in force for so many times as long as contact takes, an old state is better than none.
+UNCONFIRMED_PARTS = 2
 REVIEWED_APART_BYTES = 64 * 1024
 
 
@@ -48,7 +50,9 @@
         self._loop = asyncio.get_running_loop()
         self._ports = ports
         self.identity = stored.identity
-        self.publisher = Publisher()
+        self.publisher = Publisher(is_confirmed=False)
+        self._published_at_latest_s = 0.0
+        self._unconfirmed_s = UNCONFIRMED_PARTS * settings.bounds.connectivity_s
         me = Member(stored.identity, settings.ip, settings.name, settings.zone)
         config = ReplicaConfig(settings.tolerated_machines, max_state_bytes=store.state_room)
         self._machine = ConfigurationMachine()
@@ -81,6 +85,7 @@
 
     def start(self, now: float) -> None:
         """The process starts."""
+        self._published_at_latest_s = now + self._unconfirmed_s
         self._publish(self.publisher.start(now, self.replica.fleet_size))
         self._driver.carry_out(self.replica.start(now))
 
@@ -89,6 +94,8 @@
         self._driver.carry_out(self.replica.tick(now))
         if self._snapshot_wanted:
             self._give_snapshot(now)
+        if now >= self._published_at_latest_s:
+            self._publish(self.publisher.confirm(now))
         self._publish(self.publisher.tick(now))
         self.replica.remember_fleet_size(now, self.publisher.fleet_size(now))
 
@@ -167,6 +174,8 @@
             "view", epoch=summary.epoch, active=summary.active, head=summary.head,
             chain=[member.ip for member in event.view.chain],
         )  # fmt: skip
+        if event.view.active and any(one.identity == self.identity for one in event.view.chain):
+            self._publish(self.publisher.confirm(self._loop.time()))
         if all(place.identity != self.identity for place in summary.voters):
             self.publisher.resign()
         self._ports.on_view(summary)
--- a/cloverrouter/lab/fleet/nodes.py
+++ b/cloverrouter/lab/fleet/nodes.py
@@ -161,7 +161,7 @@
         """Writes its settings and starts it."""
         own = self._folder / self.spec.name
         (own / "disk" if self.spec.has_disk else own).mkdir(parents=True, exist_ok=True)
-        self.settings_path.write_text(toml(settings(self.spec, self._fleet, self._folder, bootstrap)))
+        self.write_settings(bootstrap)
         environment = {name: os.environ[name] for name in PASSED_ON if name in os.environ}
         environment["CYPRESSWINCH_BOOT"] = str(self.settings_path)
         if self._output is None:
@@ -175,6 +175,11 @@
             stderr=subprocess.STDOUT,
         )
 
+    def write_settings(self, bootstrap: bool = False, seeds: Sequence[str] = ()) -> None:
+        """Writes its settings file over the one that is there; `seeds`: others than the fleet's."""
+        fleet = attrs.evolve(self._fleet, seeds=tuple(seeds)) if seeds else self._fleet
+        self.settings_path.write_text(toml(settings(self.spec, fleet, self._folder, bootstrap)))
+
     def check(self) -> None:
         """Raises NodeEnded with the last of what it wrote, if it has ended by itself."""
         if self._process is not None and self._process.poll() is not None:
--- a/cloverrouter/lab/soak/machines.py
+++ b/cloverrouter/lab/soak/machines.py
@@ -6,8 +6,9 @@
 import shutil
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from random import Random
 
 import attrs
 
@@ -15,6 +16,7 @@
 from cloverrouter.lab.soak.plan import Act, Strike
 
 LOOK_S = 0.02
+SEEDS = 3
 
 
 @attrs.define(slots=True)
@@ -41,8 +43,15 @@
     """One machine: a node's process, which is started again whenever it has ended."""
 
     def __init__(
-        self, spec: NodeSpec, fleet: FleetSettings, folder: Path, pause_s: float, clock: Callable[[], float]
+        self,
+        spec: NodeSpec,
+        fleet: FleetSettings,
+        folder: Path,
+        pause_s: float,
+        clock: Callable[[], float],
+        controls: Sequence[str],
     ) -> None:
+        """`controls`: the addresses at which machines take calls, from which seeds are drawn."""
         self.spec = spec
         self.node = Node(spec, fleet, folder)
         self.lives: list[Life] = []
@@ -50,6 +59,8 @@
         self._folder = folder
         self._pause_s = pause_s
         self._clock = clock
+        self._controls = list(controls)
+        self._random = Random(spec.name)
         self._is_over = False
         self._loses_disk = False
         self._hup_after_s: float | None = None
@@ -102,6 +113,7 @@
         if not self.is_up:
             return
         if strike.act is Act.HUP:
+            self.node.write_settings(seeds=self._other_seeds())
             self._send("HUP")
         elif strike.act is Act.TERM:
             self._send("TERM")
@@ -113,6 +125,9 @@
                 self._hup_after_s = strike.amount
             self._send("KILL")
 
+    def _other_seeds(self) -> list[str]:
+        return self._random.sample(self._controls, min(SEEDS, len(self._controls)))
+
     def _send(self, name: str) -> None:
         """Danger: an interpreter that has not begun with the program is ended by either signal, and no line
         of the program can change that. SIGHUP is held back there, and counted; SIGTERM ends it as it should.
--- a/cloverrouter/lab/soak/orders.py
+++ b/cloverrouter/lab/soak/orders.py
@@ -22,7 +22,8 @@
 ROUTES = 6
 ORDER_WITHIN_S = 15.0
 OTHER_VERSION = 412
-CHANGES = ("add", "move", "remove", "split", "timeout", "key", "whole")
+CHANGES = ("add", "move", "remove", "split", "timeout", "key", "whole", "large")
+LARGE_ROUTES = 1500  # about half a megabyte
 INVALID = (
     "cut short", "unknown service", "same place", "no weight", "no timeout", "old version", "same version",
     "shared key",
@@ -188,8 +189,11 @@
             return self._patch({"delete": {"route-table": [self._random.choice(held)]}}, kind)
         if kind == "key":
             return self._change_keys()
-        if kind == "whole":
+        if kind in ("whole", "large"):
             document = {**copy.deepcopy(self.current), "version": self._next_version()}
+            kept = [item for item in document["route-table"] if not item["name"].startswith("r-many-")]
+            many = [soak_route(f"r-many-{number}", BRANCH_SERVICE) for number in range(LARGE_ROUTES)]
+            document["route-table"] = kept + (many if kind == "large" else [])
             base = self.current["version"]
             return Sent(document["version"], base, document, self._clock(), "PUT", document, what=kind)
         lookup = next(item for item in self.current["route-table"] if item["name"] == "r-lookup")
--- a/cloverrouter/lab/soak/run.py
+++ b/cloverrouter/lab/soak/run.py
@@ -86,10 +86,10 @@
             seeds=seeds,
             machines_lost_at_once=plan.shape.lost_at_once,
         )
-        self.machines = [Machine(spec, fleet, folder, plan.pause_s, now) for spec in specs]
+        controls = [spec.control_plane for spec in specs]
+        self.machines = [Machine(spec, fleet, folder, plan.pause_s, now, controls) for spec in specs]
         self.judge = Judge()
         self.judge.drain_grace_s = 2 * deployment.DRAIN_TIMEOUT_MS / 1000
-        controls = [spec.control_plane for spec in specs]
         self._controls = controls
         self.operator = Operator(controls, plan.seed, now)
         self.watch = Watch(self.machines, 0.25 if plan.shape.size < 20 else 2.0, now)
--- a/tests/system/test_replica_role.py
+++ b/tests/system/test_replica_role.py
@@ -39,6 +39,7 @@
         name="one",
         zone="a",
         tolerated_machines=0,
+        bounds=SimpleNamespace(connectivity_s=3.0),
     )
     ports = RolePorts(
         lambda ip, message: None,
