--- a/tests/system/test_long_orders.py
+++ b/tests/system/test_long_orders.py
@@ -116,7 +116,10 @@
     me = Member(stored.identity, "10.0.0.1", "one", "a")
     view = View(GENESIS_EPOCH, (me,), (), ())
     meta = Meta(view=encode_view(view), view_epoch=GENESIS_EPOCH, settled=True)
-    settings: Any = SimpleNamespace(ip=me.ip, name=me.name, zone=me.zone, tolerated_machines=0)
+    bounds = SimpleNamespace(connectivity_s=3.0)
+    settings: Any = SimpleNamespace(
+        ip=me.ip, name=me.name, zone=me.zone, tolerated_machines=0, bounds=bounds
+    )
     sent: list[tuple[str, object]] = []
     ports = RolePorts(
         lambda ip, message: sent.append((ip, message)),
