--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -39,6 +39,7 @@
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         self._ends_at = math.inf
+        self._looked_at = signals.taken_since
         self._log = Log(settings.log_level, settings.name)
         self._random = Random(int.from_bytes(os.urandom(8), "big"))
         self._traffic = Traffic(settings, self._random, self._log)
@@ -61,10 +62,14 @@
         return 0
 
     def stop(self) -> None:
-        """SIGTERM: not ready from now on. A second one doesn't lengthen the time that is left."""
+        """SIGTERM: not ready from now on. A second one doesn't lengthen the time that is left.
+
+        The platform counts the grace period from the signal, which may have come at any time since the last
+        look for signals: long ago where the process was frozen meanwhile.
+        """
         if self._stopping.is_set():
             return
-        self._ends_at = self._loop.time() + self._settings.bounds.grace_period_s - END_MARGIN_S
+        self._ends_at = self._looked_at + self._settings.bounds.grace_period_s - END_MARGIN_S
         self._traffic.router.leave(self._ends_at)
         self._stopping.set()
 
@@ -106,8 +111,10 @@
 
     def _tick(self) -> None:
         try:
+            now = self._loop.time()
             self._take_signals()
-            self._control.tick(self._loop.time())
+            self._looked_at = now  # signals that came later than that are seen at the next look
+            self._control.tick(now)
         finally:  # an error of one tick, which the loop logs, does not stop the clock of all cores
             self._loop.call_later(TICK_S, self._tick)
 
--- a/cloverrouter/daemon/signals.py
+++ b/cloverrouter/daemon/signals.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import signal
+import time
 
 # Not that of `typing`, which takes long to load.
 TYPE_CHECKING = False
@@ -27,6 +28,11 @@
 class PlatformSignals(Protocol):
     """What the platform has told the process."""
 
+    @property
+    def taken_since(self) -> float:
+        """When signals began to be taken. Seconds on the steady clock."""
+        ...
+
     @property
     def told_to_end(self) -> bool:
         """Whether the process was told to end."""
@@ -46,6 +52,8 @@
         self._not_seen = {int(number): None for number in ALL_SIGNALS}
         for number in ALL_SIGNALS:
             signal.signal(number, self._not_seen.pop)
+        self.taken_since = time.monotonic()
+        """No signal has been taken before; seconds on the clock of the event loop."""
 
     @property
     def told_to_end(self) -> bool:
