--- a/cloverrouter/placement/calm.py
+++ b/cloverrouter/placement/calm.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from cloverrouter.placement.prefix import Prompt, mix
 from cloverrouter.placement.servers import Standing
 
@@ -38,6 +40,20 @@
 _RANKING = 0x9E3779B97F4A7C15
 
 
+def _rank(standing: Standing) -> int:
+    return mix(_RANKING ^ standing.seed)
+
+
+def _by_turns_of_zones(ranked: list[Standing]) -> list[Standing]:
+    """The same servers so that each zone has its turn: the first of all zones, then the second of each."""
+    places: Counter[str] = Counter()
+    turns: list[tuple[int, Standing]] = []
+    for standing in ranked:
+        turns.append((places[standing.server.zone], standing))
+        places[standing.server.zone] += 1
+    return [standing for _, standing in sorted(turns, key=lambda turn: turn[0])]
+
+
 class CalmServers:
     """Which servers of one service are calm, and whether there is a need for it."""
 
@@ -60,7 +76,7 @@
 
     def servers_changed(self, ready: list[Standing]) -> None:
         """These are the ready servers now."""
-        self._ranked = sorted(ready, key=lambda one: mix(_RANKING ^ one.seed), reverse=True)
+        self._ranked = _by_turns_of_zones(sorted(ready, key=_rank, reverse=True))
         self._choose()
 
     def note(self, prompt: Prompt, now: float) -> None:
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -32,6 +32,8 @@
 """or less than this part of what it runs at once, other proxies send there too;"""
 ROOM_SHARE = 1.2
 """or, in larger fleets, less than so many times this proxy's even share of that,"""
+NEAR_SHARE = 0.75
+"""Servers of the own zone are preferred where they are at least this part of an even share of all zones."""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
 ORDERS_KEPT = 2_048
@@ -102,6 +104,9 @@
         self._calm.note(prompt, now)
         if prompt.talks and self._calm.adapt(now, self.first_token.usual_ms):
             self._orders.clear()
+        if prompt.tokens_out and prompt.is_light:
+            usable = self.servers.usable(ready, now, careful) or ready
+            return self._draw(self._nearby(usable, now), now, spread=True)
         candidates = self._candidates(prompt, tried, now, careful) if prompt.parts else []
         if not candidates:
             usable = self.servers.usable(ready, now, careful)
@@ -143,9 +148,7 @@
         """The first servers of the order of the prompt's subject, the same at all proxies that know the same
         servers and kinds of requests."""
         if self._orders_of != self.servers.generation:
-            self._orders.clear()
-            self._orders_of = self.servers.generation
-            self._calm.servers_changed(self.servers.ready)
+            self._servers_changed()
         subject = prompt.subject
         key = (subject.key if subject is not None else 0, self._layout(prompt))
         known = self._orders.get(key)
@@ -183,8 +186,7 @@
         servers and others are not compared: the order has decided between them."""
         untried = [one for one in self.order(prompt) if one.server.id not in tried]
         usable = self.servers.usable(untried, now, careful)
-        ready = len(self.servers.ready)
-        room = ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / ready
+        room = self._room()
         with_room = [one for one in usable if self._has_room(one, room, now)]
         candidates = (with_room or usable)[:2]
         if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
@@ -193,6 +195,30 @@
                 return [home]
         return candidates
 
+    def _nearby(self, usable: list[Standing], now: float) -> list[Standing]:
+        """Where a long answer to little that is shared may come from: servers with room, the calm ones if
+        there are any, of these the ones in the own zone if they are two at least and no fewer than a zone's
+        share. No server keeps much of use for such requests, and it is the answer that would cross zones."""
+        if self._orders_of != self.servers.generation:
+            self._servers_changed()
+        room = self._room()
+        chosen = [one for one in usable if self._has_room(one, room, now)] or usable
+        if self._calm.wanted:
+            chosen = [one for one in chosen if one in self._calm] or chosen
+        near = [one for one in chosen if self._is_near(one)]
+        zones = len({one.server.zone for one in chosen})
+        is_enough = len(near) >= 2 and len(near) * zones >= NEAR_SHARE * len(chosen)
+        return near if is_enough else chosen
+
+    def _room(self) -> float:
+        """So many own requests under way leave room at a server, whatever its capacity."""
+        return ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / len(self.servers.ready)
+
+    def _servers_changed(self) -> None:
+        self._orders.clear()
+        self._orders_of = self.servers.generation
+        self._calm.servers_changed(self.servers.ready)
+
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
         if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
@@ -218,22 +244,27 @@
         expected_ms = reading_ms + self._delay_ms(standing, now)
         return standing.worth(now) / (load + EXPECTED_WEIGHT * expected_ms / usual_ms)
 
-    def _draw(self, among: list[Standing], now: float) -> Standing:
-        """The better of two draws; of equals, the one in the proxy's own zone."""
+    def _draw(self, among: list[Standing], now: float, spread: bool = False) -> Standing:
+        """The better of two draws; of equals, the one in the proxy's own zone, or with `spread` either."""
         if len(among) == 1:
             return among[0]
         first = self._drawn(among)
         second = self._drawn([one for one in among if one is not first])
         one, other = self._drawn_value(first, now), self._drawn_value(second, now)
+        if one == other and not spread:
+            return second if self._is_near(second) and not self._is_near(first) else first
         return second if other > one else first
 
     def _drawn(self, among: list[Standing]) -> Standing:
         return among[int(self._random() * len(among))]
 
-    def _drawn_value(self, standing: Standing, now: float) -> tuple[float, bool]:
+    def _is_near(self, standing: Standing) -> bool:
+        return standing.server.zone == self._zone
+
+    def _drawn_value(self, standing: Standing, now: float) -> float:
         delay_ms = max(0.0, self._delay_ms(standing, now) - self.first_token.usual_ms)
         load = 1.0 + standing.in_flight + delay_ms / self.first_token.usual_ms
-        return round(standing.worth(now) / load, 2), standing.server.zone == self._zone
+        return round(standing.worth(now) / load, 2)
 
     def _cache(self, standing: Standing) -> PrefixCache:
         cache = self._caches.get(standing.server.id)
--- a/cloverrouter/placement/prefix.py
+++ b/cloverrouter/placement/prefix.py
@@ -13,6 +13,8 @@
 import attrs
 
 MAX_HEADER_LENGTH = 8_192
+LIGHT_FACTOR = 16
+"""Shared parts with fewer tokens than the answer may have, divided by this, are no reason for a server."""
 MAX_PARTS = 64
 MAX_ENTRIES = 4_096
 """Parts that one server's model holds, whatever their tokens."""
@@ -41,6 +43,12 @@
         """Whether the answer is longer than the prompt: long prompts beside it make its events late."""
         return self.tokens_out > self.tokens
 
+    @property
+    def is_light(self) -> bool:
+        """Whether reading the shared parts again is next to nothing beside writing the answer."""
+        shared_tokens = sum([part.tokens for part in self.shared])
+        return shared_tokens * LIGHT_FACTOR <= self.tokens_out
+
     @property
     def subject(self) -> Part | None:
         """The last part that other requests may share; the part after it is the request's own."""
--- a/tests/system/test_placement_calm.py
+++ b/tests/system/test_placement_calm.py
@@ -4,6 +4,8 @@
 
 from itertools import pairwise
 
+import attrs
+
 from cloverrouter.placement.calm import GROW_EVERY_S, KIND_MEMORY_S, SHRINK_AFTER_S, CalmServers
 from cloverrouter.placement.prefix import parse_prompt
 from cloverrouter.placement.servers import Server, Standing
@@ -36,6 +38,27 @@
     assert calm_of(ready).members == calm_of(ready[::-1]).members
 
 
+def test_each_zone_has_its_share_of_the_calm_servers() -> None:
+    zones = (
+        "east",
+        "east",
+        "east",
+        "east",
+        "west",
+        "west",
+        "west",
+        "west",
+        "north",
+        "north",
+        "north",
+        "north",
+    )
+    ready = standings(12)
+    for standing, zone in zip(ready, zones, strict=True):
+        standing.server = attrs.evolve(standing.server, zone=zone)
+    assert {one.server.zone for one in calm_of(ready).members} == {"east", "west", "north"}
+
+
 def test_a_service_of_three_servers_keeps_none_calm() -> None:
     calm = calm_of(standings(3))
     assert not calm.members
