--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -29,6 +29,7 @@
 from cloverrouter.router.flight_host import HostedFlight
 from cloverrouter.router.headers import (
     ATTEMPT_ID,
+    LAST_EVENT_ID,
     MODEL,
     PROMPT_PREFIX,
     bearer_key,
@@ -48,7 +49,8 @@
     Recorder,
     no_log,
 )
-from cloverrouter.router.ranks import Ranks
+from cloverrouter.router.ranks import LOWEST, Ranks
+from cloverrouter.router.told_deadlines import ToldDeadlines
 from cloverrouter.router.verdict import End, Verdict
 
 SERVER_ERRORS = 500
@@ -95,6 +97,7 @@
         self._flights: set[HostedFlight] = set()
         self._waiting: dict[str, dict[HostedFlight, None]] = {}
         self._keys = 0
+        self._told_deadlines: dict[str, ToldDeadlines] = {}
         self._started_at = clock()
         self._fleet_size = 1
 
@@ -105,6 +108,8 @@
         self._configuration = configuration
         self._table = table if table is not None else RoutingTable(configuration)
         self._ranks = Ranks(configuration)
+        routes = {route.name for route in configuration.routes}
+        self._told_deadlines = {name: told for name, told in self._told_deadlines.items() if name in routes}
         for service in configuration.services:
             kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
             self.placement(service.name).configure(kv_tokens)
@@ -221,10 +226,21 @@
             tenant=tenant,
             tokens=_tokens(usage, tenant),
             prompt=prompt,
-            priority=self._ranks.of(tenant, route) if self._ranks is not None else None,
+            priority=self._priority(request, route, tenant, told_ms),
             deadline=request.arrived_s + wait_ms / 1000,
         )
 
+    def _priority(
+        self, request: Request, route: Route, tenant: Tenant | None, told_ms: float | None
+    ) -> int | None:
+        """Its rank at a server; the lowest if its objective has passed before it came, so that those which
+        can still be in time don't wait behind it. A stream that goes on has met the objective."""
+        rank = self._ranks.of(tenant, route) if self._ranks is not None else None
+        if told_ms is None or request.header(LAST_EVENT_ID) is not None:
+            return rank
+        told = self._told_deadlines.setdefault(route.name, ToldDeadlines())
+        return LOWEST if told.spent_ms(told_ms, route.timeout_ms) > route.aim_ms else rank
+
     def _service(self, route: Route, prompt: Prompt) -> str:
         """One of the route's services by weight: the same for all requests of a subject. One without a ready
         server gets nothing while another has some."""
--- /dev/null
+++ b/tests/system/test_told_deadlines.py
@@ -0,0 +1,68 @@
+"""What a request has spent of its time before it came, and the rank that it gets at a server for it."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cloverrouter.router.told_deadlines import GENERATION, LEAST_KNOWN, ToldDeadlines
+from tests.system.router_world import World
+
+TIMEOUT_MS = 2000.0
+
+
+def after_first_tries(count: int = 50, told_ms: float = 2000.0) -> ToldDeadlines:
+    told = ToldDeadlines()
+    for _ in range(count):
+        assert told.spent_ms(told_ms, TIMEOUT_MS) == 0.0
+    return told
+
+
+def test_a_first_try_has_spent_nothing() -> None:
+    after_first_tries()
+
+
+def test_a_later_try_has_spent_what_it_tells_less() -> None:
+    assert after_first_tries().spent_ms(1200.0, TIMEOUT_MS) == 800.0
+
+
+def test_the_clients_own_patience_counts_where_it_is_known_not_the_route_s() -> None:
+    told = ToldDeadlines()
+    for _ in range(LEAST_KNOWN):
+        told.spent_ms(1500.0, 9000.0)
+    assert told.spent_ms(1500.0, 9000.0) == 0.0
+    assert told.spent_ms(1000.0, 9000.0) == 500.0
+
+
+def test_a_process_that_has_just_started_goes_by_the_route() -> None:
+    assert ToldDeadlines().spent_ms(900.0, TIMEOUT_MS) == 1100.0
+
+
+def test_nothing_is_told_of_clients_that_differ_in_their_patience() -> None:
+    random, told = Random(5), ToldDeadlines()
+    for _ in range(200):
+        told.spent_ms(random.choice((500.0, 700.0, 900.0, 2000.0)), TIMEOUT_MS)
+    assert told.spent_ms(500.0, TIMEOUT_MS) == 0.0
+
+
+def test_a_patience_that_nobody_has_any_more_is_forgotten() -> None:
+    told = after_first_tries(told_ms=2000.0)
+    for _ in range(2 * GENERATION):
+        told.spent_ms(1900.0, TIMEOUT_MS)
+    assert told.spent_ms(1900.0, TIMEOUT_MS) == 0.0
+
+
+def rank(world: World, told_ms: int, *fields: tuple[bytes, bytes]) -> bytes | None:
+    world.ask("/resume/x", (b"cypresswinch-deadline-ms", b"%d" % told_ms), *fields)
+    return world.last.field(b"priority")
+
+
+def test_a_request_whose_objective_has_passed_lets_others_go_first() -> None:
+    world = World().set_up()
+    assert rank(world, 2000) != b"9"
+    assert rank(world, 1900) == rank(world, 2000)
+    assert rank(world, 1700) == b"9"
+
+
+def test_a_stream_that_goes_on_keeps_its_rank() -> None:
+    world = World().set_up()
+    assert rank(world, 900, (b"last-event-id", b"7")) == rank(world, 2000)
