--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -81,7 +81,8 @@
     if not report.exists():
         day = stem.with_suffix(".toml")
         day.write_text(day_toml(draw_day(read_site(site), seed, heavy)))
-        command = [str(bench), "run", str(site), str(day), "--seed", str(seed), "--report", str(report)]
+        command = [str(bench), "run", str(site), str(day), "--seed", str(seed), "--jobs", "1"]
+        command += ["--report", str(report)]
         with stem.with_suffix(".txt").open("w") as output:
             subprocess.run([*command, *options], stdout=output, stderr=subprocess.STDOUT, check=False)
     return read_report(site.stem, seed, report)
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -15,6 +15,7 @@
 
 from cloverrouter.placement.calm import CalmServers
 from cloverrouter.placement.first_token import FirstTokenModel
+from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
@@ -61,8 +62,15 @@
     holds, None for servers without a model.
     """
 
-    def __init__(self, random: Random, zone: str, kv_tokens: int | None = None) -> None:
-        self.servers = ServiceServers()
+    def __init__(
+        self,
+        random: Random,
+        zone: str,
+        kv_tokens: int | None = None,
+        options: PlacementOptions = IN_USE,
+    ) -> None:
+        self.servers = ServiceServers(options)
+        self._options = options
         self.first_token = FirstTokenModel()
         self._random = random
         self._zone = zone
@@ -104,7 +112,7 @@
         self._calm.note(prompt, now)
         if prompt.talks and self._calm.adapt(now, self.first_token.usual_ms):
             self._orders.clear()
-        if prompt.tokens_out and prompt.is_light:
+        if prompt.tokens_out and prompt.is_light and self._options.nearby_streams:
             usable = self.servers.usable(ready, now, careful) or ready
             return self._draw(self._nearby(usable, now), now, spread=True)
         candidates = self._candidates(prompt, tried, now, careful) if prompt.parts else []
@@ -138,6 +146,8 @@
         """Tokens of the prompt that the server is expected to have to read."""
         if not prompt.parts:
             return 0
+        if not self._options.cache_model:
+            return prompt.parts[-1].tokens
         missing = self._cache(standing).missing_tokens(prompt)
         own = prompt.parts[-1].tokens
         if missing > own and standing is self.order(prompt)[0]:
@@ -162,7 +172,7 @@
 
     def _layout(self, prompt: Prompt) -> _Layout:
         """Where in the order the calm servers stand."""
-        if not prompt.tokens_out or not self._calm.wanted:
+        if not prompt.tokens_out or not self._keeps_calm:
             return _Layout.EVEN
         if prompt.talks:
             return _Layout.CALM_FIRST
@@ -203,13 +213,17 @@
             self._servers_changed()
         room = self._room()
         chosen = [one for one in usable if self._has_room(one, room, now)] or usable
-        if self._calm.wanted:
+        if self._keeps_calm:
             chosen = [one for one in chosen if one in self._calm] or chosen
         near = [one for one in chosen if self._is_near(one)]
         zones = len({one.server.zone for one in chosen})
         is_enough = len(near) >= 2 and len(near) * zones >= NEAR_SHARE * len(chosen)
         return near if is_enough else chosen
 
+    @property
+    def _keeps_calm(self) -> bool:
+        return self._calm.wanted and self._options.calm_servers
+
     def _room(self) -> float:
         """So many own requests under way leave room at a server, whatever its capacity."""
         return ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / len(self.servers.ready)
@@ -220,11 +234,15 @@
         self._calm.servers_changed(self.servers.ready)
 
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
+        if not self._options.room_rule:
+            return True
         if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
 
     def _delay_ms(self, standing: Standing, now: float) -> float:
+        if not self._options.learnt_delays:
+            return 0.0
         return standing.late_ms(now, self.first_token.usual_ms)
 
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
@@ -232,7 +250,8 @@
         if len(candidates) == 1:
             return home
         other = candidates[1]
-        ahead = self._value(other, prompt, now) > HOME_ADVANTAGE * self._value(home, prompt, now)
+        advantage = HOME_ADVANTAGE if self._options.home_advantage else 1.0
+        ahead = self._value(other, prompt, now) > advantage * self._value(home, prompt, now)
         return other if ahead else home
 
     def _value(self, standing: Standing, prompt: Prompt, now: float) -> float:
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from cloverrouter.placement.health import CAREFUL_RATE, SUSPECT_RATE, Suspicion
+from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.prefix import mix
 
 PAYOFF_WEIGHT = 0.2
@@ -174,9 +175,9 @@
         oldest = next(iter(self._unanswered.values()))
         return now - max(oldest, self._heard_at) > SILENCE_S
 
-    def avoided(self, now: float) -> bool:
-        """Whether others are to be preferred for the time being."""
-        return self.server.silent or now < self.paused_until or self.doubted(now)
+    def avoided(self, now: float, doubts: bool = True) -> bool:
+        """Whether others are to be preferred for the time being; without `doubts`, whatever waits there."""
+        return self.server.silent or now < self.paused_until or (doubts and self.doubted(now))
 
     def warned(self, now: float, until: float) -> None:
         """Other proxies found it failing."""
@@ -202,7 +203,8 @@
 class ServiceServers:
     """The servers of one service."""
 
-    def __init__(self) -> None:
+    def __init__(self, options: PlacementOptions = IN_USE) -> None:
+        self._options = options
         self.standings: dict[str, Standing] = {}
         self.ready: list[Standing] = []
         self.generation = 0
@@ -239,12 +241,13 @@
     def usable(self, among: Iterable[Standing], now: float, careful: bool = False) -> list[Standing]:
         """Those that nothing speaks against. If most of the servers are suspected, only the latest to fail
         count: the rest could not carry the load, and may have recovered."""
-        suspects = {one for one in self.ready if one.suspected(now, careful)}
+        suspects = {one for one in self.ready if self._options.suspicion and one.suspected(now, careful)}
         if 2 * len(suspects) > len(self.ready):
             latest = sorted(suspects, key=lambda one: one.blamed_at, reverse=True)
             suspects = set(latest[: len(self.ready) // MOST_SUSPECTS_PART])
         suspects.update(self.few_overdue(now))
-        return [one for one in among if one not in suspects and not one.avoided(now)]
+        doubts = self._options.doubts
+        return [one for one in among if one not in suspects and not one.avoided(now, doubts)]
 
     def total_in_flight(self) -> int:
         """This proxy's requests under way at the ready servers."""
--- a/cloverrouter/router/flight.py
+++ b/cloverrouter/router/flight.py
@@ -135,7 +135,7 @@
         standing.sent(attempt.key, router.clock())
         self._record.sent(standing.server.id)
         placement.sent(standing, admitted.prompt)
-        if self._tries.may_run_once_more:
+        if self._tries.may_run_once_more and router.options.patience:
             self._patience = Patience(attempt, placement, router.clock, router.call_later, self._give_up)
         attempt.call = router.send(
             attempt, self._message(standing), self._request_id, lambda: self._renewed(attempt)
--- a/cloverrouter/router/flight_host.py
+++ b/cloverrouter/router/flight_host.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cloverrouter.http.client import Call
+from cloverrouter.placement.options import PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.router.admitted import Admitted
 from cloverrouter.router.attempt import Attempt
@@ -53,6 +54,9 @@
     @property
     def budget(self) -> Budget: ...
 
+    @property
+    def options(self) -> PlacementOptions: ...
+
     @property
     def recorder(self) -> Recorder: ...
 
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -18,6 +18,7 @@
     LongestAnswers,
     may_begin,
 )
+from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
@@ -75,7 +76,9 @@
         budget: Budget,
         log: Log = no_log,
         recorder: Recorder = NO_RECORD,
+        options: PlacementOptions = IN_USE,
     ) -> None:
+        self.options = options
         self.clock = clock
         self.call_later = call_later
         self.random = random
@@ -236,7 +239,7 @@
         """Its rank at a server; the lowest if its objective has passed before it came, so that those which
         can still be in time don't wait behind it. A stream that goes on has met the objective."""
         rank = self._ranks.of(tenant, route) if self._ranks is not None else None
-        if told_ms is None or request.header(LAST_EVENT_ID) is not None:
+        if told_ms is None or not self.options.late_last or request.header(LAST_EVENT_ID) is not None:
             return rank
         told = self._told_deadlines.setdefault(route.name, ToldDeadlines())
         return LOWEST if told.spent_ms(told_ms, route.timeout_ms) > route.aim_ms else rank
@@ -268,7 +271,9 @@
         """The servers of a service."""
         found = self._placements.get(service)
         if found is None:
-            found = self._placements[service] = ServicePlacement(self.random.random, self.zone)
+            found = self._placements[service] = ServicePlacement(
+                self.random.random, self.zone, options=self.options
+            )
             found.fleet_changed(self._fleet_size)
         return found
 
