--- a/cloverrouter/coordination/partial_view.py
+++ b/cloverrouter/coordination/partial_view.py
@@ -41,12 +41,14 @@
     def is_full(self) -> bool:
         return len(self._entries) >= self._capacity
 
-    def take_oldest(self, now: float) -> PeerRecord | None:
-        """Removes the machine that has not told of itself for longest: the partner of the next shuffle."""
+    def take_oldest(self, now: float, zone: str | None = None) -> PeerRecord | None:
+        """Removes the machine that has not told of itself for longest: the partner of the next shuffle. With
+        `zone`, one of that zone if there is any."""
         self._drop_outdated(now)
         if not self._entries:
             return None
-        oldest = min(self._entries, key=lambda ip: self._entries[ip].told_at)
+        near = [ip for ip, entry in self._entries.items() if entry.record.zone == zone]
+        oldest = min(near or self._entries, key=lambda ip: self._entries[ip].told_at)
         return self._entries.pop(oldest).record
 
     def sample(self, now: float, count: int, without: str) -> tuple[AgedRecord, ...]:
--- a/cloverrouter/coordination/sampling.py
+++ b/cloverrouter/coordination/sampling.py
@@ -1,9 +1,9 @@
 """Peer sampling: how machines that know only a few seeds come to know one another, and stay joined.
 
 After CYCLON: each machine holds a partial view of up to 16 others with ages, and shuffles parts of it with
-the oldest of them. Beside it each shuffle carries all machines whose disks count for the quorum (there are
-few), and the newest membership view of the chain. From HyParView comes the passive list: machines that no
-longer answered, tried now and then.
+the oldest of them, in a larger fleet mostly with the oldest of the own zone. Beside it each shuffle carries
+all machines whose disks count for the quorum (there are few), and the newest membership view of the chain.
+From HyParView comes the passive list: machines that no longer answered, tried now and then.
 
 A new membership view goes to six others at once, and so to nearly all machines in a few hops.
 
@@ -17,6 +17,7 @@
 import math
 from collections.abc import Sequence
 from random import Random
+from zlib import crc32
 
 import attrs
 
@@ -28,6 +29,9 @@
 VIEW_CAPACITY = 16
 SHUFFLE_LENGTH = 8
 RUMOUR_FANOUT = 6
+DISTANT_EVERY = 5
+"""Where a machine knows many others, one shuffle in so many may leave its zone: what moves between zones is
+slower, and costs more. With tens of machines in a zone that is many a second."""
 PASSIVE_CAPACITY = 32
 JOINING_PERIOD = 0.1
 STARTING_PERIOD = 0.4
@@ -91,6 +95,7 @@
         self._blind_until = 0.0
         self._largest_view = 0
         self._rounds_without_growth = 0
+        self._rounds = crc32(me.ip.encode())  # neighbours leave their zone at different times
 
     @property
     def due(self) -> float:
@@ -237,11 +242,16 @@
     def _shuffle(self, now: float) -> list[Effect]:
         self._beat(now)
         self._rounds_without_growth += 1
-        partner = self._view.take_oldest(now)
+        partner = self._partner(now)
         if partner is None:
             return self._probe(now)
         return [self._ask(now, partner.ip)]
 
+    def _partner(self, now: float) -> PeerRecord | None:
+        self._rounds += 1
+        stays = self._view.is_full() and self._rounds % DISTANT_EVERY != 0
+        return self._view.take_oldest(now, self._me.zone if stays else None)
+
     def _probe(self, now: float) -> list[Effect]:
         """One machine that is not in the view: a seed, a disk member once known, or one that no longer
         answered.
--- a/tests/system/lossy_world.py
+++ b/tests/system/lossy_world.py
@@ -41,6 +41,7 @@
         self.cores: dict[str, Core] = {}
         self.effects: list[tuple[float, str, Any]] = []
         self.messages: Counter[str] = Counter()
+        self.messages_between: Counter[tuple[str, str]] = Counter()
         self.bytes: Counter[str] = Counter()
         self.bytes_by_kind: Counter[str] = Counter()
         self.on_effect: Callable[[str, Any], None] | None = None
@@ -131,6 +132,7 @@
 
     def _send(self, ip: str, send: Send) -> None:
         self.messages[ip] += 1
+        self.messages_between[ip, send.ip] += 1
         if self.counts_bytes:
             size = len(encode(send.message))
             self.bytes[ip] += size
--- a/tests/system/test_sampling.py
+++ b/tests/system/test_sampling.py
@@ -15,9 +15,11 @@
     return f"10.0.{number // 250}.{number % 250 + 1}"
 
 
-def sampler(world: World, ip: str, seeds: list[str], *, disk: bool, incarnation: int = 1) -> PeerSampler:
+def sampler(
+    world: World, ip: str, seeds: list[str], *, disk: bool, incarnation: int = 1, zone: str = "zone"
+) -> PeerSampler:
     identity = f"disk-{ip}-{incarnation}" if disk else ""
-    me = PeerRecord(ip, f"machine-{ip}", "zone", identity, disk, incarnation)
+    me = PeerRecord(ip, f"machine-{ip}", zone, identity, disk, incarnation)
     return PeerSampler(me, seeds, Random(world.random.random()))
 
 
@@ -190,6 +192,40 @@
         assert fresh == set(new)
 
 
+def zoned_fleet(world: World, size: int, disks: int) -> dict[str, str]:
+    """A fleet spread over three zones; the zone of each machine."""
+    zones = {ip_of(number): ("east", "west", "north")[number % 3] for number in range(size)}
+    seeds = list(zones)[:3]
+    for number, (ip, zone) in enumerate(zones.items()):
+        core = sampler(world, ip, seeds, disk=number < disks, zone=zone)
+        world.add(ip, core, after=world.random.uniform(0, 0.3))
+    return zones
+
+
+def test_in_a_large_fleet_most_shuffles_stay_in_their_zone() -> None:
+    world = World(21)
+    zones = zoned_fleet(world, 60, 6)
+    world.run(5)
+    world.messages_between.clear()
+    world.run(15)
+    crossed = sum(
+        count for (one, other), count in world.messages_between.items() if zones[one] != zones[other]
+    )
+    assert 0.1 < crossed / world.messages_between.total() < 0.35  # 0.66 without a preference
+
+
+def test_zones_know_one_another_s_disks_though_most_shuffles_stay_at_home() -> None:
+    world = World(22)
+    zones = zoned_fleet(world, 60, 6)
+    world.run(10)
+    for ip in zones:
+        core = world.cores[ip]
+        assert isinstance(core, PeerSampler)
+        assert all(member.silent_for < 2.5 for member in core.discovered(world.now))
+        assert len(core.discovered(world.now)) == 6
+    assert components(world) == 1
+
+
 def summary(epoch: int, committed: int = 0) -> ViewSummary:
     return ViewSummary(epoch, True, ip_of(0), (VoterPlace(ip_of(0), "d0", "zone"),), committed)
 
