--- a/cloverrouter/placement/options.py
+++ b/cloverrouter/placement/options.py
@@ -28,6 +28,8 @@
     """A request that may run again leaves a server that seems to hang."""
     nearby_streams: bool = True
     """Long answers to little that is shared come from the own zone, by load."""
+    told_loads: bool = True
+    """What servers tell of their load counts, where they do."""
     late_last: bool = True
     """Requests whose objective has passed let others go first at a server."""
 
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -35,6 +35,10 @@
 """or, in larger fleets, less than so many times this proxy's even share of that,"""
 NEAR_SHARE = 0.75
 """Servers of the own zone are preferred where they are at least this part of an even share of all zones."""
+BUSY_PART = 0.8
+"""A long answer goes elsewhere while a server tells that more of its places are taken than this."""
+TAKEN_WEIGHT = 4.0
+"""How many requests under way a server counts for long answers that tells that all its places are taken."""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
 ORDERS_KEPT = 2_048
@@ -212,7 +216,9 @@
         if self._orders_of != self.servers.generation:
             self._servers_changed()
         room = self._room()
-        chosen = [one for one in usable if self._has_room(one, room, now)] or usable
+        chosen = [
+            one for one in usable if self._has_room(one, room, now) and self._taken(one, now) < BUSY_PART
+        ] or usable
         if self._keeps_calm:
             chosen = [one for one in chosen if one in self._calm] or chosen
         near = [one for one in chosen if self._is_near(one)]
@@ -236,6 +242,8 @@
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
         if not self._options.room_rule:
             return True
+        if self._options.told_loads and standing.is_full(now):
+            return False
         if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
@@ -269,7 +277,8 @@
             return among[0]
         first = self._drawn(among)
         second = self._drawn([one for one in among if one is not first])
-        one, other = self._drawn_value(first, now), self._drawn_value(second, now)
+        weight = TAKEN_WEIGHT if spread else 0.0
+        one, other = self._drawn_value(first, now, weight), self._drawn_value(second, now, weight)
         if one == other and not spread:
             return second if self._is_near(second) and not self._is_near(first) else first
         return second if other > one else first
@@ -280,9 +289,13 @@
     def _is_near(self, standing: Standing) -> bool:
         return standing.server.zone == self._zone
 
-    def _drawn_value(self, standing: Standing, now: float) -> float:
+    def _taken(self, standing: Standing, now: float) -> float:
+        return standing.taken(now) if self._options.told_loads else 0.0
+
+    def _drawn_value(self, standing: Standing, now: float, taken_weight: float) -> float:
         delay_ms = max(0.0, self._delay_ms(standing, now) - self.first_token.usual_ms)
         load = 1.0 + standing.in_flight + delay_ms / self.first_token.usual_ms
+        load += taken_weight * self._taken(standing, now)
         return round(standing.worth(now) / load, 2)
 
     def _cache(self, standing: Standing) -> PrefixCache:
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -14,6 +14,7 @@
 from cloverrouter.placement.health import CAREFUL_RATE, SUSPECT_RATE, Suspicion
 from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.prefix import mix
+from cloverrouter.placement.server_load import FIRM_S, ServerLoad, firmness
 
 PAYOFF_WEIGHT = 0.2
 """How far one outcome moves the smoothed payoff."""
@@ -72,6 +73,9 @@
     blamed_at: float = 0.0
     """When it last failed a request, here or, as the head told, elsewhere."""
     suspicion: Suspicion = attrs.field(factory=Suspicion)
+    load: ServerLoad | None = None
+    """What it told last of its load, to this proxy or another."""
+    load_at: float = 0.0
     _failures: int = 0
     _failed_at: float = 0.0
     _delay_ms: float = 0.0
@@ -108,6 +112,22 @@
         self.in_flight -= 1
         self._unanswered.pop(attempt, None)
 
+    def load_told(self, load: ServerLoad, at: float) -> None:
+        """It told its load at that time."""
+        if self.load is None or at > self.load_at:
+            self.load = load
+            self.load_at = at
+
+    def taken(self, now: float) -> float:
+        """Part of its places that is taken, as far as it told lately."""
+        if self.load is None:
+            return 0.0
+        return self.load.taken * firmness(now - self.load_at)
+
+    def is_full(self, now: float) -> bool:
+        """Whether it told just now that it has no place left."""
+        return self.load is not None and now - self.load_at < FIRM_S and self.load.taken >= 1.0
+
     def succeeded(self, now: float = 0.0) -> None:
         """An answer of worth came. One that goes up and down by turns is still left alone for longer."""
         self.payoff += PAYOFF_WEIGHT * (1.0 - self.payoff)
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -10,9 +10,10 @@
 
 from cloverrouter.http.client import Call, Failure, Headers
 from cloverrouter.http.fields import end_to_end
+from cloverrouter.placement.server_load import parse_load
 from cloverrouter.placement.servers import Standing
 from cloverrouter.router.events import EventTail
-from cloverrouter.router.headers import is_event_stream, is_unframed
+from cloverrouter.router.headers import SERVER_LOAD, is_event_stream, is_unframed
 from cloverrouter.router.verdict import Answer, End, Verdict, judge_head
 
 
@@ -110,6 +111,7 @@
         if self.verdict is Verdict.SPOILT:
             self._drop(End.SPOILT)
             return
+        self._note_load(headers)
         self._headers = end_to_end(headers)
         events = is_event_stream(headers)
         if events and is_unframed(headers, length):
@@ -167,6 +169,13 @@
         else:
             self.owner.attempt_over(self, end, None)
 
+    def _note_load(self, headers: Headers) -> None:
+        """What the server tells of its load; a field that can't be read tells nothing, and is passed on."""
+        values = [value for name, value in headers if name == SERVER_LOAD]
+        load = parse_load(values) if values else None
+        if load is not None and self.heard_at is not None:
+            self.standing.load_told(load, self.heard_at)
+
     def _begin_stream(self, length: int | None, events: bool) -> None:
         self._streaming = True
         self.owner.stream_began(self, self._status, self._headers, length, events)
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -11,6 +11,7 @@
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
+from cloverrouter.placement import load_news
 from cloverrouter.placement.admission import unconfigured_retry_after_s
 from cloverrouter.placement.leaving import (
     Expectation,
@@ -18,6 +19,7 @@
     LongestAnswers,
     may_begin,
 )
+from cloverrouter.placement.load_messages import LoadNews
 from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
@@ -139,6 +141,17 @@
         for placement in self._placements.values():
             placement.warned(ids, span_s, now)
 
+    def load_news(self) -> LoadNews | None:
+        """What to tell other proxies of the servers' loads."""
+        standings = [one for each in self._placements.values() for one in each.servers.ready]
+        return load_news.news(standings, self.clock())
+
+    def loads_told(self, told: LoadNews) -> None:
+        """Another proxy tells of servers' loads."""
+        now = self.clock()
+        for placement in self._placements.values():
+            load_news.take(told, placement.servers.standings, now)
+
     def report_overdue(self) -> None:
         """Tell of the servers that seem not to answer."""
         now = self.clock()
--- /dev/null
+++ b/tests/system/test_server_load.py
@@ -0,0 +1,182 @@
+"""What servers tell of their load: read with care, shared among proxies, and what it changes in placement."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from cloverrouter.messages import Decoder, encode
+from cloverrouter.placement import load_news
+from cloverrouter.placement.load_messages import LoadNews, LoadReading
+from cloverrouter.placement.load_news import MOST_TOLD, TOLD_S
+from cloverrouter.placement.options import PlacementOptions
+from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.prefix import parse_prompt
+from cloverrouter.placement.server_load import FIRM_S, KEPT_S, ServerLoad, parse_load
+from cloverrouter.placement.servers import Server, Standing
+from tests.system.router_world import SIGNED, World
+
+NOW = 100.0
+FULL = ServerLoad(12, 3, 12)
+EMPTY = ServerLoad(0, 0, 12)
+
+
+def placement(options: PlacementOptions | None = None) -> ServicePlacement:
+    draws = iter(range(10**9))
+    made = ServicePlacement(
+        lambda: (next(draws) * 0.618) % 1.0, "east", 50_000, options or PlacementOptions()
+    )
+    for place in range(6):
+        made.told(Server(f"i-{place}", "model", ("10.0.0.1", place + 1), "east", 12, ready=True))
+    return made
+
+
+def talking(number: int = 7) -> str:
+    return f"bb:50,{number:x}:30,{number + 9000:x}:140"
+
+
+def picks(made: ServicePlacement, count: int = 60, now: float = NOW) -> Counter[str]:
+    found = [made.pick(parse_prompt(talking(each), "m", 4000), (), now) for each in range(count)]
+    return Counter(one.server.id for one in found if one is not None)
+
+
+def test_a_load_is_read() -> None:
+    assert parse_load([b"7,2,12"]) == ServerLoad(7, 2, 12)
+    assert parse_load([b" 7 , 2 , 12 "]) == ServerLoad(7, 2, 12)
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        [],
+        [b""],
+        [b"7,2"],
+        [b"7,2,12,1"],
+        [b"-1,2,12"],
+        [b"7,2,0"],
+        [b"NaN,0,12"],
+        [b"7.5,0,12"],
+        [b"1e9,0,12"],
+        [b"99999999999999999999,0,12"],
+        [b"9999999,0,12"],
+        [b"7,2,12", b"0,0,12"],
+        [b"\xb2,0,12"],
+    ],
+)
+def test_what_can_t_be_a_load_tells_nothing(values: list[bytes]) -> None:
+    assert parse_load(values) is None
+
+
+def test_a_reading_fades() -> None:
+    standing = placement().servers.ready[0]
+    standing.load_told(FULL, NOW)
+    assert standing.taken(NOW) == standing.taken(NOW + FIRM_S) == 1.25
+    assert 0 < standing.taken(NOW + 2) < 1.25
+    assert standing.taken(NOW + KEPT_S) == 0.0
+    assert standing.is_full(NOW)
+    assert not standing.is_full(NOW + FIRM_S)
+
+
+def test_an_older_reading_does_not_replace_a_newer_one() -> None:
+    standing = placement().servers.ready[0]
+    standing.load_told(EMPTY, NOW)
+    standing.load_told(FULL, NOW - 0.5)
+    assert standing.load == EMPTY
+
+
+def test_long_answers_go_to_servers_with_places() -> None:
+    made = placement()
+    for standing in made.servers.ready[:4]:
+        standing.load_told(FULL, NOW)
+    assert set(picks(made)) == {"i-4", "i-5"}
+    assert len(picks(made, now=NOW + KEPT_S)) == 6
+
+
+def test_of_two_servers_the_less_taken_gets_a_long_answer() -> None:
+    made = placement()
+    for place, standing in enumerate(made.servers.ready):
+        standing.load_told(ServerLoad(place, 0, 12), NOW)
+    found = picks(made, 300)
+    assert found["i-0"] > found["i-2"] > found["i-4"]
+
+
+def test_servers_that_tell_nothing_are_placed_as_without_loads() -> None:
+    assert picks(placement()) == picks(placement(PlacementOptions(told_loads=False)))
+
+
+def test_if_all_are_full_one_is_picked_all_the_same() -> None:
+    made = placement()
+    for standing in made.servers.ready:
+        standing.load_told(FULL, NOW)
+    assert sum(picks(made).values()) == 60
+
+
+def test_a_full_home_hands_on() -> None:
+    made = placement()
+    prompt = parse_prompt("aa:2500,bb:3800,cc:2900", "m", 60)
+    home = made.pick(prompt, (), NOW)
+    assert home is not None
+    home.load_told(FULL, NOW)
+    assert made.pick(prompt, (), NOW) is not home
+    assert made.pick(prompt, (), NOW + FIRM_S) is home
+
+
+def test_proxies_share_what_they_heard() -> None:
+    one, other = placement(), placement()
+    one.servers.standings["i-1"].load_told(FULL, NOW - 0.4)
+    told = load_news.news(one.servers.ready, NOW)
+    assert told is not None
+    [sent] = Decoder().feed(encode(told))
+    assert sent == told
+    load_news.take(told, other.servers.standings, NOW)
+    standing = other.servers.standings["i-1"]
+    assert standing.load == FULL
+    assert standing.load_at == pytest.approx(NOW - 0.4, abs=0.002)
+
+
+def test_nothing_is_told_that_is_not_new() -> None:
+    made = placement()
+    assert load_news.news(made.servers.ready, NOW) is None
+    made.servers.ready[0].load_told(FULL, NOW - TOLD_S)
+    assert load_news.news(made.servers.ready, NOW) is None
+
+
+def test_a_message_is_bounded() -> None:
+    standings = [
+        Standing(Server(f"i-{place}", "model", ("10.0.0.1", place + 1), "east", 12, ready=True), payoff=1.0)
+        for place in range(100)
+    ]
+    for place, standing in enumerate(standings):
+        standing.load_told(FULL, NOW - place / 100)
+    told = load_news.news(standings, NOW)
+    assert told is not None
+    assert [reading.id for reading in told.readings] == [f"i-{place}" for place in range(MOST_TOLD)]
+
+
+@pytest.mark.parametrize(
+    "reading",
+    [
+        LoadReading("i-1", 1, 0, 0, 10),
+        LoadReading("i-1", -1, 0, 12, 10),
+        LoadReading("i-1", 1, 0, 12, -500),
+        LoadReading("i-1", 10**9, 0, 12, 10),
+        LoadReading("unknown", 1, 0, 12, 10),
+    ],
+)
+def test_readings_that_make_no_sense_are_not_taken(reading: LoadReading) -> None:
+    made = placement()
+    load_news.take(LoadNews((reading,)), made.servers.standings, NOW)
+    assert all(standing.load is None for standing in made.servers.ready)
+
+
+@pytest.mark.parametrize("value", [b"3,0,12", b"-3,nonsense"])
+def test_the_answer_goes_back_with_the_field_as_it_came(value: bytes) -> None:
+    world = World().set_up()
+    exchange = world.ask("/once/x")
+    server_id = world.last.field(b"cypresswinch-expected-instance")
+    world.last.answer(200, SIGNED, (b"cypresswinch-server-load", value))
+    assert (b"cypresswinch-server-load", value) in exchange.headers
+    assert server_id is not None
+    standing = world.router.placement("desk").servers.standings[server_id.decode()]
+    assert standing.load == (ServerLoad(3, 0, 12) if value[:1] == b"3" else None)
