--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -45,7 +45,7 @@
 from cloverrouter.daemon.view_notice import ViewNotice
 from cloverrouter.messages import messages_of
 from cloverrouter.messages.sending import Send
-from cloverrouter.placement import load_messages, quota_messages, trouble_messages
+from cloverrouter.placement import placement_messages, quota_messages, trouble_messages
 from cloverrouter.store.records import Ballot
 
 if TYPE_CHECKING:
@@ -263,7 +263,7 @@
             (distribution_messages, self._on_distribution),
             (quota_messages, self._on_quota),
             (trouble_messages, self._on_trouble),
-            (load_messages, self._on_loads),
+            (placement_messages, self._on_placement),
             (views, self._on_chain),
         ):
             table.update(dict.fromkeys(messages_of(module.__name__), handler))
@@ -292,17 +292,17 @@
     def _on_sampling(self, now: float, ip: str, message: object) -> None:
         self._sampled(now, self.sampler.receive(now, ip, message))
         if isinstance(message, sampling_messages.Shuffle) and message.sender.zone == self._settings.zone:
-            self._tell_loads(ip)
+            self._tell_placement(ip)
 
-    def _tell_loads(self, ip: str) -> None:
-        """Tell a proxy of the own zone what is known of the servers' loads."""
-        news = self.traffic.router.load_news()
+    def _tell_placement(self, ip: str) -> None:
+        """Tell a proxy of the own zone what is known of servers and requests."""
+        news = self.traffic.router.placement_news()
         if news is not None:
             self.transport.send(ip, news)
 
-    def _on_loads(self, now: float, ip: str, message: object) -> None:
-        assert isinstance(message, load_messages.LoadNews)
-        self.traffic.router.loads_told(message)
+    def _on_placement(self, now: float, ip: str, message: object) -> None:
+        assert isinstance(message, placement_messages.PlacementNews)
+        self.traffic.router.placement_told(message)
 
     def _on_registry(self, now: float, ip: str, message: object) -> None:
         self._registered(self.registry.receive(now, ip, message))
--- a/cloverrouter/placement/calm.py
+++ b/cloverrouter/placement/calm.py
@@ -86,6 +86,20 @@
         elif prompt.tokens_out:
             self._read_at = now
 
+    @property
+    def seen_at(self) -> tuple[float, float]:
+        """When requests that talk, and others, came last, here or at other proxies."""
+        return self._talked_at, self._read_at
+
+    def wanted_at(self, now: float) -> bool:
+        """Whether requests of both kinds came lately, seen from now."""
+        return self.wanted and now - min(self.seen_at) <= KIND_MEMORY_S
+
+    def told(self, talked_at: float, read_at: float) -> None:
+        """Another proxy knows of requests that came at these times."""
+        self._talked_at = max(self._talked_at, talked_at)
+        self._read_at = max(self._read_at, read_at)
+
     def spared_by(self, prompt: Prompt) -> bool:
         """Whether a request that doesn't talk leaves the calm servers alone."""
         subject = prompt.subject
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -82,7 +82,7 @@
         self._caches: dict[str, PrefixCache] = {}
         self._orders: OrderedDict[tuple[int, _Layout], list[Standing]] = OrderedDict()
         self._orders_of = -1
-        self._calm = CalmServers()
+        self.calm = CalmServers()
         self._room_part = ROOM_PART
 
     def configure(self, kv_tokens: int | None) -> None:
@@ -93,7 +93,7 @@
 
     def fleet_changed(self, size: int) -> None:
         """So many proxies send to the servers."""
-        self._calm.fleet_size = size
+        self.calm.fleet_size = size
         self._room_part = min(ROOM_PART, ROOM_SHARE / max(1, size))
 
     def told(self, server: Server) -> None:
@@ -113,8 +113,8 @@
         ready = [one for one in self.servers.ready if one.server.id not in tried]
         if len(ready) < 2:
             return ready[0] if ready else None
-        self._calm.note(prompt, now)
-        if prompt.talks and self._calm.adapt(now, self.first_token.usual_ms):
+        self.calm.note(prompt, now)
+        if prompt.talks and self.calm.adapt(now, self.first_token.usual_ms):
             self._orders.clear()
         if prompt.tokens_out and prompt.is_light and self._options.nearby_streams:
             usable = self.servers.usable(ready, now, careful) or ready
@@ -180,14 +180,14 @@
             return _Layout.EVEN
         if prompt.talks:
             return _Layout.CALM_FIRST
-        return _Layout.CALM_LAST if self._calm.spared_by(prompt) else _Layout.EVEN
+        return _Layout.CALM_LAST if self.calm.spared_by(prompt) else _Layout.EVEN
 
     def _laid_out(self, key: int, layout: _Layout) -> list[Standing]:
         ranked = self._ranked(key)
         if layout is _Layout.EVEN:
             return ranked
-        calm = [one for one in ranked if one in self._calm]
-        others = [one for one in ranked if one not in self._calm]
+        calm = [one for one in ranked if one in self.calm]
+        others = [one for one in ranked if one not in self.calm]
         return calm + others if layout is _Layout.CALM_FIRST else others + calm
 
     def _ranked(self, key: int) -> list[Standing]:
@@ -205,7 +205,7 @@
         candidates = (with_room or usable)[:2]
         if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
             home, other = candidates
-            if (home in self._calm) != (other in self._calm):
+            if (home in self.calm) != (other in self.calm):
                 return [home]
         return candidates
 
@@ -220,7 +220,7 @@
             one for one in usable if self._has_room(one, room, now) and self._taken(one, now) < BUSY_PART
         ] or usable
         if self._keeps_calm:
-            chosen = [one for one in chosen if one in self._calm] or chosen
+            chosen = [one for one in chosen if one in self.calm] or chosen
         near = [one for one in chosen if self._is_near(one)]
         zones = len({one.server.zone for one in chosen})
         is_enough = len(near) >= 2 and len(near) * zones >= NEAR_SHARE * len(chosen)
@@ -228,7 +228,7 @@
 
     @property
     def _keeps_calm(self) -> bool:
-        return self._calm.wanted and self._options.calm_servers
+        return self.calm.wanted and self._options.calm_servers
 
     def _room(self) -> float:
         """So many own requests under way leave room at a server, whatever its capacity."""
@@ -237,7 +237,7 @@
     def _servers_changed(self) -> None:
         self._orders.clear()
         self._orders_of = self.servers.generation
-        self._calm.servers_changed(self.servers.ready)
+        self.calm.servers_changed(self.servers.ready)
 
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
         if not self._options.room_rule:
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -11,7 +11,7 @@
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange, Request
-from cloverrouter.placement import load_news
+from cloverrouter.placement import placement_news
 from cloverrouter.placement.admission import unconfigured_retry_after_s
 from cloverrouter.placement.leaving import (
     Expectation,
@@ -19,9 +19,9 @@
     LongestAnswers,
     may_begin,
 )
-from cloverrouter.placement.load_messages import LoadNews
 from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.placement_messages import PlacementNews
 from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
 from cloverrouter.router import answers
@@ -141,16 +141,13 @@
         for placement in self._placements.values():
             placement.warned(ids, span_s, now)
 
-    def load_news(self) -> LoadNews | None:
-        """What to tell other proxies of the servers' loads."""
-        standings = [one for each in self._placements.values() for one in each.servers.ready]
-        return load_news.news(standings, self.clock())
+    def placement_news(self) -> PlacementNews | None:
+        """What to tell other proxies of servers and requests."""
+        return placement_news.news(self._placements, self.clock())
 
-    def loads_told(self, told: LoadNews) -> None:
-        """Another proxy tells of servers' loads."""
-        now = self.clock()
-        for placement in self._placements.values():
-            load_news.take(told, placement.servers.standings, now)
+    def placement_told(self, told: PlacementNews) -> None:
+        """Another proxy tells of servers and requests."""
+        placement_news.take(told, self._placements, self.clock())
 
     def report_overdue(self) -> None:
         """Tell of the servers that seem not to answer."""
--- a/tests/system/test_server_load.py
+++ b/tests/system/test_server_load.py
@@ -7,14 +7,14 @@
 import pytest
 
 from cloverrouter.messages import Decoder, encode
-from cloverrouter.placement import load_news
-from cloverrouter.placement.load_messages import LoadNews, LoadReading
-from cloverrouter.placement.load_news import MOST_TOLD, TOLD_S
+from cloverrouter.placement import placement_news
 from cloverrouter.placement.options import PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
+from cloverrouter.placement.placement_messages import KindsSeen, LoadReading, PlacementNews
+from cloverrouter.placement.placement_news import MOST_TOLD, TOLD_S
 from cloverrouter.placement.prefix import parse_prompt
 from cloverrouter.placement.server_load import FIRM_S, KEPT_S, ServerLoad, parse_load
-from cloverrouter.placement.servers import Server, Standing
+from cloverrouter.placement.servers import Server
 from tests.system.router_world import SIGNED, World
 
 NOW = 100.0
@@ -22,12 +22,12 @@
 EMPTY = ServerLoad(0, 0, 12)
 
 
-def placement(options: PlacementOptions | None = None) -> ServicePlacement:
+def placement(options: PlacementOptions | None = None, count: int = 6) -> ServicePlacement:
     draws = iter(range(10**9))
     made = ServicePlacement(
         lambda: (next(draws) * 0.618) % 1.0, "east", 50_000, options or PlacementOptions()
     )
-    for place in range(6):
+    for place in range(count):
         made.told(Server(f"i-{place}", "model", ("10.0.0.1", place + 1), "east", 12, ready=True))
     return made
 
@@ -125,11 +125,11 @@
 def test_proxies_share_what_they_heard() -> None:
     one, other = placement(), placement()
     one.servers.standings["i-1"].load_told(FULL, NOW - 0.4)
-    told = load_news.news(one.servers.ready, NOW)
+    told = placement_news.news({"model": one}, NOW)
     assert told is not None
     [sent] = Decoder().feed(encode(told))
     assert sent == told
-    load_news.take(told, other.servers.standings, NOW)
+    placement_news.take(told, {"model": other}, NOW)
     standing = other.servers.standings["i-1"]
     assert standing.load == FULL
     assert standing.load_at == pytest.approx(NOW - 0.4, abs=0.002)
@@ -137,21 +137,18 @@
 
 def test_nothing_is_told_that_is_not_new() -> None:
     made = placement()
-    assert load_news.news(made.servers.ready, NOW) is None
+    assert placement_news.news({"model": made}, NOW) is None
     made.servers.ready[0].load_told(FULL, NOW - TOLD_S)
-    assert load_news.news(made.servers.ready, NOW) is None
+    assert placement_news.news({"model": made}, NOW) is None
 
 
 def test_a_message_is_bounded() -> None:
-    standings = [
-        Standing(Server(f"i-{place}", "model", ("10.0.0.1", place + 1), "east", 12, ready=True), payoff=1.0)
-        for place in range(100)
-    ]
-    for place, standing in enumerate(standings):
+    made = placement(count=100)
+    for place, standing in enumerate(made.servers.ready):
         standing.load_told(FULL, NOW - place / 100)
-    told = load_news.news(standings, NOW)
+    told = placement_news.news({"model": made}, NOW)
     assert told is not None
-    assert [reading.id for reading in told.readings] == [f"i-{place}" for place in range(MOST_TOLD)]
+    assert [reading.id for reading in told.loads] == [f"i-{place}" for place in range(MOST_TOLD)]
 
 
 @pytest.mark.parametrize(
@@ -166,10 +163,32 @@
 )
 def test_readings_that_make_no_sense_are_not_taken(reading: LoadReading) -> None:
     made = placement()
-    load_news.take(LoadNews((reading,)), made.servers.standings, NOW)
+    placement_news.take(PlacementNews((reading,), ()), {"model": made}, NOW)
     assert all(standing.load is None for standing in made.servers.ready)
 
 
+def test_a_proxy_that_met_one_kind_of_requests_hears_of_the_other() -> None:
+    one, other = placement(), placement()
+    reading = parse_prompt("aa:2500,bb:3800,cc:2900", "m", 60)
+    one.pick(parse_prompt(talking(), "m", 4000), (), NOW - 3)
+    one.pick(reading, (), NOW - 1)
+    other.pick(reading, (), NOW)
+    assert not other.calm.wanted
+    told = placement_news.news({"model": one}, NOW)
+    assert told == PlacementNews((), (KindsSeen("model", 3000, 1000),))
+    placement_news.take(told, {"model": other}, NOW)
+    assert other.calm.wanted
+    assert placement_news.news({"model": other}, NOW) == PlacementNews((), (KindsSeen("model", 3000, 0),))
+    assert placement_news.news({"model": other}, NOW + 30) is None
+
+
+def test_kinds_of_a_service_that_is_not_known_or_of_the_future_are_not_taken() -> None:
+    made = placement()
+    told = PlacementNews((), (KindsSeen("other", 0, 0), KindsSeen("model", -5000, 0)))
+    placement_news.take(told, {"model": made}, NOW)
+    assert not made.calm.wanted_at(NOW)
+
+
 @pytest.mark.parametrize("value", [b"3,0,12", b"-3,nonsense"])
 def test_the_answer_goes_back_with_the_field_as_it_came(value: bytes) -> None:
     world = World().set_up()
