A full home hands on only to a server that told that it has places

Change: where the first of the order told that it is full, those that told just now that they are not; else the order stands.

--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -202,7 +202,7 @@
         usable = self.servers.usable(untried, now, careful)
         room = self._room()
         with_room = [one for one in usable if self._has_room(one, room, now)]
-        candidates = (with_room or usable)[:2]
+        candidates = self._with_places(with_room or usable, now)[:2]
         if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
             home, other = candidates
             if (home in self.calm) != (other in self.calm):
@@ -239,11 +239,16 @@
         self._orders_of = self.servers.generation
         self.calm.servers_changed(self.servers.ready)
 
+    def _with_places(self, ordered: list[Standing], now: float) -> list[Standing]:
+        """Where the first told that it is full, those that told that they aren't, if there are any. Danger:
+        where all are full, to hand on only makes parts be read again."""
+        if not self._options.told_loads or not ordered or not ordered[0].is_full(now):
+            return ordered
+        return [one for one in ordered if one.has_told_places(now)] or ordered
+
     def _has_room(self, standing: Standing, room: float, now: float) -> bool:
         if not self._options.room_rule:
             return True
-        if self._options.told_loads and standing.is_full(now):
-            return False
         if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
             return False
         return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -128,6 +128,10 @@
         """Whether it told just now that it has no place left."""
         return self.load is not None and now - self.load_at < FIRM_S and self.load.taken >= 1.0
 
+    def has_told_places(self, now: float) -> bool:
+        """Whether it told just now that it has places left."""
+        return self.load is not None and now - self.load_at < FIRM_S and self.load.taken < 1.0
+
     def succeeded(self, now: float = 0.0) -> None:
         """An answer of worth came. One that goes up and down by turns is still left alone for longer."""
         self.payoff += PAYOFF_WEIGHT * (1.0 - self.payoff)
