pick.py split by concern: room.py (the bound on load) and draws.py (the design's two draws); no behaviour changed

Change: Room and Draws are classes of their own; ServicePlacement keeps the order of homes and the choice between them.

--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -10,13 +10,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 
 from cloverrouter.placement.calm import CalmServers
+from cloverrouter.placement.draws import Draws, Random
 from cloverrouter.placement.first_token import FirstTokenModel
 from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.prefix import PrefixCache, Prompt, mix
+from cloverrouter.placement.room import Room
 from cloverrouter.placement.servers import Server, ServiceServers, Standing
 
 HOME_ADVANTAGE = 2.0
@@ -26,21 +28,6 @@
 others did."""
 EXPECTED_WEIGHT = 2.0
 """How many requests under way a wait of the usual time to the first token counts as."""
-ROOM_BASE = 2
-ROOM_FACTOR = 1.5
-"""A server has room while fewer than ``ROOM_BASE + ROOM_FACTOR * mean`` own requests are under way there,"""
-ROOM_PART = 0.17
-"""or less than this part of what it runs at once, other proxies send there too;"""
-ROOM_SHARE = 1.2
-"""or, in larger fleets, less than so many times this proxy's even share of that,"""
-NEAR_SHARE = 0.75
-"""Servers of the own zone are preferred where they are at least this part of an even share of all zones."""
-BUSY_PART = 0.8
-"""A long answer goes elsewhere while a server tells that more of its places are taken than this."""
-TAKEN_WEIGHT = 4.0
-"""How many requests under way a server counts for long answers that tells that all its places are taken."""
-LATE_FACTOR = 3.0
-"""and while its answers begin less than so many usual times later than their work explains."""
 ORDERS_KEPT = 2_048
 ORDER_LENGTH = 8
 """Servers of an order that are kept for the next request of the same subject."""
@@ -55,10 +42,6 @@
     CALM_LAST = 2
 
 
-Random = Callable[[], float]
-"""A number from 0 up to 1."""
-
-
 class ServicePlacement:
     """Places the requests of one service.
 
@@ -77,13 +60,13 @@
         self._options = options
         self.first_token = FirstTokenModel()
         self._random = random
-        self._zone = zone
+        self._room = Room(self.servers, self.first_token, options)
+        self._draws = Draws(random, zone, self.first_token, self._room, options)
         self._kv_tokens = kv_tokens
         self._caches: dict[str, PrefixCache] = {}
         self._orders: OrderedDict[tuple[int, _Layout], list[Standing]] = OrderedDict()
         self._orders_of = -1
         self.calm = CalmServers()
-        self._room_part = ROOM_PART
 
     def configure(self, kv_tokens: int | None) -> None:
         """The service's settings changed."""
@@ -94,7 +77,7 @@
     def fleet_changed(self, size: int) -> None:
         """So many proxies send to the servers."""
         self.calm.fleet_size = size
-        self._room_part = min(ROOM_PART, ROOM_SHARE / max(1, size))
+        self._room.fleet_changed(size)
 
     def told(self, server: Server) -> None:
         """A server of this service was added or changed."""
@@ -118,11 +101,11 @@
             self._orders.clear()
         if prompt.tokens_out and prompt.is_light and self._options.nearby_streams:
             usable = self.servers.usable(ready, now, careful) or ready
-            return self._draw(self._nearby(usable, now), now, spread=True)
+            return self._draws.less_taken(self._nearby(usable, now), now)
         candidates = self._candidates(prompt, tried, now, careful) if prompt.parts else []
         if not candidates:
             usable = self.servers.usable(ready, now, careful)
-            return self._draw(usable or ready, now)
+            return self._draws.better(usable or ready, now)
         return self._better(candidates, prompt, now)
 
     def warned(self, ids: Iterable[str], span_s: float, now: float) -> None:
@@ -200,8 +183,7 @@
         servers and others are not compared: the order has decided between them."""
         untried = [one for one in self.order(prompt) if one.server.id not in tried]
         usable = self.servers.usable(untried, now, careful)
-        room = self._room()
-        with_room = [one for one in usable if self._has_room(one, room, now)]
+        with_room = self._room.having(usable, now)
         candidates = self._with_places(with_room or usable, now)[:2]
         if len(candidates) == 2 and self._layout(prompt) is not _Layout.EVEN:
             home, other = candidates
@@ -215,25 +197,15 @@
         share. No server keeps much of use for such requests, and it is the answer that would cross zones."""
         if self._orders_of != self.servers.generation:
             self._servers_changed()
-        room = self._room()
-        chosen = [
-            one for one in usable if self._has_room(one, room, now) and self._taken(one, now) < BUSY_PART
-        ] or usable
+        chosen = self._draws.with_places(self._room.having(usable, now), now) or usable
         if self._keeps_calm:
             chosen = [one for one in chosen if one in self.calm] or chosen
-        near = [one for one in chosen if self._is_near(one)]
-        zones = len({one.server.zone for one in chosen})
-        is_enough = len(near) >= 2 and len(near) * zones >= NEAR_SHARE * len(chosen)
-        return near if is_enough else chosen
+        return self._draws.near(chosen)
 
     @property
     def _keeps_calm(self) -> bool:
         return self.calm.wanted and self._options.calm_servers
 
-    def _room(self) -> float:
-        """So many own requests under way leave room at a server, whatever its capacity."""
-        return ROOM_BASE + ROOM_FACTOR * self.servers.total_in_flight() / len(self.servers.ready)
-
     def _servers_changed(self) -> None:
         self._orders.clear()
         self._orders_of = self.servers.generation
@@ -246,18 +218,6 @@
             return ordered
         return [one for one in ordered if one.has_told_places(now)] or ordered
 
-    def _has_room(self, standing: Standing, room: float, now: float) -> bool:
-        if not self._options.room_rule:
-            return True
-        if standing.in_flight >= max(room, standing.server.capacity * self._room_part):
-            return False
-        return self._delay_ms(standing, now) < LATE_FACTOR * self.first_token.usual_ms
-
-    def _delay_ms(self, standing: Standing, now: float) -> float:
-        if not self._options.learnt_delays:
-            return 0.0
-        return standing.late_ms(now, self.first_token.usual_ms)
-
     def _better(self, candidates: list[Standing], prompt: Prompt, now: float) -> Standing:
         home = candidates[0]
         if len(candidates) == 1:
@@ -273,36 +233,9 @@
         load = 1.0 + standing.in_flight
         usual_ms = self.first_token.usual_ms
         reading_ms = self.first_token.reading_ms(self.missing_tokens(standing, prompt))
-        expected_ms = reading_ms + self._delay_ms(standing, now)
+        expected_ms = reading_ms + self._room.delay_ms(standing, now)
         return standing.worth(now) / (load + EXPECTED_WEIGHT * expected_ms / usual_ms)
 
-    def _draw(self, among: list[Standing], now: float, spread: bool = False) -> Standing:
-        """The better of two draws; of equals, the one in the proxy's own zone, or with `spread` either."""
-        if len(among) == 1:
-            return among[0]
-        first = self._drawn(among)
-        second = self._drawn([one for one in among if one is not first])
-        weight = TAKEN_WEIGHT if spread else 0.0
-        one, other = self._drawn_value(first, now, weight), self._drawn_value(second, now, weight)
-        if one == other and not spread:
-            return second if self._is_near(second) and not self._is_near(first) else first
-        return second if other > one else first
-
-    def _drawn(self, among: list[Standing]) -> Standing:
-        return among[int(self._random() * len(among))]
-
-    def _is_near(self, standing: Standing) -> bool:
-        return standing.server.zone == self._zone
-
-    def _taken(self, standing: Standing, now: float) -> float:
-        return standing.taken(now) if self._options.told_loads else 0.0
-
-    def _drawn_value(self, standing: Standing, now: float, taken_weight: float) -> float:
-        delay_ms = max(0.0, self._delay_ms(standing, now) - self.first_token.usual_ms)
-        load = 1.0 + standing.in_flight + delay_ms / self.first_token.usual_ms
-        load += taken_weight * self._taken(standing, now)
-        return round(standing.worth(now) / load, 2)
-
     def _cache(self, standing: Standing) -> PrefixCache:
         cache = self._caches.get(standing.server.id)
         if cache is None:
