--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -89,6 +89,20 @@
         found = self._servers.table.get(instance_id)
         return effective(self._servers.table, found) if found else None
 
+    def __contains__(self, instance_id: object) -> bool:
+        return instance_id in self._servers
+
+    def records(self, now: float) -> list[InstanceRecord]:
+        """All that is known, as it would be told to another machine."""
+        return self._servers.records(now, [instance.id for instance in self._servers])
+
+    def taken_back(self, now: float, records: Iterable[InstanceRecord]) -> list[Effect]:
+        """What an earlier process of this machine knew is news again; nobody else is taken to hold it."""
+        return self._merge_records(now, records, "")
+
+    def __len__(self) -> int:
+        return self._servers.table.live_count
+
     def subscribers(self) -> list[str]:
         """The machines that get this voter's news; none if it is no voter."""
         return self._voter.subscribers()
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -53,6 +53,7 @@
     from cloverrouter.control.quota_duty import QuotaDuty
     from cloverrouter.coordination.genesis import GenesisProposer
     from cloverrouter.daemon.replica_role import ReplicaRole
+    from cloverrouter.daemon.servers_copy import ServersCopy
 
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
 LOOK_S = 0.2  # between looks at what peer sampling has found
@@ -82,6 +83,7 @@
         self._forwarder = Forwarder()
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
+        self._servers_copy: ServersCopy | None = None
         self._genesis: GenesisProposer | None = None
         self._ballot = Ballot()
         self._quota_duty: QuotaDuty | None = None
@@ -150,6 +152,7 @@
         from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
 
         self._take_chain_messages()
+        await self._find_servers_copy()
         ports = RolePorts(self.transport.send, self._own_view, self._log.error, self._log.change)
         role = await ReplicaRole.open(self._settings, ports, self._random)
         now = self._loop.time()
@@ -161,6 +164,15 @@
             self._genesis = self._genesis_proposer()
             self._send_all(self._genesis.start(now))
 
+    async def _find_servers_copy(self) -> None:
+        from cloverrouter.daemon.servers_copy import ServersCopy
+
+        directory = self._settings.data_directory
+        assert directory is not None
+        servers_copy = ServersCopy(directory, self.registry, self._log.error)
+        await servers_copy.find()
+        self._servers_copy = servers_copy
+
     def seeds_changed(self, seeds: tuple[str, ...]) -> None:
         """The settings file names other seeds."""
         now = self._loop.time()
@@ -200,6 +212,8 @@
             self._opening.cancel()
         if self.role is not None:
             self.role.close()
+        if self._servers_copy is not None:
+            self._servers_copy.close()
         await self.transport.close()
 
     # Time
@@ -225,6 +239,8 @@
         self.registry.lead_confirmed(lead_until is not None and now < lead_until)
         self.registry.in_touch(self.subscriber.current(now))
         self._registered(self.registry.tick(now))
+        if self._servers_copy is not None:
+            self._registered(self._servers_copy.tick(now))
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
--- a/cloverrouter/fuzz/store_files.py
+++ b/cloverrouter/fuzz/store_files.py
@@ -157,7 +157,7 @@
 def _spare_the_disk() -> None:
     """In this process what is written need not survive a loss of power, and is not waited for."""
     lmdb.open = partial(lmdb.open, sync=False)  # type: ignore[assignment]
-    replica_store._sync_directory = lambda directory: None
+    replica_store.sync_directory = lambda directory: None
 
 
 def _edit(image: bytearray, kind: int, place: int, value: int) -> None:
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -143,7 +143,7 @@
         )
         if is_new:
             self._environment.sync(True)
-            _sync_directory(self._directory)
+            sync_directory(self._directory)
 
     def _read(self) -> StoredReplica | None:
         with self._environment.begin() as transaction:
@@ -176,7 +176,7 @@
             with self._environment.begin(write=True) as transaction:
                 _put(transaction, _IDENTITY, identity.encode())
                 _put(transaction, _META, _pack_meta(meta))
-            _sync_directory(self._directory)
+            sync_directory(self._directory)
         except (lmdb.Error, OSError) as error:
             raise _store_error(error) from error
         return StoredReplica(identity=identity, meta=meta, fresh=True, damage=damage)
@@ -186,7 +186,7 @@
         try:
             with suppress(FileNotFoundError):
                 (self._directory / FILE_NAME).unlink()
-            _sync_directory(self._directory)
+            sync_directory(self._directory)
         except OSError as error:
             raise _store_error(error) from error
 
@@ -195,10 +195,11 @@
     if directory.is_dir():
         return
     directory.mkdir(parents=True, exist_ok=True)
-    _sync_directory(directory.parent)
+    sync_directory(directory.parent)
 
 
-def _sync_directory(directory: Path) -> None:
+def sync_directory(directory: Path) -> None:
+    """Names in the directory that were made, replaced or removed are on the disk after this."""
     descriptor = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(descriptor)
--- /dev/null
+++ b/tests/system/test_kept_servers.py
@@ -0,0 +1,196 @@
+"""The copy of the list of servers: what is kept, when it is taken back, and what a bad disk does."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.control.kept_servers import (
+    LOOK_S,
+    MOST_BYTES,
+    OLDEST_S,
+    RENEW_S,
+    TAKEN_BACK_AFTER_S,
+    KeptServers,
+    pack,
+    unpack,
+)
+from cloverrouter.control.registry import Registry
+from cloverrouter.control.servers_list import InstancesChanged
+from cloverrouter.daemon.servers_copy import FILE_NAME, ServersCopy
+from cloverrouter.store.errors import StoreFailed
+from cloverrouter.store.whole_file import WholeFile
+
+NOW = 50.0
+WALL = 1_800_000_000.0
+OWN = "10.0.0.1"
+
+
+def server(place: int, **changes: Any) -> Instance:
+    plain: dict[str, Any] = {
+        "id": f"i-{place}",
+        "service": "model",
+        "address": f"10.0.1.{place}:80",
+        "zone": "east",
+        "capacity": 12,
+        "sequence": 5,
+    }
+    return Instance(**(plain | changes))
+
+
+def registry(*servers: Instance, now: float = NOW) -> Registry:
+    made = Registry(OWN, 1.2)
+    made.start(now)
+    for each in servers:
+        made.announced(now, each)
+    return made
+
+
+def ids(effects: Any) -> set[str]:
+    changed = [effect for effect in effects if isinstance(effect, InstancesChanged)]
+    return {instance.id for effect in changed for instance in effect.instances}
+
+
+def kept_by(before: Registry, now: float = NOW) -> bytes:
+    data = pack(before.records(now), WALL)
+    assert data is not None
+    return data
+
+
+def started_again(before: Registry, after: Registry, now: float) -> KeptServers:
+    kept = KeptServers(after)
+    kept.found(now, unpack(kept_by(before), WALL + 2.0))
+    return kept
+
+
+def test_a_restart_of_everything_finds_all_servers_again() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    after = registry(now=100.0)
+    kept = started_again(before, after, 100.0)
+    assert not kept.tick(100.0 + TAKEN_BACK_AFTER_S / 2)
+    assert ids(kept.tick(100.0 + TAKEN_BACK_AFTER_S)) == {f"i-{place}" for place in range(24)}
+    assert len(after.instances("model")) == 24
+    assert not kept.tick(101.0)
+
+
+def test_what_the_others_know_mostly_is_left_to_them() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    after = registry(*(server(place, sequence=9) for place in range(12)), now=100.0)
+    assert not started_again(before, after, 100.0).tick(100.0 + TAKEN_BACK_AFTER_S)
+    assert len(after.instances("model")) == 12
+
+
+def test_a_server_that_has_said_more_meanwhile_is_believed() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    drains = server(3, state=InstanceState.DRAINING, sequence=9)
+    after = registry(drains, server(4, sequence=8, capacity=48), now=100.0)
+    started_again(before, after, 100.0).tick(100.0 + TAKEN_BACK_AFTER_S)
+    found = {each.id: each for each in after.instances("model")}
+    assert found["i-3"].state is InstanceState.DRAINING
+    assert (found["i-4"].sequence, found["i-4"].capacity) == (8, 48)
+
+
+def test_servers_that_were_leaving_or_gone_stay_so() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    before.announced(NOW, server(1, state=InstanceState.DRAINING, sequence=6))
+    before.withdrawn(NOW, "i-2")
+    after = registry(now=100.0)
+    started_again(before, after, 100.0).tick(100.0 + TAKEN_BACK_AFTER_S)
+    states = {each.id: each.state for each in after.instances("model")}
+    assert states["i-1"] is InstanceState.DRAINING
+    assert "i-2" not in states
+
+
+def test_a_server_taken_back_is_acknowledged_by_a_majority_only() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    after = registry(now=100.0)
+    after.voters_changed(100.0, [OWN, "10.0.0.2", "10.0.0.3"])
+    started_again(before, after, 100.0).tick(100.0 + TAKEN_BACK_AFTER_S)
+    change, effects = after.announced(100.3, server(7, sequence=6))
+    assert not [effect for effect in effects if getattr(effect, "change", None) == change]
+
+
+def test_its_age_counts() -> None:
+    before = registry(*(server(place) for place in range(24)))
+    [record, *_] = unpack(kept_by(before), WALL + 3.0)
+    assert record.age_ms >= 3000
+    assert unpack(kept_by(before), WALL + OLDEST_S + 1.0) == ()
+    assert unpack(kept_by(before), WALL - 1.0)
+
+
+def test_what_is_no_copy_is_none() -> None:
+    data = kept_by(registry(server(1)))
+    assert unpack(b"", WALL) == ()
+    assert unpack(data[:7], WALL) == ()
+    assert unpack(data[:-1], WALL) == ()
+    assert unpack(data[:8] + b"\xff" * 40, WALL) == ()
+    assert unpack(b"\x7f\xf8" + data[2:], WALL) == ()  # a time that is no number
+
+
+def test_it_is_copied_when_it_changed_and_now_and_then() -> None:
+    after = registry(server(1))
+    kept = KeptServers(after)
+    kept.found(NOW, ())
+    assert kept.due(NOW + LOOK_S / 2) is None
+    assert kept.due(NOW + LOOK_S) is not None
+    assert kept.due(NOW + 2 * LOOK_S) is None
+    after.announced(NOW + 2 * LOOK_S, server(2))
+    assert len(kept.due(NOW + 3 * LOOK_S) or ()) == 2
+    assert kept.due(NOW + 4 * LOOK_S) is None
+    assert kept.due(NOW + 3 * LOOK_S + RENEW_S) is not None
+
+
+def test_a_list_that_is_too_long_is_not_kept() -> None:
+    record = registry(server(1, version="v" * 1000)).records(NOW)
+    assert pack(record * (MOST_BYTES // 1000), WALL) is None
+
+
+def test_a_file_holds_what_was_written_last(tmp_path: Path) -> None:
+    file = WholeFile(tmp_path / "a.copy")
+    assert file.read() is None
+    file.write(b"one")
+    file.write(b"two")
+    assert file.read() == b"two"
+    (tmp_path / "a.copy").write_bytes((tmp_path / "a.copy").read_bytes()[:-1])
+    assert file.read() is None
+
+
+def test_a_disk_that_takes_nothing_is_told_of_once(tmp_path: Path) -> None:
+    with pytest.raises(StoreFailed):
+        WholeFile(tmp_path / "no such folder" / "a.copy").write(b"one")
+
+    async def scene() -> None:
+        told: list[str] = []
+        copy = ServersCopy(tmp_path / "none", registry(server(1)), lambda event, **_: told.append(event))
+        await copy.find()
+        now = asyncio.get_running_loop().time()
+        for step in range(1, 4):
+            copy.tick(now + step * (RENEW_S + LOOK_S))
+            assert copy._writing is not None
+            await copy._writing
+        assert told == ["servers-not-copied"]
+        copy.close()
+
+    asyncio.run(scene())
+
+
+def test_the_next_process_finds_the_copy(tmp_path: Path) -> None:
+    async def scene() -> None:
+        now = asyncio.get_running_loop().time()
+        before = ServersCopy(tmp_path, registry(*map(server, range(6)), now=now), lambda event, **_: None)
+        await before.find()
+        before.tick(now + 2 * LOOK_S)
+        assert before._writing is not None
+        await before._writing
+        before.close()
+        assert (tmp_path / FILE_NAME).exists()
+        after = ServersCopy(tmp_path, registry(now=now), lambda event, **_: None)
+        await after.find()
+        assert len(ids(after.tick(now + 1.0))) == 6
+        after.close()
+
+    asyncio.run(scene())
