--- a/cloverrouter/placement/options.py
+++ b/cloverrouter/placement/options.py
@@ -12,6 +12,8 @@
 
     calm_servers: bool = True
     """Some servers are kept from long prompts, for requests that talk (`placement/calm.py`)."""
+    calm_growth: bool = True
+    """More servers are kept calm while answers begin late there."""
     home_advantage: bool = True
     """The first of a subject's order keeps a request unless the second looks much better."""
     room_rule: bool = True
--- a/cloverrouter/placement/pick.py
+++ b/cloverrouter/placement/pick.py
@@ -97,7 +97,7 @@
         if len(ready) < 2:
             return ready[0] if ready else None
         self.calm.note(prompt, now)
-        if prompt.talks and self.calm.adapt(now, self.first_token.usual_ms):
+        if prompt.talks and self._options.calm_growth and self.calm.adapt(now, self.first_token.usual_ms):
             self._orders.clear()
         if prompt.tokens_out and prompt.is_light and self._options.nearby_streams:
             usable = self.servers.usable(ready, now, careful) or ready
