Keys that were taken away: where revocation is enforced, no proxy takes a key that it can't be sure of

The program read neither setting: a proxy that is cut off would take old keys for ever. Ruled out: readiness alone (open connections stay), telling proxies (a cut one hears nothing). Change: a subscriber knows as of when all that had been acknowledged is in force at it (a majority of the voters offered nothing newer); keys hold for `revocation-ms` from then, less 0.5 s; later ones, on routes that need a key, get 503 with Retry-After. Settings read both keys. Where it is not enforced nothing changes.

--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -91,6 +91,7 @@
         self._next_subscribe = math.inf
         self._next_call = math.inf
         self._fleet_sizes: list[tuple[float, int]] = []
+        self._complete_as_of = -math.inf
 
     @property
     def have(self) -> int:
@@ -106,6 +107,13 @@
         """True if a majority of the voters was heard of lately: what they have committed is known here."""
         return self._voters.majority_is_live(now)
 
+    def complete_as_of(self) -> float:
+        """All that had been acknowledged by then is in force here. It grows while a majority of the voters
+        offers nothing that is not."""
+        if self._held is None and self.newest_offered() <= self._have:
+            self._complete_as_of = max(self._complete_as_of, self._voters.told_by_majority_at())
+        return self._complete_as_of
+
     def newest_offered(self) -> int:
         """The newest committed sequence number heard of."""
         return self._voters.newest_of_all()
--- a/cloverrouter/control/voter_choice.py
+++ b/cloverrouter/control/voter_choice.py
@@ -30,6 +30,8 @@
     rank: float
     newest: int = NOTHING
     heard_at: float = -math.inf
+    told_at: float = -math.inf
+    """When it told last what it has committed."""
     lease: float = LEASE
     penalty_until: float = -math.inf
     behind_since: float = math.inf
@@ -72,6 +74,7 @@
     def has(self, now: float, ip: str, newest: int) -> None:
         """The voter has committed that much."""
         self._voters[ip].newest = max(self._voters[ip].newest, newest)
+        self._voters[ip].told_at = now
         newest_of_all = self.newest_of_all()
         for voter in self._voters.values():
             if voter.newest >= newest_of_all:
@@ -100,6 +103,11 @@
         """True if more than half of the voters were heard of within their leases."""
         return 2 * sum(self._is_live(now, voter) for voter in self._voters.values()) > len(self._voters)
 
+    def told_by_majority_at(self) -> float:
+        """Since when more than half of the voters have told what they have; minus infinity without."""
+        latest_first = sorted([voter.told_at for voter in self._voters.values()], reverse=True)
+        return latest_first[len(latest_first) // 2] if latest_first else -math.inf
+
     def best(self, now: float, above: int | None = None) -> str | None:
         """The voter to fetch from: one in touch first, then this machine itself, its zone, and the rank it
         drew.
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -56,6 +56,7 @@
     from cloverrouter.daemon.servers_copy import ServersCopy
 
 FRESH_MEMBER_S = 2.5  # a disk member heard of within this is offered to the chain as alive
+REVOCATION_MARGIN_S = 0.5  # for what was under way when a voter told what it has
 LOOK_S = 0.2  # between looks at what peer sampling has found
 
 Handler = Callable[[float, str, object], None]
@@ -238,6 +239,7 @@
         lead_until = self._lead_until()
         self.registry.lead_confirmed(lead_until is not None and now < lead_until)
         self.registry.in_touch(self.subscriber.current(now))
+        self._limit_keys()
         self._registered(self.registry.tick(now))
         if self._servers_copy is not None:
             self._registered(self._servers_copy.tick(now))
@@ -248,6 +250,14 @@
             self._send_all(self._quota_duty.tick(now, lead_until))
         self._trouble.report(now)
 
+    def _limit_keys(self) -> None:
+        """Keys are good for as long as none can have been taken away too long ago without this machine
+        knowing."""
+        bounds = self._settings.bounds
+        if bounds.enforces_revocation:
+            known_s = self.subscriber.complete_as_of() + bounds.revocation_s
+            self.traffic.router.keys_hold_until = known_s - REVOCATION_MARGIN_S
+
     def _look(self, now: float) -> None:
         """Pass on what was discovered, and how many proxies there are."""
         members = [
--- a/cloverrouter/daemon/settings.py
+++ b/cloverrouter/daemon/settings.py
@@ -43,7 +43,9 @@
     "quota-tolerance": 0,
     "recovery-s": 12,
     "pass_ms": 120,
+    "revocation-ms": 5000,
 }
+_REVOCATION_ENFORCED = "revocation-enforced"
 
 _LISTENERS = {name: Key(checks.address, None) for name in ("frontend", "readiness", "control-plane")}
 
@@ -56,6 +58,7 @@
 
 _TOLERANCE = {"machines": Key(checks.whole(0), 0)}
 _TIMING = {name: Key(checks.number(), default) for name, default in _BOUNDS.items()}
+_TIMING[_REVOCATION_ENFORCED] = Key(checks.flag, False)
 _LOGGING = {"level": Key(checks.one_of(*LOG_LEVELS), "errors")}
 
 _KEYS = {
@@ -97,6 +100,9 @@
     quota_tolerance: float
     recovery_s: float
     pass_s: float
+    revocation_s: float
+    enforces_revocation: bool
+    """No request may run with a key that was taken away longer ago than `revocation_s`, at any machine."""
 
 
 @attrs.frozen(slots=True)
@@ -187,11 +193,11 @@
 
 
 def _bounds(found: Mapping[str, Any]) -> Bounds:
-    values = {}
+    values: dict[str, float] = {}
     for name in _BOUNDS:
         value = found[name]
         key = name.replace("-", "_")
         if key.endswith("_ms"):
             key, value = key[:-3] + "_s", value / 1000
         values[key] = value
-    return Bounds(**values)
+    return Bounds(**values, enforces_revocation=found[_REVOCATION_ENFORCED])
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -57,6 +57,8 @@
 from cloverrouter.router.verdict import End, Verdict
 
 SERVER_ERRORS = 500
+UNSURE_OF_KEYS_S = 0.3
+"""When to come back to a proxy that can't be sure of its keys: to another one, at best."""
 SPLIT_SALT = 0x5DEECE66D
 
 
@@ -90,6 +92,8 @@
         self.recorder = recorder
         self.on_trouble: Callable[[str], None] = lambda instance_id: None
         """Called with the id of an instance that failed a request."""
+        self.keys_hold_until = math.inf
+        """No key is taken later than that: it may have been taken away, and this proxy would not know."""
         self._leave: Leave | None = None
         self._longest = LongestAnswers()
         self._pool = pool
@@ -211,6 +215,9 @@
         if route is None:
             self._respond(exchange, answers.NOT_FOUND)
             return
+        if self._table.needs_key and not route.anonymous and self.clock() > self.keys_hold_until:
+            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(UNSURE_OF_KEYS_S))
+            return
         tenant = self._tenant(request)
         if tenant is None and self._table.needs_key and not route.anonymous:
             self._respond(exchange, answers.UNAUTHORIZED)
--- /dev/null
+++ b/tests/system/test_revocation.py
@@ -0,0 +1,130 @@
+"""Keys that were taken away, where that is enforced: no machine takes one that it can't be sure of."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from cloverrouter.control.distribution_messages import Delta, Offer
+from cloverrouter.control.subscriber import Subscriber
+from cloverrouter.control.voter_choice import VoterAddress
+from cloverrouter.daemon.control_plane import REVOCATION_MARGIN_S, ControlPlane
+from cloverrouter.daemon.errors import SettingsError
+from cloverrouter.daemon.settings import settings_of
+from cloverrouter.lab.fleet import deployment, nodes
+from tests.system.router_world import World
+
+VOTERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+def subscriber_with(have: int, now: float) -> Subscriber:
+    """One that has put that much in force."""
+    made = Subscriber("10.0.0.9", "east", Random(1))
+    made.start(now)
+    made.voters_changed(now, [VoterAddress(ip, "east") for ip in VOTERS])
+    made._have, made._held = have, None
+    return made
+
+
+def offer(made: Subscriber, now: float, ip: str, newest: int) -> None:
+    made.receive(now, ip, Offer(newest, 3, 500))
+
+
+def test_what_a_majority_offers_is_known_as_of_then() -> None:
+    made = subscriber_with(7, 10.0)
+    assert made.complete_as_of() == -math.inf
+    offer(made, 10.0, VOTERS[0], 7)
+    assert made.complete_as_of() == -math.inf
+    offer(made, 10.4, VOTERS[1], 7)
+    assert made.complete_as_of() == 10.0
+    offer(made, 10.6, VOTERS[2], 6)
+    assert made.complete_as_of() == 10.4
+
+
+def test_what_is_offered_and_not_here_yet_stands_still() -> None:
+    made = subscriber_with(7, 10.0)
+    for ip in VOTERS:
+        offer(made, 10.0, ip, 7)
+    assert made.complete_as_of() == 10.0
+    for ip in VOTERS:
+        offer(made, 11.0, ip, 8)
+    assert made.complete_as_of() == 10.0
+    made.receive(11.2, VOTERS[0], Delta(8, (b"x",), 8))
+    assert made.complete_as_of() == 11.0
+
+
+def test_a_state_that_is_not_in_force_yet_does_not_count() -> None:
+    made = subscriber_with(7, 10.0)
+    made._held = []
+    for ip in VOTERS:
+        offer(made, 10.0, ip, 7)
+    assert made.complete_as_of() == -math.inf
+
+
+def test_one_voter_of_three_is_not_enough() -> None:
+    made = subscriber_with(7, 10.0)
+    for ip in VOTERS:
+        offer(made, 10.0, ip, 7)
+    for step in range(1, 20):
+        offer(made, 10.0 + step, VOTERS[0], 7)
+    assert made.complete_as_of() == 10.0
+
+
+def limited(enforced: bool, complete_as_of: float) -> float:
+    """Until when keys are taken."""
+    router = SimpleNamespace(keys_hold_until=math.inf)
+    plane: Any = SimpleNamespace(
+        _settings=SimpleNamespace(bounds=SimpleNamespace(enforces_revocation=enforced, revocation_s=5.0)),
+        subscriber=SimpleNamespace(complete_as_of=lambda: complete_as_of),
+        traffic=SimpleNamespace(router=router),
+    )
+    ControlPlane._limit_keys(plane)
+    return float(router.keys_hold_until)
+
+
+def test_keys_hold_for_as_long_as_a_revocation_may_be_late() -> None:
+    assert limited(True, 10.0) == 15.0 - REVOCATION_MARGIN_S
+    assert limited(True, -math.inf) == -math.inf
+    assert limited(False, 10.0) == math.inf
+
+
+def test_a_key_that_may_have_been_taken_away_is_not_taken() -> None:
+    world = World().set_up()
+    world.router.keys_hold_until = world.clock() + 1.0
+    assert not world.ask("/once/x").status
+    world.clock.pass_ms(1500)
+    refused = world.ask("/once/x")
+    assert refused.status == 503
+    assert refused.field(b"retry-after") is not None
+    assert world.ask("/once/x", key=b"of nobody").status == 503
+    assert len(world.calls) == 1
+
+
+def test_routes_for_everybody_are_served_on() -> None:
+    world = World().set_up()
+    world.router.keys_hold_until = world.clock() - 1.0
+    world.ask("/open/x", key=None)
+    assert len(world.calls) == 1
+
+
+def settings_with(**bounds: Any) -> Any:
+    spec = deployment.nodes("127.31.251")[0]
+    document = nodes.settings(spec, deployment.fleet_settings((spec,)), Path("/tmp"), bootstrap=True)
+    return settings_of(document | {"timing-bounds": document["timing-bounds"] | bounds})
+
+
+@pytest.mark.parametrize("enforced", [True, False])
+def test_the_settings_say_whether_it_is_enforced(enforced: bool) -> None:
+    bounds = settings_with(**{"revocation-enforced": enforced, "revocation-ms": 2500}).bounds
+    assert bounds.enforces_revocation is enforced
+    assert bounds.revocation_s == 2.5
+
+
+def test_a_word_in_its_place_is_told() -> None:
+    with pytest.raises(SettingsError, match="revocation-enforced"):
+        settings_with(**{"revocation-enforced": "perhaps"})
