--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from cloverrouter.control.configuration import Configuration, Route, Tenant
+from cloverrouter.control.configuration import Configuration, Route
 from cloverrouter.control.routing import RoutingTable
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
-from cloverrouter.http.server import Exchange, Request
+from cloverrouter.http.server import Exchange
 from cloverrouter.placement import placement_news
 from cloverrouter.placement.admission import unconfigured_retry_after_s
 from cloverrouter.placement.leaving import (
@@ -22,7 +22,6 @@
 from cloverrouter.placement.options import IN_USE, PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
 from cloverrouter.placement.placement_messages import PlacementNews
-from cloverrouter.placement.prefix import NO_PROMPT, Prompt, mix, parse_prompt
 from cloverrouter.placement.servers import Server
 from cloverrouter.router import answers
 from cloverrouter.router.admitted import Admitted
@@ -30,17 +29,8 @@
 from cloverrouter.router.bounds import RouterBounds
 from cloverrouter.router.flight import Flight
 from cloverrouter.router.flight_host import HostedFlight
-from cloverrouter.router.headers import (
-    ATTEMPT_ID,
-    LAST_EVENT_ID,
-    MODEL,
-    PROMPT_PREFIX,
-    bearer_key,
-    deadline_ms,
-    has_one_id,
-    text,
-    token_usage,
-)
+from cloverrouter.router.headers import ATTEMPT_ID, has_one_id
+from cloverrouter.router.intake import Intake, TurnedAway
 from cloverrouter.router.ports import (
     NO_RECORD,
     Budget,
@@ -52,14 +42,9 @@
     Recorder,
     no_log,
 )
-from cloverrouter.router.ranks import LOWEST, Ranks
-from cloverrouter.router.told_deadlines import ToldDeadlines
 from cloverrouter.router.verdict import End, Verdict
 
 SERVER_ERRORS = 500
-UNSURE_OF_KEYS_S = 0.3
-"""When to come back to a proxy that can't be sure of its keys: to another one, at best."""
-SPLIT_SALT = 0x5DEECE66D
 
 
 class Router:
@@ -100,13 +85,11 @@
         self._quota = quota
         self._log = log
         self._configuration: Configuration | None = None
-        self._table: RoutingTable | None = None
-        self._ranks: Ranks | None = None
+        self._intake: Intake | None = None
         self._placements: dict[str, ServicePlacement] = {}
         self._flights: set[HostedFlight] = set()
         self._waiting: dict[str, dict[HostedFlight, None]] = {}
         self._keys = 0
-        self._told_deadlines: dict[str, ToldDeadlines] = {}
         self._started_at = clock()
         self._fleet_size = 1
 
@@ -115,10 +98,15 @@
     def configure(self, configuration: Configuration, table: RoutingTable | None = None) -> None:
         """A configuration is in force from now on; requests under way keep the route that they have."""
         self._configuration = configuration
-        self._table = table if table is not None else RoutingTable(configuration)
-        self._ranks = Ranks(configuration)
-        routes = {route.name for route in configuration.routes}
-        self._told_deadlines = {name: told for name, told in self._told_deadlines.items() if name in routes}
+        known = self._intake.deadlines if self._intake is not None else {}
+        self._intake = Intake(
+            configuration,
+            table if table is not None else RoutingTable(configuration),
+            self._usable,
+            self.random.random,
+            self.options,
+            known,
+        )
         for service in configuration.services:
             kv_tokens = service.engine.kv_cache_tokens if service.engine is not None else None
             self.placement(service.name).configure(kv_tokens)
@@ -207,76 +195,19 @@
         if not has_one_id(request):
             self._respond(exchange, answers.BAD_REQUEST)
             return
-        if self._table is None:
+        if self._intake is None:
             wait_s = unconfigured_retry_after_s(self.clock() - self._started_at, self.random.random())
             self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(wait_s))
             return
-        route = self._table.match(request.header(b"host") or b"", request.target.partition(b"?")[0])
-        if route is None:
-            self._respond(exchange, answers.NOT_FOUND)
-            return
-        if self._table.needs_key and not route.anonymous and self.clock() > self.keys_hold_until:
-            self._respond(exchange, answers.UNAVAILABLE, answers.retry_after(UNSURE_OF_KEYS_S))
+        found = self._intake.admit(request, self.clock() <= self.keys_hold_until)
+        if isinstance(found, TurnedAway):
+            wait = found.retry_after_s
+            self._respond(exchange, found.status, answers.retry_after(wait) if wait is not None else None)
             return
-        tenant = self._tenant(request)
-        if tenant is None and self._table.needs_key and not route.anonymous:
-            self._respond(exchange, answers.UNAUTHORIZED)
-            return
-        flight = Flight(self, exchange, self._admit(request, route, tenant))
+        flight = Flight(self, exchange, found)
         self._flights.add(flight)
         flight.start()
 
-    def _tenant(self, request: Request) -> Tenant | None:
-        key = bearer_key(request)
-        if key is None or self._table is None:
-            return None
-        return self._table.tenant_of(key)
-
-    def _admit(self, request: Request, route: Route, tenant: Tenant | None) -> Admitted:
-        prompt = NO_PROMPT
-        usage = token_usage(request)
-        if route.affinity:
-            tokens_out = usage[1] if usage is not None else 0
-            prompt = parse_prompt(text(request, PROMPT_PREFIX), text(request, MODEL) or "", tokens_out)
-        told_ms = deadline_ms(request)
-        wait_ms = route.timeout_ms if told_ms is None else min(told_ms, route.timeout_ms)
-        return Admitted(
-            route=route,
-            service=self._service(route, prompt),
-            tenant=tenant,
-            tokens=_tokens(usage, tenant),
-            prompt=prompt,
-            priority=self._priority(request, route, tenant, told_ms),
-            deadline=request.arrived_s + wait_ms / 1000,
-        )
-
-    def _priority(
-        self, request: Request, route: Route, tenant: Tenant | None, told_ms: float | None
-    ) -> int | None:
-        """Its rank at a server; the lowest if its objective has passed before it came, so that those which
-        can still be in time don't wait behind it. A stream that goes on has met the objective."""
-        rank = self._ranks.of(tenant, route) if self._ranks is not None else None
-        if told_ms is None or not self.options.late_last or request.header(LAST_EVENT_ID) is not None:
-            return rank
-        told = self._told_deadlines.setdefault(route.name, ToldDeadlines())
-        return LOWEST if told.spent_ms(told_ms, route.timeout_ms) > route.aim_ms else rank
-
-    def _service(self, route: Route, prompt: Prompt) -> str:
-        """One of the route's services by weight: the same for all requests of a subject. One without a ready
-        server gets nothing while another has some."""
-        targets = [(name, weight) for name, weight in route.targets if weight > 0]
-        if len(targets) == 1:
-            return targets[0][0]
-        targets = [target for target in targets if self._usable(target[0])] or targets
-        subject = prompt.subject
-        draw = mix(subject.key ^ SPLIT_SALT) / 2.0**64 if subject is not None else self.random.random()
-        mark = draw * sum(weight for _, weight in targets)
-        for name, weight in targets:
-            mark -= weight
-            if mark < 0:
-                return name
-        return targets[-1][0]
-
     def _respond(self, exchange: Exchange, status: int, headers: Headers | None = None) -> None:
         """Turn a request away that has no flight."""
         self.recorder.turned_away(exchange.request.header(ATTEMPT_ID) or b"", status)
@@ -397,10 +328,3 @@
         tenant = flight.admitted.tenant
         if tenant is not None and tenant.name in self._waiting:
             self._waiting[tenant.name].pop(flight, None)
-
-
-def _tokens(usage: tuple[int, int] | None, tenant: Tenant | None) -> int:
-    """What a request counts for its tenant's quota."""
-    if tenant is None or not tenant.counts_tokens:
-        return 1
-    return sum(usage) if usage is not None else math.ceil(tenant.uncached_tokens)
