Fuzzing knows the messages of placement's news

Ruled out: chance; the test fails each time. Change: the module is listed, so its messages are mutated with the others. Result: the tests of fuzzing pass.

--- a/cloverrouter/fuzz/node_messages.py
+++ b/cloverrouter/fuzz/node_messages.py
@@ -31,6 +31,7 @@
     "coordination.sampling_messages",
     "coordination.views",
     "daemon.view_notice",
+    "placement.placement_messages",
     "placement.quota_messages",
     "placement.trouble_messages",
 )
