--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -17,6 +17,7 @@
 LIFE_BITS = 42
 CALL_BITS = 20  # a process takes fewer calls than 2 ** 20 in its life
 GIVE_UP_S = 3.6  # an order wants its acknowledgement within 4 s; a read is asked again by its caller
+OUT_OF_TOUCH_S = 1.0  # where no majority of the voters is heard, an answer is waited for only for so long
 SLOWEST_BYTES_A_SECOND = 250_000  # that a link surely carries: what is still on its way is not sent again
 
 
@@ -60,17 +61,20 @@
 
 @attrs.frozen(slots=True)
 class Finished:
-    """The call has its answer; `reply` is None if it was given up."""
+    """The call has its answer; `reply` is None if it was given up. `was_sent`: it went out to some head,
+    which may have taken it."""
 
     ticket: int
     reply: bytes | None
+    was_sent: bool = True
 
 
 @attrs.define(slots=True)
 class _Pending:
     call: HeadCall
-    give_up_at: float
+    asked_at: float
     send_at: float
+    was_sent: bool = False
 
 
 class Forwarder:
@@ -78,6 +82,7 @@
 
     def __init__(self) -> None:
         self._head: str | None = None
+        self._is_in_touch = True
         self._pending: dict[int, _Pending] = {}
 
     def head_changed(self, now: float, head: str | None) -> list[SendCall | Finished]:
@@ -89,9 +94,13 @@
             pending.send_at = now
         return self.tick(now)
 
+    def in_touch(self, confirmed: bool) -> None:
+        """Whether this machine has heard a majority of the voters lately: else no head can answer it."""
+        self._is_in_touch = confirmed
+
     def ask(self, now: float, ticket: int, kind: Kind, command: bytes) -> list[SendCall | Finished]:
         call = HeadCall(ticket, kind.value, command)
-        self._pending[ticket] = _Pending(call, now + GIVE_UP_S, now)
+        self._pending[ticket] = _Pending(call, now, now)
         return self.tick(now)
 
     def answered(self, now: float, answer: HeadAnswer) -> list[SendCall | Finished]:
@@ -106,12 +115,14 @@
 
     def tick(self, now: float) -> list[SendCall | Finished]:
         effects: list[SendCall | Finished] = []
+        patience_s = GIVE_UP_S if self._is_in_touch else OUT_OF_TOUCH_S
         for ticket, pending in list(self._pending.items()):
-            if now >= pending.give_up_at:
+            if now - pending.asked_at >= patience_s:
                 del self._pending[ticket]
-                effects.append(Finished(ticket, None))
+                effects.append(Finished(ticket, None, pending.was_sent))
             elif self._head is not None and now >= pending.send_at:
                 on_its_way_s = len(pending.call.command) / SLOWEST_BYTES_A_SECOND
                 pending.send_at = now + max(RESEND_S, on_its_way_s)
+                pending.was_sent = True
                 effects.append(SendCall(self._head, pending.call))
         return effects
--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -36,6 +36,8 @@
     News,
     NewsTaken,
     Same,
+    SilenceAnswer,
+    SilenceCheck,
     SilenceReport,
     UnknownInstances,
 )
@@ -118,7 +120,9 @@
     def voters_changed(self, now: float, ips: Collection[str]) -> list[Effect]:
         """The voters of the chain's view, as far as this machine knows."""
         self._voters = tuple(ips)
-        self._exchange.voters_changed(now, [ip for ip in ips if ip != self._own_ip])
+        others = [ip for ip in ips if ip != self._own_ip]
+        self._exchange.voters_changed(now, others)
+        self._voter.voters_changed(others)
         if not self.is_voter:
             self._voter.resign()
         return self.tick(now)
@@ -221,6 +225,10 @@
                 self._agreed(now, ip, message)
             case InstanceList():
                 return self._take_list(now, ip, message)
+            case SilenceCheck() if ip == self._head and self.is_voter:
+                return [*self._voter.check_silence(now, ip, message)]
+            case SilenceAnswer():
+                return [*self._voter.silence_checked(now, ip, message)]
             case SilenceReport() if ip == self._head:
                 return [*self._servers.mark(frozenset(message.ids))]
         return []
--- a/cloverrouter/control/registry_messages.py
+++ b/cloverrouter/control/registry_messages.py
@@ -124,6 +124,28 @@
     wants_answer: bool
 
 
+@message(210)
+class SilenceCheck:
+    """Head to voter: the head has not heard these servers for too long. When did the voter?"""
+
+    ids: tuple[str, ...]
+
+
+@nested
+class HeardAgo:
+    """How long ago the sender knows that a server lived."""
+
+    id: str
+    age_ms: int
+
+
+@message(211)
+class SilenceAnswer:
+    """Voter to head: of all servers in the check that the voter knows."""
+
+    servers: tuple[HeardAgo, ...]
+
+
 @message(209)
 class SilenceReport:
     """Head to all: all servers that have been silent for too long."""
--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -15,9 +15,12 @@
     AnnounceTaken,
     Beat,
     Compare,
+    HeardAgo,
     InstanceList,
     News,
     Same,
+    SilenceAnswer,
+    SilenceCheck,
     SilenceReport,
     UnknownInstances,
 )
@@ -43,6 +46,7 @@
         self._servers = servers
         self._subscribers = Subscribers()
         self._judge = SilenceJudge(heartbeat_interval)
+        self._other_voters: tuple[str, ...] = ()
         self._next_judgement = 0.0
         self._report_until = 0.0
         self._list: tuple[InstanceList, ...] = ()
@@ -66,6 +70,28 @@
             self._report_until = now + REPORT_FOR
         self.is_head = is_head
 
+    def voters_changed(self, others: Iterable[str]) -> None:
+        """The other voters: as head it asks them before it calls a server silent."""
+        self._other_voters = tuple(others)
+
+    def check_silence(self, now: float, ip: str, message: SilenceCheck) -> list[Send]:
+        """The head asks when servers were heard here."""
+        liveness = self._servers.liveness
+        known = [each for each in message.ids if liveness.knows(each)]
+        answer = [HeardAgo(each, round(max(liveness.age(now, each), 0.0) * 1000)) for each in known]
+        return [Send(ip, SilenceAnswer(tuple(answer)))]
+
+    def silence_checked(self, now: float, ip: str, message: SilenceAnswer) -> list[Send | ListEffect]:
+        """Another voter tells when it heard servers: it may have heard what this one missed."""
+        if not self.is_head or ip not in self._other_voters:
+            return []
+        for each in message.servers:
+            age = each.age_ms / 1000
+            if each.id in self._servers and age >= 0:
+                self._servers.liveness.heard(each.id, now - age)
+                self._judge.witnessed(now, ip, each.id, age)
+        return self._judge_silence(now, asks=False) if self.leads else []
+
     def taken(self, now: float, ip: str, message: Announce) -> list[Send]:
         """The answer to an origin whose news were merged, once they are passed on."""
         record = message.record
@@ -157,13 +183,16 @@
             effects += self._judge_silence(now)
         return effects
 
-    def _judge_silence(self, now: float) -> list[Send | ListEffect]:
+    def _judge_silence(self, now: float, asks: bool = True) -> list[Send | ListEffect]:
         servers = self._servers
-        judgement = self._judge.judge(now, list(servers), servers.liveness, servers.silent)
+        alone = not self._other_voters
+        judgement = self._judge.judge(now, list(servers), servers.liveness, servers.silent, alone)
         effects: list[Send | ListEffect] = [*servers.mark(judgement.silent)]
         if effects:
             self._report_until = now + REPORT_FOR
             effects += [self._silence_report(ip) for ip in self._subscribers]
+        if asks and judgement.to_check:
+            effects += [Send(ip, SilenceCheck(judgement.to_check)) for ip in self._other_voters]
         lost: list[str] = []
         for instance in (servers.table.get(each) for each in judgement.given_up):
             if instance is not None:
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cloverrouter.control.errors import Unavailable
-from cloverrouter.control.forwarding import Kind
+from cloverrouter.control.forwarding import Finished, Kind
 from cloverrouter.control.instances import Instance
 from cloverrouter.control.metrics import Figure
 from cloverrouter.control.orders import MachineSnapshot, Order, OrderReply
@@ -30,7 +30,7 @@
         self._plane = plane
         self._loop = loop
         self._tickets = itertools.count(first_ticket)
-        self._calls: dict[int, asyncio.Future[bytes | None]] = {}
+        self._calls: dict[int, asyncio.Future[Finished]] = {}
         self._changes: dict[int, asyncio.Future[bool]] = {}
 
     @property
@@ -40,11 +40,11 @@
 
     # What the cores tell
 
-    def call_ended(self, ticket: int, reply: bytes | None) -> None:
+    def call_ended(self, finished: Finished) -> None:
         """The head has answered, or the call was given up."""
-        future = self._calls.pop(ticket, None)
+        future = self._calls.pop(finished.ticket, None)
         if future is not None and not future.done():
-            future.set_result(reply)
+            future.set_result(finished)
 
     def change_ended(self, change: int, acknowledged: bool) -> None:
         """News of a server is with the voters, or found no majority."""
@@ -66,16 +66,18 @@
 
     async def _ask(self, kind: Kind, command: bytes) -> bytes:
         ticket = next(self._tickets)
-        future: asyncio.Future[bytes | None] = self._loop.create_future()
+        future: asyncio.Future[Finished] = self._loop.create_future()
         self._calls[ticket] = future
         try:
             self._plane.ask_head(ticket, kind, command)
-            reply = await future
+            finished = await future
         finally:
             self._calls.pop(ticket, None)
-        if reply is None:
-            raise Unavailable("the head of the chain did not answer; the order may still be taken")
-        return reply
+        if finished.reply is not None:
+            return finished.reply
+        if not finished.was_sent:
+            raise Unavailable("no head of the chain is known here; nothing was passed on")
+        raise Unavailable("the head of the chain did not answer; an order may still be taken")
 
     async def register(self, instance_id: str, body: dict[str, Any]) -> RegisterReply:
         instance = instance_from(self._loop.time(), instance_id, body)
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -242,7 +242,9 @@
                 self._genesis = None
         lead_until = self._lead_until()
         self.registry.lead_confirmed(lead_until is not None and now < lead_until)
-        self.registry.in_touch(self.subscriber.current(now))
+        is_in_touch = self.subscriber.current(now)
+        self.registry.in_touch(is_in_touch)
+        self._forwarder.in_touch(is_in_touch)
         self._limit_keys()
         self._registered(self.registry.tick(now))
         if self._servers_copy is not None:
@@ -422,7 +424,7 @@
             if isinstance(effect, SendCall):
                 self.transport.send(effect.ip, effect.call)
             else:
-                self._calls.call_ended(effect.ticket, effect.reply)
+                self._calls.call_ended(effect)
 
     def ask_head(self, ticket: int, kind: Kind, command: bytes) -> None:
         """Have the head answer a call; `ControlCalls.call_ended` hears of it."""
--- a/cloverrouter/placement/room.py
+++ b/cloverrouter/placement/room.py
@@ -15,6 +15,8 @@
 """or less than this part of what it runs at once, other proxies send there too;"""
 ROOM_SHARE = 1.2
 """or, in larger fleets, less than so many times this proxy's even share of that,"""
+SILENT_PART = 0.5
+"""A server that the head takes for silent has so much of the room of another one."""
 LATE_FACTOR = 3.0
 """and while its answers begin less than so many usual times later than their work explains."""
 
@@ -43,10 +45,15 @@
         return [
             one
             for one in among
-            if one.in_flight < max(most, one.server.capacity * self._part)
+            if one.in_flight < self._room(one, most)
             and self.delay_ms(one, now) < latest_ms
         ]
 
+    def _room(self, standing: Standing, most: float) -> float:
+        """How many own requests may be under way there."""
+        room = max(most, standing.server.capacity * self._part)
+        return room * SILENT_PART if standing.server.silent else room
+
     def delay_ms(self, standing: Standing, now: float) -> float:
         """How much later than its work explains an answer is expected to begin there."""
         if not self._options.learnt_delays:
--- a/cloverrouter/placement/servers.py
+++ b/cloverrouter/placement/servers.py
@@ -29,6 +29,8 @@
 """Old knowledge of a server's delay fades: a server that nobody tries is tried again."""
 SILENCE_S = 0.35
 """A server that has sent nothing for this long while a request waits for its first byte is doubted."""
+HEARD_LATELY_S = 1.5
+"""A server that the head takes for silent is asked on while it sent this proxy something so lately."""
 OVERDUE_S = 0.7
 """A server where a request waits so long for its answer to begin is suspected, whatever else it sends."""
 MOST_SUSPECTS_PART = 3
@@ -80,7 +82,7 @@
     _failed_at: float = 0.0
     _delay_ms: float = 0.0
     _delay_at: float = 0.0
-    _heard_at: float = 0.0
+    _heard_at: float = float("-inf")
     _unanswered: dict[int, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -199,9 +201,13 @@
         oldest = next(iter(self._unanswered.values()))
         return now - max(oldest, self._heard_at) > SILENCE_S
 
+    def is_silent(self, now: float) -> bool:
+        """Whether it has announced itself to nobody for a while, nor sent this proxy anything."""
+        return self.server.silent and now - self._heard_at >= HEARD_LATELY_S
+
     def avoided(self, now: float, doubts: bool = True) -> bool:
         """Whether others are to be preferred for the time being; without `doubts`, whatever waits there."""
-        return self.server.silent or now < self.paused_until or (doubts and self.doubted(now))
+        return self.is_silent(now) or now < self.paused_until or (doubts and self.doubted(now))
 
     def warned(self, now: float, until: float) -> None:
         """Other proxies found it failing."""
--- a/tests/system/test_forwarding.py
+++ b/tests/system/test_forwarding.py
@@ -6,6 +6,7 @@
 
 from cloverrouter.control.forwarding import (
     GIVE_UP_S,
+    OUT_OF_TOUCH_S,
     RESEND_S,
     Finished,
     Forwarder,
@@ -49,11 +50,32 @@
 def test_a_call_is_given_up_once() -> None:
     forwarder = Forwarder()
     forwarder.ask(0.0, 1, Kind.READ, b"")
-    assert forwarder.tick(GIVE_UP_S) == [Finished(1, None)]
+    assert forwarder.tick(GIVE_UP_S) == [Finished(1, None, was_sent=False)]
     assert forwarder.tick(GIVE_UP_S + 1) == []
     assert forwarder.answered(GIVE_UP_S + 1, HeadAnswer(1, True, b"late")) == []
 
 
+def test_a_machine_that_knows_that_it_is_out_of_touch_answers_sooner() -> None:
+    forwarder = Forwarder()
+    forwarder.head_changed(0.0, "10.0.0.1")
+    forwarder.ask(0.0, 1, Kind.ORDER, b"order")
+    assert not any(isinstance(each, Finished) for each in forwarder.tick(OUT_OF_TOUCH_S + 0.1))
+    forwarder.in_touch(False)
+    assert forwarder.tick(OUT_OF_TOUCH_S + 0.15) == [Finished(1, None, was_sent=True)]
+    forwarder.ask(5.0, 2, Kind.ORDER, b"order")
+    assert not any(isinstance(each, Finished) for each in forwarder.tick(5.0 + OUT_OF_TOUCH_S / 2))
+    assert Finished(2, None, was_sent=True) in forwarder.tick(5.0 + OUT_OF_TOUCH_S)
+
+
+def test_what_was_sent_to_a_head_is_never_told_as_not_passed_on() -> None:
+    forwarder = Forwarder()
+    forwarder.in_touch(False)
+    forwarder.ask(0.0, 1, Kind.ORDER, b"order")
+    forwarder.head_changed(0.1, "10.0.0.1")
+    forwarder.head_changed(0.2, None)
+    assert forwarder.tick(OUT_OF_TOUCH_S) == [Finished(1, None, was_sent=True)]
+
+
 def test_tickets_travel() -> None:
     for seed in range(100):
         call = HeadCall(first_ticket(Random(seed)), Kind.READ.value, b"")
--- a/tests/system/test_head_desk.py
+++ b/tests/system/test_head_desk.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, cast
 
-from cloverrouter.control.forwarding import HeadAnswer, HeadCall, Kind, first_ticket
+from cloverrouter.control.forwarding import Finished, HeadAnswer, HeadCall, Kind, first_ticket
 from cloverrouter.control.orders import OrderReply
 from cloverrouter.coordination.effects import Answer, Effect, Outcome
 from cloverrouter.coordination.replica import Replica
@@ -66,7 +66,7 @@
             which = b"first" if b"of the first life" in command else b"second"
             desk.answered(Answer(ticket, Outcome.DONE, reply_to(which)))
         for answer in sent:
-            after.call_ended(answer.ticket, answer.reply)
+            after.call_ended(Finished(answer.ticket, answer.reply))
         reply = await asyncio.wait_for(asked, 1.0)
         lost.cancel()
         return reply, set(first.tickets), set(second.tickets)
