--- a/benchmarks/own_sites.py
+++ b/benchmarks/own_sites.py
@@ -2,10 +2,11 @@
 
     python -m benchmarks.own_sites SITE FOLDER
 
-Writes two site files to FOLDER. Services, kinds of requests, traffic and days stay as they are:
+Writes three site files to FOLDER. Services, kinds of requests, traffic and days stay as they are:
 
 - `NAME-narrow`: a small part of the memory, slow links, zones far from each other, tighter bounds.
 - `NAME-five`: five machines with a disk in place of three, two of which may be lost at once; slower disks.
+- `NAME-revoking`: keys that were taken away may nowhere be used any more (`revocation-enforced`).
 """
 
 from __future__ import annotations
@@ -70,7 +71,12 @@
     return [zone["name"] for zone in site["zones"]].index(machine["zone"])
 
 
-VARIANTS: dict[str, Callable[[Content], Content]] = {"narrow": narrow, "five": five}
+def revoking(site: Content) -> Content:
+    """No machine, in touch or not, may run a request with a key that was taken away too long ago."""
+    return {**site, "bounds": {**site["bounds"], "closed": True}}
+
+
+VARIANTS: dict[str, Callable[[Content], Content]] = {"narrow": narrow, "five": five, "revoking": revoking}
 
 
 def site_toml(site: Content) -> str:
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cloverrouter.control.distribution_messages import Subscribe
 from cloverrouter.control.forwarding import HeadCall, Kind
 from cloverrouter.control.orders import ConfigurationMachine, Reviewed
 from cloverrouter.control.publisher import Publisher, SnapshotWanted
@@ -69,6 +70,7 @@
             lambda kept: ports.on_note(kept.note),
         )
         self._driver = ReplicaDriver(self.replica, store, listener)
+        self._summary: ViewSummary | None = None
         self._snapshot_wanted = False
         self._reviewer = ThreadPoolExecutor(1, thread_name_prefix="review")
         self._reviews: dict[bytes, asyncio.Future[Reviewed | None]] = {}
@@ -111,7 +113,15 @@
         self._driver.carry_out(self.replica.receive(now, ip, message))
 
     def subscriber_says(self, now: float, ip: str, message: object) -> None:
-        """A message of a proxy's subscriber."""
+        """A message of a proxy's subscriber. It hears of the view before it hears what is committed.
+
+        Danger: a proxy that was away may know old voters only. Where it counted what a majority of them offer,
+        it would take itself for current, though all of them had been replaced.
+        """
+        if self._summary is not None and isinstance(message, Subscribe):
+            self._ports.send(ip, ViewNotice(self._summary))
+        if self._summary is not None and not self._votes_in(self._summary):
+            return
         self._publish(self.publisher.receive(now, ip, message))
 
     def called(self, now: float, ip: str, call: HeadCall) -> None:
@@ -180,18 +190,21 @@
             self._publish(self.publisher.restored(now, seq, snapshot))
 
     def _view_changed(self, event: ViewChanged) -> None:
-        summary = summary_of(event.view, self.replica.committed[0])
+        summary = self._summary = summary_of(event.view, self.replica.committed[0])
         self._ports.log_change(
             "view", epoch=summary.epoch, active=summary.active, head=summary.head,
             chain=[member.ip for member in event.view.chain],
         )  # fmt: skip
         if event.view.active and any(one.identity == self.identity for one in event.view.chain):
             self._publish(self.publisher.confirm(self._loop.time()))
-        if all(place.identity != self.identity for place in summary.voters):
-            self.publisher.resign()
         self._ports.on_view(summary)
         for ip in self.publisher.acknowledged():
             self._ports.send(ip, ViewNotice(summary))
+        if not self._votes_in(summary):
+            self.publisher.resign()
+
+    def _votes_in(self, summary: ViewSummary) -> bool:
+        return any(place.identity == self.identity for place in summary.voters)
 
 
 def summary_of(view: ViewInfo, committed: int) -> ViewSummary:
--- a/tests/system/test_own_sites.py
+++ b/tests/system/test_own_sites.py
@@ -85,3 +85,12 @@
     assert {name for name in given if given[name] != site[name]} == changed
     assert set(site) == set(given)
     assert (tmp_path / "own" / site["wire"]).resolve() == (tmp_path / "wire.json").resolve()
+
+
+def test_a_revoking_deployment_differs_in_that_only(tmp_path: Path) -> None:
+    found = made(tmp_path, "revoking")
+    assert found["bounds"].pop("closed") is True
+    given = tomllib.loads(GIVEN)
+    assert given["bounds"].pop("closed") is False
+    assert found["bounds"] == given["bounds"]
+    assert found["machines"] == given["machines"]
