--- a/cloverrouter/coordination/effects.py
+++ b/cloverrouter/coordination/effects.py
@@ -59,7 +59,7 @@
     retry_s: float = 0.2  # a question without an answer is asked again
     gather_s: float = 0.12  # how long the promises of the slower ones are waited for
     lost_quorum_s: float = 1.0  # a head that a majority has not answered for so long is none
-    exchange_after_s: float = 1.2  # a voter silent for so long gives way to a spare
+    exchange_after_s: float = 0.7  # a voter silent, or whose disk is busy, for so long gives way to a spare
     rejoin_s: float = 0.3  # a member that is back must be well for so long; doubles with each relapse
     disk_retry_s: float = 0.5
     settle_s: float = 0.3  # facts that may be lost are written after so much quiet
--- a/cloverrouter/coordination/roster.py
+++ b/cloverrouter/coordination/roster.py
@@ -119,7 +119,16 @@
 
     def _is_vacant(self, now: float, member: Member) -> bool:
         """Whether a voter's place may have to be given to a spare."""
-        return self._is_leaving(member) or self.silent_s(now, member) >= self._config.failure_timeout_s
+        if self._is_leaving(member) or self._is_stalled(member):
+            return True
+        return self.silent_s(now, member) >= self._config.failure_timeout_s / 2
+
+    def _is_stalled(self, member: Member) -> bool:
+        """Whether a voter answers and its disk takes nothing: it promises nothing either."""
+        peer = self.peers.get(member.identity)
+        if peer is None or peer.report is None:
+            return False
+        return peer.report.trouble_ms >= self._config.exchange_after_s * 1000
 
     def _is_leaving(self, member: Member) -> bool:
         """Whether a member has said that its process is about to end."""
@@ -239,6 +248,7 @@
             or self._longest_silent(now, fit, lost)
             or self._same_place(fit, leaving)
             or self._nearest(fit, leaving)
+            or self._nearest(fit, [member for member in view.voters if self._is_stalled(member)])
         )
         if pair is None:
             return None
--- a/cloverrouter/daemon/replica_role.py
+++ b/cloverrouter/daemon/replica_role.py
@@ -115,7 +115,7 @@
     def subscriber_says(self, now: float, ip: str, message: object) -> None:
         """A message of a proxy's subscriber. It hears of the view before it hears what is committed.
 
-        Danger: a proxy that was away may know old voters only. Where it counted what a majority of them offer,
+        Danger: a proxy that was away may know old voters only. If it counted what a majority of them offer,
         it would take itself for current, though all of them had been replaced.
         """
         if self._summary is not None and isinstance(message, Subscribe):
