--- a/cloverrouter/control/subscriber.py
+++ b/cloverrouter/control/subscriber.py
@@ -30,6 +30,8 @@
 LONGEST_PATIENCE = 4.0
 PATIENCE_GROWTH = 1.5
 HELD_FOR = 1.0
+REREAD_PAUSE = 0.5  # before a state is fetched again that could not be put in force; doubles
+LONGEST_REREAD_PAUSE = 8.0
 FLEET_SIZE_HELD = 15.0
 
 
@@ -92,6 +94,22 @@
         self._next_call = math.inf
         self._fleet_sizes: list[tuple[float, int]] = []
         self._complete_as_of = -math.inf
+        self._unread = 0
+        self._fetch_from = -math.inf
+
+    @property
+    def unread(self) -> int:
+        """How many times in a row what was handed out could not be put in force."""
+        return self._unread
+
+    def behind_s(self, now: float) -> float:
+        """For how long voters have offered more than is in force, without anything new; 0: it has all."""
+        return 0.0 if self._behind_since is None else now - self._behind_since
+
+    def applied(self) -> None:
+        """What was handed out last is in force."""
+        self._unread = 0
+        self._fetch_from = -math.inf
 
     @property
     def have(self) -> int:
@@ -127,11 +145,16 @@
         return self.tick(now)
 
     def start_over(self, now: float) -> None:
-        """What was handed out could not be put in force: a whole state, no older than that, is fetched."""
+        """What was handed out could not be put in force: a whole state, no older than that, is fetched, and
+        after longer and longer if it can't be read either."""
+        if self._unread:
+            self._fetch_from = now + min(LONGEST_REREAD_PAUSE, REREAD_PAUSE * 2.0 ** (self._unread - 1))
+        self._unread += 1
         self._least = max(self._least, self._have)
         self._have = NOTHING
         self._fetch = self._unfinished = None
-        self._behind_since = now
+        if self._behind_since is None or self._unread == 1:
+            self._behind_since = now
 
     def voters_changed(self, now: float, voters: Sequence[VoterAddress]) -> list[Effect]:
         """The voters of the chain's view, as far as this machine knows."""
@@ -160,7 +183,7 @@
         if self._fetch is not None and now >= self._fetch.deadline:
             effects += self._give_up(now)
         is_late = self._behind_since is not None and now - self._behind_since >= PUSH_PATIENCE
-        if self._fetch is None and is_late:
+        if self._fetch is None and is_late and now >= self._fetch_from:
             effects += self._pull(now)
         return effects
 
@@ -187,7 +210,7 @@
             return []
         if self._behind_since is None:
             self._behind_since = now
-        if self._fetch is None and ip == self._source:
+        if self._fetch is None and ip == self._source and now >= self._fetch_from:
             return self._pull(now)
         return []
 
@@ -254,7 +277,8 @@
         self._fetch = self._unfinished = None
         self._patience = 1.0
         is_behind = self.newest_offered() > self._have
-        self._behind_since = now if is_behind else None
+        if not self._unread:
+            self._behind_since = now if is_behind else None
         effects: list[Effect] = []
         if self._held is None:
             effects.append(change)
--- a/cloverrouter/coordination/context.py
+++ b/cloverrouter/coordination/context.py
@@ -90,6 +90,11 @@
         """Whether a view needs no old voters, as far as is known here."""
         return not view.old_voters or view.epoch == self.active_epoch
 
+    @property
+    def has_long_state(self) -> bool:
+        """Whether to hand over the state takes so long that orders should not wait for it."""
+        return self.disk.state_bytes >= self.config.catch_up_bytes
+
     def report(self, now: float, ip: str, receiver: str) -> None:
         """Tell a head how things stand here."""
         durable = self.disk.durable
--- a/cloverrouter/coordination/effects.py
+++ b/cloverrouter/coordination/effects.py
@@ -67,6 +67,7 @@
     waiting: int = 256  # commands that wait for a view
     wait_s: float = 2.5  # how long they do
     max_state_bytes: int = 12 * 1024 * 1024
+    catch_up_bytes: int = 512 * 1024  # a state as long goes in parts, before its receiver joins the chain
     compact_bytes: int = 256 * 1024  # updates on disk beyond this, and beyond the state's size, are folded
 
 
--- a/cloverrouter/coordination/head.py
+++ b/cloverrouter/coordination/head.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from cloverrouter.coordination.catch_up import CatchUpSender, Progress
 from cloverrouter.coordination.context import Context, view_info
 from cloverrouter.coordination.desk import Asked, Desk, Flying
 from cloverrouter.coordination.effects import Answer, Outcome, ViewInfo
 from cloverrouter.coordination.messages import (
     Announce,
+    CatchUpTaken,
     Commit,
     Forward,
     Heartbeat,
@@ -55,6 +57,7 @@
         self.rounds = Rounds(context.me.identity, view, context.config, now)
         self._beat_at = now
         self._sent_at = now  # when updates were last sent
+        self._catch_up = CatchUpSender(context, view.epoch)
         self._tail_stored = 0
         self._told_stored = 0
         context.take_view(view, context.me.identity, synced=True)
@@ -87,14 +90,20 @@
         else:
             self._send(peer.member, Announce(me, identity, self.view))
 
+    def _updates_from(self, synced: int, seq: int) -> tuple[bytes, ...] | None:
+        """The updates that lead here from the state `seq` of the epoch `synced`; None if only a whole state
+        does."""
+        history = self._context.history
+        last = history.newest if synced == self.view.epoch else self._lineage.get(synced, -1)
+        return history.after(seq) if seq <= last else None
+
     def _install_for(self, identity: str) -> Install:
         promise = self._promises.get(identity)
         updates: tuple[bytes, ...] | None = None
         synced = seq = 0
         if promise is not None:
             synced, seq = promise.synced, promise.seq
-            if seq <= self._lineage.get(synced, -1):
-                updates = self._context.history.after(seq)
+            updates = self._updates_from(synced, seq)
         if updates is not None and self._context.history.newest != self._base:
             updates = updates[: self._base - seq]
         state = self._context.history.snapshot() if updates is None else None
@@ -139,6 +148,30 @@
         report = peer.report if peer is not None else None
         return report if report is not None and report.promised == self.view.epoch else None
 
+    # -- long states --
+
+    @property
+    def catch_up(self) -> Progress | None:
+        """The state that is handed over in parts, if one is."""
+        return self._catch_up.progress
+
+    def _lacks_long_state(self, peer: Peer) -> bool:
+        """Whether a member is to be handed the state in parts before it joins the chain."""
+        if not self._context.has_long_state or not self._catch_up.may_wait(peer.member.identity):
+            return False
+        report = peer.report
+        return report is None or self._updates_from(report.synced, report.seq) is None
+
+    def caught_up(self, now: float, message: CatchUpTaken) -> None:
+        """A member tells how much of the state it has."""
+        self._catch_up.taken(now, message)
+
+    def _tick_catch_up(self, now: float) -> None:
+        if not self.active:
+            return
+        wanted = self._roster.well_outside(now, self.view)
+        self._catch_up.tick(now, [peer.member for peer in wanted if self._lacks_long_state(peer)])
+
     # -- heartbeats and confirmation --
 
     def beat(self, now: float) -> int:
@@ -344,13 +377,14 @@
         if now - self._beat_at >= self._context.config.heartbeat_s:
             self.beat(now)
         self._roster.mark(now)
+        self._tick_catch_up(now)
 
     def plan(self, now: float) -> Plan | None:
         """The next view, if another one is called for and this disk works."""
         context = self._context
         if context.resigning or context.disk.trouble_s(now) >= context.config.failure_timeout_s / 2:
             return None
-        return self._roster.plan(now, self.view, settled=self.active)
+        return self._roster.plan(now, self.view, self.active, self._lacks_long_state)
 
     def info(self) -> ViewInfo:
         """What this head says of its view."""
--- a/cloverrouter/coordination/messages.py
+++ b/cloverrouter/coordination/messages.py
@@ -234,6 +234,32 @@
     promised: int
 
 
+@message(128)
+class CatchUpPart:
+    """The head hands a part of a long state to a member outside its chain."""
+
+    sender: str
+    receiver: str
+    epoch: int  # of the head
+    seq: int  # the state is the one after this update
+    length: int  # of the whole, in bytes
+    checksum: int  # of the whole: CRC-32
+    offset: int
+    data: bytes
+
+
+@message(129)
+class CatchUpTaken:
+    """The member's answer: so many bytes of that state are there."""
+
+    sender: str
+    receiver: str
+    epoch: int
+    seq: int
+    checksum: int
+    taken: int
+
+
 GENESIS_MESSAGES = (GenesisState, SeedPrepared, SeedAccepted, SeedRefused)
 """For a seed's `GenesisProposer`."""
 BALLOT_MESSAGES = (SeedPrepare, SeedAccept)
--- a/cloverrouter/coordination/proposal.py
+++ b/cloverrouter/coordination/proposal.py
@@ -294,7 +294,18 @@
             planned = [member for member in voters if member.identity in self.plan.chain & present]
             if len(planned) >= self._least_chain():
                 return planned
-        return [member for member in voters if member.identity in present]
+        members = [member for member in voters if member.identity in present]
+        if not self._context.has_long_state:
+            return members
+        ready = [member for member in members if not self._lacks_state(member)]
+        return ready if len(ready) >= self._least_chain() else members
+
+    def _lacks_state(self, member: Member) -> bool:
+        """Whether only the whole state would bring a member up to date: it is to join the chain later."""
+        own, promise = self.promises.get(self._context.me.identity), self.promises.get(member.identity)
+        if own is None or promise is None or promise is own:
+            return False
+        return promise.synced != own.synced or self._context.history.after(promise.seq) is None
 
     def new_view(self) -> View:
         """The view that follows. Only when ready."""
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import Any
 
+from cloverrouter.coordination.catch_up import CatchUpReceiver, Progress
 from cloverrouter.coordination.context import Context, view_info
 from cloverrouter.coordination.desk import Asked, Desk, Waiting
 from cloverrouter.coordination.disk import DiskQueue
@@ -31,6 +32,8 @@
 from cloverrouter.coordination.messages import (
     Announce,
     Canvass,
+    CatchUpPart,
+    CatchUpTaken,
     Commit,
     Fetch,
     Forward,
@@ -99,6 +102,7 @@
         self._told: ViewInfo | None = None
         self._ballot_answers: list[tuple[str, Ballot, BallotAnswer]] = []
         self._follower = Follower(self._context, 0.0)
+        self._catch_up = CatchUpReceiver(self._context)
         self._handlers = self._handler_table()
 
     # -- what is to be seen --
@@ -178,6 +182,11 @@
         meets each chain: an epoch in between would have been found in one of the promises."""
         return self._head.follows if self._head is not None else None
 
+    @property
+    def catch_up(self) -> Progress | None:
+        """As head: the long state that is handed to a member in parts."""
+        return self._head.catch_up if self._head is not None else None
+
     @property
     def disk_trouble_s(self) -> float:
         """For how long the own disk has been busy or failing."""
@@ -364,6 +373,8 @@
         return {
             Heartbeat: self._on_heartbeat,
             Report: self._on_report,
+            CatchUpPart: self._on_catch_up_part,
+            CatchUpTaken: self._on_catch_up_taken,
             Forward: self._on_forward,
             Stored: self._on_stored,
             Commit: self._on_commit,
@@ -392,6 +403,28 @@
     def _on_forward(self, now: float, ip: str, message: Forward) -> None:
         self._context.effects += self._follower.on_forward(message)
 
+    def _on_catch_up_part(self, now: float, ip: str, message: CatchUpPart) -> None:
+        """A part of the state, for a member outside the chain that does not have it yet."""
+        context = self._context
+        has_it = (context.synced, context.history.newest) >= (message.epoch, message.seq)
+        if self._head is not None or has_it or self._is_in_chain_of(message.epoch):
+            return
+        state = self._catch_up.take(ip, message)
+        if state is not None:
+            context.history.replace(state.seq, state.data)
+            context.disk.replace(state.seq, state.data)
+            context.disk.change(synced=message.epoch)
+            self._lineage = {0: 0}
+            self._sent = context.history.newest
+
+    def _is_in_chain_of(self, epoch: int) -> bool:
+        view = self._context.view
+        return view is not None and view.epoch == epoch and self.me.identity in view.chain
+
+    def _on_catch_up_taken(self, now: float, ip: str, message: CatchUpTaken) -> None:
+        if self._head is not None:
+            self._head.caught_up(now, message)
+
     def _on_commit(self, now: float, ip: str, message: Commit) -> None:
         self._context.effects += self._follower.on_commit(message)
 
--- a/cloverrouter/coordination/roster.py
+++ b/cloverrouter/coordination/roster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -165,15 +165,30 @@
 
     # -- the view that all this calls for --
 
-    def plan(self, now: float, view: View, settled: bool) -> Plan | None:
-        """The next view, if another one than this is called for."""
+    def plan(
+        self, now: float, view: View, settled: bool, lacks_state: Callable[[Peer], bool] = lambda peer: False
+    ) -> Plan | None:
+        """The next view, if another one than this is called for. `lacks_state`: whether one is to be handed a
+        long state before it joins the chain."""
         if settled:
-            exchange = self._exchange(now, view)
+            exchange = self._exchange(now, view, lacks_state)
             if exchange is not None:
                 return exchange
-        return self._regroup(now, view)
-
-    def _regroup(self, now: float, view: View) -> Plan | None:
+        return self._regroup(now, view, lacks_state)
+
+    def well_outside(self, now: float, view: View) -> list[Peer]:
+        """Voters outside the chain that answer and whose disks work."""
+        outside = (self.peers.get(member.identity) for member in view.voters)
+        return [
+            peer
+            for peer in outside
+            if peer is not None
+            and peer.member.identity not in view.chain
+            and peer.report is not None
+            and peer.is_well(now, self._config)
+        ]
+
+    def _regroup(self, now: float, view: View, lacks_state: Callable[[Peer], bool]) -> Plan | None:
         """The same voters, another chain."""
         present = {self._me.identity}
         reasons: list[str] = []
@@ -183,7 +198,9 @@
             if peer is None:
                 continue
             in_chain = member.identity in view.chain
-            is_fit = peer.is_well(now, self._config) if in_chain else self._may_join(now, peer, view)
+            is_fit = peer.is_well(now, self._config)
+            if not in_chain:
+                is_fit = self._may_join(now, peer, view) and not lacks_state(peer)
             if is_fit:
                 present.add(member.identity)
             if is_fit != in_chain:
@@ -232,7 +249,7 @@
     def _is_fenced(self, now: float, peer: Peer) -> bool:
         return peer.fenced_since is not None and now - peer.fenced_since >= FENCED_WAIT_S
 
-    def _exchange(self, now: float, view: View) -> Plan | None:
+    def _exchange(self, now: float, view: View, lacks_state: Callable[[Peer], bool]) -> Plan | None:
         """A spare in the place of a voter that is lost or leaves, one at a time.
 
         One that leaves is exchanged while it still answers: its promise may be needed for that, if another
@@ -262,6 +279,9 @@
         chain = self._long_enough(now, view, fit_ones, gone.identity)
         if chain is None:
             return None
+        is_long_enough = len(chain) > least_chain(len(voters), config.tolerance)
+        if is_long_enough and lacks_state(self.peers[spare.identity]):
+            chain.discard(spare.identity)  # it has the vote at once, and joins when it has the state
         return Plan(view.epoch, voters, frozenset(chain), f"{spare.name} in the place of {gone.name}")
 
     def _spare_is_fit(self, now: float, spare: Member) -> bool:
--- a/cloverrouter/daemon/configuration_feed.py
+++ b/cloverrouter/daemon/configuration_feed.py
@@ -26,6 +26,7 @@
         self._configure = configure
         self._on_error = on_error
         self.state = ConfigurationState()
+        self.not_applied = 0
         self.history: deque[dict[str, Any]] = deque(maxlen=HISTORY)
 
     def take(self, effect: Apply | Replace) -> bool:
@@ -33,6 +34,7 @@
         try:
             state = self._after(effect)
         except (ControlError, MessageError, AttributeError, LookupError, TypeError, ValueError) as error:
+            self.not_applied += 1
             text = f"{type(error).__name__}: {error}"
             self._on_error("configuration-not-applied", sequence=effect.sequence, error=text)
             return False
--- a/cloverrouter/daemon/control_calls.py
+++ b/cloverrouter/daemon/control_calls.py
@@ -122,6 +122,9 @@
             "configuration-version": plane.feed.state.version,
             "sequence": plane.subscriber.have,
             "current": plane.subscriber.current(now),
+            "behind-s": round(plane.subscriber.behind_s(now), 3),
+            "not-applied": plane.subscriber.unread,
+            "handing-over": plane.handing_over(),
             "fleet-size": plane.subscriber.fleet_size(),
             "ready": plane.traffic.router.ready(),
             "in-flight": plane.traffic.router.in_flight,
@@ -156,6 +159,18 @@
         yield Figure.single(
             "cypresswinch_configuration_version", "gauge", "Version in force.", plane.feed.state.version
         )
+        yield Figure.single(
+            "cypresswinch_configuration_not_applied_total",
+            "counter",
+            "Configurations handed out that could not be put in force.",
+            plane.feed.not_applied,
+        )
+        yield Figure.single(
+            "cypresswinch_quota_notes_refused_total",
+            "counter",
+            "Notes of quotas on the own disk that did not count.",
+            plane.quota_notes_refused,
+        )
         yield Figure.single(
             "cypresswinch_peer_sent_bytes_total", "counter", "Bytes sent to peers.", transport.bytes_sent
         )
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -9,7 +9,9 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import attrs
 
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
@@ -26,8 +28,8 @@
 from cloverrouter.control.registry import Effect as RegistryEffect
 from cloverrouter.control.registry import Registry
 from cloverrouter.control.servers_list import InstancesChanged, InstancesHeard, InstancesSilent
-from cloverrouter.control.subscriber import Apply, Replace, Subscriber
 from cloverrouter.control.subscriber import Effect as SubscriberEffect
+from cloverrouter.control.subscriber import Subscriber
 from cloverrouter.control.voter_choice import VoterAddress
 from cloverrouter.coordination import sampling_messages, views
 from cloverrouter.coordination.sampling import DiskMemberLearned, PeerSampler, ViewLearned
@@ -206,6 +208,11 @@
         """The identity of this machine's disk, if it is a replica."""
         return self.role.identity if self.role is not None else None
 
+    def handing_over(self) -> dict[str, Any]:
+        """As head: the long state that a member is handed in parts; empty: none."""
+        progress = self.role.replica.catch_up if self.role is not None else None
+        return attrs.asdict(progress) if progress is not None else {}
+
     @property
     def calls_under_way(self) -> int:
         """Calls of operators and servers that wait for their answer."""
@@ -245,6 +252,8 @@
         is_in_touch = self.subscriber.current(now)
         self.registry.in_touch(is_in_touch)
         self._forwarder.in_touch(is_in_touch)
+        is_behind = self.subscriber.behind_s(now) > self._settings.bounds.propagation_s
+        self.traffic.router.is_behind = is_in_touch and is_behind
         self._limit_keys()
         self._registered(self.registry.tick(now))
         if self._servers_copy is not None:
@@ -416,7 +425,9 @@
         for effect in effects:
             if isinstance(effect, Send):
                 self.transport.send(effect.ip, effect.message)
-            elif isinstance(effect, Apply | Replace) and not self.feed.take(effect):
+            elif self.feed.take(effect):
+                self.subscriber.applied()
+            else:
                 self.subscriber.start_over(self._loop.time())
 
     def _forwarded(self, effects: Iterable[SendCall | Finished]) -> None:
--- a/cloverrouter/daemon/plane_port.py
+++ b/cloverrouter/daemon/plane_port.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Any, Protocol
 
 from cloverrouter.control.forwarding import Kind
 from cloverrouter.control.registry import Effect, Registry
@@ -42,6 +42,15 @@
         """The identity of this machine's disk, if it is a replica."""
         ...
 
+    @property
+    def quota_notes_refused(self) -> int:
+        """Notes on the own disk that did not count."""
+        ...
+
+    def handing_over(self) -> dict[str, Any]:
+        """As head: the long state that a member is handed in parts; empty: none."""
+        ...
+
     def ask_head(self, ticket: int, kind: Kind, command: bytes) -> None:
         """Have the head answer a call; `ControlCalls.call_ended` hears of it."""
         ...
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -77,6 +77,8 @@
         self.recorder = recorder
         self.on_trouble: Callable[[str], None] = lambda instance_id: None
         """Called with the id of an instance that failed a request."""
+        self.is_behind = False
+        """Newer configurations are known to be in force, and this process has not got any for too long."""
         self.keys_hold_until = math.inf
         """No key is taken later than that: it may have been taken away, and this proxy would not know."""
         self._leave: Leave | None = None
@@ -175,7 +177,7 @@
 
     def ready(self) -> bool:
         """Whether clients should come here: configured, and with servers for most services with routes."""
-        if self._configuration is None or self.draining:
+        if self._configuration is None or self.draining or self.is_behind:
             return False
         services = {
             name for route in self._configuration.routes for name, weight in route.targets if weight > 0
--- a/tests/system/replica_chaos.py
+++ b/tests/system/replica_chaos.py
@@ -320,6 +320,8 @@
         late=random.choice([0.0, 0.0, 0.02, 0.1]),
         twice=random.choice([0.0, 0.1]),
     )
+    if seed % 3 == 0:  # every state is long: it goes in parts to those that are about to join
+        config["catch_up_bytes"] = 0
     world = World(seed, count, tolerance, weather, config=config, tick_s=0.01)
     world.trace = trace
     client_pause_s = random.choice([0.03, 0.3])
--- a/tests/system/replica_faults.py
+++ b/tests/system/replica_faults.py
@@ -500,8 +500,8 @@
 def an_exchange_begins_before_the_last_is_in_force() -> Iterator[None]:
     original = Roster.plan
 
-    def hasty(self: Roster, now: float, view: View, settled: bool) -> Any:
-        return original(self, now, view, True)
+    def hasty(self: Roster, now: float, view: View, settled: bool, *others: Any) -> Any:
+        return original(self, now, view, True, *others)
 
     with patch.object(Roster, "plan", hasty):
         yield
--- a/tests/system/slow_links.py
+++ b/tests/system/slow_links.py
@@ -77,4 +77,5 @@
     """About how many bytes a message takes."""
     snapshot = getattr(message, "snapshot", None) or b""
     updates = getattr(message, "updates", ())
-    return SMALL_BYTES + len(snapshot) + sum(len(update) for update in updates)
+    part = getattr(message, "data", b"")
+    return SMALL_BYTES + len(snapshot) + len(part) + sum(len(update) for update in updates)
--- /dev/null
+++ b/tests/system/test_catch_up.py
@@ -0,0 +1,239 @@
+"""Long states go to members in parts while orders are taken: how long these wait, and parts that are none."""
+
+from __future__ import annotations
+
+import itertools
+import zlib
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import pytest
+
+from cloverrouter.coordination import catch_up, history
+from cloverrouter.coordination.catch_up import CatchUpReceiver, CatchUpSender
+from cloverrouter.coordination.context import Context
+from cloverrouter.coordination.disk import DiskQueue
+from cloverrouter.coordination.effects import ReplicaConfig
+from cloverrouter.coordination.history import History
+from cloverrouter.coordination.messages import CatchUpPart, CatchUpTaken
+from cloverrouter.coordination.views import Member
+from cloverrouter.messages.sending import Send
+from cloverrouter.store import Meta, StoredReplica
+from tests.system.replica_scenarios import leader
+from tests.system.replica_world import Node, Register
+from tests.system.slow_links import SlowWorld
+
+STATE_S = 1.5
+NEVER = 1 << 40
+HEAD = Member("aa00000000000000", "10.0.0.1", "one", "a")
+MEMBER = Member("bb00000000000000", "10.0.0.2", "two", "a")
+STATE = b"state" * 40
+
+
+@pytest.fixture(autouse=True)
+def small_figures() -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(history, "KEPT_BYTES", 20_000)
+        patch.setattr(history, "KEPT_UPDATES", 60)
+        yield
+
+
+def away_for_many_changes(catch_up_bytes: int) -> tuple[SlowWorld, Node]:
+    """A member comes back that lacks more than the others still have as updates."""
+    config = {"catch_up_bytes": catch_up_bytes, "compact_bytes": 1}
+    world = SlowWorld(6, 3, 1, state_s=STATE_S, config=config)
+    world.run(8.0)
+    away = next(node for node in world.nodes if node is not leader(world))
+    world.kill(away, power=True)
+    world.run(3.0)
+    for number in range(80):
+        world.put(f"while-away-{number}", lambda taken: None)
+        world.run(0.05)
+    world.run(3.0)
+    world.start(away)
+    return world, away
+
+
+def in_chain(world: SlowWorld, node: Node) -> bool:
+    head = world.head()
+    view = head.replica.view_info if head is not None and head.replica is not None else None
+    return view is not None and view.active and node.member in view.chain
+
+
+def longest_pause(world: SlowWorld, node: Node, seconds: float) -> float:
+    """Orders each 0.05 s until a member has been in the chain for a while: the longest time in which none was
+    acknowledged."""
+    taken_at = [world.now]
+    until = world.now + seconds
+    joined_at = float("inf")
+    number = 0
+    while world.now < min(until, joined_at + 2.0):
+        number += 1
+        world.put(f"order-{number}", lambda taken: taken_at.append(world.now))
+        world.run(0.05)
+        if in_chain(world, node):
+            joined_at = min(joined_at, world.now)
+    assert in_chain(world, node)
+    return max(later - earlier for earlier, later in itertools.pairwise(taken_at))
+
+
+def test_orders_do_not_wait_while_a_state_is_handed_over() -> None:
+    assert longest_pause(*away_for_many_changes(0), seconds=30.0) < 0.5
+
+
+def test_without_parts_they_wait_until_the_member_is_given_up() -> None:
+    """Its answers stand behind the state for longer than a member may be silent."""
+    assert longest_pause(*away_for_many_changes(NEVER), seconds=30.0) > ReplicaConfig(1).failure_timeout_s
+
+
+def test_a_member_goes_on_from_where_it_was_when_the_head_is_replaced() -> None:
+    world, away = away_for_many_changes(0)
+    world.messages_by_type.clear()
+    world.run(1.5)
+    assert not in_chain(world, away)
+    sent = world.messages_by_type["CatchUpPart"]
+    assert sent > 2
+    world.kill(leader(world), power=False)
+    old = next(node for node in world.nodes if node is not away and node.replica is None)
+    world.start(old, 0.5)
+    assert world.run_while(lambda: not in_chain(world, away), 20.0)
+
+
+# -- the two cores, message by message --
+
+
+def context(me: Member, meta: Meta | None = None) -> Context:
+    register = Register()
+    state = History(register)
+    stored = StoredReplica(me.identity, meta or Meta())
+    disk = DiskQueue(stored, state.snapshot, 0.5, 0.35, 1 << 20)
+    return Context(me, ReplicaConfig(1), Random(1), disk, state, None)
+
+
+def part(first: int, piece: bytes, **changes: Any) -> CatchUpPart:
+    facts: dict[str, Any] = {
+        "sender": HEAD.identity,
+        "receiver": MEMBER.identity,
+        "epoch": 9,
+        "seq": 40,
+        "length": len(STATE),
+        "checksum": zlib.crc32(STATE),
+        "offset": first,
+        "data": piece,
+    }
+    return CatchUpPart(**facts | changes)
+
+
+def told(made: Context) -> list[int]:
+    """How much the member said to have, each time."""
+    found = [effect.message for effect in made.effects if isinstance(effect, Send)]
+    made.effects.clear()
+    return [message.taken for message in found if isinstance(message, CatchUpTaken)]
+
+
+def test_parts_in_their_order_make_the_state() -> None:
+    made = context(MEMBER)
+    receiver = CatchUpReceiver(made)
+    assert receiver.take(HEAD.ip, part(0, STATE[:100])) is None
+    whole = receiver.take(HEAD.ip, part(100, STATE[100:]))
+    assert whole is not None and (whole.seq, whole.data) == (40, STATE)
+    assert told(made) == [100, 200]
+
+
+def test_a_part_that_is_missing_or_comes_twice_adds_nothing() -> None:
+    made = context(MEMBER)
+    receiver = CatchUpReceiver(made)
+    receiver.take(HEAD.ip, part(0, STATE[:100]))
+    assert receiver.take(HEAD.ip, part(150, STATE[150:])) is None
+    assert receiver.take(HEAD.ip, part(0, STATE[:100])) is None
+    assert told(made) == [100, 100, 100]
+    assert receiver.take(HEAD.ip, part(100, STATE[100:])) is not None
+
+
+def test_parts_of_two_states_are_not_put_together() -> None:
+    receiver = CatchUpReceiver(context(MEMBER))
+    receiver.take(HEAD.ip, part(0, STATE[:100]))
+    assert receiver.take(HEAD.ip, part(100, STATE[100:], seq=41)) is None
+    assert receiver.take(HEAD.ip, part(100, STATE[100:])) is None
+
+
+def test_the_next_head_goes_on_with_the_same_state() -> None:
+    made = context(MEMBER)
+    receiver = CatchUpReceiver(made)
+    receiver.take(HEAD.ip, part(0, STATE[:100]))
+    assert receiver.take(HEAD.ip, part(0, STATE[:50], epoch=10, sender="cc")) is None
+    assert told(made) == [100, 100]
+    assert receiver.take(HEAD.ip, part(100, STATE[100:], epoch=10, sender="cc")) is not None
+
+
+def test_a_state_with_a_wrong_checksum_is_refused_and_counted() -> None:
+    receiver = CatchUpReceiver(context(MEMBER))
+    assert receiver.take(HEAD.ip, part(0, STATE[:-1] + b"?")) is None
+    assert receiver.refused == 1
+    assert receiver.take(HEAD.ip, part(0, STATE)) is not None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"epoch": 6},
+        {"seq": -1},
+        {"length": 0},
+        {"length": 1 << 40},
+        {"offset": -1},
+        {"offset": len(STATE) - 10},
+        {"data": b""},
+    ],
+)
+def test_parts_that_make_no_sense_are_refused_and_counted(changes: dict[str, Any]) -> None:
+    made = context(MEMBER, Meta(promised=7))
+    receiver = CatchUpReceiver(made)
+    assert receiver.take(HEAD.ip, part(0, STATE[:100], **changes)) is None
+    assert receiver.refused == 1
+    assert told(made) == []
+
+
+def sent(made: Context) -> list[int]:
+    """Where the parts that went out begin."""
+    found = [effect.message for effect in made.effects if isinstance(effect, Send)]
+    made.effects.clear()
+    return [message.offset for message in found if isinstance(message, CatchUpPart)]
+
+
+def taken(seq: int, checksum: int, count: int) -> CatchUpTaken:
+    return CatchUpTaken(MEMBER.identity, HEAD.identity, 9, seq, checksum, count)
+
+
+def test_few_parts_are_under_way_and_lost_ones_go_out_again() -> None:
+    made = context(HEAD)
+    made.history.replace(40, b'[40, "%s", {}]' % (b"x" * 300_000))
+    sender = CatchUpSender(made, 9)
+    sender.tick(1.0, [MEMBER])
+    size = catch_up.PART_BYTES
+    assert sent(made) == [0, size]
+    sender.tick(1.1, [MEMBER])
+    assert sent(made) == []
+    sender.tick(1.0 + catch_up.RESEND_S, [MEMBER])
+    assert sent(made) == [0, size]
+    checksum = zlib.crc32(made.history.snapshot().data)
+    sender.taken(2.0, taken(40, checksum, size))
+    assert sent(made) == [2 * size]
+    sender.taken(2.0, taken(41, checksum, 2 * size))
+    sender.taken(2.0, taken(40, checksum + 1, 2 * size))
+    sender.taken(2.0, taken(40, checksum, NEVER))
+    assert sent(made) == []
+    assert sender.progress is not None and sender.progress.taken == size
+
+
+def test_a_member_that_is_handed_states_again_and_again_is_taken_in_as_it_is() -> None:
+    made = context(HEAD)
+    made.history.replace(40, b'[40, "%s", {}]' % (b"x" * 300))
+    sender = CatchUpSender(made, 9)
+    for _ in range(catch_up.MOST_ROUNDS):
+        sender.tick(1.0, [MEMBER])
+        assert sender.may_wait(MEMBER.identity)
+        sender.tick(1.1, [])
+    sender.tick(2.0, [MEMBER])
+    assert not sender.may_wait(MEMBER.identity)
+    assert sender.progress is None
--- a/tests/system/test_start_over.py
+++ b/tests/system/test_start_over.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import itertools
 from pathlib import Path
 from random import Random
 
@@ -12,7 +13,7 @@
 from cloverrouter.control.distribution_messages import NOTHING, Offer, Pull
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.orders import MachineSnapshot
-from cloverrouter.control.subscriber import Apply, Replace, Subscriber
+from cloverrouter.control.subscriber import LONGEST_REREAD_PAUSE, Apply, Replace, Subscriber
 from cloverrouter.control.transfer import pack
 from cloverrouter.control.updates import ConfigurationPatched
 from cloverrouter.control.voter_choice import VoterAddress
@@ -23,6 +24,7 @@
 from cloverrouter.lab.fleet import deployment, nodes
 from cloverrouter.messages import encode
 from cloverrouter.messages.sending import Send
+from tests.system.router_world import World as RouterWorld
 
 VOTER = "10.0.0.1"
 
@@ -117,3 +119,54 @@
     with pytest.raises(SettingsError):
         read_patiently(str(tmp_path / "none.toml"), waits.append)
     assert sum(waits) == pytest.approx(1.0)
+
+
+def pulls(subscriber: Subscriber, since: float, until: float) -> list[float]:
+    """When a whole state is asked for, where each that comes can't be read."""
+    asked: list[float] = []
+    now = since
+    while now < until:
+        for effect in subscriber.tick(now):
+            if effect == Send(VOTER, Pull(NOTHING)):
+                asked.append(now)
+                subscriber.receive(now, VOTER, pack(9, True, b"newer").part(0))
+                subscriber.start_over(now)
+        subscriber.receive(now, VOTER, Offer(9, 3, 500))
+        now += 0.05
+    return asked
+
+
+def test_a_state_that_can_not_be_read_is_fetched_more_and_more_seldom_and_told() -> None:
+    subscriber = with_state(5)
+    subscriber.start_over(1.0)
+    asked = pulls(subscriber, 1.0, 61.0)
+    pauses = [later - earlier for earlier, later in itertools.pairwise(asked)]
+    assert len(asked) < 15
+    assert pauses[-1] >= LONGEST_REREAD_PAUSE > pauses[0]
+    assert subscriber.unread == len(asked) + 1
+    assert subscriber.behind_s(61.0) == 60.0
+
+
+def test_once_a_state_is_in_force_all_is_as_before() -> None:
+    subscriber = with_state(5)
+    subscriber.start_over(1.0)
+    subscriber.start_over(1.1)
+    subscriber.applied()
+    assert subscriber.unread == 0
+    subscriber.tick(1.3)
+    subscriber.receive(1.4, VOTER, pack(6, True, b"newer").part(0))
+    assert subscriber.behind_s(2.0) == 0.0
+
+
+def test_a_proxy_that_gets_nothing_newer_for_too_long_is_behind() -> None:
+    subscriber = with_state(5)
+    assert subscriber.behind_s(1.0) == 0.0
+    subscriber.receive(1.0, VOTER, Offer(7, 3, 500))
+    assert subscriber.behind_s(3.0) == 2.0
+
+
+def test_a_router_that_is_behind_is_not_ready() -> None:
+    world = RouterWorld().set_up()
+    assert world.router.ready()
+    world.router.is_behind = True
+    assert not world.router.ready()
