--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -42,6 +42,18 @@
     raise _NotJson(f"{text}, which is no JSON")
 
 
+class _Fields:
+    """Makes the objects of one document. Equal texts in them are one string: in long lists most are equal."""
+
+    def __init__(self) -> None:
+        self._texts: dict[str, str] = {}
+
+    def made(self, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        """The fields of one object, none of which may stand twice."""
+        share = self._texts.setdefault
+        return _fields([(name, share(each, each) if type(each) is str else each) for name, each in pairs])
+
+
 def _fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     fields = dict(pairs)
     if len(fields) < len(pairs):
@@ -57,7 +69,7 @@
         parse_int=_whole_number,
         parse_float=_fraction,
         parse_constant=_no_number,
-        object_pairs_hook=_fields,
+        object_pairs_hook=_Fields().made,
     )
 
 
@@ -87,7 +99,7 @@
         return f"nested deeper than {MAX_DEPTH}"
     if not isinstance(document, dict):
         return f"found {shown(document)}, wanted an object"
-    if b"\\ud" in body.lower():
+    if b"\\ud" in body or b"\\uD" in body:
         try:
             json.dumps(document, ensure_ascii=False).encode()
         except UnicodeEncodeError:
@@ -96,18 +108,21 @@
 
 
 def _is_deeper(value: Any, limit: int) -> bool:
-    level = [value]
+    level = [value] if _is_container(value) else []
     for _ in range(limit):
-        level = [child for parent in level for child in _children(parent)]
         if not level:
             return False
+        level = [
+            child
+            for parent in level
+            for child in (parent.values() if type(parent) is dict else parent)
+            if type(child) is dict or type(child) is list
+        ]
     return True
 
 
-def _children(value: Any) -> Iterable[Any]:
-    if isinstance(value, dict):
-        return value.values()
-    return value if isinstance(value, list) else ()
+def _is_container(value: Any) -> bool:
+    return isinstance(value, list | dict)
 
 
 def check_fields(
@@ -136,14 +151,22 @@
 
 
 def _are_known(rules: Any, item: dict[str, Any], known: KnownValues) -> bool:
-    """Whether all values are known or sound. Required fields are always looked at."""
-    rest = dict(item)
-    for field, kind, value in _values(item):
-        if (field, kind, value) in known and field not in rules.required_fields:
-            del rest[field]
-    if len(rest) == len(item) or not rules.validate(rest, normalize=False):
+    """Whether all values are known, or surely sound. What is found to be neither is cerberus' to look at."""
+    from cloverrouter.control.schemas import is_plainly_sound
+
+    if not rules.required_fields <= item.keys():
         return False
-    known.update(_values(rest))
+    schema, required = rules.schema, rules.required_fields
+    for field, value in item.items():
+        kind = type(value)
+        if kind is list or kind is dict:
+            if field in schema:
+                return False
+        elif (field, kind, value) not in known:
+            if not is_plainly_sound(schema.get(field), value):
+                return False
+            if field not in required:  # those differ from item to item
+                known.add((field, kind, value))
     return True
 
 
--- a/cloverrouter/control/document.py
+++ b/cloverrouter/control/document.py
@@ -46,6 +46,10 @@
 """The compact JSON of a value, in ASCII."""
 
 
+TextOf = Callable[[Any], str]
+"""Gives the compact JSON of an item, where somebody else may have it already."""
+
+
 def is_named_list(value: Any) -> bool:
     """Whether a value is a list of objects with a name each, all different: such lists can be patched."""
     if not isinstance(value, list):
@@ -104,12 +108,17 @@
         """A part of the document."""
         return self._sections.get(name)
 
+    def has(self, section: str, name: str) -> bool:
+        """Whether there is a named item."""
+        items = self._sections.get(section)
+        return isinstance(items, dict) and name in items
+
     def holds(self, section: str, name: str, text: str) -> bool:
         """Whether the named item has exactly that JSON."""
         items = self._sections.get(section)
         return isinstance(items, dict) and items.get(name) == text
 
-    def replaced(self, document: Document) -> ConfigurationState:
+    def replaced(self, document: Document, text_of: TextOf = compact) -> ConfigurationState:
         """The state after a whole configuration."""
         sections: dict[str, Section] = {}
         models: dict[str, dict[str, Any]] = {name: {} for name in _BUILDERS}
@@ -117,7 +126,7 @@
             if not is_named_list(value):
                 sections[name] = compact(value)
                 continue
-            sections[name] = {item["name"]: compact(item) for item in value}
+            sections[name] = {item["name"]: text_of(item) for item in value}
             if name in _BUILDERS:
                 models[name] = {item["name"]: self._model(name, item, sections[name]) for item in value}
         limits = limits_from(document.get(LIMITS))
@@ -131,7 +140,7 @@
             return self._models[section][name]
         return _BUILDERS[section](item)
 
-    def patched(self, patch: Document) -> ConfigurationState:
+    def patched(self, patch: Document, text_of: TextOf = compact) -> ConfigurationState:
         """The state after a patch: deletions first, then items are replaced in place or added last."""
         sections = dict(self._sections)
         models = dict(self._models)
@@ -141,7 +150,7 @@
             if isinstance(value, dict):
                 sections[name] = compact({**_object(sections.get(name)), **value})
             else:
-                _upsert(sections, models, name, value)
+                _upsert(sections, models, name, value, text_of)
         sections[VERSION] = compact(patch[VERSION])
         limits = limits_from(_object(sections.get(LIMITS)))
         return ConfigurationState(int(patch[VERSION]), limits, sections, models)
@@ -174,11 +183,15 @@
 
 
 def _upsert(
-    sections: dict[str, Section], models: dict[str, dict[str, Any]], name: str, items: list[Any]
+    sections: dict[str, Section],
+    models: dict[str, dict[str, Any]],
+    name: str,
+    items: list[Any],
+    text_of: TextOf,
 ) -> None:
     section = sections.get(name)
     texts = dict(section) if isinstance(section, dict) else {}
-    texts.update((item["name"], compact(item)) for item in items)
+    texts.update((item["name"], text_of(item)) for item in items)
     sections[name] = texts
     build = _BUILDERS.get(name)
     if build is not None:
--- a/cloverrouter/control/forwarding.py
+++ b/cloverrouter/control/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from random import Random
 
@@ -75,12 +76,31 @@
     asked_at: float
     send_at: float
     was_sent: bool = False
+    unsent: int = 0  # bytes that wait for the link to the head
+    progress_at: float = 0.0  # when they were last fewer
+
+    @property
+    def on_its_way_s(self) -> float:
+        """For how long the call may be on its way once the link has taken all of it."""
+        return len(self.call.command) / SLOWEST_BYTES_A_SECOND
+
+    def notice_progress(self, now: float, unsent: int) -> None:
+        """So many bytes wait for the link now."""
+        if unsent < self.unsent:
+            self.progress_at = now
+        self.unsent = unsent
+
+    def is_late(self, now: float, patience_s: float) -> bool:
+        """Whether it has waited too long since it was asked, or since the link took a part of it."""
+        return now - max(self.asked_at, self.progress_at) >= patience_s
 
 
 class Forwarder:
     """The calls of one proxy that wait for the head's answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, unsent: Callable[[str], int] = lambda ip: 0) -> None:
+        """`unsent`: how many bytes wait for the link to a machine."""
+        self._unsent = unsent
         self._head: str | None = None
         self._is_in_touch = True
         self._pending: dict[int, _Pending] = {}
@@ -115,14 +135,15 @@
 
     def tick(self, now: float) -> list[SendCall | Finished]:
         effects: list[SendCall | Finished] = []
-        patience_s = GIVE_UP_S if self._is_in_touch else OUT_OF_TOUCH_S
+        unsent = self._unsent(self._head) if self._head is not None else 0
         for ticket, pending in list(self._pending.items()):
-            if now - pending.asked_at >= patience_s:
+            pending.notice_progress(now, unsent)
+            patience_s = GIVE_UP_S + pending.on_its_way_s if self._is_in_touch else OUT_OF_TOUCH_S
+            if pending.is_late(now, patience_s):
                 del self._pending[ticket]
                 effects.append(Finished(ticket, None, pending.was_sent))
             elif self._head is not None and now >= pending.send_at:
-                on_its_way_s = len(pending.call.command) / SLOWEST_BYTES_A_SECOND
-                pending.send_at = now + max(RESEND_S, on_its_way_s)
+                pending.send_at = now + max(RESEND_S, pending.on_its_way_s)
                 pending.was_sent = True
                 effects.append(SendCall(self._head, pending.call))
         return effects
--- a/cloverrouter/control/orders.py
+++ b/cloverrouter/control/orders.py
@@ -225,7 +225,12 @@
     except ConfigurationInvalid as error:
         refusal = OrderReply(Status.INVALID, _json(error.body()), state.version)
         return Reviewed(digest, state, encode(refusal), None, None)
-    update = encode(kind(candidate.version, state.version, digest, compact(content).encode("ascii")))
+    if order.method == "PUT":
+        content = {}  # megabytes, not needed any more: the state's own text is that of the document
+        text = candidate.json()
+    else:
+        text = compact(content).encode("ascii")
+    update = encode(kind(candidate.version, state.version, digest, text))
     reply = OrderReply(Status.TAKEN, _json({"version": candidate.version}), candidate.version)
     return Reviewed(digest, state, encode(reply), update, candidate)
 
--- a/cloverrouter/control/review.py
+++ b/cloverrouter/control/review.py
@@ -23,12 +23,12 @@
     shown,
 )
 from cloverrouter.control.configuration import LIMITS, ROUTES, SERVICES, TENANTS, VERSION
-from cloverrouter.control.document import ConfigurationState, compact
+from cloverrouter.control.document import ConfigurationState, TextOf, compact
 from cloverrouter.control.errors import ConfigurationInvalid, Finding
 
 NAMED_SECTIONS = (ROUTES, SERVICES, TENANTS)
 
-Change = Callable[[dict[str, Any]], ConfigurationState]
+Change = Callable[[dict[str, Any], TextOf], ConfigurationState]
 
 
 def review_document(body: bytes, current: ConfigurationState) -> tuple[dict[str, Any], ConfigurationState]:
@@ -67,6 +67,8 @@
     findings: Findings = attrs.field(factory=list)
     _places: dict[tuple[str, str], str] = attrs.field(factory=dict)
     _faulty_services: set[str] = attrs.field(factory=set)
+    _texts: dict[int, str] = attrs.field(factory=dict)
+    """By the identity of the item, which the order's document holds all the while."""
     _known: dict[str, KnownValues] = attrs.field(factory=lambda: defaultdict(set))
 
     def read(self, schema: str, body: bytes) -> dict[str, Any]:
@@ -97,7 +99,7 @@
         first = self._places.setdefault((section, name), place)
         if first != place:
             self.findings.append(Finding(f"{place}.name", f"the same name as {first}"))
-        unchanged = self.current.holds(section, name, compact(item))
+        unchanged = self.current.has(section, name) and self.current.holds(section, name, self._text(item))
         sound = unchanged or check_fields(section, item, place, self.findings, self._known[section])
         if section == SERVICES and not sound:
             self._faulty_services.add(name)
@@ -130,7 +132,7 @@
         """The state after the whole order; after findings, the sound items are still checked as one."""
         if self.findings:
             whole = {VERSION: self.current.version + 1, **sound}
-        candidate = change(whole)
+        candidate = change(whole, self._text)
         services = dict.fromkeys(self._faulty_services) | dict(candidate.services)
         self.findings += check_routes(candidate.routes.values(), services, self._place)
         self.findings += check_tenants(candidate.tenants.values(), self._place)
@@ -138,6 +140,13 @@
             raise ConfigurationInvalid(self.findings)
         return candidate
 
+    def _text(self, item: Any) -> str:
+        """The compact JSON of an item, made once."""
+        text = self._texts.get(id(item))
+        if text is None:
+            text = self._texts[id(item)] = compact(item)
+        return text
+
     def _place(self, section: str, name: str) -> str:
         """Where an item is in the order; for one that was in force before, its name."""
         return self._places.get((section, name), f"{section}[{name}]")
--- a/cloverrouter/control/schemas.py
+++ b/cloverrouter/control/schemas.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from functools import cache, cached_property
 from threading import get_ident
 from typing import Any
@@ -41,6 +42,47 @@
             self._error(field, "not a whole number")
 
 
+PLAIN_RULES = frozenset(
+    ("type", "required", "nullable", "empty", "regex", "allowed", "min", "max", "above", "whole", "meta")
+)
+TYPES: dict[str, type | tuple[type, ...]] = {"string": str, "boolean": bool, "number": (int, float)}
+
+
+def is_plainly_sound(rules: Schema | None, value: Any) -> bool:
+    """Whether a field's value keeps its rules, told without cerberus, whose calls for each of many thousand
+    items take seconds. False also where this can't tell; then cerberus does, and words what it finds."""
+    if rules is None:
+        return True  # a field that no schema names
+    if not rules.keys() <= PLAIN_RULES:
+        return False
+    if value is None:
+        return bool(rules.get("nullable"))
+    kind = rules["type"]
+    wanted: Any = TYPES.get(kind, ())
+    if not isinstance(value, wanted) or (kind == "number" and isinstance(value, bool)):
+        return False
+    if kind == "string":
+        return _is_sound_text(rules, value)
+    return kind == "boolean" or _is_sound_number(rules, value)
+
+
+def _is_sound_text(rules: Schema, value: str) -> bool:
+    if not value and not rules.get("empty", True):
+        return False
+    pattern, allowed = rules.get("regex"), rules.get("allowed")
+    if pattern is not None and not re.match(pattern, value):
+        return False
+    return allowed is None or value in allowed
+
+
+def _is_sound_number(rules: Schema, value: float) -> bool:
+    if not rules.get("min", value) <= value <= rules.get("max", value):
+        return False
+    if "above" in rules and not value > rules["above"]:
+        return False
+    return not rules.get("whole") or value == int(value)
+
+
 def _field(wanted: str, **rules: Any) -> Schema:
     return {**rules, "meta": wanted}
 
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -84,7 +84,7 @@
         self.registry = Registry(settings.ip, settings.heartbeat_s)
         self.subscriber = Subscriber(settings.ip, settings.zone, random)
         self.feed = ConfigurationFeed(self._configured, log.error)
-        self._forwarder = Forwarder()
+        self._forwarder = Forwarder(self.transport.unsent_bytes)
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
         self._servers_copy: ServersCopy | None = None
--- a/cloverrouter/daemon/transport.py
+++ b/cloverrouter/daemon/transport.py
@@ -196,6 +196,12 @@
         owner.on_link(self.ip, True)
         self.flush()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What waits here for the connection, or for the system to take it."""
+        buffered = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return self._queued_bytes + buffered
+
     def _drop_queue(self) -> None:
         self._queue.clear()
         self._queued_bytes = 0
@@ -340,6 +346,11 @@
         link = self._links.get(ip)
         return ip == self.ip or (link is not None and link.connected)
 
+    def unsent_bytes(self, ip: str) -> int:
+        """What waits for the link to a peer."""
+        link = self._links.get(ip)
+        return link.unsent_bytes if link is not None else 0
+
     def deliver(self, ip: str, message: object) -> None:
         self.messages_received += 1
         self._on_message(ip, message)
--- a/cloverrouter/store/replica_store.py
+++ b/cloverrouter/store/replica_store.py
@@ -35,8 +35,9 @@
 IDENTITY_BYTES = 8
 # Share of the room that the file may take: lmdb never shrinks it, and a full disk refuses every write.
 MAP_SHARE = 0.7
-# A state, the updates on it, the next state, and the pages of the state before that are not free yet.
-STATE_PARTS = 5
+# A state with its updates, the next state in their place, and those of before, whose pages are free only two
+# transactions later: three, and a quarter of the file for lmdb's own pages.
+STATE_PARTS = 4
 # Chunks fill whole pages with lmdb's page header: large values would need a long run of free pages.
 CHUNK_BYTES = 8 * PAGE_BYTES - 16 - 4
 
@@ -93,7 +94,7 @@
 
     @property
     def state_room(self) -> int:
-        """Bytes that a state may have: the file holds two, and updates as large, while one is replaced."""
+        """Bytes that a state and the updates on it may have together."""
         return self._map_bytes // STATE_PARTS
 
     def load(self, bootstrap: bool = False) -> StoredReplica:
--- a/tests/system/test_forwarding.py
+++ b/tests/system/test_forwarding.py
@@ -8,6 +8,7 @@
     GIVE_UP_S,
     OUT_OF_TOUCH_S,
     RESEND_S,
+    SLOWEST_BYTES_A_SECOND,
     Finished,
     Forwarder,
     HeadAnswer,
@@ -76,6 +77,24 @@
     assert forwarder.tick(OUT_OF_TOUCH_S) == [Finished(1, None, was_sent=True)]
 
 
+def test_a_long_order_is_waited_for_while_the_link_takes_it() -> None:
+    """And then for as long as it may be on its way; one that stands still is given up."""
+    waiting = 2_000_000
+    forwarder = Forwarder(lambda ip: waiting)
+    forwarder.head_changed(0.0, "10.0.0.1")
+    order = b"x" * 2_000_000
+    forwarder.ask(0.0, 1, Kind.ORDER, order)
+    now, ended = 0.0, False
+    while waiting:
+        now += 0.05
+        waiting = max(0, waiting - 5_000)
+        ended = ended or any(isinstance(each, Finished) for each in forwarder.tick(now))
+    assert now > 15 and not ended
+    allowed_s = GIVE_UP_S + len(order) / SLOWEST_BYTES_A_SECOND
+    assert not any(isinstance(each, Finished) for each in forwarder.tick(now + allowed_s - 0.1))
+    assert Finished(1, None, was_sent=True) in forwarder.tick(now + allowed_s + 0.1)
+
+
 def test_tickets_travel() -> None:
     for seed in range(100):
         call = HeadCall(first_ticket(Random(seed)), Kind.READ.value, b"")
