--- a/cloverrouter/coordination/catch_up.py
+++ b/cloverrouter/coordination/catch_up.py
@@ -158,8 +158,27 @@
         self._assembly: _Assembly | None = None
         self.refused = 0  # parts that fit nothing, and whole states with a wrong checksum
 
+    def receive(self, ip: str, part: CatchUpPart) -> bool:
+        """A part of the state, for a member outside the chain that does not have it yet. Gives whether the
+        state is whole now, and this member's."""
+        context = self._context
+        has_it = (context.synced, context.history.newest) >= (part.epoch, part.seq)
+        if has_it or self._is_in_chain_of(part.epoch):
+            return False
+        state = self.take(ip, part)
+        if state is None:
+            return False
+        context.history.replace(state.seq, state.data)
+        context.disk.replace(state.seq, state.data)
+        context.disk.change(synced=part.epoch)
+        return True
+
+    def _is_in_chain_of(self, epoch: int) -> bool:
+        view = self._context.view
+        return view is not None and view.epoch == epoch and self._context.me.identity in view.chain
+
     def take(self, ip: str, part: CatchUpPart) -> Snapshot | None:
-        """A part has come. Gives the state once it is whole; the caller makes it that of `part.epoch`."""
+        """A part has come. Gives the state once it is whole."""
         if not self._is_sensible(part):
             self.refused += 1
             return None
--- a/cloverrouter/coordination/proposal.py
+++ b/cloverrouter/coordination/proposal.py
@@ -68,6 +68,17 @@
             self._ask(now)
             self._count_supporters()
 
+    def receive(self, now: float, message: object) -> None:
+        """An answer to a question of this proposal, or another message, which is none of its business."""
+        if isinstance(message, Support):
+            self.on_support(now, message)
+        elif isinstance(message, Promise):
+            self.on_promise(now, message)
+        elif isinstance(message, Refused):
+            self.on_refused(message)
+        elif isinstance(message, State):
+            self.on_state(message)
+
     # -- questions --
 
     def tick(self, now: float) -> None:
--- a/cloverrouter/coordination/replica.py
+++ b/cloverrouter/coordination/replica.py
@@ -39,26 +39,19 @@
     Forward,
     Genesis,
     GenesisQuery,
-    GenesisState,
     Heartbeat,
     Install,
-    Promise,
     Propose,
-    Refused,
     Report,
     SeedAccept,
     SeedPrepare,
-    State,
     Stored,
-    Support,
 )
 from cloverrouter.coordination.proposal import Phase, Plan, Proposal
 from cloverrouter.coordination.roster import Roster
-from cloverrouter.coordination.seed_acceptor import Answer as BallotAnswer
-from cloverrouter.coordination.seed_acceptor import covers, decided
-from cloverrouter.coordination.views import GENESIS_EPOCH, Member, View, decode_view
+from cloverrouter.coordination.seed_disk import SeedDisk
+from cloverrouter.coordination.views import Member, decode_view
 from cloverrouter.store import StoredReplica
-from cloverrouter.store.records import Ballot
 
 
 class Replica:
@@ -100,7 +93,7 @@
         self._not_before = 0.0  # no try to become head before that
         self._now = 0.0
         self._told: ViewInfo | None = None
-        self._ballot_answers: list[tuple[str, Ballot, BallotAnswer]] = []
+        self._seed_disk = SeedDisk(self._context)
         self._follower = Follower(self._context, 0.0)
         self._catch_up = CatchUpReceiver(self._context)
         self._handlers = self._handler_table()
@@ -187,11 +180,6 @@
         """As head: the long state that is handed to a member in parts."""
         return self._head.catch_up if self._head is not None else None
 
-    @property
-    def disk_trouble_s(self) -> float:
-        """For how long the own disk has been busy or failing."""
-        return self._context.disk.trouble_s(self._now)
-
     # -- events --
 
     def start(self, now: float) -> list[Effect]:
@@ -367,7 +355,7 @@
         if handler is not None:
             handler(now, ip, message)
         elif self._proposal is not None:
-            self._take_answer(now, self._proposal, message)
+            self._proposal.receive(now, message)
 
     def _handler_table(self) -> dict[type, Callable[[float, str, Any], None]]:
         return {
@@ -389,37 +377,13 @@
             SeedAccept: self._on_ballot,
         }
 
-    @staticmethod
-    def _take_answer(now: float, proposal: Proposal, message: object) -> None:
-        if isinstance(message, Support):
-            proposal.on_support(now, message)
-        elif isinstance(message, Promise):
-            proposal.on_promise(now, message)
-        elif isinstance(message, Refused):
-            proposal.on_refused(message)
-        elif isinstance(message, State):
-            proposal.on_state(message)
-
     def _on_forward(self, now: float, ip: str, message: Forward) -> None:
         self._context.effects += self._follower.on_forward(message)
 
     def _on_catch_up_part(self, now: float, ip: str, message: CatchUpPart) -> None:
-        """A part of the state, for a member outside the chain that does not have it yet."""
-        context = self._context
-        has_it = (context.synced, context.history.newest) >= (message.epoch, message.seq)
-        if self._head is not None or has_it or self._is_in_chain_of(message.epoch):
-            return
-        state = self._catch_up.take(ip, message)
-        if state is not None:
-            context.history.replace(state.seq, state.data)
-            context.disk.replace(state.seq, state.data)
-            context.disk.change(synced=message.epoch)
+        if self._head is None and self._catch_up.receive(ip, message):
             self._lineage = {0: 0}
-            self._sent = context.history.newest
-
-    def _is_in_chain_of(self, epoch: int) -> bool:
-        view = self._context.view
-        return view is not None and view.epoch == epoch and self.me.identity in view.chain
+            self._sent = self._context.history.newest
 
     def _on_catch_up_taken(self, now: float, ip: str, message: CatchUpTaken) -> None:
         if self._head is not None:
@@ -483,42 +447,11 @@
     # -- the first view --
 
     def _on_genesis(self, now: float, ip: str, message: Genesis | GenesisQuery) -> None:
-        context = self._context
-        if isinstance(message, Genesis) and context.disk.meta.adoptable:
-            view = View(GENESIS_EPOCH, message.voters, (), ())
-            if view.voter(self.me.identity) is not None:
-                context.learn_view(now, view, settled=True)
-                context.disk.change()
-                self._follower.contact.heard_at = now
-        self._tell_genesis_state(ip)
-
-    def _tell_genesis_state(self, ip: str) -> None:
-        context = self._context
-        view_epoch = context.view.epoch if context.view is not None else 0
-        known = context.view.voters if context.view is not None else ()
-        context.send(ip, GenesisState(self.me, context.disk.meta.adoptable, view_epoch, known))
+        if self._seed_disk.told(now, ip, message):
+            self._follower.contact.heard_at = now
 
     def _on_ballot(self, now: float, ip: str, message: SeedPrepare | SeedAccept) -> None:
-        """A ballot of the first start. A disk that is not of it, or is past it, has no say any more."""
-        disk = self._context.disk
-        if not disk.meta.adoptable:
-            if self._context.view is not None:
-                self._tell_genesis_state(ip)
-            return
-        ballot, answer = decided(disk.meta.ballot, message)
-        if ballot != disk.meta.ballot:
-            disk.change(ballot=ballot)
-        self._ballot_answers.append((ip, ballot, answer))
-
-    def _answer_ballots(self) -> None:
-        """What rests on a ballot that is on the disk by now goes out."""
-        stored = self._context.disk.durable.meta.ballot
-        waiting, self._ballot_answers = self._ballot_answers, []
-        for ip, ballot, answer in waiting:
-            if covers(stored, ballot):
-                self._context.send(ip, answer)
-            else:
-                self._ballot_answers.append((ip, ballot, answer))
+        self._seed_disk.asked(ip, message)
 
     # -- what follows --
 
@@ -526,7 +459,7 @@
         """Do all that follows from what has happened."""
         context = self._context
         self._follower.flush(now)
-        self._answer_ballots()
+        self._seed_disk.flush()
         if self._proposal is not None:
             self._proposal.flush(now)
             self._look_at_proposal(now, self._proposal)
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -52,9 +52,8 @@
 
 if TYPE_CHECKING:
     from cloverrouter.control.api import ControlApi, ControlExchange
-    from cloverrouter.control.quota_duty import Effect as QuotaEffect
-    from cloverrouter.control.quota_duty import QuotaDuty
     from cloverrouter.coordination.genesis import GenesisProposer
+    from cloverrouter.daemon.quota_service import QuotaService
     from cloverrouter.daemon.replica_role import ReplicaRole
     from cloverrouter.daemon.servers_copy import ServersCopy
 
@@ -90,8 +89,7 @@
         self._servers_copy: ServersCopy | None = None
         self._genesis: GenesisProposer | None = None
         self._ballot = Ballot()
-        self._quota_duty: QuotaDuty | None = None
-        self.quota_notes_refused = 0
+        self._quotas: QuotaService | None = None
         self._trouble = self._trouble_news()
         self.summary: ViewSummary | None = None
         self._calls = ControlCalls(self, self._loop, first_ticket(random))
@@ -99,14 +97,22 @@
         self._handlers = self._handler_table()
         self._next_look = 0.0
         if settings.is_replica:
-            self._quota_duty = self._quota_duty_here()
+            self._quotas = self._quota_service()
         if settings.bootstrap and settings.ip in settings.seeds:
             self._genesis = self._genesis_proposer()
 
-    def _quota_duty_here(self) -> QuotaDuty:
+    def _quota_service(self) -> QuotaService:
         from cloverrouter.control.quota_duty import QuotaDuty
+        from cloverrouter.daemon.quota_service import QuotaService
 
-        return QuotaDuty(self._settings.ip, self.traffic.quota_rules, self._loop.time())
+        duty = QuotaDuty(self._settings.ip, self.traffic.quota_rules, self._loop.time())
+        log, clock = self._log.change, self._loop.time
+        return QuotaService(duty, lambda: self.role, self.transport.send, log, clock)
+
+    @property
+    def quota_notes_refused(self) -> int:
+        """Notes of quotas on the own disk that did not count."""
+        return self._quotas.notes_refused if self._quotas is not None else 0
 
     def _genesis_proposer(self) -> GenesisProposer:
         from cloverrouter.coordination.genesis import GenesisConfig, GenesisProposer
@@ -158,9 +164,8 @@
 
         self._take_chain_messages()
         await self._find_servers_copy()
-        ports = RolePorts(
-            self.transport.send, self._own_view, self._log.error, self._log.change, self._quota_noted
-        )
+        on_note = self._quotas.noted if self._quotas is not None else lambda _: None
+        ports = RolePorts(self.transport.send, self._own_view, self._log.error, self._log.change, on_note)
         role = await ReplicaRole.open(self._settings, ports, self._random)
         now = self._loop.time()
         self.sampler.describe(now, identity=role.identity, counts=True)
@@ -261,8 +266,8 @@
         self._subscribed(self.subscriber.tick(now))
         self._forwarded(self._forwarder.tick(now))
         self.traffic.quota.carry_out(self.traffic.quota.holder.tick(now))
-        if self._quota_duty is not None:
-            self._allocated(self._quota_duty.tick(now, lead_until))
+        if self._quotas is not None:
+            self._quotas.tick(now)
         self._trouble.report(now)
 
     def _limit_keys(self) -> None:
@@ -287,8 +292,8 @@
         size = self.subscriber.fleet_size()
         if size and size != self.traffic.fleet_size:
             self.traffic.fleet_changed(size)
-            if self._quota_duty is not None:
-                self._quota_duty.configure(self.traffic.limits, size)
+            if self._quotas is not None:
+                self._quotas.configure(self.traffic.limits, size)
 
     # Messages
 
@@ -389,8 +394,8 @@
 
     def _on_quota(self, now: float, ip: str, message: object) -> None:
         if not isinstance(message, quota_messages.QuotaContact | quota_messages.QuotaCredit):
-            if self._quota_duty is not None:
-                self._allocated(self._quota_duty.receive(now, self._lead_until(), ip, message))
+            if self._quotas is not None:
+                self._quotas.receive(now, ip, message)
         else:
             self.traffic.quota.carry_out(self.traffic.quota.holder.receive(now, ip, message))
 
@@ -468,41 +473,8 @@
         self._forwarded(self._forwarder.head_changed(now, head))
         self.registry.set_head(now, head)
         self.traffic.quota.holder.head_changed(head, summary.epoch)
-        if self._quota_duty is not None:
-            disk = self.disk_identity
-            self._send_all(self._quota_duty.view_changed(now, summary.epoch, head, self._quota_note, disk))
-
-    # Notes of quotas
-
-    def _quota_note(self) -> Mapping[str, int] | None:
-        """With what the pools of this machine begin, as it is head."""
-        if self.role is None:
-            return None
-        from cloverrouter.control.quota_note import read_note
-
-        replica = self.role.replica
-        found = read_note(replica.note, self.role.identity, replica.follows)
-        if found.refused:
-            self.quota_notes_refused += 1
-            self._log.change("quota-note-refused", reason=found.refused)
-        return found.left
-
-    def _allocated(self, effects: Iterable[QuotaEffect]) -> None:
-        from cloverrouter.messages import encode
-
-        for effect in effects:
-            if isinstance(effect, Send):
-                self.transport.send(effect.ip, effect.message)
-            elif self.role is not None:
-                self.role.keep_note(self._loop.time(), encode(effect.note))
-
-    def _quota_noted(self, note: bytes) -> None:
-        if self._quota_duty is not None:
-            from cloverrouter.control.quota_note import QuotaNote
-            from cloverrouter.control.updates import decoded
-
-            now = self._loop.time()
-            self._allocated(self._quota_duty.noted(now, self._lead_until(), decoded(note, QuotaNote)))
+        if self._quotas is not None:
+            self._quotas.view_changed(now, summary.epoch, head)
 
     def _lead_until(self) -> float | None:
         """Until when no other machine can become head."""
@@ -511,5 +483,5 @@
     def _configured(self, state: ConfigurationState) -> None:
         self._log.change("configuration", version=state.version)
         self.traffic.configure(state.configuration())
-        if self._quota_duty is not None:
-            self._quota_duty.configure(self.traffic.limits, self.traffic.fleet_size)
+        if self._quotas is not None:
+            self._quotas.configure(self.traffic.limits, self.traffic.fleet_size)
--- /dev/null
+++ b/cloverrouter/daemon/quota_service.py
@@ -0,0 +1,82 @@
+"""The allocator of quotas in this process: its duty, the notes that it keeps on the disk, what it sends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import TYPE_CHECKING
+
+from cloverrouter.control.quota_duty import Effect, QuotaDuty
+from cloverrouter.control.quota_note import QuotaNote, read_note
+from cloverrouter.control.updates import decoded
+from cloverrouter.messages import encode
+from cloverrouter.messages.sending import Send
+from cloverrouter.placement.quota_plan import TenantLimit
+
+if TYPE_CHECKING:
+    from cloverrouter.daemon.replica_role import ReplicaRole
+
+
+class QuotaService:
+    """Drives `QuotaDuty` on a machine with a disk. `role`: the replica there, once its disk is read."""
+
+    def __init__(
+        self,
+        duty: QuotaDuty,
+        role: Callable[[], ReplicaRole | None],
+        send: Callable[[str, object], None],
+        log_change: Callable[..., None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._duty = duty
+        self._role = role
+        self._send = send
+        self._log_change = log_change
+        self._clock = clock
+        self.notes_refused = 0
+        """Notes on the own disk that did not count."""
+
+    def configure(self, limits: Mapping[str, TenantLimit], fleet_size: int) -> None:
+        """See `QuotaDuty.configure`."""
+        self._duty.configure(limits, fleet_size)
+
+    def view_changed(self, now: float, epoch: int, head: str | None) -> None:
+        """`head`: of the view, once it is active."""
+        role = self._role()
+        disk = role.identity if role is not None else None
+        self._carry_out(self._duty.view_changed(now, epoch, head, self._read_note, disk))
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        self._carry_out(self._duty.tick(now, self._lead_until()))
+
+    def receive(self, now: float, ip: str, message: object) -> None:
+        """A datagram of a proxy, or of an earlier head."""
+        self._carry_out(self._duty.receive(now, self._lead_until(), ip, message))
+
+    def noted(self, note: bytes) -> None:
+        """A note is on the disk."""
+        kept = decoded(note, QuotaNote)
+        self._carry_out(self._duty.noted(self._clock(), self._lead_until(), kept))
+
+    def _lead_until(self) -> float | None:
+        role = self._role()
+        return role.replica.lead_until if role is not None else None
+
+    def _read_note(self) -> Mapping[str, int] | None:
+        """With what the pools of this machine begin, as it is head."""
+        role = self._role()
+        if role is None:
+            return None
+        found = read_note(role.replica.note, role.identity, role.replica.follows)
+        if found.refused:
+            self.notes_refused += 1
+            self._log_change("quota-note-refused", reason=found.refused)
+        return found.left
+
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
+        role = self._role()
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.ip, effect.message)
+            elif role is not None:
+                role.keep_note(self._clock(), encode(effect.note))
--- a/cloverrouter/explore/coordination/distribution_model.py
+++ b/cloverrouter/explore/coordination/distribution_model.py
@@ -20,6 +20,7 @@
 from cloverrouter.control import subscriber as subscriber_module
 from cloverrouter.control import transfer as transfer_module
 from cloverrouter.control.distribution_messages import (
+    NOTHING,
     Acknowledge,
     Delta,
     Offer,
@@ -45,6 +46,7 @@
     "back": "what is in force never goes backwards within a life of the process",
     "uncommitted": "what is in force is a committed state, whole and unchanged",
     "storm": "messages don't beget messages without end while no time passes",
+    "unsure": "a voter that started again hands out nothing before a head in force has confirmed it",
     "behind": "once all is calm, the newest committed state is in force within CALM_S",
 }
 PART_BYTES = 120  # so that a snapshot takes several
@@ -70,6 +72,8 @@
     """So many changes are committed, and known to all voters, at the start."""
     calm_every: int = 1
     """Of so many states one is looked at for what follows when all is calm."""
+    confirms: bool = False
+    """A voter that starts again knows of less than it had told, until a head in force tells it the rest."""
 
 
 @contextmanager
@@ -132,6 +136,8 @@
     """So many changes are known to it as committed."""
     is_asked: bool = False
     """Its publisher wants a snapshot."""
+    is_confirmed: bool = True
+    """A head in force has told it all that is committed."""
 
 
 class _Machine:
@@ -167,8 +173,9 @@
             self._begin_voter(name, scope.begins_with)
         self._begin_machine()
 
-    def _begin_voter(self, name: str, knows: int) -> None:
-        self.voters[name] = _Voter(Publisher(), knows)
+    def _begin_voter(self, name: str, knows: int, is_confirmed: bool = True) -> None:
+        publisher = Publisher(is_confirmed)
+        self.voters[name] = _Voter(publisher, knows, is_confirmed=is_confirmed)
         self._published(name, self.voters[name].publisher.start(self.now))
         if knows:
             self._restored(name)
@@ -198,6 +205,8 @@
         if voter.knows < self.committed:
             yield move(f"{name} learns that {voter.knows + 1} is committed", self.learn, name)
             yield move(f"{name} is handed the state at {self.committed}", self.hand, name, cost=1)
+        if not voter.is_confirmed:
+            yield move(f"{name} hears of a head in force, and what is committed", self.confirm, name)
         if voter.is_asked:
             yield move(f"{name}'s publisher is given the snapshot it wants", self.give_snapshot, name)
         for kept in {voter.knows, max(voter.knows - 1, 0)}:
@@ -235,15 +244,30 @@
 
     def restart_voter(self, name: str, kept: int) -> None:
         """Its disk may know of less than its process did."""
-        self._begin_voter(name, kept)
+        self._begin_voter(name, kept, not self.scope.confirms)
+
+    def confirm(self, name: str) -> None:
+        """As `ReplicaRole` does in the chain of a view in force: the head's first heartbeat has told what is
+        committed."""
+        voter = self.voters[name]
+        while voter.knows < self.committed:
+            self.learn(name)
+        voter.is_confirmed = True
+        self._published(name, voter.publisher.confirm(self.now))
 
     def _published(self, name: str, effects: Iterable[Send | SnapshotWanted]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
+                self._check_handed_out(name, effect.message)
                 self.network.send(name, effect.ip, effect.message, _shown(effect.message))
             else:
                 self.voters[name].is_asked = True
 
+    def _check_handed_out(self, name: str, message: object) -> None:
+        is_nothing = isinstance(message, Offer) and message.newest == NOTHING
+        text = f"{name} tells {_shown(message)}"
+        self.must(self.voters[name].is_confirmed or is_nothing, "unsure", text)
+
     # -- the machine --
 
     def _subscribed(self, effects: Iterable[Send | Apply | Replace]) -> None:
@@ -320,6 +344,8 @@
             for name, voter in self.voters.items():
                 while voter.knows < self.committed:
                     self.learn(name)
+                if not voter.is_confirmed:
+                    self.confirm(name)
             self._deliver_all()
             if self.wrong or self.machine.sequence == self.committed:
                 return True
--- a/cloverrouter/explore/coordination/distribution_scopes.py
+++ b/cloverrouter/explore/coordination/distribution_scopes.py
@@ -8,7 +8,7 @@
 from unittest.mock import patch
 
 from cloverrouter.control import subscriber as subscriber_module
-from cloverrouter.control.distribution_messages import Delta, Part
+from cloverrouter.control.distribution_messages import Delta, Part, PullPart
 from cloverrouter.control.publisher import Publisher
 from cloverrouter.control.subscriber import Apply, Subscriber
 from cloverrouter.control.transfer import Assembly
@@ -25,6 +25,7 @@
 SCOPE = "distribution"
 LATE = "distribution-late"
 LARGE = "distribution-large"
+RESTART = "distribution-restart"
 
 SMALL_WORLDS = {
     "one voter, two changes": DistributionScope(changes=2, voters=("v1",), most_time=2, calm_every=4),
@@ -35,6 +36,11 @@
         changes=3, voters=("v1",), begins_with=1, most_time=1, calm_every=16
     ),
 }
+RESTART_WORLDS = {
+    "two voters that hold two changes": DistributionScope(
+        changes=2, begins_with=2, most_time=1, calm_every=16, confirms=True
+    ),
+}
 LARGE_WORLDS = {
     "one voter, three changes": DistributionScope(changes=3, voters=("v1",), most_time=3, calm_every=8),
     "two voters, two changes": DistributionScope(changes=2, most_time=2, calm_every=8),
@@ -91,6 +97,28 @@
     return part.is_snapshot == self.is_snapshot
 
 
+def _offers_what_it_knows(self: Publisher) -> int:
+    return self._newest
+
+
+_part_pulled = Publisher._part_pulled
+
+
+def _parts_at_once(self: Publisher, now: float, ip: str, message: PullPart) -> list[Any]:
+    is_confirmed, self._is_confirmed = self._is_confirmed, True
+    effects = _part_pulled(self, now, ip, message)
+    self._is_confirmed = is_confirmed
+    return effects
+
+
+def _confirms_itself(self: Publisher, now: float, remembered: int = 0) -> list[Any]:
+    effects = _start(self, now, remembered)
+    return [*effects, *self.confirm(now)]
+
+
+_start = Publisher.start
+
+
 def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
     return lambda: patch.object(target, name, fault)
 
@@ -122,6 +150,21 @@
     ),
 }  # fmt: skip
 
+RESTART_FAULTS = {
+    "offers-before-it-is-confirmed": ModelFault(
+        "a voter that started again offers what its disk knows to be committed",
+        ("unsure",), RESTART, _seeded(Publisher, "_offered", property(_offers_what_it_knows)),
+    ),
+    "parts-before-it-is-confirmed": ModelFault(
+        "a voter that started again goes on handing out the parts that it is asked for",
+        ("unsure",), RESTART, _seeded(Publisher, "_part_pulled", _parts_at_once),
+    ),
+    "confirmed-by-its-start": ModelFault(
+        "a voter takes itself for confirmed once it has read its disk",
+        ("unsure", "crash"), RESTART, _seeded(Publisher, "start", _confirms_itself),
+    ),
+}  # fmt: skip
+
 LATE_FAULTS = {name: fault for name, fault in FAULTS.items() if fault.scope == LATE}
 SMALL_FAULTS = {name: fault for name, fault in FAULTS.items() if fault.scope == SCOPE}
 
@@ -136,6 +179,11 @@
         lambda: DistributionModel(LATE_WORLDS), Limits(deviations=2, seconds=120.0),
         LATE_FAULTS, told, INVARIANTS,
     ),
+    RESTART: ModelScope(
+        "voters that start again know of less than they had told, until a head in force confirms it",
+        lambda: DistributionModel(RESTART_WORLDS), Limits(deviations=2, seconds=120.0),
+        RESTART_FAULTS, told, INVARIANTS,
+    ),
     LARGE: ModelScope(
         "the same with more changes, more time and a second deviation",
         lambda: DistributionModel(LARGE_WORLDS), Limits(deviations=2, seconds=600.0), {}, told, INVARIANTS,
--- a/cloverrouter/explore/coordination/lease_model.py
+++ b/cloverrouter/explore/coordination/lease_model.py
@@ -1,7 +1,7 @@
 """Leases on a role: the real voters and holders, with uneven clocks, on one true time.
 
 Played: messages that are late, lost, or overtake one another; voters that start again with what their disks
-have; candidates that are frozen, start again, or give the role back; and time in half seconds.
+have; candidates that are frozen, start again, or give the role back; and time, in half seconds or less.
 """
 
 from __future__ import annotations
@@ -21,11 +21,11 @@
 
 INVARIANTS = {
     "two": "at no true time two processes have the role",
+    "free": "while a process has the role, no majority of the voters would give it to another",
     "token": "a holder's token is higher than those of all holders before",
 }
 ROLE = "planner"
 LEASE_S = 2.0
-STEP_S = 0.5
 SLOW, FAST = 0.99, 1.01  # clocks that differ by the stated part
 EPOCH = 1000.0
 
@@ -36,8 +36,11 @@
 
     voters: tuple[str, ...] = ("v1",)
     candidates: tuple[str, ...] = ("c1", "c2")
+    step_s: float = 0.5
     most_time: int = 6
-    """Half seconds."""
+    """Steps."""
+    only_late: bool = False
+    """Nothing is lost or started again, and messages are as late as they like: what clocks alone can do."""
 
 
 class _Low(Random, Immutable):
@@ -79,10 +82,10 @@
             self._begin(name, 1)
 
     def _fast(self) -> float:
-        return EPOCH + self.steps * STEP_S * FAST
+        return EPOCH + self.steps * self.scope.step_s * FAST
 
     def _slow(self) -> float:
-        return EPOCH + self.steps * STEP_S * SLOW
+        return EPOCH + self.steps * self.scope.step_s * SLOW
 
     def _begin(self, name: str, life: int) -> None:
         holder = LeaseHolder(ROLE, f"{name}/{life}", self.scope.voters, LEASE_S, _Low())
@@ -96,10 +99,16 @@
     # -- what may happen --
 
     def moves(self) -> Iterable[Action]:
-        yield from self.network.moves(self.deliver, self.lose)
         for name, voter in self.voters.items():
             if voter.writes:
                 yield move(f"{name}'s disk has token {voter.writes[0].token}", self.written, name)
+        if self.scope.only_late:
+            yield from (each for each in self.network.moves(self.deliver, self.lose) if not each.cost)
+            if self.steps < self.scope.most_time:
+                yield move(f"{self.scope.step_s:g} s pass", self.wait, "")
+            return
+        yield from self.network.moves(self.deliver, self.lose)
+        for name in self.voters:
             yield move(f"{name} is killed and starts again", self.restart_voter, name, cost=1)
         for name, candidate in self.candidates.items():
             yield move(f"{name} is killed and starts again", self.restart_candidate, name, cost=1)
@@ -107,9 +116,9 @@
                 yield move(f"{name} gives the role back", self.release, name, cost=1)
         if self.steps < self.scope.most_time:
             late = 1 if self.network.letters else 0
-            yield move(f"{STEP_S:g} s pass", self.wait, "", cost=late)
+            yield move(f"{self.scope.step_s:g} s pass", self.wait, "", cost=late)
             for name in self.candidates:
-                yield move(f"{STEP_S:g} s pass while {name} is frozen", self.wait, name, cost=1)
+                yield move(f"{self.scope.step_s:g} s pass while {name} is frozen", self.wait, name, cost=1)
 
     def deliver(self, place: int) -> None:
         """A message comes."""
@@ -168,6 +177,11 @@
     def _check(self) -> None:
         cores = [(name, each) for name, each in self.candidates.items() if each.core.holds(self._slow())]
         self.must(len(cores) < 2, "two", f"{' and '.join(name for name, _ in cores)} have the role")
+        for name, candidate in cores:
+            life = f"{name}/{candidate.life}"
+            free = [voter for voter, each in self.voters.items() if self._is_free(each, life)]
+            text = f"{name} has the role, and {', '.join(free)} would give it to another"
+            self.must(2 * len(free) <= len(self.voters), "free", text)
         for name, candidate in cores[:1]:
             holder = (f"{name}/{candidate.life}", candidate.core.token)
             if holder == self.newest:
@@ -176,6 +190,13 @@
             self.must(holder[1] > self.newest[1], "token", f"{holder} has the role after {self.newest}")
             self.newest = holder
 
+    def _is_free(self, voter: _Voter, holder: str) -> bool:
+        """Whether a voter would grant the role to another than its holder now."""
+        core, now = voter.core, self._fast()
+        grant = core._grants.get(ROLE)
+        is_held = grant is not None and grant.holder == holder and now < grant.until
+        return now >= core._quiet_until and not is_held
+
     def key(self) -> int:
         voters = [_FORM.told(voter, self._fast()) for voter in self.voters.values()]
         candidates = [_FORM.told(each, self._slow()) for each in self.candidates.values()]
--- a/cloverrouter/explore/coordination/scopes.py
+++ b/cloverrouter/explore/coordination/scopes.py
@@ -61,6 +61,12 @@
         Bounds(window=3),
         Limits(deviations=2, age=40, seconds=7200.0),
     ),
+    "coordination-twice": _scope(
+        "messages that come twice, the second time in this step or a later one, and nothing else",
+        ("order under way", "exchange begun", "voter silent"),
+        Bounds(most={}, holds=False, doubles=True, window=3),
+        Limits(deviations=2, age=24, seconds=600.0),
+    ),
     "coordination-cut": _scope(
         "a chain that has confirmed an order, and the next come when a cut may have struck",
         ("orders later",),
--- a/cloverrouter/explore/coordination/troubles.py
+++ b/cloverrouter/explore/coordination/troubles.py
@@ -27,7 +27,7 @@
 )
 from cloverrouter.store import StoredReplica
 
-CRASH, WIPE, CUT, HOLD = "crash", "wipe", "cut", "hold"
+CRASH, WIPE, CUT, HOLD, TWICE = "crash", "wipe", "cut", "hold", "twice"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +36,7 @@
 
     most: Mapping[str, int] = field(default_factory=lambda: {CRASH: 1, WIPE: 1, CUT: 1})
     holds: bool = True  # whether single messages and writes may be late
+    doubles: bool = False  # whether single messages may come again, at the end of this step or of a later one
     window: int = 12  # deviations begin within so many steps of time
     patience: int = 8  # what is held back longer is lost
     away: tuple[int, ...] = (1, 8)  # steps until a process is back
@@ -58,6 +59,8 @@
         yield from _deaths(state, bounds, item.place)
         yield from _deaths(state, bounds, item.place, written=True)
         return
+    if bounds.doubles:
+        yield Action(f"comes twice: {text_of(item)}", 1, (TWICE,))
     if state.machines[item.target].core is not None:
         yield from _deaths(state, bounds, item.target)
         if state.cut is None and state.left.get(CUT):
@@ -104,6 +107,9 @@
     if kind == HOLD:
         state.held.append(Held(state.queue.pop(0), state.step))
         return
+    if kind == TWICE:
+        state.held.append(Held(state.queue[0], state.step))
+        return
     state.left = {**state.left, kind: state.left[kind] - 1}
     if kind == CUT:
         state.cut = Cut(event[1], state.step + event[2], event[3])
