--- a/review/standins/desk.py
+++ b/review/standins/desk.py
@@ -28,6 +28,8 @@
         self.instance, self.service, self.zone, self.note = instance, service, zone, note
         self.address: Address = (ip, 0)
         self.work_s = 0.015
+        self.capacity = 6
+        self.finished: set[str] = set()
         self.runs: list[tuple[float, str]] = []
         self._controls = controls
         self._sequence = 0
@@ -71,7 +73,7 @@
             "address": f"{self.address[0]}:{self.address[1]}",
             "availability-zone": self.zone,
             "version": "v1",
-            "capacity": 6,
+            "capacity": self.capacity,
             "lifecycle-state": "ready",
             "warmup-remaining-ms": 0,
             "sequence-number": self._sequence,
@@ -87,9 +89,11 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        with contextlib.suppress(OSError, http.BrokenOff):
+        with contextlib.suppress(OSError, http.BrokenOff, asyncio.CancelledError):
             while (request := await http.read_message(reader)) is not None:
-                writer.write(await self._answer(request[0], request[1]))
+                first, headers = request[0], request[1]
+                del request  # its body may be large
+                writer.write(await self._answer(first, headers))
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
@@ -105,7 +109,9 @@
             )
         self.runs.append((time.monotonic(), attempt))
         self.note("run", attempt=attempt, instance=self.instance)
-        await asyncio.sleep(self.work_s)
+        if not first.split()[1].startswith("/quick/"):
+            await asyncio.sleep(self.work_s)
+        self.finished.add(attempt)
         return http.message(
             "HTTP/1.1 200 OK", {**reply, "Cypresswinch-Server-Signature": f"s-{attempt}"}, b"done"
         )
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -26,14 +26,14 @@
     """The deployment didn't come up; the case says nothing."""
 
 
-def configuration(version: int) -> dict[str, Any]:
-    """One anonymous route for requests that may run at most once."""
+def configuration(version: int, timeout_ms: int = DEADLINE_MS) -> dict[str, Any]:
+    """Two anonymous routes for requests that may run at most once; `timeout_ms` holds on the first."""
     route = {
         "name": "r-roster",
         "hostname": HOST,
         "path-prefix": "/roster/",
         "route-type": "non_idempotent",
-        "timeout-ms": DEADLINE_MS,
+        "timeout-ms": timeout_ms,
         "target-latency-ms": 125,
         "priority": 2,
         "backend": SERVICE,
@@ -42,6 +42,7 @@
         "session-affinity": False,
         "stream-resumption": False,
     }
+    quick = {**route, "name": "r-quick", "path-prefix": "/quick/", "timeout-ms": DEADLINE_MS}
     backend = {
         "name": SERVICE,
         "health-check": "/health",
@@ -55,7 +56,7 @@
         "header-timeout-ms": 3000,
         "idle-timeout-ms": 15000,
     }
-    return {"version": version, "route-table": [route], "backends": [backend], "limits": limits}
+    return {"version": version, "route-table": [route, quick], "backends": [backend], "limits": limits}
 
 
 class World:
@@ -73,21 +74,23 @@
         self.attempts: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def open(self, desks: int) -> None:
+    async def open(
+        self, desks: int, deadline_ms: int = DEADLINE_MS, work_s: float = 0.015, capacity: int = 6
+    ) -> None:
         """Starts everything and puts the first configuration. Raises CouldNotRun."""
         self.fleet.start(bootstrap=True)
         self._run(self._platform())
         for number in range(1, desks + 1):
-            await self.add_desk(number)
+            await self.add_desk(number, work_s, capacity)
         until = time.monotonic() + READY_WITHIN_S
-        body = configuration(3)
+        body = configuration(3, deadline_ms)
         while await self._put(body, "0") != 200:
             await self._wait_or_fail(until, "no first configuration")
         while len(self.ready) < len(self.fleet.nodes):
             await self._wait_or_fail(until, "not all nodes are ready")
         self.record.note("ready", nodes=len(self.ready))
 
-    async def add_desk(self, number: int) -> Desk:
+    async def add_desk(self, number: int, work_s: float = 0.015, capacity: int = 6) -> Desk:
         controls = [node.control for node in self.fleet.nodes]
         zone = self.fleet.nodes[number % 3].zone
         desk = Desk(
@@ -98,6 +101,7 @@
             controls,
             self.record.note,
         )
+        desk.work_s, desk.capacity = work_s, capacity
         await desk.start()
         self.desks.append(desk)
         return desk
