--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -8,6 +8,7 @@
 import secrets
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -26,8 +27,11 @@
     """The deployment didn't come up; the case says nothing."""
 
 
-def configuration(version: int, timeout_ms: int = DEADLINE_MS) -> dict[str, Any]:
-    """Two anonymous routes for requests that may run at most once; `timeout_ms` holds on the first."""
+def configuration(version: int, timeout_ms: int = DEADLINE_MS, tenants: Sequence[str] = ()) -> dict[str, Any]:
+    """Two routes for requests that may run at most once; `timeout_ms` holds on the first.
+
+    The tenants have no limit. A tenant's key is `key_of` its name; without tenants no key is needed.
+    """
     route = {
         "name": "r-roster",
         "hostname": HOST,
@@ -38,7 +42,7 @@
         "priority": 2,
         "backend": SERVICE,
         "attempt-limit": 1,
-        "anonymous-access": True,
+        "anonymous-access": not tenants,
         "session-affinity": False,
         "stream-resumption": False,
     }
@@ -56,7 +60,18 @@
         "header-timeout-ms": 3000,
         "idle-timeout-ms": 15000,
     }
-    return {"version": version, "route-table": [route, quick], "backends": [backend], "limits": limits}
+    document = {"version": version, "route-table": [route, quick], "backends": [backend], "limits": limits}
+    if tenants:
+        document["tenants"] = [
+            {"name": name, "api-keys": [key_of(name)], "priority": 1, "rate-per-s": 0, "burst-size": 0}
+            for name in tenants
+        ]
+    return document
+
+
+def key_of(tenant: str) -> str:
+    """Returns the tenant's key."""
+    return f"key-of-{tenant}"
 
 
 class World:
@@ -74,14 +89,16 @@
         self.attempts: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def open(self, desks: int, deadline_ms: int = DEADLINE_MS, **properties: Any) -> None:
+    async def open(
+        self, desks: int, deadline_ms: int = DEADLINE_MS, tenants: Sequence[str] = (), **properties: Any
+    ) -> None:
         """Starts everything and puts the first configuration. Raises CouldNotRun."""
         self.fleet.start(bootstrap=True)
         self._run(self._platform())
         for number in range(1, desks + 1):
             await self.add_desk(number, **properties)
         until = time.monotonic() + READY_WITHIN_S
-        body = configuration(3, deadline_ms)
+        body = configuration(3, deadline_ms, tenants)
         while await self._put(body, "0") != 200:
             await self._wait_or_fail(until, "no first configuration")
         while len(self.ready) < len(self.fleet.nodes):
