--- a/review/standins/desk.py
+++ b/review/standins/desk.py
@@ -111,6 +111,9 @@
                 writer.write(await self._answer(*head))
                 await writer.drain()
                 if unread:
+                    self.note(
+                        "answered-early", attempt=head[1].get("cypresswinch-attempt-id", ""), unread=unread
+                    )
                     await self._read_on(reader, unread)
         self._writers.discard(writer)
         writer.close()
