A request that a server answers early, or breaks off, is not sent to another server

Cause: the HTTP client took "the last byte was not handed to the kernel" for "did not run". So the early 200 became a fault, the fault CONNECT_FAILED, and the router sent the request on. The same sentence stood behind resets, ends, noise and interim answers before the last byte, the deadline and the client's leaving (503 and a refund while the body was under way).

Change: only a request of which nothing was handed to the kernel, or the server's own word, proves that it did not run (Call.begun). An early success that names its request is its answer; its connection ends behind it.

--- a/cloverrouter/http/call.py
+++ b/cloverrouter/http/call.py
@@ -12,7 +12,7 @@
 class Failure(enum.Enum):
     """Why a call ended without a complete response."""
 
-    CONNECT_FAILED = "connect failed"  # no complete request reached a server
+    CONNECT_FAILED = "connect failed"  # nothing of the request was sent
     NOT_SENT = "not sent"  # no local socket available, or withdrawn before any byte was sent
     BROKEN = "broken"  # the connection ended; the request may have been executed
     SPOILT = "spoilt"  # invalid HTTP, or a response to another request; the request may have been executed
@@ -26,7 +26,10 @@
     """
 
     def on_written(self) -> None:
-        """The last byte of the request was handed to the kernel; from now on it may be executed."""
+        """The last byte of the request was handed to the kernel.
+
+        It may be executed before: see `Call.begun`.
+        """
         ...
 
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
@@ -77,8 +80,8 @@
     `expected_id` and `id_header` identify the response, see `ConnectionPool.send`.
     """
 
-    __slots__ = ("_connection", "_pool", "done", "expected_id", "id_header", "listener", "message", "refresh",
-                 "reused", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "begun", "done", "expected_id", "id_header", "listener", "message",
+                 "refresh", "reused", "written")  # fmt: skip
 
     def __init__(
         self,
@@ -93,6 +96,7 @@
         self.expected_id = expected_id
         self.id_header = id_header
         self.refresh = refresh
+        self.begun = False  # a part was handed to the kernel: a server may execute a request before its end
         self.written = False  # the last byte was handed to the kernel
         self.reused = False  # sent on a connection that had served an earlier call
         self.done = False
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -99,10 +99,10 @@
     def may_have_run(self) -> bool:
         """Whether the server may have started to execute the request, as far as is known now."""
         promised = self.verdict in (Verdict.NOT_EXECUTED, Verdict.MISPLACED)
-        return self.sent_at is not None and not promised
+        return self.call is not None and self.call.begun and not promised
 
     def on_written(self) -> None:
-        """Records that the request was written to the connection."""
+        """Records that the whole request was written to the connection."""
         self.sent_at = self.owner.now()
 
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
--- a/features/answers_and_repeats.feature
+++ b/features/answers_and_repeats.feature
@@ -150,7 +150,8 @@
     Given requests go out slowly
     When a <kind> is asked
     And its server answers "early"
-    Then its client did not get "early"
+    Then its client gets "early"
+    And it was sent once
     And its connection is closed
 
     Examples:
@@ -160,6 +161,38 @@
       | stream           |
       | resumable stream |
 
+  Scenario Outline: A success for another request before the request is out
+    Given requests go out slowly
+    When a <kind> is asked
+    And its server answers for another request
+    Then its client gets 502 without a stamp
+    And it was sent once
+    And its connection is closed
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
+
+  Scenario Outline: A connection that breaks before the request is out
+    Given requests go out slowly
+    When a <kind> is asked
+    And its server resets the connection
+    Then its client gets 502 without a stamp
+    And it was sent once
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
+
+  Scenario: A deadline before the request is out
+    Given requests go out slowly
+    When a call is asked
+    And the server takes 3 s
+    Then its client gets 504 without a stamp
+    And it was sent once
+
   Scenario: A refusal before the request is out
     Given requests go out slowly
     When a call is asked
