The acknowledgement of a server's departure waits until a majority of the disks has it

Cause: the acknowledgement meant that a majority of the voters had it in memory. The copy of the list on the disks is older, and was merged back at the restart as ready, with nobody left to contradict it.

Ruled out: late heartbeats (none is sent), the age of tombstones, merging (a state only rises), the silence detector.

Change: a voter acknowledges a departure (draining, or the first DELETE) once it is in departures.log on its disk; a disk that refuses or takes longer than 0.5 s refuses the acknowledgement, so that a call whose answer can't come gets 503 within a second (new message AnnounceRefused, 212). Heartbeats, registrations and a DELETE behind an acknowledged draining wait for no disk. At its start a node merges the departures of its disk, and ready servers known only from the copy of the list are given up unless they call before connectivity-ms is over, less 0.5 s.

--- a/cloverrouter/control/announcements.py
+++ b/cloverrouter/control/announcements.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -10,19 +10,24 @@
 MAJORITY_TIMEOUT_S = 3.5
 """A change that no majority has acknowledged by then fails."""
 ALL_VOTERS_WAIT_S = 0.5
-"""A draining or ended instance waits so long for all reachable voters, then for a majority only."""
+"""A draining or ended instance waits so long for all reachable voters that can store it, then for a majority
+only."""
 
 
 @attrs.frozen(slots=True)
 class Acknowledged:
-    """A majority of the voters has the change and is sending it to every machine: answer the server 200."""
+    """A majority of the voters has the change and is sending it to every machine: answer the server 200.
+
+    They have it on their disks, if the server is draining or has ended.
+    """
 
     change: int
 
 
 @attrs.frozen(slots=True)
 class Failed:
-    """No majority acknowledged the change in time: answer the server 503; it then calls another machine."""
+    """No majority acknowledged the change in time, or can do so now: answer the server 503; it then calls
+    another machine."""
 
     change: int
 
@@ -32,7 +37,8 @@
     """An instance's state that is being sent to the voters, and the changes that wait for it.
 
     `waiting_since` maps the number of each change (a call of the server) to the time of the call.
-    `acknowledged_by` holds the voters that have acknowledged the state.
+    `acknowledged_by` holds the voters that have acknowledged the state, `refused_by` those whose disks take
+    nothing.
     """
 
     instance_id: str
@@ -42,6 +48,12 @@
     sent_at: float = float("-inf")
     waiting_since: dict[int, float] = attrs.field(factory=dict)
     acknowledged_by: set[str] = attrs.field(factory=set)
+    refused_by: set[str] = attrs.field(factory=set)
+
+    def can_reach_majority(self, voters: Collection[str]) -> bool:
+        """Returns whether a majority has acknowledged it or still may."""
+        possible = sum(ip in self.acknowledged_by or ip not in self.refused_by for ip in voters)
+        return not voters or 2 * possible > len(voters)
 
     def unacknowledged_voters(self, voters: Collection[str]) -> list[str]:
         """Returns the voters that have not acknowledged it yet."""
@@ -92,6 +104,20 @@
         pending = self._pending.get(instance_id)
         if pending is not None and fingerprint in (pending.fingerprint, newest):
             pending.acknowledged_by.add(voter)
+            pending.refused_by.discard(voter)
+
+    def record_refusal(self, voter: str, instance_id: str, fingerprint: int) -> None:
+        """Records that a voter cannot store the pending state now."""
+        pending = self._pending.get(instance_id)
+        if (
+            pending is not None
+            and fingerprint == pending.fingerprint
+            and voter not in pending.acknowledged_by
+        ):
+            pending.refused_by.add(voter)
+
+    def __iter__(self) -> Iterator[Pending]:
+        return iter(list(self._pending.values()))
 
     def take_due(self, now: float) -> list[Pending]:
         """Returns what is due to be sent or resent, and marks it as sent."""
@@ -103,7 +129,7 @@
     def settle(
         self, now: float, voters: Collection[str], live: Collection[str]
     ) -> list[Acknowledged | Failed]:
-        """Returns the outcomes of changes that a majority has acknowledged or that timed out, and drops them.
+        """Returns the outcomes of changes that are acknowledged, refused or timed out, and drops them.
 
         `live`: the voters with a live link.
         """
@@ -115,7 +141,9 @@
                 effects += [Acknowledged(change) for change in pending.waiting_since]
                 continue
             timed_out = [
-                change for change, since in pending.waiting_since.items() if now - since >= MAJORITY_TIMEOUT_S
+                change
+                for change, since in pending.waiting_since.items()
+                if now - since >= MAJORITY_TIMEOUT_S or not pending.can_reach_majority(voters)
             ]
             for change in timed_out:
                 del pending.waiting_since[change]
@@ -131,4 +159,4 @@
         return False
     if not pending.is_leaving or now - pending.started_at >= ALL_VOTERS_WAIT_S:
         return True
-    return all(ip in pending.acknowledged_by for ip in live)
+    return all(ip in pending.acknowledged_by or ip in pending.refused_by for ip in live)
--- a/cloverrouter/control/list_exchange.py
+++ b/cloverrouter/control/list_exchange.py
@@ -20,6 +20,7 @@
     compare_at: float
     last_message_at: float
     silence_limit: float = LINK_TIMEOUT_S
+    was_heard: bool = False
     parts_seen: set[int] = attrs.field(factory=set)
     matching_ids: set[str] = attrs.field(factory=set)
     listed_ids: set[str] = attrs.field(factory=set)
@@ -52,11 +53,17 @@
         """Counts the voter as unreachable until its next message."""
         if ip in self._links:
             self._links[ip].last_message_at = float("-inf")
+            self._links[ip].was_heard = False
 
     def message_received(self, now: float, ip: str) -> None:
         """Records that a message of the voter arrived."""
         if ip in self._links:
             self._links[ip].last_message_at = now
+            self._links[ip].was_heard = True
+
+    def heard_voters(self, now: float) -> list[str]:
+        """Returns the voters with a live link on which a message has arrived. A new link counts as live."""
+        return [ip for ip in self.live_voters(now) if self._links[ip].was_heard]
 
     def live_voters(self, now: float) -> list[str]:
         """Returns the voters with a live link."""
--- a/cloverrouter/control/list_snapshot.py
+++ b/cloverrouter/control/list_snapshot.py
@@ -4,7 +4,9 @@
 done so after a restart of the whole fleet, the first ones would get all the load. So each machine with a disk
 keeps a snapshot, and restores it if, shortly after its start, the list received from the others has less than
 half of its servers. Restored records are merged like received ones: newer facts from a server or another
-machine win, and a server that doesn't announce itself again is soon marked as silent.
+machine win, and a server that doesn't call again soon is given up (see `restored_servers`). What a snapshot
+says of a server may be older than the acknowledgement of its departure: departures have a file of their own
+(see `departures`).
 """
 
 from __future__ import annotations
@@ -36,15 +38,15 @@
     return data if len(data) <= MAX_BYTES else None
 
 
-def unpack(data: bytes, wall_s: float) -> tuple[InstanceRecord, ...]:
-    """Decodes a snapshot and adds the time since then to the ages of its records.
+def unpack(data: bytes, wall_s: float, max_age_s: float = MAX_AGE_S) -> tuple[InstanceRecord, ...]:
+    """Decodes packed records and adds the time since then to their ages.
 
-    Returns an empty tuple if the snapshot is too old or malformed.
+    Returns an empty tuple if they are too old or malformed.
     """
     if len(data) < _SAVED_AT.size:
         return ()
     age_s = wall_s - _SAVED_AT.unpack_from(data)[0]
-    if not abs(age_s) <= MAX_AGE_S:  # also false for NaN
+    if not abs(age_s) <= max_age_s:  # also false for NaN
         return ()
     try:
         messages = list(Decoder(MAX_BYTES).feed(data[_SAVED_AT.size :]))
--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -2,7 +2,8 @@
 
 A server calls any machine, which is the origin of the change. The origin sends the change to all voters at
 once; each voter merges it, forwards it to all machines and acknowledges it to the origin. With a majority of
-acknowledgements the origin answers the server. A call that changes nothing is a heartbeat: it is answered at
+acknowledgements the origin answers the server. A voter acknowledges a departure (a server that is draining or
+has ended) once it is on its disk. A call that changes nothing is a heartbeat: it is answered at
 once and sent to the voters in a batch. A machine that has not heard from a majority of the voters lately
 treats heartbeats as changes, so that they are answered only if a majority receives them. The head of the
 voters decides which servers are silent. Machines compare their lists with the voters' by digest every few
@@ -23,12 +24,14 @@
 import attrs
 
 from cloverrouter.control.announcements import Acknowledged, Announcements, Failed, Pending
+from cloverrouter.control.departures import Departures, StoreDepartures
 from cloverrouter.control.instance_table import effective
 from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.control.list_exchange import ListExchange, VoterList, split_into_parts
 from cloverrouter.control.registry_messages import (
     Announce,
     AnnounceAcknowledged,
+    AnnounceRefused,
     Compare,
     HeartbeatBatch,
     InstanceHeartbeat,
@@ -43,13 +46,15 @@
     UnknownInstances,
 )
 from cloverrouter.control.registry_voter import RegistryVoter
+from cloverrouter.control.restored_servers import RestoredServers
 from cloverrouter.control.servers_list import ListEffect, ServersList
 from cloverrouter.messages.sending import Send
 
 HEARTBEAT_FLUSH_PERIOD_S = 0.3
 HOUSEKEEPING_PERIOD_S = 1.0
+RESTORED_CONFIRM_S = 2.5
 
-Effect = Send | Acknowledged | Failed | ListEffect
+Effect = Send | Acknowledged | Failed | ListEffect | StoreDepartures
 
 
 class Registry:
@@ -58,14 +63,25 @@
     Times are seconds of the local monotonic clock.
     """
 
-    def __init__(self, own_ip: str, heartbeat_interval_s: float) -> None:
+    def __init__(
+        self,
+        own_ip: str,
+        heartbeat_interval_s: float,
+        *,
+        has_disk: bool = False,
+        confirm_within_s: float = RESTORED_CONFIRM_S,
+    ) -> None:
+        """`has_disk`: `StoreDepartures` is carried out. `confirm_within_s`: servers that `restore` added are
+        given up if they have not called by then."""
         self._own_ip = own_ip
         self._voters: tuple[str, ...] = ()
         self._head: str | None = None
         self._servers = ServersList()
         self._announcements = Announcements()
         self._exchange = ListExchange()
-        self._voter = RegistryVoter(self._servers, heartbeat_interval_s)
+        self._departures = Departures(has_disk)
+        self._restored = RestoredServers(confirm_within_s)
+        self._voter = RegistryVoter(self._servers, self._departures, heartbeat_interval_s)
         self._unsent_heartbeats: dict[str, int] = {}
         self._changes = 0
         self._is_in_touch = True
@@ -103,9 +119,44 @@
         return self._servers.records(now, [instance.id for instance in self._servers])
 
     def restore(self, now: float, records: Iterable[InstanceRecord]) -> list[Effect]:
-        """Merges records saved by an earlier process of this machine; none counts as confirmed by a voter."""
+        """Merges records saved by an earlier process of this machine; none counts as confirmed by a voter.
+
+        Ready servers that this machine did not know are given up if they don't call soon.
+        """
+        unknown = [record.id for record in records if record.id not in self._servers]
+        effects = self._merge_records(now, records, "")
+        restored = (self._servers.table.get(each) for each in unknown)
+        self._restored.add(now, [each for each in restored if each is not None])
+        return effects
+
+    def restore_departures(self, now: float, records: Iterable[InstanceRecord]) -> list[Effect]:
+        """Merges the departures that are on this machine's disk."""
+        records = list(records)
+        self._departures.restored(record.id for record in records)
         return self._merge_records(now, records, "")
 
+    def departure_records(self, now: float) -> list[InstanceRecord]:
+        """Returns the records of all departures that are remembered."""
+        leaving = [each.id for each in self._servers if each.state is not InstanceState.READY]
+        return self._servers.records(now, leaving)
+
+    def departures_stored(self, now: float) -> list[Effect]:
+        """Handles that the records of the last `StoreDepartures` are on the disk."""
+        stored = self._departures.written()
+        for pending in self._announcements:
+            if self.is_voter and pending.instance_id in stored:
+                pending.acknowledged_by.add(self._own_ip)
+        return [*self._voter.departures_stored(stored), *self._settle(now), *self._store_departures(now)]
+
+    def departures_not_stored(self, now: float) -> list[Effect]:
+        """Handles that the records of the last `StoreDepartures` could not be stored."""
+        self._departures.not_written(now)
+        return self.tick(now)
+
+    def _store_departures(self, now: float) -> list[Effect]:
+        records = self._servers.records(now, self._departures.next_write(now))
+        return [StoreDepartures(tuple(records))] if records else []
+
     def __len__(self) -> int:
         return self._servers.table.live_count
 
@@ -174,8 +225,10 @@
             self._unsent_heartbeats[instance.id] = merged.sequence
             return change, [*effects, Acknowledged(change)]
         is_leaving = merged.state is not InstanceState.READY
+        if is_leaving:
+            self._departures.add(instance.id)
         self._announcements.add(now, change, instance.id, fingerprint, is_leaving)
-        return change, effects + self._send_pending(now)
+        return change, [*effects, *self._send_pending(now), *self._store_departures(now)]
 
     def _can_reach_majority(self, now: float) -> bool:
         """Returns whether a heartbeat acknowledged here can reach a majority of the voters.
@@ -204,17 +257,38 @@
             self._next_housekeeping = now + HOUSEKEEPING_PERIOD_S
             for instance_id in self._servers.table.forget_ended(now):
                 self._announcements.forget(instance_id)
-        return effects
+                self._departures.forget(instance_id)
+        effects += self._give_up_unconfirmed(now)
+        return [*effects, *self._store_departures(now)]
+
+    def _give_up_unconfirmed(self, now: float) -> list[Effect]:
+        """Gives up the restored servers that did not call in time."""
+        if not self._restored:
+            return []
+        heard = len(self._exchange.heard_voters(now)) + self.is_voter
+        has_contact = self._is_in_touch and 2 * heard > len(self._voters) > 0
+        unconfirmed = self._restored.take_unconfirmed(now, has_contact, self._servers.table)
+        changed: dict[str, None] = {}
+        for each in unconfirmed:
+            given_up = attrs.evolve(each, lost_generation=each.generation)
+            changed.update(dict.fromkeys(self._servers.merge(now, given_up)))
+        return self._forward(now, tuple(changed), "")
 
     def receive(self, now: float, ip: str, message: object) -> list[Effect]:
         """Handles a message from another machine's registry."""
         self._exchange.message_received(now, ip)
+        return [*self._handle(now, ip, message), *self._store_departures(now)]
+
+    def _handle(self, now: float, ip: str, message: object) -> list[Effect]:
         match message:
             case Announce():
                 effects = self._merge_records(now, (message.record,), ip)
                 return [*effects, *self._voter.acknowledge(now, ip, message)] if self.is_voter else effects
             case AnnounceAcknowledged():
                 return self._announce_acknowledged(now, ip, message)
+            case AnnounceRefused():
+                self._announcements.record_refusal(ip, message.id, message.fingerprint)
+                return self._settle(now)
             case HeartbeatBatch():
                 return [*self._voter.record_heartbeats(now, ip, message.heartbeats)]
             case UnknownInstances():
@@ -263,13 +337,19 @@
 
     def _send_announce(self, now: float, pending: Pending) -> list[Effect]:
         if self.is_voter:
-            pending.acknowledged_by.add(self._own_ip)
+            self._count_own_vote(now, pending)
         record = self._servers.record(now, pending.instance_id)
         if record is None:
             return []
         announce = Announce(record, True)
         return [Send(ip, announce) for ip in pending.unacknowledged_voters(self._voters)]
 
+    def _count_own_vote(self, now: float, pending: Pending) -> None:
+        if not pending.is_leaving or self._departures.is_stored(pending.instance_id):
+            pending.acknowledged_by.add(self._own_ip)
+        elif self._departures.refuses(now):
+            pending.refused_by.add(self._own_ip)
+
     def _announce_acknowledged(self, now: float, ip: str, message: AnnounceAcknowledged) -> list[Effect]:
         newest = self._servers.table.fingerprint(message.id) if message.id in self._servers else None
         self._announcements.record_acknowledgement(ip, message.id, message.fingerprint, newest)
@@ -322,6 +402,8 @@
             each for each in missing if each not in theirs.listed and self._servers.is_outdated(now, each)
         ]
         effects: list[Effect] = [*self._servers.drop(outdated)]
+        for instance_id in outdated:
+            self._departures.forget(instance_id)
         records = self._servers.records(now, missing)
         if records:
             effects += [Send(ip, part) for part in split_into_parts(records, wants_answer=False)]
@@ -339,6 +421,10 @@
     def _forward(self, now: float, changed: tuple[str, ...], source: str) -> list[Effect]:
         if not changed:
             return []
+        for instance_id in changed:
+            instance = self._servers.table.get(instance_id)
+            if instance is not None and instance.state is not InstanceState.READY:
+                self._departures.add(instance_id)
         effects: list[Effect] = [self._servers.changed_effect(changed)]
         return [*effects, *self._voter.forward(now, changed, source)] if self.is_voter else effects
 
--- a/cloverrouter/control/registry_messages.py
+++ b/cloverrouter/control/registry_messages.py
@@ -60,6 +60,8 @@
 class AnnounceAcknowledged:
     """Voter to origin: the record is in the voter's list and on its way to all its subscribers.
 
+    If the server is draining or has ended, the record is on the voter's disk, too.
+
     `fingerprint`: that of the record received, so that an acknowledgement meant for an earlier process of the
     origin counts for that record only. `newer`: the voter's own record, if it has newer facts.
     """
@@ -71,6 +73,14 @@
     newer: tuple[InstanceRecord, ...]
 
 
+@message(212)
+class AnnounceRefused:
+    """Voter to origin: the departure with this fingerprint is in the voter's list; its disk takes nothing."""
+
+    id: str
+    fingerprint: int
+
+
 @message(202)
 class HeartbeatBatch:
     """Origin to voter: the heartbeats received since the last batch."""
--- a/cloverrouter/control/registry_voter.py
+++ b/cloverrouter/control/registry_voter.py
@@ -8,11 +8,13 @@
 
 import attrs
 
-from cloverrouter.control.instances import from_record
+from cloverrouter.control.departures import Departures
+from cloverrouter.control.instances import InstanceState, from_record
 from cloverrouter.control.list_exchange import split_into_parts
 from cloverrouter.control.registry_messages import (
     Announce,
     AnnounceAcknowledged,
+    AnnounceRefused,
     Compare,
     InstanceHeartbeat,
     InstanceList,
@@ -38,12 +40,13 @@
 class RegistryVoter:
     """The duties of a machine while it is a voter."""
 
-    def __init__(self, servers: ServersList, heartbeat_interval_s: float) -> None:
+    def __init__(self, servers: ServersList, departures: Departures, heartbeat_interval_s: float) -> None:
         self.is_head = False
         self.is_sole_head = True
         """Whether no other machine can be the head now. A head that is cut off goes on as head for long but
         receives few heartbeats, so it must not mark servers as silent."""
         self._servers = servers
+        self._departures = departures
         self._subscribers = Subscribers()
         self._detector = SilenceDetector(heartbeat_interval_s)
         self._other_voters: tuple[str, ...] = ()
@@ -56,12 +59,15 @@
         # Ids to forward with the next tick, in order, and the acknowledgements that follow them.
         self._waiting_ids: dict[str, None] = {}
         self._deferred_acknowledgements: list[Send] = []
+        # Acknowledgements of departures that are not on the disk yet, by the server's id and the origin.
+        self._unstored_acknowledgements: dict[str, dict[str, AnnounceAcknowledged]] = {}
 
     def resign(self) -> None:
         """Handles that this machine is no longer a voter."""
         self._subscribers.clear()
         self._waiting_ids.clear()
         self._deferred_acknowledgements.clear()
+        self._unstored_acknowledgements.clear()
         self.is_head = False
 
     def set_head(self, now: float, is_head: bool) -> None:
@@ -94,17 +100,51 @@
         return self._detect_silence(now, ask_voters=False) if self.is_sole_head else []
 
     def acknowledge(self, now: float, ip: str, message: Announce) -> list[Send]:
-        """Returns the acknowledgement of a merged record, or defers it until the record is forwarded."""
+        """Returns the acknowledgement of a merged record, or defers it until the record is forwarded.
+
+        That of a departure waits until the record is on the disk, too.
+        """
         record = message.record
         newer = () if self._servers.holds(now, record) else tuple(self._servers.records(now, [record.id]))
         if not message.wants_acknowledgement and not newer:
             return []
         fingerprint = from_record(now, record).fingerprint()
-        answer = Send(ip, AnnounceAcknowledged(record.id, fingerprint, newer))
-        if record.id in self._waiting_ids:
-            self._deferred_acknowledgements.append(answer)
+        answer = AnnounceAcknowledged(record.id, fingerprint, newer)
+        if self._is_unstored_departure(record.id):
+            self._departures.add(record.id)
+            self._unstored_acknowledgements.setdefault(record.id, {})[ip] = answer
+            return self._refuse_unstored(now)
+        return self._send_when_forwarded(ip, answer)
+
+    def _is_unstored_departure(self, instance_id: str) -> bool:
+        instance = self._servers.table.get(instance_id)
+        is_leaving = instance is not None and instance.state is not InstanceState.READY
+        return is_leaving and not self._departures.is_stored(instance_id)
+
+    def _send_when_forwarded(self, ip: str, answer: AnnounceAcknowledged) -> list[Send]:
+        if answer.id in self._waiting_ids:
+            self._deferred_acknowledgements.append(Send(ip, answer))
+            return []
+        return [Send(ip, answer)]
+
+    def departures_stored(self, ids: Iterable[str]) -> list[Send]:
+        """Returns the acknowledgements of departures that are on the disk now."""
+        sends: list[Send] = []
+        for instance_id in ids:
+            for ip, answer in self._unstored_acknowledgements.pop(instance_id, {}).items():
+                sends += self._send_when_forwarded(ip, answer)
+        return sends
+
+    def _refuse_unstored(self, now: float) -> list[Send]:
+        """Refuses the acknowledgements that wait for the disk, if it takes nothing now."""
+        if not self._unstored_acknowledgements or not self._departures.refuses(now):
             return []
-        return [answer]
+        waiting, self._unstored_acknowledgements = self._unstored_acknowledgements, {}
+        return [
+            Send(ip, AnnounceRefused(answer.id, answer.fingerprint))
+            for answers in waiting.values()
+            for ip, answer in answers.items()
+        ]
 
     def record_heartbeats(self, now: float, ip: str, heartbeats: Iterable[InstanceHeartbeat]) -> list[Send]:
         """Records heartbeats, and asks the origin for the records of servers unknown here."""
@@ -176,7 +216,7 @@
         if self.is_sole_head:
             self._detector.tick(now)
         self._subscribers.expire(now)
-        effects: list[Send | ListEffect] = []
+        effects: list[Send | ListEffect] = [*self._refuse_unstored(now)]
         if self._waiting_ids:
             effects += self._forward_waiting(now)
         effects += [
--- a/cloverrouter/daemon/control_plane.py
+++ b/cloverrouter/daemon/control_plane.py
@@ -16,6 +16,7 @@
 
 from cloverrouter.control import distribution_messages, registry_messages
 from cloverrouter.control.announcements import Acknowledged, Failed
+from cloverrouter.control.departures import StoreDepartures
 from cloverrouter.control.document import ConfigurationState
 from cloverrouter.control.forwarding import (
     CallKind,
@@ -54,12 +55,14 @@
 if TYPE_CHECKING:
     from cloverrouter.control.api import ControlApi, ControlExchange
     from cloverrouter.coordination.genesis import GenesisProposer
+    from cloverrouter.daemon.departure_file import DepartureFile
     from cloverrouter.daemon.quota_service import QuotaService
     from cloverrouter.daemon.replica_role import ReplicaRole
     from cloverrouter.daemon.server_list_file import ServerListFile
 
 FRESH_MEMBER_S = 2.5  # disk members that were seen within this time count as alive
 REVOCATION_MARGIN_S = 0.5  # covers updates in flight when a voter reported its state
+SPREAD_MARGIN_S = 0.5  # a change has reached all machines by then
 DISCOVERY_INTERVAL_S = 0.2  # between passing on what peer sampling has discovered
 
 Handler = Callable[[float, str, object], None]
@@ -81,13 +84,19 @@
         incarnation = int(time.time() * 1000)
         self._record = PeerRecord(settings.ip, settings.name, settings.zone, incarnation=incarnation)
         self.sampler = PeerSampler(self._record, settings.seeds, random)
-        self.registry = Registry(settings.ip, settings.heartbeat_s)
+        self.registry = Registry(
+            settings.ip,
+            settings.heartbeat_s,
+            has_disk=settings.is_replica,
+            confirm_within_s=max(settings.bounds.connectivity_s - SPREAD_MARGIN_S, 0.0),
+        )
         self.subscriber = Subscriber(settings.ip, settings.zone, random)
         self.feed = ConfigurationFeed(self._on_configuration, log.error)
         self._forwarder = Forwarder(self.transport.unsent_bytes)
         self.role: ReplicaRole | None = None
         self._opening: asyncio.Task[None] | None = None
         self._server_list_file: ServerListFile | None = None
+        self._departure_file: DepartureFile | None = None
         self._genesis: GenesisProposer | None = None
         self._ballot = Ballot()
         self._quotas: QuotaService | None = None
@@ -99,6 +108,7 @@
         self._next_discovery = 0.0
         if settings.is_replica:
             self._quotas = self._make_quota_service()
+            self._departure_file = self._make_departure_file()
         if settings.bootstrap and settings.ip in settings.seeds:
             self._genesis = self._make_genesis_proposer()
 
@@ -110,6 +120,13 @@
         log, clock = self._log.change, self._loop.time
         return QuotaService(duty, lambda: self.role, self.transport.send, log, clock)
 
+    def _make_departure_file(self) -> DepartureFile:
+        from cloverrouter.daemon.departure_file import DepartureFile
+
+        directory = self._settings.data_directory
+        assert directory is not None
+        return DepartureFile(directory, self.registry, self._apply_registry_effects, self._log.error)
+
     @property
     def quota_notes_refused(self) -> int:
         """The number of quota notes on this machine's disk that were rejected."""
@@ -166,6 +183,8 @@
         from cloverrouter.daemon.replica_role import ReplicaRole, RolePorts
 
         self._add_coordination_handlers()
+        if self._departure_file is not None:
+            await self._departure_file.load()
         await self._load_server_list()
         on_note = self._quotas.note_stored if self._quotas is not None else lambda _: None
         ports = RolePorts(self.transport.send, self._on_own_view, self._log.error, self._log.change, on_note)
@@ -227,13 +246,15 @@
         return self._calls.pending_count
 
     async def close(self) -> None:
-        """Closes the replica, the server list file and all connections."""
+        """Closes the replica, the files of servers and all connections."""
         if self._opening is not None:
             self._opening.cancel()
         if self.role is not None:
             self.role.close()
         if self._server_list_file is not None:
             self._server_list_file.close()
+        if self._departure_file is not None:
+            self._departure_file.close()
         await self.transport.close()
 
     # Time
@@ -425,6 +446,9 @@
                 self.transport.send(effect.ip, effect.message)
             elif isinstance(effect, Acknowledged | Failed):
                 self._calls.complete_change(effect.change, isinstance(effect, Acknowledged))
+            elif isinstance(effect, StoreDepartures):
+                assert self._departure_file is not None
+                self._departure_file.store(effect.records)
             elif isinstance(effect, InstancesChanged):
                 self.traffic.instances_changed(effect.instances, self.registry.is_silent)
             elif isinstance(effect, InstancesSilent | InstancesRecovered):
