A spare disk restores no list, and a departure file that can't be read is not overwritten

Now only voters give up restored servers, and a machine that knows that it is none restores nothing. A file of departures that was not read yet, or that the disk does not hand out, is never written from its start: reading is repeated, and the replica opens after it.

--- a/cloverrouter/control/list_snapshot.py
+++ b/cloverrouter/control/list_snapshot.py
@@ -98,10 +98,16 @@
         self._next_write = now + WRITE_INTERVAL_S
 
     def tick(self, now: float) -> list[Effect]:
-        """Restores the snapshot once it is due, if the list has less than half of its servers."""
+        """Restores the snapshot once it is due, if the list has less than half of its servers.
+
+        The voters' snapshots are enough: a machine that knows that it is none of them restores nothing. It
+        would not receive the heartbeats that confirm what it restored.
+        """
         if not self._loaded or now < self._restore_at:
             return []
         records, self._loaded = self._loaded, ()
+        if self._registry.is_known_non_voter:
+            return []
         known_count = sum(record.id in self._registry for record in records)
         if 2 * known_count >= len(records):
             return []
--- a/cloverrouter/control/registry.py
+++ b/cloverrouter/control/registry.py
@@ -93,6 +93,11 @@
         """Whether this machine is a voter."""
         return self._own_ip in self._voters
 
+    @property
+    def is_known_non_voter(self) -> bool:
+        """Whether this machine knows the voters and is none of them."""
+        return bool(self._voters) and not self.is_voter
+
     @property
     def digest(self) -> int:
         """The digest of the list of live servers; equal on machines with equal lists."""
@@ -262,11 +267,14 @@
         return [*effects, *self._store_departures(now)]
 
     def _give_up_unconfirmed(self, now: float) -> list[Effect]:
-        """Gives up the restored servers that did not call in time."""
-        if not self._restored:
+        """Gives up the restored servers that did not call in time.
+
+        Only voters receive all heartbeats.
+        """
+        if not self._restored or not self.is_voter:
             return []
-        heard = len(self._exchange.heard_voters(now)) + self.is_voter
-        has_contact = self._is_in_touch and 2 * heard > len(self._voters) > 0
+        heard = len(self._exchange.heard_voters(now)) + 1
+        has_contact = self._is_in_touch and 2 * heard > len(self._voters)
         unconfirmed = self._restored.take_unconfirmed(now, has_contact, self._servers.table)
         changed: dict[str, None] = {}
         for each in unconfirmed:
--- a/cloverrouter/daemon/departure_file.py
+++ b/cloverrouter/daemon/departure_file.py
@@ -18,6 +18,7 @@
 from cloverrouter.store.errors import StoreError
 
 FILE_NAME = "departures.log"
+READ_RETRY_S = 0.5
 COMPACT_BYTES = 256 * 1024
 """A longer file is replaced by the departures that are still remembered."""
 
@@ -46,12 +47,27 @@
         self._failed = False
 
     async def load(self) -> None:
-        """Loads the departures that earlier processes stored."""
-        stored = await self._loop.run_in_executor(self._executor, self._log.read)
+        """Loads the departures that earlier processes stored, as soon as the disk lets it."""
+        while (stored := await self._read()) is None:
+            await asyncio.sleep(READ_RETRY_S)
         wall_s = time.time()
         records = [record for data in stored for record in unpack(data, wall_s, ENDED_RETENTION_S)]
         self._apply_effects(self._registry.restore_departures(self._loop.time(), records))
 
+    async def _read(self) -> list[bytes] | None:
+        """Returns what the file has; None if the disk fails."""
+        try:
+            return await self._loop.run_in_executor(self._executor, self._log.read)
+        except StoreError as error:
+            self._report_failure("departures-not-read", error)
+            return None
+
+    def _report_failure(self, event: str, error: StoreError) -> None:
+        """Logs the first of several failures in a row."""
+        if not self._failed:
+            self._log_error(event, error=str(error))
+        self._failed = True
+
     def store(self, records: Sequence[InstanceRecord]) -> None:
         """Stores the records of a `StoreDepartures`, and tells the registry when they are on the disk."""
         write = partial(self._log.append, _pack(records))
@@ -67,9 +83,7 @@
         try:
             await self._loop.run_in_executor(self._executor, write)
         except StoreError as error:
-            if not self._failed:
-                self._log_error("departures-not-stored", error=str(error))
-            self._failed = True
+            self._report_failure("departures-not-stored", error)
             self._apply_effects(self._registry.departures_not_stored(self._loop.time()))
         else:
             self._failed = False
--- a/cloverrouter/store/append_log.py
+++ b/cloverrouter/store/append_log.py
@@ -26,7 +26,7 @@
         self._path = path
         self._temporary_path = path.with_suffix(".next")
         self._end = 0  # offset behind the last intact record
-        self._exists = False
+        self._was_read = self._exists = False
 
     @property
     def size_bytes(self) -> int:
@@ -34,17 +34,22 @@
         return self._end
 
     def read(self) -> list[bytes]:
-        """Returns the intact records, oldest first; none if the file is missing or unreadable."""
-        self._end = 0
+        """Returns the intact records, oldest first; none if the file is missing.
+
+        Raises StoreFailed if the disk fails.
+        """
         try:
             content = self._path.read_bytes()
-        except OSError:
-            return []
-        self._exists = True
-        records = []
+            self._exists = True
+        except FileNotFoundError:
+            content = b""
+        except OSError as error:
+            raise StoreFailed(str(error)) from error
+        records, self._end = [], 0
         while (record := _record_at(content, self._end)) is not None:
             records.append(record)
             self._end += _HEADER.size + len(record)
+        self._was_read = True
         return records
 
     def append(self, records: Sequence[bytes]) -> None:
@@ -52,6 +57,8 @@
 
         Raises StoreFailed if the disk fails; the next call then replaces what was written by this one.
         """
+        if not self._was_read:
+            self.read()  # what is there must not be overwritten
         content = b"".join([_frame(record) for record in records])
         try:
             descriptor = os.open(self._path, os.O_WRONLY | os.O_CREAT, 0o644)
@@ -82,7 +89,7 @@
             sync_directory(self._path.parent)
         except OSError as error:
             raise StoreFailed(str(error)) from error
-        self._exists = True
+        self._was_read = self._exists = True
         self._end = len(content)
 
 
--- a/tests/system/departure_fleet.py
+++ b/tests/system/departure_fleet.py
@@ -63,16 +63,21 @@
 
 
 class DepartureFleet:
-    """`size` machines, the first `voters` of them voters with a disk."""
+    """`size` machines: first `voters` voters with a disk, then `spares` others with a disk."""
 
     def __init__(
-        self, world: World, size: int = 5, voters: int = 3, confirm_within_s: float = CONFIRM_WITHIN_S
+        self,
+        world: World,
+        size: int = 5,
+        voters: int = 3,
+        confirm_within_s: float = CONFIRM_WITHIN_S,
+        spares: int = 0,
     ) -> None:
         self.world = world
         self.confirm_within_s = confirm_within_s
         self.ips = [f"10.0.0.{number + 1}" for number in range(size)]
         self.voters = self.ips[:voters]
-        self.disks = {ip: Disk() for ip in self.voters}
+        self.disks = {ip: Disk() for ip in self.ips[: voters + spares]}
         self.sequences: dict[str, int] = {}
         world.on_effect = self._carry_out
         for ip in self.ips:
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -7,7 +7,9 @@
 import pytest
 
 from cloverrouter.control.announcements import Failed
-from cloverrouter.control.instances import InstanceState
+from cloverrouter.control.instances import Instance, InstanceState
+from cloverrouter.control.registry import Registry
+from cloverrouter.control.registry_messages import Same
 from tests.system.departure_fleet import CONFIRM_WITHIN_S, CONNECTIVITY_S, DepartureFleet, Disk
 from tests.system.lossy_world import World
 
@@ -206,3 +208,32 @@
     for _ in range(40):
         made.world.run(made.world.now + 0.1)
         assert all(made.offered_at(each) == made.ips for each in STAYING)
+
+
+def test_a_spare_disk_restores_nothing() -> None:
+    """Guards against a machine that takes all servers for unconfirmed as it receives no heartbeats."""
+    made = DepartureFleet(World(1), size=6, voters=3, spares=1)
+    spare = made.ips[3]
+    made.world.run(1)
+    made.beat(STAYING, made.ips)
+    made.world.run(made.world.now + 3)
+    made.save_snapshots()
+    made.kill_all(loses_disk=made.voters, stays_down=made.voters)
+    made.world.run(made.world.now + RESTART_S + 0.4)
+    assert len(made.machine(spare).registry) < len(STAYING) / 2
+
+
+def test_a_machine_that_is_no_voter_after_all_gives_up_no_server() -> None:
+    """Guards against the same where the voters became known only after the snapshot was restored."""
+    before = Registry("10.0.0.9", 1.2)
+    before.register(1.0, Instance("a", "desk", "10.1.0.1:80", sequence=4))
+    voters = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+    spare = Registry("10.0.0.9", 1.2, has_disk=True, confirm_within_s=CONFIRM_WITHIN_S)
+    spare.restore(10.0, before.records(1.0))
+    spare.voters_changed(10.3, voters)
+    for step in range(100):
+        now = 10.3 + step * 0.1
+        for ip in voters:
+            spare.receive(now, ip, Same(0, 1000))
+        spare.tick(now)
+    assert [each.id for each in spare.instances("desk")] == ["a"]
--- a/tests/system/test_departures_on_disks.py
+++ b/tests/system/test_departures_on_disks.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from cloverrouter.control.announcements import Acknowledged
+from cloverrouter.control.announcements import Acknowledged, Failed
 from cloverrouter.control.departures import StoreDepartures
 from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.control.registry import Effect, Registry
@@ -84,6 +84,23 @@
     assert AppendLog(tmp_path / "a.log").read() == [b"one", b"two"]
 
 
+def test_a_log_that_was_not_read_is_not_overwritten(tmp_path: Path) -> None:
+    path = tmp_path / "a.log"
+    AppendLog(path).append([b"one"])
+    AppendLog(path).append([b"two"])
+    assert AppendLog(path).read() == [b"one", b"two"]
+
+
+def test_an_unreadable_log_fails_and_is_not_overwritten(tmp_path: Path) -> None:
+    path = tmp_path / "a.log"
+    path.mkdir()  # can be opened by nobody as a file
+    log = AppendLog(path)
+    with pytest.raises(StoreFailed):
+        log.read()
+    with pytest.raises(StoreFailed):
+        log.append([b"one"])
+
+
 # One machine
 
 
@@ -95,6 +112,7 @@
         self.registry = Registry(OWN, 1.2, has_disk=True)
         self.logged: list[str] = []
         self.acknowledged: list[int] = []
+        self.failed: list[int] = []
         self.file = DepartureFile(
             folder, self.registry, self.apply, lambda event, **_: self.logged.append(event)
         )
@@ -110,6 +128,8 @@
                 self.file.store(effect.records)
             elif isinstance(effect, Acknowledged):
                 self.acknowledged.append(effect.change)
+            elif isinstance(effect, Failed):
+                self.failed.append(effect.change)
 
     def call(self, instance_id: str, state: InstanceState, **facts: Any) -> int:
         instance = Instance(instance_id, "desk", "10.1.0.1:80", state=state, sequence=1, **facts)
@@ -118,8 +138,12 @@
         return change
 
     async def leave(self, instance_id: str, **facts: Any) -> None:
-        change = self.call(instance_id, InstanceState.GONE, **facts)
-        await until(lambda: change in self.acknowledged)
+        """Calls until it is acknowledged: a disk that has just failed refuses calls for a moment."""
+        changes = [self.call(instance_id, InstanceState.GONE, **facts)]
+        while not set(changes) & set(self.acknowledged):
+            await asyncio.sleep(0.02)
+            if changes[-1] in self.failed:
+                changes.append(self.call(instance_id, InstanceState.GONE, **facts))
 
     def state_of(self, instance_id: str) -> InstanceState | None:
         found = self.registry.find(instance_id)
@@ -173,6 +197,30 @@
     run_scenario(scenario())
 
 
+def test_a_start_waits_for_a_disk_that_cannot_be_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("cloverrouter.daemon.departure_file.READ_RETRY_S", 0.01)
+
+    async def scenario() -> None:
+        before = await OneMachine(tmp_path).start()
+        await before.leave("a")
+        (tmp_path / FILE_NAME).rename(tmp_path / "aside")
+        (tmp_path / FILE_NAME).mkdir()
+        after = OneMachine(tmp_path)
+        start = asyncio.create_task(after.start())
+        await until(lambda: after.logged)
+        assert not start.done()
+        (tmp_path / FILE_NAME).rmdir()
+        (tmp_path / "aside").rename(tmp_path / FILE_NAME)
+        await start
+        assert after.logged == ["departures-not-read"] and after.state_of("a") is InstanceState.GONE
+        before.file.close()
+        after.file.close()
+
+    run_scenario(scenario())
+
+
 def test_a_disk_that_fails_is_logged_once_and_used_again(tmp_path: Path) -> None:
     async def scenario() -> None:
         folder = tmp_path / "disk"
