Soak: servers answer early, and leave with an acknowledged draining or DELETE before everything is killed

Now one server of a soak answers each third long request before it has read it (and reads on, if its connection lives); servers are added and leave, with draining or with DELETE only, and serve on; in half of the runs one leaves right before all processes are killed. checks.check_departures judges late runs where the machine was undisturbed for twice connectivity-ms; the judge compares a body that was read late.

--- a/cloverrouter/lab/fleet/exchange.py
+++ b/cloverrouter/lab/fleet/exchange.py
@@ -44,14 +44,16 @@
     software: str = "v1"
     model: str = "m"
     model_version: int = 1
+    early_every: int = 0
+    """It answers each so-manieth long request before it has read the body; 0: none."""
 
 
 @attrs.define(slots=True)
 class Exchange:
-    """A complete request, and the connection for its answer."""
+    """A request, and the connection for its answer. `body` is None if it is answered before that is read."""
 
     head: Head
-    body: bytes
+    body: bytes | None
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     keeps_alive: bool  # whether the connection stays open after the answer
@@ -109,7 +111,7 @@
             backend=self.spec.backend,
             signature=f"{self.spec.instance_id}.{self._count:x}.{self.random.getrandbits(32):08x}",
             tenant=exchange.head.get("Cypresswinch-Tenant"),
-            subject=subject_of(method, path, exchange.body),
+            subject="" if exchange.body is None else subject_of(method, path, exchange.body),
             started_at=self.clock(),
             carried_api_key=exchange.head.has("Authorization"),
             total_events=total_events,
@@ -117,6 +119,12 @@
         self._judge.run_started(run)
         return run
 
+    def check_late_body(self, exchange: Exchange, body: bytes) -> None:
+        """Reports the body that was read after the answer."""
+        method, path, _ = exchange.head.first
+        subject = subject_of(method, path, body)
+        self._judge.body_read_late(exchange.attempt_id, self.spec.instance_id, subject)
+
     def headers(self, run: Run) -> list[tuple[str, str]]:
         """Returns the headers of this run's answer."""
         return [
--- a/cloverrouter/lab/fleet/judge.py
+++ b/cloverrouter/lab/fleet/judge.py
@@ -36,7 +36,10 @@
 
 @attrs.define(slots=True)
 class Run:
-    """One execution of a request at a server. `total_events`: the length of a complete stream."""
+    """One execution of a request at a server. `total_events`: the length of a complete stream.
+
+    `subject` is empty if it began before the body was read.
+    """
 
     attempt_id: str
     instance: str
@@ -155,6 +158,12 @@
             return
         self._check_run(run, request)
 
+    def body_read_late(self, attempt_id: str, instance: str, subject: str) -> None:
+        """Checks the body that a server read after its answer, where the connection brought all of it."""
+        request = self.requests.get(attempt_id)
+        if request is not None and subject != request.subject:
+            self._record_violation("UNASKED", f"{instance} gets other bytes in place of {attempt_id}'s body")
+
     def draining_acknowledged(self, instance: str, at: float) -> None:
         """Records the time of the first acknowledged drain of a server."""
         self.drained.setdefault(instance, at)
@@ -234,7 +243,7 @@
             self._record_violation(
                 "UNASKED", f"{run.attempt_id} reached {run.instance} with the client's key"
             )
-        if run.subject != request.subject:
+        if run.subject and run.subject != request.subject:
             self._record_violation("UNASKED", f"{run.attempt_id} runs with another body, method or path")
         if len(self.runs[run.attempt_id]) > 1 and not request.idempotent:
             first, *_, last = self.runs[run.attempt_id]
--- a/cloverrouter/lab/fleet/model_server.py
+++ b/cloverrouter/lab/fleet/model_server.py
@@ -15,6 +15,10 @@
 from cloverrouter.lab.fleet.work import Application, Generation
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+LONG_REQUEST_BYTES = 1_000_000
+SMALL_RECEIVE_BUFFER_BYTES = 4096
+"""Of a server that answers early: so a part of a long request is unsent when its answer comes."""
+EARLY_READ_DELAY_S = 0.2
 
 
 class ModelServer:
@@ -29,12 +33,22 @@
             Application(self._recorder) if spec.engine is None else Generation(self._recorder, spec.engine)
         )
         self._connections: set[asyncio.StreamWriter] = set()
+        self._long_requests = 0
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Starts listening. Raises OSError if the address is taken."""
         host, _, port = self.spec.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port), limit=HEAD_LIMIT_BYTES)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.spec.early_every:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
+        try:
+            listener.bind((host, int(port)))
+            self._server = await asyncio.start_server(self._serve, sock=listener, limit=HEAD_LIMIT_BYTES)
+        except OSError:
+            listener.close()
+            raise
 
     def drain(self) -> None:
         """Starts draining: answers carry `Connection: close`, and the health check returns 503."""
@@ -61,10 +75,13 @@
         self._connections.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
-                body = await read_body(reader, head, is_answer=False)
+                is_early = self._is_answered_early(head)
+                body = None if is_early else await read_body(reader, head, is_answer=False)
                 keeps_alive = not head.closes and self.state is State.READY
                 exchange = Exchange(head, body, reader, writer, keeps_alive)
                 await self._answer(exchange)
+                if is_early:
+                    await self._read_late(exchange)
                 if not keeps_alive:
                     break
         except (WireError, OSError):
@@ -73,6 +90,18 @@
             self._connections.discard(writer)
             writer.close()
 
+    def _is_answered_early(self, head: Head) -> bool:
+        if not self.spec.early_every or int(head.get("Content-Length", "0")) < LONG_REQUEST_BYTES:
+            return False
+        self._long_requests += 1
+        return self._long_requests % self.spec.early_every == 0
+
+    async def _read_late(self, exchange: Exchange) -> None:
+        """Reads the body of a request that was answered before; raises WireError if the connection ends."""
+        await asyncio.sleep(EARLY_READ_DELAY_S)
+        body = await read_body(exchange.reader, exchange.head, is_answer=False)
+        self._recorder.check_late_body(exchange, body)
+
     async def _answer(self, exchange: Exchange) -> None:
         method, path, _ = exchange.head.first
         if method == "GET" and path == "/health":
--- a/cloverrouter/lab/fleet/registration.py
+++ b/cloverrouter/lab/fleet/registration.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable, Sequence
+from enum import Enum
 from typing import Any
 
 from cloverrouter.lab.fleet.exchange import ServerSpec, State
@@ -33,6 +34,13 @@
     return registration
 
 
+class Departure(Enum):
+    """How a server says that it leaves."""
+
+    DRAIN = "draining"
+    DELETE = "DELETE"  # at once, without having said that it is draining
+
+
 class Registration:
     """Sends the heartbeats of one server, from `start` until `leave` or `stop`."""
 
@@ -62,17 +70,28 @@
 
         Returns whether the drain was acknowledged.
         """
+        acknowledged = await self.depart(Departure.DRAIN, within_s=2 * drain_timeout_s)
+        await asyncio.sleep(drain_timeout_s * self._random.uniform(1.1, 1.4))
+        await self._send("DELETE", self._path, None, within_s=drain_timeout_s)
+        self.server.abort()
+        return acknowledged
+
+    async def depart(self, how: Departure, within_s: float) -> bool:
+        """Says that the server leaves, and lets it serve on. Returns whether that was acknowledged."""
         self.stop()
-        self.server.drain()
-        acknowledged = await self._announce(within_s=2 * drain_timeout_s)
+        if how is Departure.DELETE:
+            acknowledged = await self._send("DELETE", self._path, None, within_s)
+        else:
+            self.server.drain()
+            acknowledged = await self._announce(within_s)
         if acknowledged:
             self._judge.draining_acknowledged(self.server.spec.instance_id, self.server.clock())
-        await asyncio.sleep(drain_timeout_s * self._random.uniform(1.1, 1.4))
-        path = f"/-/instances/{self.server.spec.instance_id}"
-        await self._send("DELETE", path, None, within_s=drain_timeout_s)
-        self.server.abort()
         return acknowledged
 
+    @property
+    def _path(self) -> str:
+        return f"/-/instances/{self.server.spec.instance_id}"
+
     def announcement(self) -> dict[str, Any]:
         """Returns the body of the next heartbeat."""
         self._sequence += 1
@@ -96,8 +115,7 @@
             await asyncio.sleep(self._heartbeat_s * self._random.uniform(0.9, 1.1))
 
     async def _announce(self, within_s: float) -> bool:
-        path = f"/-/instances/{self.server.spec.instance_id}"
-        return await self._send("PUT", path, self.announcement(), within_s)
+        return await self._send("PUT", self._path, self.announcement(), within_s)
 
     async def _send(self, method: str, path: str, body: Any, within_s: float) -> bool:
         """Repeats a call at one node after the other until one acknowledges it or the time is up."""
--- a/cloverrouter/lab/soak/checks.py
+++ b/cloverrouter/lab/soak/checks.py
@@ -1,4 +1,4 @@
-"""Checks a soak run's observations against the contract's rules CONFIG, FAULT and LOST. No I/O."""
+"""Checks a soak run's observations against the contract's rules CONFIG, DRAIN, FAULT and LOST. No I/O."""
 
 from __future__ import annotations
 
@@ -175,6 +175,25 @@
     return {str(item["backend"])}
 
 
+def check_departures(judge: Judge, history: History, drain_timeout_s: float) -> Iterator[Finding]:
+    """Finds requests that undisturbed machines passed on to a server long after its acknowledged departure.
+
+    A kill of everything disturbs for twice the connectivity time.
+    """
+    for_s = 2 * history.bounds.connectivity_s
+    for attempt_id, runs in judge.runs.items():
+        request = judge.requests.get(attempt_id)
+        for run in runs if request is not None else ():
+            left_at = judge.drained.get(run.instance)
+            if left_at is None or run.started_at <= left_at + drain_timeout_s:
+                continue
+            assert request is not None
+            if history.was_undisturbed(request.zone, request.sent_at, for_s):
+                late_s = run.started_at - left_at
+                text = f"{request.zone} passes {attempt_id} on to {run.instance} {late_s:.1f} s after it left"
+                yield Finding("DRAIN", text)
+
+
 def check_processes(name: str, processes: Sequence[ProcessRecord], grace_s: float) -> Iterator[Finding]:
     """Finds processes that exited unexpectedly, or after SIGTERM with a code other than 0 or too late."""
     for number, process in enumerate(processes):
--- a/cloverrouter/lab/soak/plan.py
+++ b/cloverrouter/lab/soak/plan.py
@@ -8,8 +8,11 @@
 
 import attrs
 
+from cloverrouter.lab.fleet.registration import Departure
+
 SHAPES = ((3, 1), (3, 1), (5, 2), (6, 2))  # machines with a disk, and how many may be lost at once
 MEAN_SERIES_GAP_S = 1.6  # mean time between the starts of two series
+MEAN_DEPARTURE_GAP_S = 8.0  # mean time between the departures of two servers
 MAX_SERIES_LENGTH = 6
 SERIES_GAPS_S = (0.0, 0.02, 0.1, 0.3, 0.8)
 FREEZE_TIMES_S = (0.3, 0.9, 2.0, 5.0)
@@ -72,6 +75,8 @@
     faults: tuple[Fault, ...]
     pause_s: float  # between the end of a process and its next start
     ends_with_kill_all: bool  # all processes are killed right after an acknowledged change
+    last_departure: Departure  # of a server, right before that
+    departures: tuple[tuple[float, Departure], ...] = ()  # of other servers, with their times
 
 
 def plan(seed: int, seconds: float, machines: int | None = None) -> Plan:
@@ -80,7 +85,25 @@
     shape = _draw_shape(random, machines)
     faults = sorted(_draw_faults(random, shape, seconds), key=lambda fault: fault.at_s)
     pause_s = random.choice(RESTART_PAUSES_S)
-    return Plan(seed, shape, seconds, tuple(faults), pause_s, random.random() < 0.5)
+    ends_with_kill_all = random.random() < 0.5
+    departures = Random(f"soak departures {seed}")  # leaves the other draws as they were
+    return Plan(
+        seed,
+        shape,
+        seconds,
+        tuple(faults),
+        pause_s,
+        ends_with_kill_all,
+        departures.choice(tuple(Departure)),
+        tuple(_draw_departures(departures, seconds)),
+    )
+
+
+def _draw_departures(random: Random, seconds: float) -> Iterator[tuple[float, Departure]]:
+    at_s = random.expovariate(1 / MEAN_DEPARTURE_GAP_S)
+    while at_s < seconds:
+        yield at_s, random.choice(tuple(Departure))
+        at_s += random.expovariate(1 / MEAN_DEPARTURE_GAP_S)
 
 
 def _draw_shape(random: Random, machines: int | None) -> Shape:
--- a/cloverrouter/lab/soak/run.py
+++ b/cloverrouter/lab/soak/run.py
@@ -18,7 +18,7 @@
 from cloverrouter.lab.fleet.judge import Finding, Judge, ObservedAnswer
 from cloverrouter.lab.fleet.load import LoadGenerator, RequestKind
 from cloverrouter.lab.fleet.nodes import NodeSpec
-from cloverrouter.lab.fleet.registration import Registration, start_server
+from cloverrouter.lab.fleet.registration import Departure, Registration, start_server
 from cloverrouter.lab.soak import checks
 from cloverrouter.lab.soak.machines import Machine, now
 from cloverrouter.lab.soak.orders import BRANCH_SERVICE, Operator, initial_document
@@ -32,6 +32,12 @@
 MAX_REQUESTS_PER_S = 80.0  # maximum over all clients
 LAG_SAMPLE_S = 0.05
 FINAL_REQUESTS_PER_ROUTE = 6  # per chosen machine, at the end
+SERVES_BEFORE_DEPARTURE_S = 2.0  # of an added server
+FIRST_LEAVING_NUMBER, LAST_SERVER_NUMBER = 20, 120  # of the servers that leave
+EARLY_EVERY = 3  # long requests at the server that answers early
+LONG_REQUEST_SHARE = 0.02
+LONG_KIND = attrs.evolve(deployment.KINDS[2], name="upload", body_bytes=4_190_000)
+"""Requests that may run once, too long for the buffers of a connection."""
 MIN_SERVED_RATIO = 0.25  # of the served share of the first routes
 MAX_REPORTED_FINDINGS = 12
 
@@ -88,7 +94,7 @@
         controls = [spec.control_plane for spec in specs]
         self.machines = [Machine(spec, fleet, folder, plan.pause_s, now, controls) for spec in specs]
         self.judge = Judge()
-        self.judge.drain_grace_s = 2 * deployment.DRAIN_TIMEOUT_MS / 1000
+        self.judge.drain_grace_s = float("inf")  # `check_departures` knows which machines are disturbed
         self._controls = controls
         self.operator = Operator(controls, plan.seed, now)
         self.watch = Watch(self.machines, 0.25 if plan.shape.size < 20 else 2.0, now)
@@ -161,6 +167,10 @@
         client_tasks = [asyncio.create_task(self._run_client(machine)) for machine in self._client_machines()]
         operator_task = asyncio.create_task(self.operator.run(ORDER_GAP_S))
         started_at = now()
+        self._tasks += [
+            asyncio.create_task(self._depart_at(started_at + at_s, how, number))
+            for number, (at_s, how) in enumerate(self._plan.departures)
+        ]
         for fault in self._plan.faults:
             await asyncio.sleep(max(0.0, started_at + fault.at_s - now()))
             targets = self.machines[: self._plan.shape.disks]
@@ -182,13 +192,32 @@
         return float(deployment.BOUNDS["grace-period-s"]) + self._plan.pause_s
 
     async def _kill_all(self) -> None:
-        """Kills every machine's process right after a confirmed change."""
+        """Kills every machine's process right after a confirmed change and an acknowledged departure."""
         self._write_line(f"{self._elapsed_s():6.1f} s  last change, then all processes are killed")
+        registration = await self._add_server(LAST_SERVER_NUMBER)
+        await asyncio.sleep(SERVES_BEFORE_DEPARTURE_S)
         with contextlib.suppress(NoDefinitiveAnswer):
             await asyncio.wait_for(self.operator.change(), RECOVERY_S)
+        await registration.depart(self._plan.last_departure, RECOVERY_S)
         for machine in self.machines:
             machine.inject(Fault(0.0, Act.KILL, 0))
 
+    # Servers that leave. Each serves on until the end of the run.
+
+    async def _depart_at(self, at: float, how: Departure, number: int) -> None:
+        """Adds a server, which leaves at that time or soon after."""
+        await asyncio.sleep(max(0.0, at - SERVES_BEFORE_DEPARTURE_S - now()))
+        registration = await self._add_server(FIRST_LEAVING_NUMBER + number)
+        await asyncio.sleep(SERVES_BEFORE_DEPARTURE_S)
+        await registration.depart(how, RECOVERY_S)
+
+    async def _add_server(self, number: int) -> Registration:
+        spec = deployment.server(deployment.DESK_SERVICE, number, _server_prefix(self._prefix))
+        heartbeat_s = deployment.HEARTBEAT_MS / 1000
+        registration = await start_server(spec, self._controls, heartbeat_s, self.judge, now, self._plan.seed)
+        self._registrations.append(registration)
+        return registration
+
     def _client_machines(self) -> list[Machine]:
         return [machine for machine in self.machines for _ in range(CLIENTS_PER_MACHINE)]
 
@@ -212,6 +241,8 @@
         names = [name for name in route_names if name.startswith("r-soak-")]
         if names and self._random.random() < 0.4:
             return _soak_kind(self._random.choice(names))
+        if self._random.random() < LONG_REQUEST_SHARE:
+            return LONG_KIND
         return self._random.choice(deployment.KINDS)
 
     # Final checks
@@ -319,6 +350,8 @@
         yield from checks.check_reads(self.operator.reads, sent)
         yield from checks.check_observations(self.watch.observations, sent, history)
         yield from checks.check_routes(self.judge, sent, history)
+        drain_timeout_s = deployment.DRAIN_TIMEOUT_MS / 1000
+        yield from checks.check_departures(self.judge, history, drain_timeout_s)
         yield from checks.check_cuts(self.judge, processes, bounds.grace_s)
         for machine in self.machines:
             yield from checks.check_processes(machine.spec.name, machine.processes, bounds.grace_s)
@@ -347,8 +380,9 @@
 
 def _servers(prefix: str) -> list[ServerSpec]:
     """Returns the servers, at addresses in another network than the machines."""
-    own = f"127.{int(prefix.split('.')[1]) + 1}.{prefix.split('.')[2]}"
+    own = _server_prefix(prefix)
     found = deployment.initial_servers(own)
+    found = [attrs.evolve(found[-1], early_every=EARLY_EVERY), *found[:-1]]
     branch = [deployment.server(deployment.DESK_SERVICE, number, own) for number in (8, 9, 10)]
     renamed = [
         attrs.evolve(spec, backend=BRANCH_SERVICE, instance_id=f"i-{BRANCH_SERVICE}-{number}")
@@ -357,6 +391,10 @@
     return [*found, *renamed]
 
 
+def _server_prefix(prefix: str) -> str:
+    return f"127.{int(prefix.split('.')[1]) + 1}.{prefix.split('.')[2]}"
+
+
 def _soak_kind(name: str) -> RequestKind:
     return RequestKind(
         name=name,
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -12,6 +12,7 @@
 from cloverrouter.control.errors import ConfigurationInvalid
 from cloverrouter.control.review import review_document, review_patch
 from cloverrouter.lab.fleet.judge import Judge, ObservedAnswer, Operation, Request, Run
+from cloverrouter.lab.fleet.registration import Departure
 from cloverrouter.lab.soak import checks
 from cloverrouter.lab.soak.machines import ProcessRecord
 from cloverrouter.lab.soak.orders import (
@@ -153,6 +154,32 @@
     assert not rules_for_cut("KILL", 4.9, -9)
 
 
+def late_runs(started_at: float, sent_at: float, *disturbances: tuple[float, float]) -> list[str]:
+    """Returns the rules broken by a run at a server whose departure was acknowledged at 10 s."""
+    judge = Judge()
+    judge.drain_grace_s = float("inf")
+    judge.draining_acknowledged("i", 10.0)
+    judge.operation_started("a", Operation("r", sent_at, False))
+    judge.request_sent(Request("t", "a", "r", frozenset({"s"}), "", False, "x", sent_at, zone="one"))
+    judge.run_started(Run("t", "i", "s", "stamp", "", "x", started_at))
+    history = checks.History({"one": list(disturbances)}, frozenset({"one"}), BOUNDS)
+    assert not judge.findings
+    return [finding.rule for finding in checks.check_departures(judge, history, 1.0)]
+
+
+def test_requests_at_a_server_that_left_are_found() -> None:
+    assert late_runs(11.1, 11.0) == ["DRAIN"]
+    assert not late_runs(10.9, 10.8)  # within the drain timeout
+    assert not late_runs(16.9, 16.8, (10.1, 11.0))  # not in touch for long enough after a kill of everything
+    assert late_runs(17.2, 17.1, (10.1, 11.0)) == ["DRAIN"]
+
+
+def test_departures_are_drawn_beside_the_faults() -> None:
+    plans = [plan(seed, 25.0) for seed in range(60)]
+    assert {how for drawn in plans for _, how in drawn.departures} == set(Departure)
+    assert {drawn.last_departure for drawn in plans} == set(Departure)
+
+
 def test_errors_that_were_not_handled_are_found_in_logs() -> None:
     text = "a line\nTraceback (most recent call last):\n  File x\nValueError: y\n"
     assert len(list(checks.check_log("one", text))) == 1
--- a/tests/system/test_stand_in_calls.py
+++ b/tests/system/test_stand_in_calls.py
@@ -181,3 +181,21 @@
 
     with pytest.raises(error):
         asyncio.run(go())
+
+
+@pytest.mark.parametrize("how", list(registration.Departure))
+def test_a_server_that_departs_serves_on(how: registration.Departure) -> None:
+    async def go() -> None:
+        judge = Judge()
+        async with ScriptedNode((503, []), (200, [])) as node:
+            spec = deployment.server(deployment.DESK_SERVICE, 1, "127.31.238")
+            server = ModelServer(spec, judge, lambda: 7.0, 1)
+            await server.start()
+            leaving = Registration(server, [node.address], 1.0, judge, 1)
+            assert await leaving.depart(how, within_s=2.0)
+            states = [body and body["lifecycle-state"] for body in node.bodies]
+            assert states == ["draining"] * 2 if how is registration.Departure.DRAIN else [None] * 2
+            assert judge.drained == {spec.instance_id: 7.0}
+            server.abort()
+
+    asyncio.run(go())
--- a/tests/system/test_stand_ins.py
+++ b/tests/system/test_stand_ins.py
@@ -5,18 +5,20 @@
 import asyncio
 import time
 
+import attrs
 import pytest
 
 from cloverrouter.lab.fleet import deployment
 from cloverrouter.lab.fleet.client import Client
+from cloverrouter.lab.fleet.contract import subject_of
 from cloverrouter.lab.fleet.figures import Tally
-from cloverrouter.lab.fleet.judge import Judge
+from cloverrouter.lab.fleet.judge import Judge, Operation, Request
 from cloverrouter.lab.fleet.load import LoadGenerator
-from cloverrouter.lab.fleet.model_server import ModelServer
+from cloverrouter.lab.fleet.model_server import LONG_REQUEST_BYTES, ModelServer
 from cloverrouter.lab.fleet.operator import Operator, OrderRefused
 from cloverrouter.lab.fleet.platform import NodeEndpoint, Platform
 from cloverrouter.lab.fleet.registration import Registration
-from cloverrouter.lab.fleet.wire import call
+from cloverrouter.lab.fleet.wire import call, connect, read_body, read_head, render
 from tests.system.plain_proxy import PlainProxy
 
 PORTS = (8662, 8663, 8665)
@@ -117,6 +119,38 @@
     assert rule in judge.violation_counts, judge.violation_counts
 
 
+@pytest.mark.parametrize(("rest", "findings"), [("its own", 0), ("another's", 1)])
+def test_a_server_may_answer_a_long_request_before_it_has_read_it(rest: str, findings: int) -> None:
+    """It runs the request at its head; the judge finds other bytes in place of the rest of the body."""
+
+    async def go() -> Judge:
+        judge = Judge()
+        spec = attrs.evolve(deployment.server(deployment.DESK_SERVICE, 1, "127.31.239"), early_every=1)
+        server = ModelServer(spec, judge, time.monotonic, 1)
+        await server.start()
+        own, other = b"a" * LONG_REQUEST_BYTES, b"b" * LONG_REQUEST_BYTES
+        judge.operation_started("o", Operation("r", 0.0, False))
+        subject = subject_of("POST", "/x/", own)
+        judge.request_sent(Request("a1", "o", "r", frozenset({spec.backend}), "", False, subject, 0.0))
+        reader, writer = await connect(spec.address)
+        headers = [("Cypresswinch-Attempt-Id", "a1"), ("Content-Length", str(LONG_REQUEST_BYTES))]
+        writer.write(render("POST /x/ HTTP/1.1", headers))
+        answer = await read_head(reader)
+        assert answer is not None and answer.status == 200
+        await read_body(reader, answer, is_answer=True)
+        assert [run.instance for run in judge.runs["a1"]] == [spec.instance_id]
+        writer.write(own if rest == "its own" else other)
+        writer.write(b"GET /health HTTP/1.1\r\n\r\n")
+        health = await read_head(reader)
+        assert health is not None and health.status == 200
+        writer.close()
+        server.abort()
+        return judge
+
+    judge = asyncio.run(go())
+    assert judge.violation_counts.total() == judge.violation_counts["UNASKED"] == findings
+
+
 def test_a_server_refuses_requests_for_another_instance_or_version() -> None:
     async def go() -> None:
         judge = Judge()
