Soak: a process that is frozen as its grace period ends is due once it is thawed

The bound stays: 0.5 s after the grace period, or after the thaw of a process that was frozen at that moment; a freeze that ended before gives no more time (three new cases in the test).

--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -128,6 +128,9 @@
         (process_record(1), 1),
         (process_record(0, (1.0, "TERM"), ended_at=9.8), 1),
         (process_record(-15, (1.0, "TERM")), 1),
+        (process_record(0, (1.0, "TERM"), (6.0, "STOP"), (11.0, "CONT"), ended_at=11.4), 0),
+        (process_record(0, (1.0, "TERM"), (6.0, "STOP"), (11.0, "CONT"), ended_at=11.6), 1),
+        (process_record(0, (1.0, "TERM"), (6.0, "STOP"), (8.0, "CONT"), ended_at=9.6), 1),
         (ProcessRecord(0.0, 1), 0),
     ],
 )
