--- a/cloverrouter/explore/coordination/credit_scopes.py
+++ b/cloverrouter/explore/coordination/credit_scopes.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import AbstractContextManager
 from typing import Any
-from unittest.mock import patch
 
 import attrs
 
@@ -15,7 +12,7 @@
 from cloverrouter.control.updates import decode_message
 from cloverrouter.explore.coordination import credit_model
 from cloverrouter.explore.coordination.credit_model import INVARIANTS, CreditScope, CreditWorld
-from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope, seeded
 from cloverrouter.explore.coordination.search import Limits
 from cloverrouter.explore.coordination.world_model import WorldModel, notes_of
 from cloverrouter.placement.quota_messages import QuotaHandover
@@ -67,34 +64,30 @@
             self._pools[name].add_handover(tokens)
 
 
-def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
-    return lambda: patch.object(target, name, fault)
-
-
 FAULTS = {
     "lends-what-it-promised": ModelFault(
         "an allocator lends tokens that a note on its disk reserves",
-        ("more",), SCOPE, _seeded(Reserves, "reserved_tokens", _nothing_reserved),
+        ("more",), SCOPE, seeded(Reserves, "reserved_tokens", _nothing_reserved),
     ),
     "promise-ends-before-the-disk": ModelFault(
         "a reserve ends when the write of the note that ends it begins, not when it completes",
-        ("more",), SCOPE, _seeded(Reserves, "reserved_tokens", _only_what_was_written),
+        ("more",), SCOPE, seeded(Reserves, "reserved_tokens", _only_what_was_written),
     ),
     "promise-begins-with-the-disk": ModelFault(
         "a reserve takes effect only once the process is notified that it is on the disk",
-        ("more",), SCOPE, _seeded(Reserves, "reserved_tokens", _only_what_is_durable),
+        ("more",), SCOPE, seeded(Reserves, "reserved_tokens", _only_what_is_durable),
     ),
     "note-of-any-epoch": ModelFault(
         "a note counts even if another machine was head since it was written",
-        ("more",), SCOPE, _seeded(credit_model, "read_note", _read_of_any_epoch),
+        ("more",), SCOPE, seeded(credit_model, "read_note", _read_of_any_epoch),
     ),
     "lends-at-once-in-the-same-life": ModelFault(
         "an allocator lends immediately although the same process has lent before",
-        ("early",), SCOPE, _seeded(QuotaDuty, "_make_allocator", _always_as_at_a_start),
+        ("early",), SCOPE, seeded(QuotaDuty, "_make_allocator", _always_as_at_a_start),
     ),
     "hand-over-taken-twice": ModelFault(
         "a duplicated handover is taken over again",
-        ("twice", "more"), SCOPE, _seeded(QuotaAllocator, "_accept_handover", _takes_over_again),
+        ("twice", "more"), SCOPE, seeded(QuotaAllocator, "_accept_handover", _takes_over_again),
     ),
 }  # fmt: skip
 
--- a/cloverrouter/explore/coordination/distribution_scopes.py
+++ b/cloverrouter/explore/coordination/distribution_scopes.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import AbstractContextManager
 from typing import Any
-from unittest.mock import patch
 
 from cloverrouter.control import subscriber as subscriber_module
 from cloverrouter.control.distribution_messages import Delta, Part, PullPart
@@ -21,7 +19,7 @@
     DistributionWorld,
     patched_limits,
 )
-from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope, seeded
 from cloverrouter.explore.coordination.search import Limits
 from cloverrouter.explore.coordination.world_model import WorldModel, notes_of
 
@@ -126,49 +124,45 @@
 _start = Publisher.start
 
 
-def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
-    return lambda: patch.object(target, name, fault)
-
-
 FAULTS = {
     "snapshots-end-each-other": ModelFault(
         "a part of another snapshot always aborts the assembly in progress",
-        ("storm",), LATE, _seeded(subscriber_module._Fetch, "should_start_assembly", _always_begins),
+        ("storm",), LATE, seeded(subscriber_module._Fetch, "should_start_assembly", _always_begins),
     ),
     "takes-any-updates": ModelFault(
         "updates are applied without a check of the sequence number that they follow",
-        ("back", "uncommitted", "crash"), SCOPE, _seeded(Subscriber, "_handle_delta", _take_any_delta),
+        ("back", "uncommitted", "crash"), SCOPE, seeded(Subscriber, "_handle_delta", _take_any_delta),
     ),
     "takes-older-snapshots": ModelFault(
         "a snapshot that is older than the state in force replaces it",
-        ("back",), SCOPE, _seeded(Subscriber, "_handle_part", _take_older_part),
+        ("back",), SCOPE, seeded(Subscriber, "_handle_part", _take_older_part),
     ),
     "waits-for-ever": ModelFault(
         "a subscriber without an answer does not retry",
-        ("behind",), SCOPE, _seeded(Subscriber, "_fail_over", _gives_up_for_good),
+        ("behind",), SCOPE, seeded(Subscriber, "_fail_over", _gives_up_for_good),
     ),
     "window-with-a-gap": ModelFault(
         "a voter sends updates although earlier ones are missing",
-        ("uncommitted", "storm"), LATE, _seeded(Publisher, "_updates_after", _all_updates),
+        ("uncommitted", "storm"), LATE, seeded(Publisher, "_updates_after", _all_updates),
     ),
     "parts-of-any-whole": ModelFault(
         "parts of two snapshots are assembled into one",
-        ("uncommitted", "behind", "crash", "storm"), LATE, _seeded(Assembly, "accepts", _takes_anything),
+        ("uncommitted", "behind", "crash", "storm"), LATE, seeded(Assembly, "accepts", _takes_anything),
     ),
 }  # fmt: skip
 
 RESTART_FAULTS = {
     "offers-before-it-is-confirmed": ModelFault(
         "a restarted voter offers what its disk records as committed",
-        ("unsure",), RESTART, _seeded(Publisher, "_offerable", property(_offers_what_it_knows)),
+        ("unsure",), RESTART, seeded(Publisher, "_offerable", property(_offers_what_it_knows)),
     ),
     "parts-before-it-is-confirmed": ModelFault(
         "a restarted voter serves requested parts before it is confirmed",
-        ("unsure",), RESTART, _seeded(Publisher, "_answer_part_pull", _parts_at_once),
+        ("unsure",), RESTART, seeded(Publisher, "_answer_part_pull", _parts_at_once),
     ),
     "confirmed-by-its-start": ModelFault(
         "a voter counts as confirmed once it has read its disk",
-        ("unsure", "crash"), RESTART, _seeded(Publisher, "start", _confirms_itself),
+        ("unsure", "crash"), RESTART, seeded(Publisher, "start", _confirms_itself),
     ),
 }  # fmt: skip
 
--- a/cloverrouter/explore/coordination/lease_scopes.py
+++ b/cloverrouter/explore/coordination/lease_scopes.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import AbstractContextManager
 from typing import Any
-from unittest.mock import patch
 
 from cloverrouter.coordination import lease
 from cloverrouter.coordination.lease import LeaseHolder, LeaseVoter, StoreToken
 from cloverrouter.coordination.lease_messages import LeaseGranted, LeaseReleased, LeaseRequest
 from cloverrouter.explore.coordination.lease_model import INVARIANTS, LeaseScope, LeaseWorld
-from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope, seeded
 from cloverrouter.explore.coordination.search import Limits
 from cloverrouter.explore.coordination.world_model import WorldModel, notes_of
 
@@ -68,34 +65,30 @@
     return effects
 
 
-def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
-    return lambda: patch.object(target, name, fault)
-
-
 FAULTS = {
     "grants-at-once-after-a-start": ModelFault(
         "a voter grants immediately after its start",
-        ("two", "free"), SCOPE, _seeded(LeaseVoter, "__init__", _begin_at_once),
+        ("two", "free"), SCOPE, seeded(LeaseVoter, "__init__", _begin_at_once),
     ),
     "token-on-no-disk": ModelFault(
         "a restarted voter has lost its tokens",
-        ("token", "free"), TOKENS, _seeded(LeaseVoter, "__init__", _begin_without_tokens),
+        ("token", "free"), TOKENS, seeded(LeaseVoter, "__init__", _begin_without_tokens),
     ),
     "no-margin-for-clocks": ModelFault(
         "voters and holders measure a lease without a margin for clock drift",
-        ("two", "free"), CLOCKS, _seeded(lease, "CLOCK_MARGIN", 0.0),
+        ("two", "free"), CLOCKS, seeded(lease, "CLOCK_MARGIN", 0.0),
     ),
     "counted-from-its-answer": ModelFault(
         "a holder counts its lease from the grant's arrival instead of from its request",
-        ("two", "free"), CLOCKS, _seeded(LeaseHolder, "receive", _counted_from_its_answer),
+        ("two", "free"), CLOCKS, seeded(LeaseHolder, "receive", _counted_from_its_answer),
     ),
     "granted-before-the-disk": ModelFault(
         "a voter grants a token before it is on its disk",
-        ("token", "free"), TOKENS, _seeded(LeaseVoter, "_on_request", _grant_before_the_disk),
+        ("token", "free"), TOKENS, seeded(LeaseVoter, "_on_request", _grant_before_the_disk),
     ),
     "released-by-anyone": ModelFault(
         "a voter accepts the release of a role from any process",
-        ("two", "free"), SCOPE, _seeded(LeaseVoter, "_on_released", _release_of_anyone),
+        ("two", "free"), SCOPE, seeded(LeaseVoter, "_on_released", _release_of_anyone),
     ),
 }  # fmt: skip
 
--- a/cloverrouter/explore/coordination/orders_scopes.py
+++ b/cloverrouter/explore/coordination/orders_scopes.py
@@ -5,9 +5,7 @@
 import hashlib
 import json
 from collections.abc import Callable
-from contextlib import AbstractContextManager
 from typing import Any
-from unittest.mock import patch
 
 from cloverrouter.control import forwarding, orders
 from cloverrouter.control.forwarding import Finished, Forwarder, HeadAnswer
@@ -22,7 +20,7 @@
     WantedOrder,
     patched_limits,
 )
-from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope, seeded
 from cloverrouter.explore.coordination.search import Limits
 from cloverrouter.explore.coordination.world_model import WorldModel, notes_of
 from cloverrouter.messages import encode
@@ -137,46 +135,42 @@
     return [Finished(answer.ticket, answer.reply)]
 
 
-def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
-    return lambda: patch.object(target, name, fault)
-
-
 FAULTS = {
     "tickets-from-one": ModelFault(
         "a proxy numbers its calls from one after each restart",
-        ("lost", "mixed", "refused"), SCOPE, _seeded(forwarding, "first_ticket", lambda random: 1),
+        ("lost", "mixed", "refused"), SCOPE, seeded(forwarding, "first_ticket", lambda random: 1),
     ),
     "digest-without-body": ModelFault(
         "a repeated order is recognised by its method and base version alone",
-        ("lost",), SCOPE, _seeded(orders, "order_digest", _digest_without_body),
+        ("lost",), SCOPE, seeded(orders, "order_digest", _digest_without_body),
     ),
     "whole-state-without-orders": ModelFault(
         "a snapshot lacks the accepted orders",
-        ("refused",), SCOPE, _seeded(ConfigurationMachine, "snapshot", _snapshot_without_orders),
+        ("refused",), SCOPE, seeded(ConfigurationMachine, "snapshot", _snapshot_without_orders),
     ),
     "version-before-order": ModelFault(
         "the base version is checked before a repeated order is recognised",
-        ("refused",), SCOPE, _seeded(ConfigurationMachine, "decide", _version_first),
+        ("refused",), SCOPE, seeded(ConfigurationMachine, "decide", _version_first),
     ),
     "remembers-the-oldest": ModelFault(
         "a full memory of accepted orders keeps the oldest ones",
-        ("refused",), SCOPE, _seeded(ConfigurationMachine, "_remember", _remember_oldest),
+        ("refused",), SCOPE, seeded(ConfigurationMachine, "_remember", _remember_oldest),
     ),
     "known-order-at-once": ModelFault(
         "an answer without a change does not wait for the commit of the state it is based on",
-        ("lost", "refused"), SCOPE, _seeded(Head, "_decide", _answer_at_once),
+        ("lost", "refused"), SCOPE, seeded(Head, "_decide", _answer_at_once),
     ),
     "reads-without-contact": ModelFault(
         "a head answers reads without a confirmation by a majority",
-        ("stale", "lost", "refused"), SCOPE, _seeded(Head, "answer_reads", _answer_unconfirmed),
+        ("stale", "lost", "refused"), SCOPE, seeded(Head, "answer_reads", _answer_unconfirmed),
     ),
     "confirmed-by-one-disk": ModelFault(
         "an order is confirmed once the head alone has stored it",
-        ("lost",), SCOPE, _seeded(Head, "_decide", _done_when_stored_here),
+        ("lost",), SCOPE, seeded(Head, "_decide", _done_when_stored_here),
     ),
     "not-now-is-an-end": ModelFault(
         "a proxy treats 'not now' as the final answer",
-        ("mixed",), SCOPE, _seeded(Forwarder, "handle_answer", _take_not_now_as_final),
+        ("mixed",), SCOPE, seeded(Forwarder, "handle_answer", _take_not_now_as_final),
     ),
 }  # fmt: skip
 
--- a/cloverrouter/explore/coordination/registry_scopes.py
+++ b/cloverrouter/explore/coordination/registry_scopes.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
-from contextlib import AbstractContextManager
-from typing import Any
-from unittest.mock import patch
+from collections.abc import Collection
 
 import attrs
 
@@ -13,7 +10,7 @@
 from cloverrouter.control.announcements import Announcements, Pending
 from cloverrouter.control.instances import Instance, InstanceState, merge
 from cloverrouter.explore.coordination.registry_model import INVARIANTS, Calls, RegistryWorld
-from cloverrouter.explore.coordination.scope import ModelFault, ModelScope
+from cloverrouter.explore.coordination.scope import ModelFault, ModelScope, seeded
 from cloverrouter.explore.coordination.search import Limits
 from cloverrouter.explore.coordination.world_model import WorldModel, notes_of
 
@@ -46,22 +43,18 @@
         pending.acknowledged_by.add(ip)
 
 
-def _seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
-    return lambda: patch.object(target, name, fault)
-
-
 FAULTS = {
     "newest-call-wins": ModelFault(
         "a server's state is that of its newest call, not the highest one reported",
-        ("back", "stale", "differ", "storm"), SCOPE, _seeded(instance_table, "merge", _newest_call_wins),
+        ("back", "stale", "differ", "storm"), SCOPE, seeded(instance_table, "merge", _newest_call_wins),
     ),
     "acknowledged-by-nobody": ModelFault(
         "a server's call is acknowledged before any voter has stored it",
-        ("stale", "differ"), SCOPE, _seeded(announcements, "_is_done", _done_at_once),
+        ("stale", "differ"), SCOPE, seeded(announcements, "_is_done", _done_at_once),
     ),
     "receipt-for-anything": ModelFault(
         "an acknowledgement counts for any pending announcement of the instance",
-        ("stale", "differ"), SCOPE, _seeded(Announcements, "record_acknowledgement", _receipt_for_anything),
+        ("stale", "differ"), SCOPE, seeded(Announcements, "record_acknowledgement", _receipt_for_anything),
     ),
 }  # fmt: skip
 
--- a/cloverrouter/explore/coordination/scope.py
+++ b/cloverrouter/explore/coordination/scope.py
@@ -6,6 +6,7 @@
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
 from typing import Any
+from unittest.mock import patch
 
 from cloverrouter.explore.coordination.search import Limits, Model
 
@@ -20,6 +21,11 @@
     seeded: Callable[[], AbstractContextManager[Any]]
 
 
+def seeded(target: Any, name: str, fault: Any) -> Callable[[], AbstractContextManager[Any]]:
+    """Returns what replaces an attribute of a class or a module by a fault, while its context is entered."""
+    return lambda: patch.object(target, name, fault)
+
+
 @dataclass(frozen=True, slots=True)
 class ModelScope:
     """A model with its default search limits. Several scopes of one kind may share the same faults."""
