HTTP server: reading pauses wherever requests wait, also behind answers that are given at once

What callers saw: clients that sent many requests ahead at the path that says ready, or at paths that are answered without a server (400, 404, the control plane), and read no answer, made the process hold all of them until its machine's memory was gone.

Cause: reading paused only while a request was being handled or the answer's buffer was full. Where the handler answers at once, no request is being handled between two reads, and one request is taken each turn of the loop while each read brings 64 KB of them.

Ruled out: answers in the write buffer (32 KB for each connection), and the number of connections.

Change: reading pauses whenever complete requests wait and their limit is reached; the limit on their number is looked at before their bodies are summed, which was quadratic.

--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -211,7 +211,8 @@
             self.refuse(503 if provisional else reader.error)
             return
         self._next()
-        if (self._exchange is not None or self.paused) and self._is_pipeline_full(reader):
+        # A handler that responds at once leaves requests waiting without one in progress.
+        if (self._exchange is not None or self.paused or reader.ready) and self._is_pipeline_full(reader):
             self._pause_reading()
 
     def eof_received(self) -> None:
@@ -289,8 +290,9 @@
     def _is_pipeline_full(reader: RequestReader) -> bool:
         """Whether the waiting requests have reached a limit at which reading pauses."""
         waiting = reader.ready
-        size = reader.body_size + sum(len(request.body) for request in waiting)
-        return len(waiting) >= MAX_PIPELINED_REQUESTS or size > MAX_PIPELINED_BYTES
+        if len(waiting) >= MAX_PIPELINED_REQUESTS:
+            return True
+        return reader.body_size + sum(len(request.body) for request in waiting) > MAX_PIPELINED_BYTES
 
     def _pause_reading(self) -> None:
         if not self._reading_paused and self._transport is not None:
--- /dev/null
+++ b/tests/system/test_crowds.py
@@ -0,0 +1,138 @@
+"""Crowds of clients that do not behave, against a node's own process.
+
+Each crowd must leave the process alive, within its memory and descriptors, and able to serve a request.
+Nothing here depends on the speed of the machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.crowd_members import (
+    PIECE_BYTES,
+    Crowd,
+    Payload,
+    repeated,
+    tiny_fields,
+    whole,
+)
+from tests.system.crowd_node import CrowdNode, crowd_node, request_head
+
+pytestmark = pytest.mark.crowd
+
+CLIENTS = 180  # of the 188 connections for clients that 1,400 descriptors leave
+READINESS_CLIENTS = 60  # of 64 connections
+CONTROL_CLIENTS = 400  # of 512 connections
+MIB = 1024 * 1024
+CHUNKED = {"Transfer-Encoding": "chunked"}
+
+
+def run(folder: Path, scenario: Callable[[CrowdNode], Awaitable[None]], **settings: Any) -> None:
+    """Runs a scenario with a node of its own."""
+
+    async def main() -> None:
+        async with crowd_node(folder, **settings) as node:
+            await scenario(node)
+
+    asyncio.run(main())
+
+
+def crowd_of(count: int, payload: Payload) -> list[Payload]:
+    return [payload] * count
+
+
+def post(path: str, length: int) -> bytes:
+    return request_head("POST", path, Content_Length=str(length))
+
+
+def face_clients(folder: Path, payload: Payload, count: int = CLIENTS) -> None:
+    """A crowd of the same clients at the address for clients."""
+
+    async def scenario(node: CrowdNode) -> None:
+        await node.face(Crowd(node.frontend, crowd_of(count, payload)))
+
+    run(folder, scenario)
+
+
+# Bodies that stop just short of their end
+
+
+def face_two_listeners(folder: Path, payload: Callable[[bytes], Payload], **fields: str) -> None:
+    """Crowds of the same clients at the address for clients and at the control plane."""
+    to_servers = request_head("POST", "/x", **fields)
+    to_control = request_head("PUT", "/-/instances/i-1", **fields)
+
+    async def scenario(node: CrowdNode) -> None:
+        await node.face(
+            Crowd(node.frontend, crowd_of(CLIENTS, payload(to_servers))),
+            Crowd(node.control, crowd_of(CONTROL_CLIENTS, payload(to_control))),
+        )
+
+    run(folder, scenario)
+
+
+# Heads and trailers
+
+
+def head_of_tiny_fields() -> bytes:
+    """Returns a head whose names and values have 11,000 bytes, in as many fields."""
+    return request_head("POST", "/x", **CHUNKED)[:-2] + tiny_fields(44_000) + b"\r\n"
+
+
+# Requests sent ahead, answers unread
+
+
+def test_requests_sent_ahead_at_the_path_that_says_ready(tmp_path: Path) -> None:
+    message = b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def scenario(node: CrowdNode) -> None:
+        payload = repeated(b"", message * (PIECE_BYTES // len(message)), 64)
+        await node.face(Crowd(node.readiness, crowd_of(READINESS_CLIENTS, payload)))
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("path", ["/nothing", "/no-attempt-id"])
+def test_requests_sent_ahead_that_no_server_gets(tmp_path: Path, path: str) -> None:
+    """404 for another host, 400 without an attempt id: answers without a server."""
+    fields = b"Host: other\r\nCypresswinch-Attempt-Id: a\r\n" if path == "/nothing" else b"Host: x\r\n"
+    message = b"GET %b HTTP/1.1\r\n%b\r\n" % (path.encode(), fields)
+    face_clients(tmp_path, repeated(b"", message * (PIECE_BYTES // len(message)), 32))
+
+
+def test_requests_sent_ahead_at_the_control_plane(tmp_path: Path) -> None:
+    message = b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def scenario(node: CrowdNode) -> None:
+        payload = repeated(b"", message * (PIECE_BYTES // len(message)), 16)
+        await node.face(Crowd(node.control, crowd_of(CONTROL_CLIENTS, payload)))
+
+    run(tmp_path, scenario)
+
+
+def test_large_answers_left_unread(tmp_path: Path) -> None:
+    message = post("/size/130000", 0)
+    face_clients(tmp_path, whole(b"", message * 64))
+
+
+def test_streams_left_unread(tmp_path: Path) -> None:
+    face_clients(tmp_path, whole(post("/stream", 0), b""))
+
+
+def test_requests_that_are_refused_and_go_on(tmp_path: Path) -> None:
+    """413: a body over the limit, sent on after the refusal."""
+    face_clients(tmp_path, repeated(post("/x", 64 * MIB), b"x" * PIECE_BYTES, 64))
+
+
+# Complete requests that wait for a server
+
+
+# All at once
+
+
+# In calm
