HTTP server: a trailer without end is refused with 431

What callers saw: chunked requests whose body had ended, and whose trailer never did, filled the memory.

Cause: the parser collects the field until its line ends and reports nothing of it; only bytes of heads and bodies were counted.

Change: what arrives within a body without a byte of it (framing, trailer) is counted from the last piece on, and limited like a head.

--- a/cloverrouter/http/request.py
+++ b/cloverrouter/http/request.py
@@ -62,6 +62,7 @@
     __slots__ = (
         "_arrived_s",
         "_body",
+        "_bytes_since_body",
         "_clock",
         "_head_size",
         "_headers",
@@ -94,6 +95,7 @@
         assert self._parser is not None
         before = len(self.ready)
         was_in_head = self.in_head
+        self._bytes_since_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -107,6 +109,8 @@
             self._unparsed_head_bytes += len(data)
             if self._unparsed_head_bytes > self.limits.head_bytes:
                 self.error = self.error or 431
+        elif not self.in_head and not was_in_head and self._bytes_since_body > self.limits.head_bytes:
+            self.error = self.error or 431  # the parser collects a trailer field without reporting it
 
     def close(self) -> None:
         """Breaks the reference cycle with the parser, which would wait for the garbage collector."""
@@ -118,7 +122,7 @@
         self._headers: Headers = []
         self._target = b""
         self._body: list[bytes] = []
-        self._head_size = self._unparsed_head_bytes = self.body_size = 0
+        self._head_size = self._unparsed_head_bytes = self._bytes_since_body = self.body_size = 0
         self._arrived_s = self._clock()
         self.begun = self.in_head = True
         self.expects_continue = False
@@ -140,6 +144,7 @@
         parser = self._parser
         assert parser is not None
         self.in_head = False
+        self._bytes_since_body = 0
         if parser.should_upgrade() or parser.get_http_version() not in VERSIONS:
             self.error = self.error or 400  # the data that follows would use another framing
         elif not self._target.startswith(b"/"):
@@ -168,6 +173,7 @@
             self.error = self.error or 400  # prevents request smuggling
 
     def on_body(self, body: bytes) -> None:
+        self._bytes_since_body = 0
         self.body_size += len(body)
         if self.body_size > self.limits.body_bytes:
             self.error = self.error or 413
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -84,6 +84,11 @@
     return request_head("POST", "/x", **CHUNKED)[:-2] + tiny_fields(44_000) + b"\r\n"
 
 
+def test_trailers_without_end(tmp_path: Path) -> None:
+    head = request_head("POST", "/x", **CHUNKED) + b"1\r\nx\r\n0\r\nx-trailer: "
+    face_clients(tmp_path, repeated(head, b"x" * PIECE_BYTES, 64))
+
+
 # Requests sent ahead, answers unread
 
 
