HTTP server: one budget from memory-mb for what all connections hold

Cause, one for all: what was bounded was not what was held. Bodies were bounded by their length, 48 MiB for each listener by itself, and held as one object a piece: 28 times that in chunks of two bytes. Complete requests were not counted at all and their bodies held three times (request, encoded request, message of the send). A legal head of tiny fields takes 2 MB. memory-mb was read and used for none of it.

Ruled out: a cap for each case. They add up over listeners and stages, and each has to assume the worst of the others.

Change: http/memory.py counts, for each connection of all listeners, parsed fields, body, requests that wait, the current one until its answer is written, an answer that is buffered for it and what is unsent, against one budget. Without room, connections that have stalled for 0.5 s give way; then the request that wants more gets 503. A connection on which a request may have run closes without an answer instead: the bound before could answer 503 to such a request. An eighth is kept for small requests, and up to 8 KiB nothing is charged. Bodies are joined into blocks of 64 KiB, held once for request and sends, and written block by block.

test_unfinished_bodies_are_bounded_together set ServerLimits.incomplete_bytes, which is gone, and read the counter of the same name; it now asks the same of the budget: the second body gets 503, the first is served, nothing stays counted.

--- a/cloverrouter/daemon/node.py
+++ b/cloverrouter/daemon/node.py
@@ -18,6 +18,7 @@
 from cloverrouter.daemon.signals import PlatformSignals
 from cloverrouter.daemon.traffic import Traffic
 from cloverrouter.http.exchange import Exchange
+from cloverrouter.http.memory import MemoryBudget, budget_bytes
 from cloverrouter.http.server import Server, ServerLimits
 
 TICK_S = 0.05
@@ -29,6 +30,11 @@
 log = logging.getLogger(__name__)
 
 
+def _max_client_connections(settings: Settings) -> int:
+    """Returns how many connections of clients the process keeps; servers need as many descriptors."""
+    return max(64, settings.file_descriptors // 2 - CONTROL_CONNECTIONS)
+
+
 class Node:
     """Runs the process until `signals` reports a stop request.
 
@@ -47,6 +53,8 @@
         self._random = Random(int.from_bytes(os.urandom(8), "big"))
         self._traffic = Traffic(settings, self._random, self._log)
         self._control = ControlPlane(settings, self._random, self._traffic, self._log)
+        connections = _max_client_connections(settings) + CONTROL_CONNECTIONS + READINESS_CONNECTIONS
+        self._budget = MemoryBudget(budget_bytes(settings.memory_mb, connections))
         self._servers: list[Server] = []
         self._frontend: Server | None = None
 
@@ -87,7 +95,7 @@
 
     async def _listen(self) -> None:
         settings = self._settings
-        max_client_connections = max(64, settings.file_descriptors // 2 - CONTROL_CONNECTIONS)
+        max_client_connections = _max_client_connections(settings)
         if settings.readiness is not None:
             await self._serve(settings.readiness, self._readiness, READINESS_CONNECTIONS)
         if settings.control is not None:
@@ -101,7 +109,7 @@
 
     async def _serve(self, address: Address, handle: object, connections: int) -> Server:
         limits = ServerLimits(max_connections=connections, body_bytes=MAX_CONTROL_BODY_BYTES)
-        server = Server(handle, limits)  # type: ignore[arg-type]
+        server = Server(handle, limits, self._budget)  # type: ignore[arg-type]
         await listen_when_free(lambda: server.listen(*address), self._address_taken, asyncio.sleep)
         self._servers.append(server)
         return server
--- a/cloverrouter/fuzz/http_answers.py
+++ b/cloverrouter/fuzz/http_answers.py
@@ -89,6 +89,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def is_closing(self) -> bool:
+        return self.ended
+
     def abort(self) -> None:
         self.ended = True
 
--- a/cloverrouter/fuzz/http_requests.py
+++ b/cloverrouter/fuzz/http_requests.py
@@ -80,8 +80,8 @@
     for read in (headers.bearer_key, headers.has_single_attempt_id, headers.deadline_ms, headers.token_usage):
         read(request)
     headers.text(request, headers.PROMPT_PREFIX)
-    head, rest = headers.encode_request(request, "tenant", 3)
-    requests, error = _read([head + b"x-sent: 1\r\n" + rest], ServerLimits())
+    head = headers.encode_request_head(request, "tenant", 3)
+    requests, error = _read([head + b"x-sent: 1\r\n\r\n" + request.body], ServerLimits())
     expect(
         error == 0 and len(requests) == 1, f"the forwarded bytes are {len(requests)} requests, error {error}"
     )
--- a/cloverrouter/http/call.py
+++ b/cloverrouter/http/call.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.fields import Headers
 
 
@@ -80,8 +81,8 @@
     `expected_id` and `id_header` identify the response, see `ConnectionPool.send`.
     """
 
-    __slots__ = ("_connection", "_pool", "begun", "done", "expected_id", "id_header", "listener", "message",
-                 "refresh", "reused", "written")  # fmt: skip
+    __slots__ = ("_connection", "_pool", "begun", "body", "done", "expected_id", "id_header", "listener",
+                 "message", "refresh", "reused", "written")  # fmt: skip
 
     def __init__(
         self,
@@ -90,8 +91,10 @@
         expected_id: bytes,
         id_header: bytes,
         refresh: Callable[[], bytes | None] | None = None,
+        body: Blocks = (),
     ) -> None:
         self.message = message
+        self.body = body  # what follows the message
         self.listener = listener
         self.expected_id = expected_id
         self.id_header = id_header
--- a/cloverrouter/http/client.py
+++ b/cloverrouter/http/client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.call import Call, CallListener, Failure
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.idle import IdlePool, close_longest_idle
@@ -76,15 +77,18 @@
         expected_id: bytes = b"",
         id_header: bytes = b"",
         refresh: Callable[[], bytes | None] | None = None,
+        body: Blocks = (),
     ) -> Call:
-        """Starts a call. Of the listener's methods only `on_written` can be called before this returns.
+        """Starts a call that sends `message` and then `body`.
+
+        Of the listener's methods only `on_written` can be called before this returns.
 
         With `expected_id`, a response whose header `id_header` has another value, or none, fails the call
         with `SPOILT`. `refresh` is called when a newly opened connection is established, before the first
         byte is sent. It returns the current message; if it returns None, nothing is sent and the call fails
         with `NOT_SENT`.
         """
-        call = Call(message, listener, expected_id, id_header, refresh)
+        call = Call(message, listener, expected_id, id_header, refresh, body)
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ServerPool(address)
--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -6,12 +6,14 @@
 import contextlib
 import enum
 import logging
+import math
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 from cloverrouter.http.exchange import Exchange
 from cloverrouter.http.fields import encode_response
+from cloverrouter.http.memory import UNCHARGED_BYTES, MemoryBudget
 from cloverrouter.http.request import Request, RequestReader, ServerLimits
 from cloverrouter.http.sockets import hung_up, reset_at_close, unread
 
@@ -38,14 +40,14 @@
 class Host(Protocol):
     """The server that a connection belongs to.
 
-    `buffer` is the read buffer shared by all connections, `incomplete_bytes` the size of all incomplete
-    request bodies, and `reading_paused` the connections whose reading is paused.
+    `buffer` is the read buffer shared by all connections, `budget` bounds the memory that they hold, and
+    `reading_paused` are the connections whose reading is paused.
     """
 
     loop: asyncio.AbstractEventLoop
     buffer: memoryview
     limits: ServerLimits
-    incomplete_bytes: int
+    budget: MemoryBudget
     reading_paused: set[ServerConnection]
 
     @property
@@ -75,15 +77,18 @@
     """A client connection, from its acceptance until it is closed."""
 
     __slots__ = (
+        "_answer_bytes",
+        "_charge",
         "_data",
         "_exchange",
-        "_incomplete_bytes",
         "_pending",
+        "_progress_s",
         "_reader",
         "_reading_paused",
         "_server",
         "_sock",
         "_transport",
+        "_unsent_bytes",
         "paused",
         "stage",
         "stage_since_s",
@@ -98,7 +103,10 @@
         self._exchange: Exchange | None = None
         self._pending: list[bytes] = []  # written together at the end of this turn of the loop
         self._reading_paused = False
-        self._incomplete_bytes = 0  # bytes of the incomplete request body
+        self._charge = 0  # what the memory budget counts for this connection
+        self._answer_bytes = 0  # of a server's answer that is buffered for the current request
+        self._unsent_bytes = 0  # response bytes in the transport, at the last update of the charge
+        self._progress_s = 0.0  # when the client last sent a part of a request, or read of an answer
         self._data: dict[str, Any] | None = None
         self.paused = False  # writing is paused: the client does not read its responses
         self.until_close = False  # the response is delimited by the end of the connection
@@ -138,6 +146,7 @@
         """Writes to the transport at once."""
         if self._transport is not None:
             self._transport.write(data)
+            self._charge_unsent()
 
     def write_soon(self, data: bytes) -> None:
         """Queues data to be written at the end of this turn of the loop.
@@ -154,10 +163,14 @@
         if pending and self._transport is not None:
             self._pending = []
             self._transport.write(b"".join(pending))
+            self._charge_unsent()
 
     def response_written(self, close: bool) -> None:
         """Called when the last byte of a response has been written."""
         self._exchange = None
+        self._answer_bytes = 0
+        if self._charge:
+            self.update_charge()
         if self._transport is None:
             return
         if close:
@@ -178,6 +191,8 @@
         self.flush()  # lets a client that resumes its stream continue from a later event
         self._set_stage(Stage.LINGERING)
         self._transport.abort()
+        self._answer_bytes = 0
+        self.update_charge()
 
     # asyncio.BufferedProtocol. All connections share one buffer, since each read is parsed at once.
 
@@ -204,12 +219,15 @@
         if not reader.begun:
             reader.limits = self._server.limits
         reader.feed(self._server.buffer[:nbytes])
-        if reader.body_size != self._incomplete_bytes:
-            self._count_incomplete_bytes(reader.body_size)
         if reader.error:
             provisional = reader.limits.provisional and reader.error in (413, 431)
             self.refuse(503 if provisional else reader.error)
             return
+        if reader.begun:
+            self._progress_s = self._server.loop.time()
+        if (reader.held_bytes > UNCHARGED_BYTES or self._charge) and not self._charge_input():
+            self._refuse_for_memory()
+            return
         self._next()
         # A handler that responds at once leaves requests waiting without one in progress.
         if (self._exchange is not None or self.paused or reader.ready) and self._is_pipeline_full(reader):
@@ -225,6 +243,7 @@
 
     def pause_writing(self) -> None:
         self.paused = True
+        self._progress_s = self._server.loop.time()
         if self.stage is Stage.BUSY:
             self._set_stage(Stage.WRITE_BLOCKED)
         if self._exchange is not None and self._exchange.on_pause is not None:
@@ -232,6 +251,8 @@
 
     def resume_writing(self) -> None:
         self.paused = False
+        if self._charge:
+            self.update_charge()
         if self.stage is Stage.WRITE_BLOCKED:
             self._set_stage(Stage.BUSY)
         if self._exchange is not None and self._exchange.on_resume is not None:
@@ -255,7 +276,7 @@
         if not reader.ready:
             self._await_request()
             return
-        exchange = self._exchange = Exchange(reader.ready.popleft(), self)
+        exchange = self._exchange = Exchange(reader.take(), self)
         self._set_stage(Stage.BUSY)
         if self._reading_paused and not self._is_pipeline_full(reader):
             self._resume_reading()
@@ -292,7 +313,7 @@
         waiting = reader.ready
         if len(waiting) >= MAX_PIPELINED_REQUESTS:
             return True
-        return reader.body_size + sum(len(request.body) for request in waiting) > MAX_PIPELINED_BYTES
+        return reader.body_size + sum(request.body_size for request in waiting) > MAX_PIPELINED_BYTES
 
     def _pause_reading(self) -> None:
         if not self._reading_paused and self._transport is not None:
@@ -311,29 +332,99 @@
         reader, self._reader = self._reader, None
         if reader is not None:
             reader.close()
-        self._count_incomplete_bytes(0)
-
-    def _count_incomplete_bytes(self, size: int) -> None:
-        """Updates the count of incomplete body bytes; past the server's limit the request gets 503.
-
-        Many large incomplete bodies at once could otherwise exhaust memory.
-        """
-        server = self._server
-        server.incomplete_bytes += size - self._incomplete_bytes
-        grows, self._incomplete_bytes = size > self._incomplete_bytes, size
-        if grows and server.incomplete_bytes > server.limits.incomplete_bytes and self._reader is not None:
-            self._reader.error = self._reader.error or 503
 
     def _disconnect(self) -> None:
         """Drops the current request and all unsent data, and closes the connection: the client is gone."""
         exchange, self._exchange = self._exchange, None
+        self._answer_bytes = 0
         self._pending.clear()
         if self._transport is not None:
             self._set_stage(Stage.LINGERING)
+            self._close_reader()
             self._transport.abort()
+        self.update_charge()
         if exchange is not None:
             exchange.disconnect()
 
+    # Memory: `memory.Holder`
+
+    def update_charge(self) -> None:
+        """Reports to the budget what the connection holds now."""
+        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        if unsent < self._unsent_bytes:
+            self._progress_s = self._server.loop.time()
+        self._unsent_bytes = unsent
+        held = unsent + self._answer_bytes
+        if self._exchange is not None:
+            held += self._exchange.request.held_bytes
+        if self._reader is not None:
+            held += self._reader.held_bytes
+        charge = held if held > UNCHARGED_BYTES else 0
+        if charge != self._charge:
+            self._charge = charge
+            self._server.budget.charge(self, charge)
+
+    @property
+    def stalled_since_s(self) -> float:
+        """Since when the client has made no progress; infinite while it waits for the server."""
+        if self.stage in (Stage.BUSY, Stage.FRESH) or (self.stage is Stage.IDLE and not self._unsent_bytes):
+            return math.inf
+        return self._progress_s
+
+    def give_way(self) -> None:
+        """Refuses an incomplete request, which has not been executed; closes the connection otherwise."""
+        if self.stage in (Stage.HEAD, Stage.BODY):
+            self.refuse(503)
+        else:
+            self.drop()
+
+    def hold_answer(self, size: int) -> None:
+        """Counts this many bytes of a server's answer, which are buffered for the current request."""
+        self._answer_bytes = size
+        self.update_charge()
+
+    def _charge_input(self) -> bool:
+        """Counts what has arrived; returns whether there is memory for it."""
+        before = self._charge
+        self.update_charge()
+        return self._charge <= before or self._has_memory()
+
+    def _charge_unsent(self) -> None:
+        """Counts response data that the kernel has not taken, and checks the budget soon.
+
+        Not at once: other connections may have to close, and their handlers are called only from the loop.
+        """
+        assert self._transport is not None
+        if not self._charge and self._transport.get_write_buffer_size() <= UNCHARGED_BYTES:
+            return
+        before = self._charge
+        self.update_charge()
+        if self._charge > before and not self._server.budget.has_room(self._charge):
+            self._server.loop.call_soon(self._drop_without_memory)
+
+    def _has_memory(self) -> bool:
+        """Whether the budget has room for what the connection holds, if need be after others gave way."""
+        budget = self._server.budget
+        if not self._charge or budget.has_room(self._charge):
+            return True
+        return budget.make_room(self._charge, self._server.loop.time())
+
+    def _drop_without_memory(self) -> None:
+        """Closes the connection if the budget has no room for its unsent response."""
+        if self._transport is not None and self._unsent_bytes and not self._has_memory():
+            self.drop()
+
+    def _refuse_for_memory(self) -> None:
+        """Ends a connection whose input exceeds the budget.
+
+        A request that is being handled may have been executed, so its connection closes without an answer:
+        503 would say the contrary.
+        """
+        if self._exchange is None:
+            self.refuse(503)
+        else:
+            self.drop()
+
     # Closing
 
     def refuse(self, status: int) -> None:
@@ -350,6 +441,7 @@
         else:
             self._transport.write(encode_response(status, b"", b"", True))
             self._close_gracefully()
+            self.update_charge()
         if exchange is not None:
             exchange.disconnect()
 
@@ -376,6 +468,16 @@
         self._transport.abort()
         return True
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the client has sent something that has not been read yet."""
+        return unread(self._sock)
+
+    @property
+    def received_bytes(self) -> int:
+        """The bytes that have arrived of an incomplete request."""
+        return self._reader.received_bytes if self._reader is not None else 0
+
     @property
     def has_unsent_data(self) -> bool:
         """Whether the transport has unsent response data, which closing the connection would cut off."""
--- a/cloverrouter/http/exchange.py
+++ b/cloverrouter/http/exchange.py
@@ -62,6 +62,10 @@
         """Closes the connection at once."""
         ...
 
+    def hold_answer(self, size: int) -> None:
+        """Called when this many bytes of an answer are buffered outside the connection."""
+        ...
+
 
 class Exchange:
     """A request to be answered once.
@@ -122,6 +126,11 @@
         """Whether the client has disconnected. Checks the socket itself, as the loop may report it later."""
         return self._connection is None or self._connection.hung_up()
 
+    def hold_answer(self, size: int) -> None:
+        """Counts this many bytes of a server's answer, which are buffered for this request, as its memory."""
+        if self._connection is not None:
+            self._connection.hold_answer(size)
+
     def respond(self, status: int, headers: Headers = [], body: bytes = b"", close: bool = False) -> None:  # noqa: B006
         """Sends a complete response. `headers` are sent unchanged and must not include framing headers."""
         connection = self._connection
--- a/cloverrouter/http/request.py
+++ b/cloverrouter/http/request.py
@@ -12,7 +12,9 @@
 import attrs
 import httptools
 
+from cloverrouter.http.body import Blocks, BodyBuffer, join
 from cloverrouter.http.fields import Headers, first
+from cloverrouter.http.memory import FIELD_BYTES, REQUEST_BYTES
 
 VERSIONS = ("1.1", "1.0")
 
@@ -24,13 +26,19 @@
     head_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
     head_timeout_s: float = 3.0  # from the first byte of a request to the end of its head
-    body_timeout_s: float = 10.0  # from the end of the head to the end of the body
+    body_timeout_s: float = 10.0  # from the end of the head to the end of the body; more while it flows
     idle_timeout_s: float = 15.0  # between requests
     max_connections: int = 3000
-    incomplete_bytes: int = 48 * 1024 * 1024  # total of all incomplete request bodies
     provisional: bool = False  # defaults until the configuration is known: 413 and 431 become 503
 
 
+def _blocks_of(body: bytes | Blocks) -> Blocks:
+    """Returns a body as blocks."""
+    if isinstance(body, tuple):
+        return body
+    return (body,) if body else ()
+
+
 @attrs.define(slots=True)
 class Request:
     """A complete request."""
@@ -38,10 +46,21 @@
     method: bytes
     target: bytes  # path and query, exactly as received
     headers: Headers
-    body: bytes  # decoded, without chunk framing
+    body_blocks: Blocks = attrs.field(converter=_blocks_of, eq=join)  # decoded, without chunk framing
     arrived_s: float  # when its first byte was read, in seconds on the loop's clock
     http_1_0: bool = False
     keep_alive: bool = True  # the client asks to keep the connection open
+    held_bytes: int = attrs.field(default=0, eq=False)  # memory that it takes
+
+    @property
+    def body(self) -> bytes:
+        """The body in one piece, which is a copy if it has several blocks."""
+        return join(self.body_blocks)
+
+    @property
+    def body_size(self) -> int:
+        """The length of the body."""
+        return sum(map(len, self.body_blocks))
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the value of the first field with this lower-case name, or None."""
@@ -70,13 +89,14 @@
         "_target",
         "_unparsed_head_bytes",
         "begun",
-        "body_size",
         "error",
         "expects_continue",
         "in_head",
         "is_last",
         "limits",
         "ready",
+        "received_bytes",
+        "waiting_bytes",
     )
 
     def __init__(self, limits: ServerLimits, clock: Callable[[], float]) -> None:
@@ -84,6 +104,7 @@
         self._clock = clock
         self.limits = limits
         self.ready: deque[Request] = deque()
+        self.waiting_bytes = 0  # memory that those requests take
         self.error = 0
         self.begun = False  # a part of an incomplete request has arrived
         self.is_last = False  # the latest request ends the connection
@@ -95,6 +116,7 @@
         assert self._parser is not None
         before = len(self.ready)
         was_in_head = self.in_head
+        self.received_bytes += len(data)
         self._bytes_since_body += len(data)
         try:
             self._parser.feed_data(data)
@@ -112,6 +134,33 @@
         elif not self.in_head and not was_in_head and self._bytes_since_body > self.limits.head_bytes:
             self.error = self.error or 431  # the parser collects a trailer field without reporting it
 
+    def take(self) -> Request:
+        """Removes and returns the first complete request."""
+        request = self.ready.popleft()
+        self.waiting_bytes -= request.held_bytes
+        return request
+
+    @property
+    def body_size(self) -> int:
+        """The bytes of the incomplete body that have arrived."""
+        return self._body.size if self._body is not None else 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the incomplete request and the complete ones that wait here take."""
+        if not self.begun:
+            return self.waiting_bytes
+        return self.waiting_bytes + self._unparsed_head_bytes + self._held_bytes()
+
+    def _held_bytes(self) -> int:
+        """The memory that the current request takes."""
+        held = REQUEST_BYTES + self._head_size + len(self._headers) * FIELD_BYTES
+        if not self.in_head:
+            held += self._bytes_since_body  # the parser may hold them as a part of a trailer
+        if self._body is not None:
+            held += self._body.allocated_bytes
+        return held
+
     def close(self) -> None:
         """Breaks the reference cycle with the parser, which would wait for the garbage collector."""
         self._parser = None
@@ -121,8 +170,8 @@
     def on_message_begin(self) -> None:
         self._headers: Headers = []
         self._target = b""
-        self._body: list[bytes] = []
-        self._head_size = self._unparsed_head_bytes = self._bytes_since_body = self.body_size = 0
+        self._body: BodyBuffer | None = None
+        self._head_size = self._unparsed_head_bytes = self._bytes_since_body = self.received_bytes = 0
         self._arrived_s = self._clock()
         self.begun = self.in_head = True
         self.expects_continue = False
@@ -174,11 +223,13 @@
 
     def on_body(self, body: bytes) -> None:
         self._bytes_since_body = 0
-        self.body_size += len(body)
-        if self.body_size > self.limits.body_bytes:
+        buffer = self._body
+        if buffer is None:
+            buffer = self._body = BodyBuffer()
+        if buffer.size + len(body) > self.limits.body_bytes:
             self.error = self.error or 413
         elif not self.error:
-            self._body.append(body)
+            buffer.append(body)
 
     def on_message_complete(self) -> None:
         self.begun, self.in_head, self.expects_continue = False, True, False
@@ -188,15 +239,18 @@
         assert parser is not None
         keep_alive = parser.should_keep_alive()
         self.is_last = not keep_alive
+        self._bytes_since_body = 0
         request = Request(
             parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            self._body.blocks() if self._body is not None else (),
             self._arrived_s,
             parser.get_http_version() == "1.0",
             keep_alive,
+            self._held_bytes(),
         )
-        self._headers, self._body = [], []
-        self._unparsed_head_bytes = self.body_size = 0
+        self._headers, self._body = [], None
+        self._head_size = self._unparsed_head_bytes = 0
         self.ready.append(request)
+        self.waiting_bytes += request.held_bytes
--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -14,6 +14,7 @@
 from cloverrouter.http.connection import ServerConnection, Stage
 from cloverrouter.http.exchange import Exchange
 from cloverrouter.http.fields import Headers
+from cloverrouter.http.memory import MemoryBudget
 from cloverrouter.http.request import Request, ServerLimits
 from cloverrouter.http.sockets import READ_BYTES, bind
 
@@ -30,6 +31,7 @@
 # on its way. A busy connection closes with its next response in any case, and on an idle one a request is
 # unlikely.
 DRAIN_IDLE_S = 0.1
+DEFAULT_BUDGET_BYTES = 48 * 1024 * 1024
 # Once 1/IDLE_LIMIT_DIVISOR of the allowed connections is idle, connections close after their responses.
 IDLE_LIMIT_DIVISOR = 2
 
@@ -37,12 +39,13 @@
 class Server(Acceptor):
     """An HTTP server. `handle` is called once for each complete request and may respond at once or later."""
 
-    def __init__(self, handle: Handler, limits: ServerLimits) -> None:
+    def __init__(self, handle: Handler, limits: ServerLimits, budget: MemoryBudget | None = None) -> None:
+        """`budget` bounds what the connections hold; several servers may share it."""
         super().__init__()
+        self.budget = budget if budget is not None else MemoryBudget(DEFAULT_BUDGET_BYTES)
         self.handle = handle
         self.limits = limits  # may be replaced; applies from the next request on
         self.buffer = memoryview(bytearray(READ_BYTES))
-        self.incomplete_bytes = 0  # total of all incomplete request bodies
         self.reading_paused: set[ServerConnection] = set()  # those whose reading is paused
         self._draining = self._closed = False
         self._stages: tuple[dict[ServerConnection, None], ...] = tuple({} for _ in Stage)
@@ -170,6 +173,7 @@
                     connection.drop()
         for connection in list(self.reading_paused):
             connection.close_if_hung_up()
+        self.budget.refresh()
         if self._draining:
             self._close_drainable(now_s)
 
--- a/cloverrouter/http/upstream.py
+++ b/cloverrouter/http/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+from collections.abc import Iterator
 from typing import Protocol, cast
 
 import httptools
@@ -18,6 +19,7 @@
 from cloverrouter.http.sockets import unread
 
 MAX_HEAD_BYTES = 64 * 1024
+MAX_JOINED_BYTES = 16 * 1024  # a first block of a body up to this size is written together with the head
 KEEP_ALIVE_FRACTION = 0.8  # of the Keep-Alive timeout that the server announces
 KEEP_ALIVE_MARGIN_S = 0.2
 log = logging.getLogger(__name__)
@@ -79,6 +81,7 @@
         "_sock",
         "_status",
         "_transport",
+        "_unwritten",
         "expires_s",
         "idle_since",
         "max_idle_s",
@@ -92,6 +95,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._call: Call | None = None
+        self._unwritten: Iterator[bytes | bytearray] = iter(())  # rest of the request's body
         self._paused = False
         self.idle_since = self._sent_s = 0.0
         self.expires_s = float("inf")  # on the loop's clock; the server may close an idle connection then
@@ -125,13 +129,25 @@
             self._sent_s = self._owner.loop.time()
         call.attach(self)
         call.begun = True
-        self._transport.write(call.message)
-        if not self._transport.get_write_buffer_size():
-            self._mark_written(call)
-
-    def _mark_written(self, call: Call) -> None:
-        call.written = True
-        call.listener.on_written()
+        body = call.body
+        if body and len(body[0]) <= MAX_JOINED_BYTES:
+            self._transport.write(call.message + body[0])
+            self._unwritten = iter(body[1:])
+        else:
+            self._transport.write(call.message)
+            self._unwritten = iter(body)
+        self._write_on(call)
+
+    def _write_on(self, call: Call) -> None:
+        """Writes the body block by block, so that the transport never copies more than one of them."""
+        transport = self._transport
+        while transport is not None and not transport.is_closing() and not transport.get_write_buffer_size():
+            block = next(self._unwritten, None)
+            if block is None:
+                call.written = True
+                call.listener.on_written()
+                return
+            transport.write(block)
 
     def pause(self) -> None:
         """Stops reading from the connection."""
@@ -148,6 +164,7 @@
     def abort(self) -> None:
         """Closes the connection at once, without notifying the listener."""
         self._call = None
+        self._unwritten = iter(())
         self.pool.forget(self)
         if self._transport is not None:
             self._transport.abort()
@@ -189,7 +206,7 @@
 
     def resume_writing(self) -> None:
         if self._call is not None and not self._call.written:
-            self._mark_written(self._call)
+            self._write_on(self._call)
 
     def eof_received(self) -> None:
         call = self._call
--- a/cloverrouter/router/active_request.py
+++ b/cloverrouter/router/active_request.py
@@ -16,7 +16,13 @@
 from cloverrouter.router.admitted_request import AdmittedRequest
 from cloverrouter.router.attempt import Attempt
 from cloverrouter.router.hang_detection import MIN_TIME_LEFT_S, HangDetector
-from cloverrouter.router.headers import ATTEMPT_ID, DEADLINE, EXPECTED_INSTANCE, LAST_EVENT_ID, encode_request
+from cloverrouter.router.headers import (
+    ATTEMPT_ID,
+    DEADLINE,
+    EXPECTED_INSTANCE,
+    LAST_EVENT_ID,
+    encode_request_head,
+)
 from cloverrouter.router.ports import Timer
 from cloverrouter.router.quota_charge import QuotaCharge
 from cloverrouter.router.relay import StreamRelay
@@ -29,7 +35,7 @@
     """A client request that is being processed. It owns its exchange: nothing else answers it."""
 
     __slots__ = ("_attempt", "_deadline_timer", "_hang_detector", "_is_over", "_message_head",
-                 "_message_tail", "_quota", "_record", "_relay", "_request_id", "_retry_state",
+                 "_quota", "_record", "_relay", "_request_id", "_retry_state",
                  "_retry_timer", "_router", "admitted", "exchange",
                  "max_buffered_answer_bytes")  # fmt: skip
 
@@ -48,7 +54,7 @@
         self._hang_detector: HangDetector | None = None
         tenant = admitted.tenant.name if admitted.tenant is not None else None
         self._record = router.recorder.begin(self._request_id, admitted.route.name, admitted.service, tenant)
-        self._message_head, self._message_tail = encode_request(exchange.request, tenant, admitted.priority)
+        self._message_head = encode_request_head(exchange.request, tenant, admitted.priority)
         last_id = exchange.request.header(LAST_EVENT_ID)
         if last_id is not None and admitted.route.resumable:
             self._relay = StreamRelay(exchange, resumable=True, last_id=last_id)
@@ -151,6 +157,7 @@
             self._encode_message(server_state),
             self._request_id,
             lambda: self._refresh_message(attempt),
+            self.exchange.request.body_blocks,
         )
 
     def _abandon_hung_server(self, attempt: Attempt) -> bool:
@@ -183,7 +190,7 @@
         )
         if self._relay is not None and self._relay.last_id is not None:
             fields += b"%b: %b\r\n" % (LAST_EVENT_ID, self._relay.last_id)
-        return self._message_head + fields + self._message_tail
+        return self._message_head + fields + b"\r\n"
 
     def _refresh_message(self, attempt: Attempt) -> bytes | None:
         """Returns the message for a connection that was just established, with the remaining time updated;
@@ -196,6 +203,10 @@
 
     # Callbacks of the attempt
 
+    def on_answer_buffered(self, size: int) -> None:
+        """Counts the part of an answer that is buffered until it is complete."""
+        self.exchange.hold_answer(size)
+
     def on_answer(self, attempt: Attempt, answer: Answer) -> None:
         """Forwards the server's successful answer. If a stream has begun, the answer cannot continue it."""
         if self._relay is not None and self._relay.head_sent:
--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -11,6 +11,7 @@
 
 from cloverrouter.http.client import Call, Failure, Headers
 from cloverrouter.http.fields import end_to_end
+from cloverrouter.http.memory import UNCHARGED_BYTES
 from cloverrouter.placement.server_load import parse_load
 from cloverrouter.placement.servers import ServerState
 from cloverrouter.router.events import EventEndDetector
@@ -27,6 +28,10 @@
         """Returns the time on the monotonic clock, in seconds."""
         ...
 
+    def on_answer_buffered(self, size: int) -> None:
+        """Handles the growth of an answer that is buffered until it is complete, to `size` bytes."""
+        ...
+
     def on_answer(self, attempt: Attempt, answer: Answer) -> None:
         """Handles a complete successful answer of the server."""
         ...
@@ -141,6 +146,8 @@
         self._body.append(data)
         if self._body_bytes > self.owner.max_buffered_answer_bytes:
             self._on_oversized_body()
+        elif self._body_bytes > UNCHARGED_BYTES:
+            self.owner.on_answer_buffered(self._body_bytes)
 
     def on_end(self) -> None:
         """Handles the end of the answer, which is complete."""
--- a/cloverrouter/router/headers.py
+++ b/cloverrouter/router/headers.py
@@ -111,20 +111,20 @@
     return length is None and first(headers, b"transfer-encoding") is None
 
 
-def encode_request(request: Request, tenant: str | None, priority: int | None) -> tuple[bytes, bytes]:
-    """Returns the parts that all sends of a request share: the head, up to the point where the headers of
-    one send follow, and the rest. Headers are unchanged except for hop-by-hop headers, secrets and those
-    that the router sets."""
+def encode_request_head(request: Request, tenant: str | None, priority: int | None) -> bytes:
+    """Returns the part that all sends of a request share: the head, up to the point where the headers of
+    one send follow. Headers are unchanged except for hop-by-hop headers, secrets and those that the router
+    sets."""
     dropped = _dropped(request.headers)
     fields = [field for field in request.headers if field[0] not in dropped]
     if tenant is not None:
         fields.append((TENANT, tenant.encode("latin-1", "replace")))
     if priority is not None:
         fields.append((PRIORITY, b"%d" % priority))
-    if request.body or request.method in _METHODS_WITH_BODY or request.header(b"content-length") is not None:
-        fields.append((b"content-length", b"%d" % len(request.body)))
-    head = b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, encode_fields(fields))
-    return head, b"\r\n" + request.body
+    size = request.body_size
+    if size or request.method in _METHODS_WITH_BODY or request.header(b"content-length") is not None:
+        fields.append((b"content-length", b"%d" % size))
+    return b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, encode_fields(fields))
 
 
 def _dropped(headers: Headers) -> frozenset[bytes]:
--- a/cloverrouter/router/ports.py
+++ b/cloverrouter/router/ports.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.client import Address, Call, CallListener
 
 Clock = Callable[[], float]
@@ -36,8 +37,9 @@
         expected_id: bytes = b"",
         id_header: bytes = b"",
         refresh: Callable[[], bytes | None] | None = None,
+        body: Blocks = (),
     ) -> Call:
-        """Starts a call."""
+        """Starts a call that sends `message` and then `body`."""
         ...
 
     def keep_only(self, addresses: set[Address]) -> None:
--- a/cloverrouter/router/request_host.py
+++ b/cloverrouter/router/request_host.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol
 
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.client import Call
 from cloverrouter.placement.options import PlacementOptions
 from cloverrouter.placement.pick import ServicePlacement
@@ -78,7 +79,12 @@
         ...
 
     def send(
-        self, attempt: Attempt, message: bytes, request_id: bytes, refresh: Callable[[], bytes | None]
+        self,
+        attempt: Attempt,
+        message: bytes,
+        request_id: bytes,
+        refresh: Callable[[], bytes | None],
+        body: Blocks,
     ) -> Call:
         """Starts a send; `refresh` returns the message for a connection that was established later, or
         None if the send is no longer wanted."""
--- a/cloverrouter/router/router.py
+++ b/cloverrouter/router/router.py
@@ -9,6 +9,7 @@
 
 from cloverrouter.control.configuration import Configuration, Route
 from cloverrouter.control.routing import RoutingTable
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.client import Call
 from cloverrouter.http.fields import Headers
 from cloverrouter.http.server import Exchange
@@ -261,12 +262,17 @@
         return self._attempt_count
 
     def send(
-        self, attempt: Attempt, message: bytes, request_id: bytes, refresh: Callable[[], bytes | None]
+        self,
+        attempt: Attempt,
+        message: bytes,
+        request_id: bytes,
+        refresh: Callable[[], bytes | None],
+        body: Blocks,
     ) -> Call:
         """Starts a send; `refresh` returns the message for a connection that was established later, or
         None if the send is no longer wanted."""
         address = attempt.server_state.server.address
-        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, refresh)
+        return self._pool.send(address, message, attempt, request_id, ATTEMPT_ID, refresh, body)
 
     def charge_quota(self, admitted: AdmittedRequest, again: bool) -> float:
         """Charges a request against its tenant's quota, if it has one: returns 0.0, or the seconds after
--- a/tests/system/http_world.py
+++ b/tests/system/http_world.py
@@ -45,6 +45,9 @@
 
     def write(self, data: bytes) -> None: ...
 
+    def is_closing(self) -> bool:
+        return self.aborted
+
     def get_write_buffer_size(self) -> int:
         return 0
 
--- a/tests/system/reuse_world.py
+++ b/tests/system/reuse_world.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+from cloverrouter.http.body import Blocks
 from cloverrouter.http.client import Address, Call, CallListener
 from cloverrouter.http.upstream import UpstreamConnection
 from tests.system.router_world import FakeClock, ScriptedExchange, World
@@ -44,6 +45,9 @@
     def get_write_buffer_size(self) -> int:
         return int(self.blocked)
 
+    def is_closing(self) -> bool:
+        return self.aborted
+
     def abort(self) -> None:
         self.aborted = True
 
@@ -135,8 +139,9 @@
         expected_id: bytes = b"",
         id_header: bytes = b"",
         refresh: Callable[[], bytes | None] | None = None,
+        body: Blocks = (),
     ) -> Call:
-        call = Call(message, listener, expected_id, id_header, refresh)
+        call = Call(message, listener, expected_id, id_header, refresh, body)
         wire = self._take_clean(address) or self._open(address)
         wire.transport.blocked = self.blocked
         self.last = wire
--- a/tests/system/router_world.py
+++ b/tests/system/router_world.py
@@ -12,6 +12,7 @@
 import attrs
 
 from cloverrouter.control.configuration import Configuration, Engine, Route, Service, Tenant
+from cloverrouter.http.body import Blocks, join
 from cloverrouter.http.client import Address, Call, CallListener, Failure, Headers
 from cloverrouter.http.server import Exchange, Request
 from cloverrouter.placement.servers import Server
@@ -68,6 +69,7 @@
         message: bytes,
         listener: CallListener,
         refresh: Callable[[], bytes | None] | None,
+        body: Blocks,
     ) -> None:
         self.address = address
         self.listener = listener
@@ -78,10 +80,11 @@
         self.cancelled = False
         self.pauses: list[str] = []
         self.message = message
+        self.body = join(body)
         self._read(message)
 
     def _read(self, message: bytes) -> None:
-        head, _, self.body = message.partition(b"\r\n\r\n")
+        head, _, _ = message.partition(b"\r\n\r\n")
         self.request_line, *lines = head.split(b"\r\n")
         self.fields = [(name, value) for name, _, value in (line.partition(b": ") for line in lines)]
 
@@ -168,8 +171,9 @@
         expected_id: bytes = b"",
         id_header: bytes = b"",
         refresh: Callable[[], bytes | None] | None = None,
+        body: Blocks = (),
     ) -> Call:
-        call = ScriptedCall(address, message, listener, refresh)
+        call = ScriptedCall(address, message, listener, refresh, body)
         assert call.field(id_header) == expected_id
         self.calls.append(call)
         return cast(Call, call)
@@ -195,6 +199,7 @@
         self.body = b""
         self.ended = self.aborted = self.closed = self.left = False
         self.paused = False
+        self.held_answer_bytes = 0
 
     @property
     def done(self) -> bool:
@@ -206,6 +211,9 @@
     def client_gone(self) -> bool:
         return self.left
 
+    def hold_answer(self, size: int) -> None:
+        self.held_answer_bytes = size
+
     def respond(self, status: int, headers: Headers, body: bytes = b"", close: bool = False) -> None:
         if self.done:
             return
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -17,11 +18,14 @@
     PIECE_BYTES,
     Crowd,
     Payload,
+    chunk,
+    chunks,
+    pieces,
     repeated,
     tiny_fields,
     whole,
 )
-from tests.system.crowd_node import CrowdNode, crowd_node, request_head
+from tests.system.crowd_node import BODY_LIMIT_BYTES, CrowdNode, crowd_node, request_head
 
 pytestmark = pytest.mark.crowd
 
@@ -62,6 +66,13 @@
 # Bodies that stop just short of their end
 
 
+@pytest.mark.parametrize("chunk_bytes", [1, 2, 16])
+def test_many_bodies_in_tiny_chunks(tmp_path: Path, chunk_bytes: int) -> None:
+    """A piece of a body takes more memory than its length."""
+    head = request_head("POST", "/x", **CHUNKED)
+    face_clients(tmp_path, whole(head, chunks(40_000 * min(chunk_bytes, 2), chunk_bytes)))
+
+
 def face_two_listeners(folder: Path, payload: Callable[[bytes], Payload], **fields: str) -> None:
     """Crowds of the same clients at the address for clients and at the control plane."""
     to_servers = request_head("POST", "/x", **fields)
@@ -76,6 +87,35 @@
     run(folder, scenario)
 
 
+def test_many_bodies_in_large_chunks(tmp_path: Path) -> None:
+    piece = chunk(b"x" * PIECE_BYTES)
+    face_two_listeners(tmp_path, lambda head: repeated(head, piece, 63), **CHUNKED)
+
+
+def test_many_bodies_of_legal_size_at_once(tmp_path: Path) -> None:
+    body = b"x" * (BODY_LIMIT_BYTES - 1)
+    face_two_listeners(tmp_path, lambda head: whole(head, body), Content_Length=str(BODY_LIMIT_BYTES))
+
+
+def test_many_bodies_of_legal_size_piece_by_piece(tmp_path: Path) -> None:
+    parts = pieces(b"x" * (BODY_LIMIT_BYTES - 1), 8 * 1460)
+
+    def payload(head: bytes) -> Payload:
+        return lambda: itertools.chain([head], parts)
+
+    face_two_listeners(tmp_path, payload, Content_Length=str(BODY_LIMIT_BYTES))
+
+
+def test_many_bodies_that_never_end_at_the_readiness_check(tmp_path: Path) -> None:
+    head = request_head("POST", "/-/readiness", **CHUNKED)
+
+    async def scenario(node: CrowdNode) -> None:
+        payload = whole(head, chunks(MIB // 4, 2))
+        await node.face(Crowd(node.readiness, crowd_of(READINESS_CLIENTS, payload)))
+
+    run(tmp_path, scenario)
+
+
 # Heads and trailers
 
 
@@ -84,6 +124,11 @@
     return request_head("POST", "/x", **CHUNKED)[:-2] + tiny_fields(44_000) + b"\r\n"
 
 
+def test_many_heads_of_tiny_fields(tmp_path: Path) -> None:
+    """Each field is an object of its own; the head is legal, its body never ends."""
+    face_clients(tmp_path, whole(head_of_tiny_fields(), b""))
+
+
 def test_trailers_without_end(tmp_path: Path) -> None:
     head = request_head("POST", "/x", **CHUNKED) + b"1\r\nx\r\n0\r\nx-trailer: "
     face_clients(tmp_path, repeated(head, b"x" * PIECE_BYTES, 64))
@@ -137,6 +182,15 @@
 # Complete requests that wait for a server
 
 
+def test_complete_bodies_that_wait(tmp_path: Path) -> None:
+    face_clients(tmp_path, whole(post("/wait", MIB), b"x" * MIB))
+
+
+def test_complete_bodies_in_tiny_chunks_that_wait(tmp_path: Path) -> None:
+    head = request_head("POST", "/wait", **CHUNKED)
+    face_clients(tmp_path, whole(head, chunks(60_000, 2) + b"0\r\n\r\n"))
+
+
 # All at once
 
 
--- a/tests/system/test_http_server.py
+++ b/tests/system/test_http_server.py
@@ -334,18 +334,22 @@
 
 
 def test_unfinished_bodies_are_bounded_together() -> None:
+    """A body beyond the budget of all gets 503 while another one makes progress; that one is served."""
+
     async def scenario() -> None:
-        server, handler, address = await serve(echo, incomplete_bytes=50_000)
+        server, handler, address = await serve(echo)
+        server.budget.limit_bytes = 150_000
         first, second = await Peer.connect(address), await Peer.connect(address)
-        message = post(b"a" * 40_000)
+        message = post(b"a" * 80_000)
         first.send(message[:-1])
-        await until(lambda: server.incomplete_bytes == 39_999)
+        await until(lambda: server.budget.held_bytes > 79_999)
+        held = server.budget.held_bytes
         second.send(message[:-1])
         assert (await second.answer())[0] == 503
-        assert server.incomplete_bytes == 39_999
+        assert server.budget.held_bytes == held
         first.send(message[-1:])
         assert (await first.answer())[0] == 200
-        assert server.incomplete_bytes == 0 and len(handler.exchanges) == 1
+        assert server.budget.held_bytes == 0 and len(handler.exchanges) == 1
         server.close()
 
     run_scenario(scenario())
--- a/tests/system/wire_world.py
+++ b/tests/system/wire_world.py
@@ -9,6 +9,7 @@
 from cloverrouter.control.configuration import Configuration, Service
 from cloverrouter.http.client import Address, ConnectionPool
 from cloverrouter.http.connection import Stage
+from cloverrouter.http.memory import MemoryBudget
 from cloverrouter.http.server import Server, ServerLimits
 from cloverrouter.placement.servers import Server as ListedServer
 from cloverrouter.router.bounds import RouterBounds
@@ -51,7 +52,8 @@
         self.router.servers_changed([listed])
         self.server = Server(
             self.router.handle,
-            ServerLimits(body_bytes=LARGEST_BODY_BYTES, incomplete_bytes=LARGEST_BODY_BYTES),
+            ServerLimits(body_bytes=LARGEST_BODY_BYTES),
+            MemoryBudget(2 * LARGEST_BODY_BYTES),
         )
         self.address: Address = await self.server.listen("127.0.0.1", 0)
         return self
