Control: many readers of a large configuration no longer fill the memory

What callers saw: 400 clients that read a configuration of 1.3 MB and left it unread took a node to 594,880 KiB.

Cause, two: each read holds the document several times on its way from the head, and all ran at once. And with the budget in place 18 MB were held while the process had 268 MB: glibc raises its threshold for blocks of their own when the first large block is freed, and answers of slightly different sizes then fragment the heap (malloc_trim gave it back; a collection of garbage did not).

Change: two reads at a time, the others take turns within their 3 s; the threshold is set to 128 KiB once (mallopt), which also stops glibc from raising it.

--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -23,6 +23,7 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONCURRENT_ORDERS = 8
+MAX_CONCURRENT_READS = 2  # the document is held several times on its way from the head
 ORDER_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 3.0
 RETRY_AFTER_S = 0.5
@@ -47,6 +48,10 @@
     @property
     def body(self) -> bytes: ...
 
+    @property
+    def body_size(self) -> int:
+        """The length of the body."""
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the value of the first header field of that name, which is given in lower case."""
 
@@ -129,6 +134,7 @@
     def __init__(self, backend: ControlBackend) -> None:
         self._backend = backend
         self._concurrent_orders = 0
+        self._reads = asyncio.Semaphore(MAX_CONCURRENT_READS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._router = bottle.Router()
         for method, rule, handler in self._rules():
@@ -177,8 +183,7 @@
         path = request.target.partition(b"?")[0].decode("latin-1")
         environment = {"REQUEST_METHOD": request.method.decode("latin-1"), "PATH_INFO": path}
         handler, arguments = self._router.match(environment)
-        if len(request.body) > MAX_BODY_BYTES:
-            raise bottle.HTTPError(413, f"the body has more than {MAX_BODY_BYTES} bytes")
+        _check_size(request, MAX_BODY_BYTES)
         return handler, {name: unquote(value) for name, value in (arguments or {}).items()}
 
     async def _order(self, request: ControlRequest) -> Answer:
@@ -197,7 +202,8 @@
         return Answer(reply.status, reply.body)
 
     async def _read(self, request: ControlRequest) -> Answer:
-        document = await self._backend.read()
+        async with self._reads:
+            document = await self._backend.read()
         if document is None:
             return _failure(404, "there is no configuration yet")
         return Answer(200, document)
@@ -227,6 +233,11 @@
         return handler
 
 
+def _check_size(request: ControlRequest, max_bytes: int) -> None:
+    if request.body_size > max_bytes:
+        raise bottle.HTTPError(413, f"the body has more than {max_bytes} bytes")
+
+
 def _json(status: int, body: Any, headers: tuple[tuple[bytes, bytes], ...] = ()) -> Answer:
     return Answer(status, compact(body).encode("ascii"), headers=headers)
 
--- a/cloverrouter/daemon/__main__.py
+++ b/cloverrouter/daemon/__main__.py
@@ -53,6 +53,9 @@
     _leave_tls_out()
     import asyncio
 
+    from cloverrouter.daemon.allocator import return_large_blocks
+
+    return_large_blocks()
     try:
         return asyncio.run(_serve(settings, path))
     finally:
--- a/cloverrouter/fuzz/control_calls.py
+++ b/cloverrouter/fuzz/control_calls.py
@@ -104,6 +104,10 @@
     body: bytes
     if_match: bytes | None
 
+    @property
+    def body_size(self) -> int:
+        return len(self.body)
+
     def header(self, name: bytes) -> bytes | None:
         return self.if_match if name == b"if-match" else None
 
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -10,7 +10,14 @@
 import attrs
 import pytest
 
-from cloverrouter.control.api import MAX_BODY_BYTES, MAX_CONCURRENT_ORDERS, Answer, ControlApi, RegisterReply
+from cloverrouter.control.api import (
+    MAX_BODY_BYTES,
+    MAX_CONCURRENT_ORDERS,
+    MAX_CONCURRENT_READS,
+    Answer,
+    ControlApi,
+    RegisterReply,
+)
 from cloverrouter.control.errors import Redirected, Unavailable
 from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.control.metrics import Metric
@@ -46,6 +53,10 @@
     headers: dict[bytes, bytes] = attrs.field(factory=dict)
     header_count: int = 1  # how often each header field occurs
 
+    @property
+    def body_size(self) -> int:
+        return len(self.body)
+
     def header(self, name: bytes) -> bytes | None:
         return self.headers.get(name)
 
@@ -71,6 +82,7 @@
         self.machine = ConfigurationMachine()
         self.error: Exception | None = None
         self.registered: dict[str, dict[str, Any]] = {}
+        self.waiting_reads = 0
         self.gate = asyncio.Event()
         self.gate.set()
 
@@ -84,7 +96,9 @@
         return send(self.machine, method, if_match, body)
 
     async def read(self) -> bytes | None:
+        self.waiting_reads += 1
         await self._pass_gate()
+        self.waiting_reads -= 1
         return self.machine.state.json() if self.machine.version else None
 
     async def register(self, instance_id: str, body: dict[str, Any]) -> RegisterReply:
@@ -225,6 +239,26 @@
     asyncio.run(run())
 
 
+def test_reads_of_the_configuration_take_turns() -> None:
+    async def run() -> None:
+        backend = Backend()
+        backend.gate.clear()
+        api = ControlApi(backend)
+        read = Call(b"GET", b"/-/configuration")
+        exchanges = [Exchange(read) for _ in range(3 * MAX_CONCURRENT_READS)]
+        for exchange in exchanges:
+            api.handle(exchange)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert backend.waiting_reads == MAX_CONCURRENT_READS
+        backend.gate.set()
+        while not all(exchange.answers for exchange in exchanges):
+            await asyncio.sleep(0)
+        assert {exchange.answers[0][0] for exchange in exchanges} == {404}
+
+    asyncio.run(run())
+
+
 def test_a_server_is_registered_and_withdrawn() -> None:
     backend = Backend()
     body = json.dumps({**ANNOUNCEMENT, "colour": 1}).encode()
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -165,6 +165,16 @@
     run(tmp_path, scenario)
 
 
+def test_a_large_configuration_read_by_many_and_left_unread(tmp_path: Path) -> None:
+    message = b"GET /-/configuration HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def scenario(node: CrowdNode) -> None:
+        crowd = crowd_of(CONTROL_CLIENTS, whole(b"", message * 8))
+        await node.face(Crowd(node.control, crowd), settled_checks=24)
+
+    run(tmp_path, scenario, extra_routes=3000)
+
+
 def test_large_answers_left_unread(tmp_path: Path) -> None:
     message = post("/size/130000", 0)
     face_clients(tmp_path, whole(b"", message * 64))
@@ -194,4 +204,31 @@
 # All at once
 
 
+def test_crowds_of_all_kinds_at_once(tmp_path: Path) -> None:
+    chunked_head = request_head("POST", "/x", **CHUNKED)
+    ready = b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n" * 1600
+    clients = [
+        *crowd_of(30, whole(chunked_head, chunks(80_000, 2))),
+        *crowd_of(30, whole(post("/x", MIB), b"x" * (MIB - 1))),
+        *crowd_of(30, whole(post("/wait", MIB), b"x" * MIB)),
+        *crowd_of(30, whole(head_of_tiny_fields(), b"")),
+        *crowd_of(30, whole(b"", post("/size/130000", 0) * 64)),
+        *crowd_of(20, whole(post("/stream", 0), b"")),
+    ]
+    put = request_head("PUT", "/-/instances/i-1", Content_Length=str(MIB))
+    control = [
+        *crowd_of(100, whole(put, b"x" * 100_000)),
+        *crowd_of(100, whole(b"", b"GET /-/configuration HTTP/1.1\r\nHost: x\r\n\r\n" * 64)),
+    ]
+
+    async def scenario(node: CrowdNode) -> None:
+        await node.face(
+            Crowd(node.frontend, clients),
+            Crowd(node.control, control),
+            Crowd(node.readiness, crowd_of(READINESS_CLIENTS, repeated(b"", ready, 16))),
+        )
+
+    run(tmp_path, scenario)
+
+
 # In calm
