Control: a registration has 64 KiB, orders under way have 8 MiB together

Change: 413 beyond 64 KiB for a registration (one with all of its models has a few KiB); 503 beyond 8 MiB of orders under way, as for the ninth order: it may be a retry of one that was accepted.

--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -22,7 +22,9 @@
 from cloverrouter.control.registration import check_id, read_registration
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_REGISTRATION_BYTES = 64 * 1024
 MAX_CONCURRENT_ORDERS = 8
+MAX_CONCURRENT_ORDER_BYTES = 2 * MAX_BODY_BYTES  # each order under way is held several times
 MAX_CONCURRENT_READS = 2  # the document is held several times on its way from the head
 ORDER_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 3.0
@@ -134,6 +136,7 @@
     def __init__(self, backend: ControlBackend) -> None:
         self._backend = backend
         self._concurrent_orders = 0
+        self._concurrent_order_bytes = 0
         self._reads = asyncio.Semaphore(MAX_CONCURRENT_READS)
         self._tasks: set[asyncio.Task[None]] = set()
         self._router = bottle.Router()
@@ -183,22 +186,27 @@
         path = request.target.partition(b"?")[0].decode("latin-1")
         environment = {"REQUEST_METHOD": request.method.decode("latin-1"), "PATH_INFO": path}
         handler, arguments = self._router.match(environment)
-        _check_size(request, MAX_BODY_BYTES)
+        is_registration = handler == self._register
+        _check_size(request, MAX_REGISTRATION_BYTES if is_registration else MAX_BODY_BYTES)
         return handler, {name: unquote(value) for name, value in (arguments or {}).items()}
 
     async def _order(self, request: ControlRequest) -> Answer:
         # The status is 503, not a refusal: the order may be a retry of one that was already accepted.
-        if self._concurrent_orders >= MAX_CONCURRENT_ORDERS:
-            raise Unavailable(f"{MAX_CONCURRENT_ORDERS} orders are under way")
+        size = request.body_size
+        is_too_much = self._concurrent_order_bytes + size > MAX_CONCURRENT_ORDER_BYTES
+        if is_too_much or self._concurrent_orders >= MAX_CONCURRENT_ORDERS:
+            raise Unavailable(f"{self._concurrent_orders} orders are under way")
         if request.count(b"if-match") > 1:
             raise bottle.HTTPError(400, "more than one If-Match: an order builds on one version")
         match = request.header(b"if-match")
         if_match = None if match is None else match.decode("latin-1")
         self._concurrent_orders += 1
+        self._concurrent_order_bytes += size
         try:
             reply = await self._backend.order(request.method.decode("latin-1"), if_match, request.body)
         finally:
             self._concurrent_orders -= 1
+            self._concurrent_order_bytes -= size
         return Answer(reply.status, reply.body)
 
     async def _read(self, request: ControlRequest) -> Answer:
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -12,8 +12,10 @@
 
 from cloverrouter.control.api import (
     MAX_BODY_BYTES,
+    MAX_CONCURRENT_ORDER_BYTES,
     MAX_CONCURRENT_ORDERS,
     MAX_CONCURRENT_READS,
+    MAX_REGISTRATION_BYTES,
     Answer,
     ControlApi,
     RegisterReply,
@@ -239,6 +241,30 @@
     asyncio.run(run())
 
 
+def test_large_orders_under_way_are_bounded_by_their_bytes() -> None:
+    async def run() -> None:
+        backend = Backend()
+        backend.gate.clear()
+        api = ControlApi(backend)
+        large = put({"version": 3, "x": "x" * (MAX_CONCURRENT_ORDER_BYTES // 2 - 100)})
+        exchanges = [Exchange(large) for _ in range(2)]
+        for exchange in exchanges:
+            api.handle(exchange)
+        await asyncio.sleep(0)
+        assert (await api.answer(large)).status == 503
+        backend.gate.set()
+        while not all(exchange.answers for exchange in exchanges):
+            await asyncio.sleep(0)
+        assert (await api.answer(large)).status != 503
+
+    asyncio.run(run())
+
+
+def test_a_registration_has_a_size_of_its_own() -> None:
+    body = json.dumps({**ANNOUNCEMENT, "colour": "x" * MAX_REGISTRATION_BYTES}).encode()
+    assert ask(Call(b"PUT", b"/-/instances/i-7", body)).status == 413
+
+
 def test_reads_of_the_configuration_take_turns() -> None:
     async def run() -> None:
         backend = Backend()
