Control: orders that take many times their size are refused

Cause: a finding for each invalid item, and no bound on how many objects a document may have.

Change: the review ends after 1,000 findings; a document with more than 200,000 objects and lists is refused. Valid lists have no limit of their own. Open: 600,000 strings in a valid list (285 MB, docs/open-points.md).

--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -16,6 +16,7 @@
 MAX_SHOWN_CHARACTERS = 60
 MAX_NUMBER_CHARACTERS = 18
 MAX_DEPTH = 32
+MAX_CONTAINERS = 200_000  # objects and lists of one document, each of which takes many times its characters
 
 Findings = list[Finding]
 KnownValues = set[tuple[str, type, Any]]
@@ -81,6 +82,9 @@
 
 def read_object(body: bytes, findings: Findings) -> dict[str, Any]:
     """Returns the JSON object of a body. If it can't be read, adds a finding and returns an empty object."""
+    if body.count(b"{") + body.count(b"[") > MAX_CONTAINERS:
+        findings.append(Finding("", f"more than {MAX_CONTAINERS} objects and lists"))
+        return {}
     try:
         document = _decoder().decode(body.decode("utf-8-sig"))
     except json.JSONDecodeError as error:
--- a/cloverrouter/control/review.py
+++ b/cloverrouter/control/review.py
@@ -26,6 +26,7 @@
 from cloverrouter.control.document import ConfigurationState, ToJson, compact
 from cloverrouter.control.errors import ConfigurationInvalid, Finding
 
+MAX_FINDINGS = 1000  # the review ends here: a list of nothing but invalid items would take minutes
 NAMED_SECTIONS = (ROUTES, SERVICES, TENANTS)
 
 Change = Callable[[dict[str, Any], ToJson], ConfigurationState]
@@ -88,12 +89,19 @@
         return document
 
     def valid_items(self, section: str, items: Any, place: str) -> list[Any]:
-        """Returns the items of a list that conform to their schema and have a unique name."""
+        """Returns the items of a list that conform to their schema and have a unique name.
+
+        Raises `ConfigurationInvalid` once there are `MAX_FINDINGS`.
+        """
         if not isinstance(items, list):
             return []
-        return [
-            item for index, item in enumerate(items) if self._is_valid(section, item, f"{place}[{index}]")
-        ]
+        valid = []
+        for index, item in enumerate(items):
+            if self._is_valid(section, item, f"{place}[{index}]"):
+                valid.append(item)
+            if len(self.findings) >= MAX_FINDINGS:
+                raise ConfigurationInvalid(self.findings)
+        return valid
 
     def _is_valid(self, section: str, item: Any, place: str) -> bool:
         name = item.get("name") if isinstance(item, dict) else None
--- a/tests/system/test_http_memory.py
+++ b/tests/system/test_http_memory.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from cloverrouter.control.checks import MAX_CONTAINERS
+from cloverrouter.control.document import ConfigurationState
+from cloverrouter.control.errors import ConfigurationInvalid
+from cloverrouter.control.review import MAX_FINDINGS, review_document
 from cloverrouter.http.body import BLOCK_BYTES, BodyBuffer, join
 from cloverrouter.http.memory import (
     MIN_BUDGET_BYTES,
@@ -187,3 +191,17 @@
 
 
 # Orders that take many times their size
+
+
+def test_the_review_ends_after_many_findings() -> None:
+    body = b'{"version":1,"route-table":[' + b"[]," * 100_000 + b"[]]}"
+    with pytest.raises(ConfigurationInvalid) as caught:
+        review_document(body, ConfigurationState())
+    assert len(caught.value.findings) <= MAX_FINDINGS + 1
+
+
+def test_a_document_of_too_many_containers_is_refused() -> None:
+    body = b'{"version":1,"x":[' + b"[]," * MAX_CONTAINERS + b"[]]}"
+    with pytest.raises(ConfigurationInvalid) as caught:
+        review_document(body, ConfigurationState())
+    assert [finding.place for finding in caught.value.findings] == [""]
