HTTP server: stalled requests make room for new connections

What callers saw: while a crowd held all connections with requests that never end, others got 503 until the crowd timed out.

Cause: only lingering and idle connections gave way to a new one.

--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -14,7 +14,7 @@
 from cloverrouter.http.connection import ServerConnection, Stage
 from cloverrouter.http.exchange import Exchange
 from cloverrouter.http.fields import Headers
-from cloverrouter.http.memory import MemoryBudget
+from cloverrouter.http.memory import STALL_S, MemoryBudget
 from cloverrouter.http.request import Request, ServerLimits
 from cloverrouter.http.sockets import READ_BYTES, bind
 
@@ -119,16 +119,32 @@
             self._adopt(ServerConnection(self, sock), sock)
 
     def _make_room(self) -> bool:
-        """Closes a lingering connection or else an idle one; returns False if there is none."""
+        """Closes a lingering connection, else an idle one, else one whose request has stalled.
+
+        Returns False if there is none.
+        """
         for connection in self._stages[Stage.LINGERING]:
             if not connection.has_unsent_data:
                 connection.drop()
                 return True
-        return any(
+        closed_idle = any(
             connection.close_idle()
             for stage in (Stage.IDLE, Stage.FRESH)
             for connection in list(self._stages[stage])
         )
+        return closed_idle or self._end_stalled_request()
+
+    def _end_stalled_request(self) -> bool:
+        """Closes the connection whose incomplete request has stalled longest, if it has for `STALL_S`."""
+        incomplete = [*self._stages[Stage.HEAD], *self._stages[Stage.BODY]]
+        stalled = min(incomplete, key=lambda connection: connection.stalled_since_s, default=None)
+        if stalled is None or stalled.stalled_since_s > self.loop.time() - STALL_S:
+            return False
+        if stalled.has_unread_input:
+            return False
+        stalled.refuse(503)
+        stalled.drop()
+        return True
 
     # Used by the connections
 
--- a/tests/system/test_http_memory.py
+++ b/tests/system/test_http_memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cloverrouter.control.checks import MAX_CONTAINERS
@@ -190,6 +192,21 @@
     run_scenario(scenario())
 
 
+def test_a_stalled_request_makes_room_for_a_connection() -> None:
+    async def scenario() -> None:
+        server, _, address = await serve(lambda exchange: exchange.respond(200), max_connections=1)
+        stalled = await Peer.connect(address)
+        stalled.send(CHUNKED_HEAD)
+        await asyncio.sleep(2 * STALL_S)
+        peer = await Peer.connect(address)
+        peer.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await peer.answer())[0] == 200
+        assert (await stalled.answer())[0] == 503
+        server.close()
+
+    run_scenario(scenario())
+
+
 # Orders that take many times their size
 
 
