--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -31,6 +31,8 @@
 # on its way. A busy connection closes with its next response in any case, and on an idle one a request is
 # unlikely.
 DRAIN_IDLE_S = 0.1
+# A body that keeps coming at this rate does not time out.
+MIN_BODY_BYTES_PER_S = 40_000
 DEFAULT_BUDGET_BYTES = 48 * 1024 * 1024
 # Once 1/IDLE_LIMIT_DIVISOR of the allowed connections is idle, connections close after their responses.
 IDLE_LIMIT_DIVISOR = 2
@@ -177,7 +179,9 @@
         for connection in self._in_stage_since(Stage.HEAD, now_s - limits.head_timeout_s):
             connection.refuse(408)
         for connection in self._in_stage_since(Stage.BODY, now_s - limits.body_timeout_s):
-            connection.refuse(408)
+            overdue_s = now_s - connection.stage_since_s - limits.body_timeout_s
+            if connection.received_bytes < overdue_s * MIN_BODY_BYTES_PER_S:
+                connection.refuse(408)
         for connection in self._in_stage_since(Stage.WRITE_BLOCKED, now_s - WRITE_TIMEOUT_S):
             connection.drop()
         for connection in self._in_stage_since(Stage.LINGERING, now_s - LINGER_TIMEOUT_S):
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -232,3 +232,20 @@
 
 
 # In calm
+
+
+@pytest.mark.parametrize("chunk_bytes", [0, PIECE_BYTES, 1])
+def test_a_single_body_of_the_largest_size_is_served_in_calm(tmp_path: Path, chunk_bytes: int) -> None:
+    """With its length, and in chunks of 64 KB and of one byte."""
+    if chunk_bytes:
+        head = request_head("POST", "/x", **CHUNKED)
+        message = head + chunks(BODY_LIMIT_BYTES, chunk_bytes) + b"0\r\n\r\n"
+    else:
+        message = post("/x", BODY_LIMIT_BYTES) + b"x" * BODY_LIMIT_BYTES
+
+    async def scenario(node: CrowdNode) -> None:
+        assert await node.send(message) == 200
+        assert node.stand_in.received_bytes == BODY_LIMIT_BYTES
+        await node.face()
+
+    run(tmp_path, scenario)
--- a/tests/system/test_http_memory.py
+++ b/tests/system/test_http_memory.py
@@ -123,6 +123,22 @@
     reader.close()
 
 
+def test_a_body_that_keeps_coming_does_not_time_out() -> None:
+    async def scenario() -> None:
+        server, handler, address = await serve(body_timeout_s=0.3)
+        peer = await Peer.connect(address)
+        piece = b"x" * 20_000
+        peer.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (20 * len(piece)))
+        for _ in range(20):
+            peer.send(piece)
+            await asyncio.sleep(0.05)
+        exchange = await handler.request()
+        assert exchange.request.body_size == 20 * len(piece)
+        server.close()
+
+    run_scenario(scenario())
+
+
 def test_answers_given_at_once_pause_reading_when_unread() -> None:
     """Requests sent ahead to a handler that answers at once, whose answers nobody reads."""
 
