Client proxy: small pieces of an upload are joined

What callers saw: uploads in very small chunks took the client proxy over its memory, though its streams were within their budget.

Cause: an object for each piece; the budget counts their bytes.

Change: pieces are joined up to 16 KiB.

--- a/cloverrouter/proxy/streams.py
+++ b/cloverrouter/proxy/streams.py
@@ -15,6 +15,9 @@
 MIN_BUDGET_BYTES = 2 * 1024 * 1024
 RESERVED_MB = 40  # for the program, two processes of it during an upgrade, and bodies that are buffered whole
 BUDGET_SHARE = 0.25  # of the remaining memory
+JOINED_PIECE_BYTES = (
+    16 * 1024
+)  # pieces of a body are joined up to this size: each object costs more than its bytes
 
 
 class Budget:
@@ -47,7 +50,7 @@
         self.on_consumed: Callable[[], None] | None = None  # called once, before the first piece is sent
         self._budget = budget
         self._resume = resume
-        self._pieces: deque[bytes] = deque()
+        self._pieces: deque[bytes | bytearray] = deque()
         self._held_bytes = 0
 
     @property
@@ -62,7 +65,11 @@
 
     def feed(self, data: bytes) -> None:
         """Appends a received piece. `notify` has to be called after it."""
-        self._pieces.append(data)
+        last = self._pieces[-1] if self._pieces else None
+        if isinstance(last, bytearray) and len(last) + len(data) <= JOINED_PIECE_BYTES:
+            last += data
+        else:
+            self._pieces.append(bytearray(data) if len(data) < JOINED_PIECE_BYTES else data)
         self.size += len(data)
         self._adjust_held(len(data))
 
@@ -75,7 +82,7 @@
         """Returns the next piece, or None if there is none now. Resumes a paused client."""
         if not self._pieces:
             return None
-        data = self._pieces.popleft()
+        data = bytes(self._pieces.popleft())
         if not self.consumed:
             self.consumed = True
             if self.on_consumed is not None:
