Client proxy: trailers without end are refused

Change: 431 where more than a head may have arrives within a body without a byte of it; the control address takes 64 KiB in all (413). A parser that holds such a field goes with the refusal, not with the connection's end.

--- a/cloverrouter/proxy/admin.py
+++ b/cloverrouter/proxy/admin.py
@@ -21,6 +21,7 @@
 CALL_TIMEOUT_S = 2.0  # from connecting to the request's last byte, and again from the answer to the close
 MAX_HEAD_BYTES = 8 * 1024
 MAX_BODY_BYTES = 1024  # enough for a server's id
+MAX_REQUEST_BYTES = 64 * 1024  # with the framing of the body, and a trailer
 BACKLOG = 256
 Reply = tuple[int, str]
 log = logging.getLogger(__name__)
@@ -98,7 +99,7 @@
         self._timer = asyncio.get_running_loop().call_later(CALL_TIMEOUT_S, self.abort)
         self._target = b""
         self._body = bytearray()
-        self._head_bytes = 0
+        self._head_bytes = self._received_bytes = 0
         self._in_head = True
         self._length_headers = 0
         self._error_status = 0
@@ -116,6 +117,7 @@
     def data_received(self, data: bytes) -> None:
         if self._answered or self._parser is None:
             return
+        self._received_bytes += len(data)
         if self._in_head:
             self._head_bytes += len(data)
         try:
@@ -124,6 +126,8 @@
             self._error_status = self._error_status or 400
         if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
             self._error_status = self._error_status or 431
+        if self._received_bytes > MAX_REQUEST_BYTES:
+            self._error_status = self._error_status or 413
         if self._error_status:
             self._answer(self._error_status, phrase(self._error_status).lower() + "\n")
         elif self._complete:
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -230,7 +230,7 @@
         self._headers: dict[bytes, bytes] = {}
         self._target = b""
         self._body = bytearray()
-        self._head_size = self._unparsed_head_bytes = 0
+        self._head_size = self._unparsed_head_bytes = self._bytes_since_body = 0
         self._in_head = True
 
     # asyncio.BufferedProtocol: all connections share one buffer, as each read is consumed immediately
@@ -248,6 +248,7 @@
         if self._parser is None:
             self._parser = httptools.HttpRequestParser(self)
         self._request_completed = False
+        self._bytes_since_body += nbytes
         try:
             self._parser.feed_data(self._frontend.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -256,6 +257,8 @@
             self._unparsed_head_bytes += nbytes  # the parser does not report a header that never ends
             if self._unparsed_head_bytes > MAX_HEAD_BYTES:
                 self._error_status = self._error_status or 431
+        elif not self._in_head and self._bytes_since_body > MAX_HEAD_BYTES:
+            self._error_status = self._error_status or 431  # nor a trailer that never ends
         if self._error_status:
             self._fail_connection(self._error_status)
         else:
@@ -355,7 +358,7 @@
             self._headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
-        self._in_head, self._body_size = False, 0
+        self._in_head, self._body_size, self._bytes_since_body = False, 0, 0
         self._body_since_s = self._frontend.loop.time()
         parser, headers = self._parser, self._headers
         assert parser is not None
@@ -377,6 +380,7 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
+        self._bytes_since_body = 0
         self._body_size += len(body)
         if self._body_size > MAX_BODY_BYTES:
             self._error_status = self._error_status or 413
@@ -566,6 +570,7 @@
             return
         transport.write(encode_response(status, b"", b"", True))
         self._half_close()
+        self._parser = None  # it may hold a large part of a head or of a trailer
 
     def _cancel_calls(self) -> None:
         """Cancels the open call and those that wait."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -109,6 +109,14 @@
     face(of_all(lambda number: whole(head(number, length), body)))
 
 
+def test_trailers_without_end() -> None:
+    def payload(number: int) -> Payload:
+        start = head(number, CHUNKED) + b"1\r\nx\r\n0\r\nx-trailer: "
+        return repeated(start, b"x" * PIECE_BYTES, 32)
+
+    face(of_all(payload))
+
+
 def test_health_checks_sent_ahead() -> None:
     message = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
     face(of_all(lambda number: repeated(b"", message * 15, 2000)))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -138,6 +138,11 @@
 # Requests
 
 
+ENDLESS_TRAILER = (
+    b"POST /admin/cordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nh0\r\n0\r\nA: " + b"x" * 100_000
+)
+
+
 @pytest.mark.parametrize(
     ("call", "status"),
     [
@@ -153,6 +158,7 @@
         (b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 9999\r\n\r\nh0", 413),
         (b"POST /admin/cordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + b"h" * 2048, 413),
         (b"POST /admin/cordon HTTP/1.1\r\n" + b"A: b\r\n" * 3000, 431),
+        (ENDLESS_TRAILER, 413),
         (b"what is this\r\n\r\n", 400),
     ],
 )
