Client proxy: heads, small bodies and answers unread have a budget

What callers saw: 400 legal heads of 4,000 tiny fields took the client proxy to 158,328 KiB (bound 70,312).

Cause: only the bytes of streams were counted; a field takes 160 bytes beyond its characters.

Change: the budget of http/memory.py for the client proxy's own server, of the same size as the streams': heads, bodies that are buffered, calls that wait, answers unread. Stalled requests give way with 503, then the one that wants more; an open call's connection closes without an answer. A call that arrives whole and has less than 4 KiB is not counted, so its cost is as before.

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import re
 import socket
 import time
@@ -20,6 +21,7 @@
 
 from cloverrouter.http.acceptor import Acceptor
 from cloverrouter.http.fields import encode_response
+from cloverrouter.http.memory import FIELD_BYTES, REQUEST_BYTES, UNCHARGED_BYTES, MemoryBudget
 from cloverrouter.http.sockets import READ_BYTES, hung_up, reset_at_close, unread
 from cloverrouter.http.sockets import bind as bind
 from cloverrouter.interface import Idempotency
@@ -224,6 +226,8 @@
         self._answer_streamed = False  # the last answer was streamed
         self._framed_by_close = False  # the streamed answer ends with the connection
         self._unsent_bytes = 0  # write buffer size at the last sweep
+        self._charge = 0  # what the memory budget counts for this connection
+        self._received_s = 0.0  # when the client last sent something
         self._reset()
 
     def _reset(self) -> None:
@@ -261,6 +265,8 @@
             self._error_status = self._error_status or 431  # nor a trailer that never ends
         if self._error_status:
             self._fail_connection(self._error_status)
+        elif not self._charge_input():
+            self._fail_for_memory()
         else:
             self._dispatch_next()
             self._forward_upload()
@@ -321,6 +327,67 @@
         self._frontend.remove(self)
         self._set_held_bytes(0)
         self._cancel_calls()
+        self._reset()
+        self.update_charge()
+
+    # Memory: `http.memory.Holder`
+
+    def update_charge(self) -> None:
+        """Reports to the budget what the connection's requests and its buffered answers hold now."""
+        held = 0
+        if self._in_request and not self._ended:
+            held += REQUEST_BYTES + self._head_size + self._unparsed_head_bytes
+            held += len(self._headers) * FIELD_BYTES + len(self._body) + self._bytes_since_body
+        for call in (self._open_call, *self._waiting):
+            if call is not None:
+                held += REQUEST_BYTES + len(call.target) + len(call.body)
+        if self._transport is not None and not self._answer_streamed:
+            held += self._transport.get_write_buffer_size()
+        charge = held if held > UNCHARGED_BYTES else 0
+        if charge != self._charge:
+            self._charge = charge
+            self._frontend.requests_budget.charge(self, charge)
+
+    @property
+    def stalled_since_s(self) -> float:
+        """When the client last sent a part of a request; infinite while a call or an answer is under way."""
+        if self.busy or self.sending or not self._in_request or self.unread:
+            return math.inf
+        return self._received_s
+
+    def give_way(self) -> None:
+        """Answers the incomplete request with status 503."""
+        self._fail_connection(503)
+
+    def _charge_input(self) -> bool:
+        """Counts what has arrived; returns whether there is memory for it."""
+        before = self._charge
+        if not before and not self._in_request and self._is_single_small_call():
+            return True
+        now_s = self._received_s = self._frontend.loop.time()
+        self.update_charge()
+        budget = self._frontend.requests_budget
+        if self._charge <= before or budget.has_room(self._charge):
+            return True
+        return budget.make_room(self._charge, now_s)
+
+    def _is_single_small_call(self) -> bool:
+        """Whether at most one call waits, and holds too little to be charged."""
+        if not self._waiting:
+            return True
+        return len(self._waiting) == 1 and len(self._waiting[0].body) < UNCHARGED_BYTES // 2
+
+    def _fail_for_memory(self) -> None:
+        """Ends a connection whose input exceeds the budget.
+
+        A call that is open may have been executed, so its connection closes without an answer: 503 would say
+        the contrary.
+        """
+        if self._open_call is None:
+            self._fail_connection(503)
+        else:
+            self._cancel_calls()
+            self.end()
 
     def pause_writing(self) -> None:
         self._paused, self.state_since_s = True, self._frontend.loop.time()
@@ -488,6 +555,8 @@
         upload_incomplete = call.upload is not None and not call.upload.ended
         if call.upload is not None:
             call.upload.drop()
+        if self._charge:
+            self.update_charge()
         if close:
             self._ended = True
             self._cancel_calls()
@@ -571,6 +640,7 @@
         transport.write(encode_response(status, b"", b"", True))
         self._half_close()
         self._parser = None  # it may hold a large part of a head or of a trailer
+        self.update_charge()
 
     def _cancel_calls(self) -> None:
         """Cancels the open call and those that wait."""
@@ -695,8 +765,10 @@
         figures: Metrics | None = None,
         budget: Budget | None = None,
     ) -> None:
+        """`budget` bounds the streams; what other requests hold has a budget of the same size."""
         super().__init__()
         self.budget = budget or Budget(0)
+        self.requests_budget = MemoryBudget(self.budget.limit_bytes)
         self.figures = figures or Metrics(classes)
         self.handler = handler
         self.classes = classes
@@ -852,6 +924,7 @@
         crowded = len(self._connections) > self._max_open // 2
         for connection in list(self._connections):
             connection.check_timeouts(now_s, crowded)
+        self.requests_budget.refresh()
         if self.draining:
             self.close_idle()
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable
+from itertools import product
+from string import ascii_lowercase
 
 import pytest
 
@@ -109,6 +111,13 @@
     face(of_all(lambda number: whole(head(number, length), body)))
 
 
+def test_many_heads_of_tiny_fields() -> None:
+    """Each field is an object of its own; the head is legal, its body never ends."""
+    names = ["".join(letters) for letters in product(ascii_lowercase, repeat=3)][:4000]
+    fields = [f"{name}:" for name in names]
+    face(of_all(lambda number: whole(head(number, CHUNKED, *fields), b"")))
+
+
 def test_trailers_without_end() -> None:
     def payload(number: int) -> Payload:
         start = head(number, CHUNKED) + b"1\r\nx\r\n0\r\nx-trailer: "
