--- a/tests/crowd_members.py
+++ b/tests/crowd_members.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import resource
 import socket
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
@@ -15,6 +16,7 @@
 SETTLED_CHECKS = 6
 MAX_CHECKS = 80
 PIECE_BYTES = 64 * 1024
+MAX_DESCRIPTORS = 8192
 
 Address = tuple[str, int]
 Payload = Callable[[], Iterator[bytes]]
@@ -69,6 +71,14 @@
             member.close()
 
 
+def allow_descriptors() -> None:
+    """Lets this process and its children open as many descriptors as a crowd and its node need."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, MAX_DESCRIPTORS)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def pieces(data: bytes, size: int = PIECE_BYTES) -> list[bytes]:
     """Splits data into pieces of this size."""
     return [data[start : start + size] for start in range(0, len(data), size)]
--- a/tests/system/crowd_node.py
+++ b/tests/system/crowd_node.py
@@ -12,7 +12,15 @@
 from typing import Any
 
 from cloverrouter.lab.fleet import deployment, nodes, wire
-from tests.crowd_members import SETTLED_CHECKS, Address, Crowd, descriptors, peak_kib, settle
+from tests.crowd_members import (
+    SETTLED_CHECKS,
+    Address,
+    Crowd,
+    allow_descriptors,
+    descriptors,
+    peak_kib,
+    settle,
+)
 
 MEMORY_MB = 96
 DESCRIPTORS = 1400
@@ -218,6 +226,7 @@
     descriptors: int = DESCRIPTORS,
 ) -> AsyncIterator[CrowdNode]:
     """Starts a node and a server; yields them once an ordinary request is answered."""
+    allow_descriptors()
     prefix = deployment.choose_loopback_prefix(1, folder)
     spec = nodes.NodeSpec("edge-1", f"{prefix}.1", deployment.ZONES[0], has_disk=True)
     fleet = nodes.FleetSettings(
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -20,6 +20,7 @@
     Address,
     Crowd,
     Payload,
+    allow_descriptors,
     chunk,
     chunks,
     descriptors,
@@ -61,6 +62,7 @@
     """Lets the crowd send; checks that the process lives, its bounds, and an ordinary call."""
 
     async def scenario() -> None:
+        allow_descriptors()
         host, discovery = await Host("h").start(), await Discovery().start()
         limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
         async with running(discovery, [host], configuration={"limits": limits}) as proxy:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -118,7 +118,7 @@
                     running(discovery, hosts, settings=settings, configuration=told)
                 )
             )
-        # Last: a connection without a request is closed after two seconds, and the second proxy may take longer.
+        # Last: a connection without a request is closed after two seconds; the second proxy may take longer.
         yield proxies, [await proxy.client() for proxy in proxies], ports
 
 
