HTTP server: clients that read nothing make room for new connections

What callers saw: 64 connections with requests sent ahead and answers unread held all connections of the readiness check for 10 s; the platform's own checks got 503 meanwhile.

Cause: only lingering, idle and stalled incomplete requests gave way.

Change: so does a connection without a request in progress whose client has read nothing for 0.5 s. One with a request in progress has its 10 s as before. Test: test_unread_answers_make_room_for_a_connection fails without the change.

--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -469,9 +469,11 @@
         return True
 
     @property
-    def has_unread_input(self) -> bool:
-        """Whether the client has sent something that has not been read yet."""
-        return unread(self._sock)
+    def may_give_way(self) -> bool:
+        """Whether the connection has no request in progress, and no input that may complete one."""
+        if self.stage in (Stage.HEAD, Stage.BODY):
+            return not unread(self._sock)
+        return self._exchange is None
 
     @property
     def received_bytes(self) -> int:
--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from operator import attrgetter
 
 from cloverrouter.http.acceptor import Acceptor
 from cloverrouter.http.connection import ServerConnection, Stage
@@ -121,7 +122,7 @@
             self._adopt(ServerConnection(self, sock), sock)
 
     def _make_room(self) -> bool:
-        """Closes a lingering connection, else an idle one, else one whose request has stalled.
+        """Closes a lingering connection, else an idle one, else one whose client has stalled.
 
         Returns False if there is none.
         """
@@ -134,19 +135,26 @@
             for stage in (Stage.IDLE, Stage.FRESH)
             for connection in list(self._stages[stage])
         )
-        return closed_idle or self._end_stalled_request()
-
-    def _end_stalled_request(self) -> bool:
-        """Closes the connection whose incomplete request has stalled longest, if it has for `STALL_S`."""
-        incomplete = [*self._stages[Stage.HEAD], *self._stages[Stage.BODY]]
-        stalled = min(incomplete, key=lambda connection: connection.stalled_since_s, default=None)
-        if stalled is None or stalled.stalled_since_s > self.loop.time() - STALL_S:
-            return False
-        if stalled.has_unread_input:
-            return False
-        stalled.refuse(503)
-        stalled.drop()
-        return True
+        return closed_idle or self._end_stalled()
+
+    def _end_stalled(self) -> bool:
+        """Closes the connection that has stalled longest, for `STALL_S` at least, without a request in progress.
+
+        Returns False if there is none.
+        """
+        stalled_before_s = self.loop.time() - STALL_S
+        stalled = [
+            connection
+            for stage in (Stage.HEAD, Stage.BODY, Stage.WRITE_BLOCKED)
+            for connection in self._stages[stage]
+            if connection.stalled_since_s <= stalled_before_s
+        ]
+        for connection in sorted(stalled, key=attrgetter("stalled_since_s")):
+            if connection.may_give_way:
+                connection.give_way()
+                connection.drop()
+                return True
+        return False
 
     # Used by the connections
 
--- a/tests/system/test_http_memory.py
+++ b/tests/system/test_http_memory.py
@@ -223,6 +223,26 @@
     run_scenario(scenario())
 
 
+def test_unread_answers_make_room_for_a_connection() -> None:
+    """The readiness check is still answered when clients that read nothing have all connections."""
+
+    async def scenario() -> None:
+        server, _, address = await serve(
+            lambda exchange: exchange.respond(200, [], b"x" * 1000), max_connections=1
+        )
+        blocked = await Peer.connect(address)
+        for _ in range(400):
+            blocked.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 100)
+        await until(lambda: server.reading_paused)
+        await asyncio.sleep(2 * STALL_S)
+        peer = await Peer.connect(address)
+        peer.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await peer.answer())[0] == 200
+        server.close()
+
+    run_scenario(scenario())
+
+
 # Orders that take many times their size
 
 
