--- a/cloverrouter/http/connection.py
+++ b/cloverrouter/http/connection.py
@@ -146,7 +146,8 @@
         """Writes to the transport at once."""
         if self._transport is not None:
             self._transport.write(data)
-            self._charge_unsent()
+            if self._charge or self._transport.get_write_buffer_size() > UNCHARGED_BYTES:
+                self._charge_unsent()
 
     def write_soon(self, data: bytes) -> None:
         """Queues data to be written at the end of this turn of the loop.
@@ -163,7 +164,8 @@
         if pending and self._transport is not None:
             self._pending = []
             self._transport.write(b"".join(pending))
-            self._charge_unsent()
+            if self._charge or self._transport.get_write_buffer_size() > UNCHARGED_BYTES:
+                self._charge_unsent()
 
     def response_written(self, close: bool) -> None:
         """Called when the last byte of a response has been written."""
@@ -223,11 +225,11 @@
             provisional = reader.limits.provisional and reader.error in (413, 431)
             self.refuse(503 if provisional else reader.error)
             return
-        if reader.begun:
+        if reader.begun or reader.waiting_bytes > UNCHARGED_BYTES or self._charge:
             self._progress_s = self._server.loop.time()
-        if (reader.held_bytes > UNCHARGED_BYTES or self._charge) and not self._charge_input():
-            self._refuse_for_memory()
-            return
+            if not self._charge_input():
+                self._refuse_for_memory()
+                return
         self._next()
         # A handler that responds at once leaves requests waiting without one in progress.
         if (self._exchange is not None or self.paused or reader.ready) and self._is_pipeline_full(reader):
@@ -394,9 +396,6 @@
 
         Not at once: other connections may have to close, and their handlers are called only from the loop.
         """
-        assert self._transport is not None
-        if not self._charge and self._transport.get_write_buffer_size() <= UNCHARGED_BYTES:
-            return
         before = self._charge
         self.update_charge()
         if self._charge > before and not self._server.budget.has_room(self._charge):
--- a/cloverrouter/http/server.py
+++ b/cloverrouter/http/server.py
@@ -138,7 +138,7 @@
         return closed_idle or self._end_stalled()
 
     def _end_stalled(self) -> bool:
-        """Closes the connection that has stalled longest, for `STALL_S` at least, without a request in progress.
+        """Closes the connection that has stalled longest, of those that have no request in progress.
 
         Returns False if there is none.
         """
