--- a/cloverrouter/router/attempt.py
+++ b/cloverrouter/router/attempt.py
@@ -201,6 +201,7 @@
             self._abort(End.SPOILT if self.verdict is Verdict.FAILED else End.REJECTED)
             return
         body, self._body = b"".join(self._body), []
+        self.owner.on_answer_buffered(0)
         self._begin_stream(None, has_events=False)
         if not self.is_over:
             self.owner.on_stream_data(self, body)
--- a/tests/system/test_router_requests.py
+++ b/tests/system/test_router_requests.py
@@ -8,7 +8,7 @@
 from cloverrouter.http.client import ConnectionPool
 from cloverrouter.placement.quota import QuotaHolder
 from cloverrouter.router.ports import Pool, Quota
-from tests.system.router_world import CONFIGURATION, EVENTS, KEY, SIGNED, World, event, tenant
+from tests.system.router_world import CHUNKED, CONFIGURATION, EVENTS, KEY, SIGNED, World, event, tenant
 
 
 @pytest.fixture
@@ -232,6 +232,18 @@
     assert len(exchange.body) == size
 
 
+def test_an_answer_counts_as_held_while_it_is_buffered(world: World) -> None:
+    """One of unknown length is buffered first, and forwarded as it comes once it has outgrown the buffer."""
+    exchange = world.ask("/once/x")
+    world.last.head(200, SIGNED, CHUNKED)
+    world.last.data(b"x" * 100_000)
+    assert (exchange.held_answer_bytes, exchange.body) == (100_000, b"")
+    world.last.data(b"x" * 100_000)
+    assert (exchange.held_answer_bytes, len(exchange.body)) == (0, 200_000)
+    world.last.end()
+    assert exchange.ended
+
+
 def test_the_answer_to_head_has_no_body(world: World) -> None:
     exchange = world.ask("/once/x", method=b"HEAD", body=b"")
     world.last.head(200, SIGNED, length=17)
