Tests: crowds at each answer without a server

401 and 503 beside 400 and 404, their requests sent ahead; 400 and 431 beside 413, sent on after the refusal. Crowds and bounds of the others are as they were; the configuration has two more routes and a tenant for it.

--- a/tests/system/crowd_node.py
+++ b/tests/system/crowd_node.py
@@ -26,7 +26,8 @@
 DESCRIPTORS = 1400
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 HOST = "crowd.example"
-SERVICE = "desk"
+SERVICE, EMPTY_SERVICE = "desk", "empty"
+KEYED_PATH, EMPTY_PATH = "/keyed/", "/empty/"
 READY_WITHIN_S = 30.0
 ANSWERED_WITHIN_S = 60.0
 EVENT = b"id: 1\ndata: " + b"x" * 16_000 + b"\n\n"
@@ -182,7 +183,7 @@
 
 
 def configuration(body_limit_bytes: int, extra_routes: int) -> dict[str, Any]:
-    """One route for all paths, and more of them to make the document large."""
+    """A route for all paths, one that needs a key, one without a server, and more to make it large."""
     route = {
         "name": "r",
         "hostname": HOST,
@@ -197,7 +198,9 @@
         "session-affinity": False,
         "stream-resumption": False,
     }
-    routes = [route]
+    keyed = {**route, "name": "r-keyed", "path-prefix": KEYED_PATH, "anonymous-access": False}
+    empty = {**route, "name": "r-empty", "path-prefix": EMPTY_PATH, "backend": EMPTY_SERVICE}
+    routes = [route, keyed, empty]
     routes += [
         {**route, "name": f"r-{n}", "path-prefix": f"/{n}-" + "p" * 200 + "/"} for n in range(extra_routes)
     ]
@@ -214,7 +217,10 @@
         "header-timeout-ms": 3000,
         "idle-timeout-ms": 15_000,
     }
-    return {"version": 1, "route-table": routes, "backends": [backend], "limits": limits}
+    backends = [backend, {**backend, "name": EMPTY_SERVICE}]
+    tenant = {"name": "t", "api-keys": ["k-1"], "priority": 1, "rate-per-s": 0, "burst-size": 0}
+    document = {"version": 1, "route-table": routes, "backends": backends, "limits": limits}
+    return {**document, "tenants": [tenant]}
 
 
 @asynccontextmanager
--- a/tests/system/test_crowds.py
+++ b/tests/system/test_crowds.py
@@ -25,7 +25,14 @@
     tiny_fields,
     whole,
 )
-from tests.system.crowd_node import BODY_LIMIT_BYTES, CrowdNode, crowd_node, request_head
+from tests.system.crowd_node import (
+    BODY_LIMIT_BYTES,
+    EMPTY_PATH,
+    KEYED_PATH,
+    CrowdNode,
+    crowd_node,
+    request_head,
+)
 
 pytestmark = pytest.mark.crowd
 
@@ -147,12 +154,24 @@
     run(tmp_path, scenario)
 
 
-@pytest.mark.parametrize("path", ["/nothing", "/no-attempt-id"])
-def test_requests_sent_ahead_that_no_server_gets(tmp_path: Path, path: str) -> None:
-    """404 for another host, 400 without an attempt id: answers without a server."""
-    fields = b"Host: other\r\nCypresswinch-Attempt-Id: a\r\n" if path == "/nothing" else b"Host: x\r\n"
-    message = b"GET %b HTTP/1.1\r\n%b\r\n" % (path.encode(), fields)
-    face_clients(tmp_path, repeated(b"", message * (PIECE_BYTES // len(message)), 32))
+WITHOUT_SERVER = {
+    400: b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",  # no attempt id
+    401: request_head("GET", KEYED_PATH),
+    404: request_head("GET", "/", Host="other.example"),
+    503: request_head("GET", EMPTY_PATH),
+}
+
+
+@pytest.mark.parametrize("status", WITHOUT_SERVER)
+def test_requests_sent_ahead_that_no_server_gets(tmp_path: Path, status: int) -> None:
+    message = WITHOUT_SERVER[status]
+    payload = repeated(b"", message * (PIECE_BYTES // len(message)), 32)
+
+    async def scenario(node: CrowdNode) -> None:
+        assert await node.send(message) == status
+        await node.face(Crowd(node.frontend, crowd_of(CLIENTS, payload)))
+
+    run(tmp_path, scenario)
 
 
 def test_requests_sent_ahead_at_the_control_plane(tmp_path: Path) -> None:
@@ -184,9 +203,15 @@
     face_clients(tmp_path, whole(post("/stream", 0), b""))
 
 
-def test_requests_that_are_refused_and_go_on(tmp_path: Path) -> None:
-    """413: a body over the limit, sent on after the refusal."""
-    face_clients(tmp_path, repeated(post("/x", 64 * MIB), b"x" * PIECE_BYTES, 64))
+@pytest.mark.parametrize("status", [400, 413, 431])
+def test_requests_that_are_refused_and_go_on(tmp_path: Path, status: int) -> None:
+    """Framing that is ambiguous, a body and a head over their limits, sent on after the refusal."""
+    start = {
+        400: request_head("POST", "/x", Content_Length="5", Transfer_Encoding="chunked"),
+        413: post("/x", 64 * MIB),
+        431: request_head("POST", "/x")[:-2] + b"x-large: ",
+    }
+    face_clients(tmp_path, repeated(start[status], b"x" * PIECE_BYTES, 64))
 
 
 # Complete requests that wait for a server
