--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -90,7 +90,7 @@
         bounds: dict[str, Any] = BOUNDS,
     ) -> None:
         self.name, self.ip, self.zone = name, ip, zone
-        self._seeds, self._folder, self._ports = seeds, folder / name, ports
+        self._seeds, self._folder, self.ports = seeds, folder / name, ports
         self._disk, self._bounds = has_disk, bounds
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -103,7 +103,7 @@
             "ip-address": self.ip,
             "availability-zone": self.zone,
             "region": "kathmandu",
-            "internal-port-range": list(self._ports),
+            "internal-port-range": list(self.ports),
             "seed-nodes": [f"{ip}:{CONTROL}" for ip in self._seeds],
             "bootstrap": bootstrap,
             "counts-for-quorum": self._disk,
@@ -160,72 +160,70 @@
             self._process.wait()
 
 
-class Link:
-    """The links between one node and the others, as a relay.
+class Links:
+    """The links between nodes, as relays.
 
-    The node's internal ports differ from those of the others, so that both sides meet the relay where they
-    expect the other side. `delay_s` holds what goes to the node; `is_cut` holds everything, without a word.
+    Each node has internal ports of its own and expects the others at these, where it meets the relay. What a
+    cut holds up is lost after `BREAK_AFTER_S`, as on a connection with a user timeout; what was opened during
+    the cut ends with it, as its first packet was lost.
     """
 
-    def __init__(self, node_ip: str, node_port: int, others: list[str], others_port: int) -> None:
-        self._node, self._others = (node_ip, node_port), [(ip, others_port) for ip in others]
-        self.delay_s = 0.0
-        self.is_cut = False
+    BREAK_AFTER_S = 1.5
+
+    def __init__(self, nodes: list[Node]) -> None:
+        self._nodes = nodes
+        self._cut: set[tuple[str, str]] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
-        """Listens for the node at the others' addresses, and for the others at the node's address."""
-        node_ip, node_port = self._node
-        for ip, port in self._others:
-            self._servers.append(
-                await asyncio.start_server(self._relay((ip, port), to_node=False), ip, node_port)
-            )
-        others_port = self._others[0][1]
-        self._servers.append(
-            await asyncio.start_server(self._relay(self._node, to_node=True), node_ip, others_port)
-        )
+        for node in self._nodes:
+            for other in self._nodes:
+                if other is not node:
+                    relay = self._relay(node, other)
+                    self._servers.append(await asyncio.start_server(relay, other.ip, node.ports[0]))
+
+    def cut(self, node: Node) -> None:
+        """Cuts the node off from the others, both ways and without a word."""
+        for other in self._nodes:
+            self._cut |= {(node.ip, other.ip), (other.ip, node.ip)}
 
-    def _relay(self, target: tuple[str, int], to_node: bool) -> Callable[..., Any]:
+    def heal(self) -> None:
+        self._cut.clear()
+
+    def _relay(self, node: Node, other: Node) -> Callable[..., Any]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            source = writer.get_extra_info("peername")[0]
+            path = (node.ip, other.ip)
+            was_cut = path in self._cut
+            while path in self._cut:
+                await asyncio.sleep(0.005)
             try:
-                far_reader, far_writer = await asyncio.open_connection(*target, local_addr=(source, 0))
+                if was_cut:
+                    raise ConnectionError
+                far = await asyncio.open_connection(other.ip, other.ports[0], local_addr=(node.ip, 0))
             except OSError:
                 writer.transport.abort()
                 return
-            ends = (self._pass(reader, far_writer, to_node), self._pass(far_reader, writer, not to_node))
-            for end in ends:
-                task = asyncio.create_task(end)
+            ways = ((reader, far[1], path), (far[0], writer, path[::-1]))
+            for way in ways:
+                task = asyncio.create_task(self._pass(*way))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
         return serve
 
-    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to_node: bool) -> None:
-        """Passes bytes on in order, each after the delay; the end of the connection goes the same way."""
-        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-
-        async def take() -> None:
-            data = b"-"
-            while data:
-                try:
-                    data = await reader.read(65536)
-                except OSError:
-                    data = b""
-                queue.put_nowait((time.monotonic(), data))
-
-        taker = asyncio.create_task(take())
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: tuple[str, str]
+    ) -> None:
         with contextlib.suppress(OSError):
-            while True:
-                arrived, data = await queue.get()
-                while self.is_cut or (to_node and time.monotonic() < arrived + self.delay_s):
+            while data := await reader.read(65536):
+                since = time.monotonic()
+                while path in self._cut:
+                    if time.monotonic() - since > self.BREAK_AFTER_S:
+                        raise ConnectionError
                     await asyncio.sleep(0.005)
-                if not data:
-                    break
                 writer.write(data)
                 await writer.drain()
-        taker.cancel()
         writer.transport.abort()
 
     def close(self) -> None:
@@ -413,13 +411,21 @@
     return {"name": "kaje80", "api-keys": keys, "priority": 1}
 
 
-def core_nodes(prefix: str, folder: Path, bounds: dict[str, Any] = BOUNDS) -> list[Node]:
-    """Returns the three nodes with a disk, one in each zone; they are the seeds."""
+def core_nodes(
+    prefix: str, folder: Path, bounds: dict[str, Any] = BOUNDS, own_ports: bool = False
+) -> list[Node]:
+    """Returns the three nodes with a disk, one in each zone; they are the seeds.
+
+    `own_ports`: each has internal ports of its own, for `Links`.
+    """
     seeds = [f"{prefix}.{number}" for number in (1, 2, 3)]
-    return [
-        Node(f"edge-{zone}-1", ip, zone, seeds, folder, has_disk=True, bounds=bounds)
-        for zone, ip in zip(ZONES, seeds, strict=True)
-    ]
+    nodes = []
+    for number, zone in enumerate(ZONES):
+        shift = 20 * number if own_ports else 0
+        ports = (PORTS[0] + shift, PORTS[1] + shift)
+        node = Node(f"edge-{zone}-1", seeds[number], zone, seeds, folder, True, ports, bounds)
+        nodes.append(node)
+    return nodes
 
 
 def app_servers(prefix: str, on_run: Callable[[str], None]) -> list[AppServer]:
