--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -241,6 +241,7 @@
     ) -> None:
         self.instance, self._service, self._ip, self._zone = instance, service, ip, zone
         self._on_run = on_run
+        self.tenants: dict[str, str] = {}  # by attempt id, as told by the node
         self._sequence = 0
         self._beats: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
@@ -280,6 +281,7 @@
                     answer = f"HTTP/1.1 421 Misdirected Request\r\nCypresswinch-Attempt-Id: {attempt}\r\n"
                     answer += "Cypresswinch-Not-Executed: instance\r\nContent-Length: 0\r\n\r\n"
                 else:
+                    self.tenants[attempt] = fields.get("cypresswinch-tenant", "")
                     self._on_run(attempt)
                     answer = f"HTTP/1.1 200 OK\r\nCypresswinch-Attempt-Id: {attempt}\r\n"
                     answer += f"Cypresswinch-Server-Signature: {self.instance}.{attempt}\r\n"
