Tenants' names reach servers whole and distinct, in percent-encoding

Cause: the configuration has names as text of any characters; `encode_request_head` wrote them as Latin-1 with `replace`, into a header that loses blanks at its ends besides. The check of orders promised more than the writing side could hold.

Ruled out: the order's way to the router (JSON in ASCII, names whole at each step), its parser (strict UTF-8, halves of surrogate pairs refused), the stand-in of servers (it reads UTF-8, Latin-1 and percent-encoding).

Change: http/field_text.py writes what a field value carries unchanged as it is, and any other text percent-encoded as UTF-8. It takes every text and gives different ones different values, so it holds for PUT, PATCH and what earlier builds stored alike. A name of more than 2,048 bytes in this form is refused with 400, also where its item is unchanged. The demo has a tenant with a Devanagari name, its judge decodes.

--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -12,10 +12,12 @@
 
 from cloverrouter.control.configuration import ROUTES, Route, Tenant
 from cloverrouter.control.errors import Finding
+from cloverrouter.http.field_text import encode_field_text
 
 MAX_SHOWN_CHARACTERS = 60
 MAX_NUMBER_CHARACTERS = 18
 MAX_DEPTH = 32
+MAX_TENANT_NAME_BYTES = 2048  # servers commonly accept 8 KiB of header fields
 MAX_CONTAINERS = 200_000  # objects and lists of one document, each of which takes many times its characters
 
 Findings = list[Finding]
@@ -276,6 +278,16 @@
     return findings
 
 
+def check_tenant_name(name: str, place: str, findings: Findings) -> bool:
+    """Returns whether a tenant's name fits into the header for servers; adds a finding if not."""
+    size = len(encode_field_text(name))
+    if size <= MAX_TENANT_NAME_BYTES:
+        return True
+    wanted = f"wanted a name of at most {MAX_TENANT_NAME_BYTES} bytes in percent-encoding; it has {size}"
+    findings.append(Finding(f"{place}.name", f"found {preview(name)}, {wanted}"))
+    return False
+
+
 def check_tenants(tenants: Iterable[Tenant], place: Callable[[str, str], str]) -> Findings:
     """Checks that no API key belongs to two tenants. Findings don't contain the key, which is a secret."""
     findings: Findings = []
--- a/cloverrouter/control/review.py
+++ b/cloverrouter/control/review.py
@@ -17,6 +17,7 @@
     KnownValues,
     check_fields,
     check_routes,
+    check_tenant_name,
     check_tenants,
     is_number,
     preview,
@@ -115,6 +116,9 @@
             section, name, self._text(item)
         )
         conforms = unchanged or check_fields(section, item, place, self.findings, self._known[section])
+        if section == TENANTS:
+            # Also unchanged items: earlier builds accepted names of any length.
+            conforms &= check_tenant_name(name, place, self.findings)
         if section == SERVICES and not conforms:
             self._invalid_services.add(name)
         return conforms and first == place
--- a/cloverrouter/lab/fleet/deployment.py
+++ b/cloverrouter/lab/fleet/deployment.py
@@ -24,7 +24,7 @@
 
 TENANTS = (
     Tenant("himal-tel", ("k-himal-71fe02", "k-himal-99d1c4"), 0.6),
-    Tenant("sagar-net", ("k-sagar-5b20aa",), 0.4),
+    Tenant("सागर नेट", ("k-sagar-5b20aa",), 0.4),
     Tenant("koshi-cast", ("k-koshi-c0ffee",), 0.0, rate_per_s=6000, burst_size=6000),
 )
 BOUNDS: dict[str, float | bool] = {
--- a/cloverrouter/lab/fleet/exchange.py
+++ b/cloverrouter/lab/fleet/exchange.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from enum import Enum
+from urllib.parse import unquote
 
 import attrs
 
@@ -110,7 +111,7 @@
             instance=self.spec.instance_id,
             backend=self.spec.backend,
             signature=f"{self.spec.instance_id}.{self._count:x}.{self.random.getrandbits(32):08x}",
-            tenant=exchange.head.get("Cypresswinch-Tenant"),
+            tenant=unquote(exchange.head.get("Cypresswinch-Tenant")),
             subject="" if exchange.body is None else subject_of(method, path, exchange.body),
             started_at=self.clock(),
             carried_api_key=exchange.head.has("Authorization"),
--- a/cloverrouter/router/headers.py
+++ b/cloverrouter/router/headers.py
@@ -4,6 +4,7 @@
 
 import math
 
+from cloverrouter.http.field_text import encode_field_text
 from cloverrouter.http.fields import HOP_BY_HOP, Headers, encode_fields, first
 from cloverrouter.http.request import Request
 
@@ -118,7 +119,7 @@
     dropped = _dropped(request.headers)
     fields = [field for field in request.headers if field[0] not in dropped]
     if tenant is not None:
-        fields.append((TENANT, tenant.encode("latin-1", "replace")))
+        fields.append((TENANT, encode_field_text(tenant)))
     if priority is not None:
         fields.append((PRIORITY, b"%d" % priority))
     size = request.body_size
--- a/tests/system/plain_proxy.py
+++ b/tests/system/plain_proxy.py
@@ -12,6 +12,7 @@
 import json
 import random
 from typing import Any
+from urllib.parse import quote
 
 from cloverrouter.lab.fleet.operator import apply_patch
 from cloverrouter.lab.fleet.wire import (
@@ -122,7 +123,7 @@
         headers = [(n, v) for n, v in head.headers if n.lower() not in HOP_HEADERS | OWN_HEADERS]
         headers.append(("Content-Length", str(len(body))))
         headers.append(("Cypresswinch-Expected-Instance", target[0]))
-        headers.append(("Cypresswinch-Tenant", tenant))
+        headers.append(("Cypresswinch-Tenant", quote(tenant)))
         if "tells-key" in self.faults:
             headers.append(("Authorization", head.get("Authorization")))
         upstream.write(render(" ".join(head.first), headers, body))
