Servers' ids that a header can't carry unchanged are refused

What callers saw: a server with an id outside of Latin-1 was acknowledged with 200 and then sent `Cypresswinch-Expected-Instance: ?????`, which it answers with 421 for ever; one with blanks at its ends likewise, or it was taken for the id without them. Two ids in a path that were no UTF-8 were one.

Servers compare this header with their own id byte by byte, so an encoding that they would have to know of is no mend; visible ASCII is what each of them has in common with us.

Change: 400 with a sentence at PUT and DELETE for other than visible ASCII with single spaces between. The path's bytes stay apart until then. Servers with such ids in the list that an earlier build left on the disk are not restored.

--- a/cloverrouter/control/api.py
+++ b/cloverrouter/control/api.py
@@ -10,7 +10,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, Protocol
-from urllib.parse import unquote
+from urllib.parse import unquote_to_bytes
 
 import attrs
 import bottle
@@ -188,7 +188,7 @@
         handler, arguments = self._router.match(environment)
         is_registration = handler == self._register
         _check_size(request, MAX_REGISTRATION_BYTES if is_registration else MAX_BODY_BYTES)
-        return handler, {name: unquote(value) for name, value in (arguments or {}).items()}
+        return handler, {name: _decode_segment(value) for name, value in (arguments or {}).items()}
 
     async def _order(self, request: ControlRequest) -> Answer:
         # The status is 503, not a refusal: the order may be a retry of one that was already accepted.
@@ -241,6 +241,12 @@
         return handler
 
 
+def _decode_segment(segment: str) -> str:
+    """Returns a path segment, given as Latin-1, as text. Bytes that are not UTF-8 become lone surrogates, so
+    that different segments stay different."""
+    return unquote_to_bytes(segment.encode("latin-1")).decode("utf-8", "surrogateescape")
+
+
 def _check_size(request: ControlRequest, max_bytes: int) -> None:
     if request.body_size > max_bytes:
         raise bottle.HTTPError(413, f"the body has more than {max_bytes} bytes")
--- a/cloverrouter/control/list_snapshot.py
+++ b/cloverrouter/control/list_snapshot.py
@@ -14,6 +14,7 @@
 import struct
 from collections.abc import Sequence
 
+from cloverrouter.control.registration import is_valid_id
 from cloverrouter.control.registry import Effect, Registry
 from cloverrouter.control.registry_messages import InstanceList, InstanceRecord
 from cloverrouter.messages import Decoder, MessageError, encode
@@ -92,8 +93,11 @@
         self._written_digest: int | None = None
 
     def loaded(self, now: float, records: tuple[InstanceRecord, ...]) -> None:
-        """Receives the snapshot that the process read at its start."""
-        self._loaded = records
+        """Receives the snapshot that the process read at its start.
+
+        Earlier versions accepted ids that can't be sent to servers; such servers can't register any more.
+        """
+        self._loaded = tuple(record for record in records if is_valid_id(record.id))
         self._restore_at = now + RESTORE_DELAY_S
         self._next_write = now + WRITE_INTERVAL_S
 
--- a/cloverrouter/control/registration.py
+++ b/cloverrouter/control/registration.py
@@ -12,6 +12,7 @@
 from cloverrouter.control.errors import Finding, RegistrationInvalid
 from cloverrouter.control.instances import Instance, InstanceState
 from cloverrouter.control.registry_messages import ModelOnServer
+from cloverrouter.http.field_text import is_plain
 
 MAX_ID_CHARACTERS = 200
 
@@ -34,13 +35,18 @@
 
 
 def check_id(instance_id: str) -> None:
-    """Raises `RegistrationInvalid` for an id that is too long or has characters that can't be printed.
+    """Raises `RegistrationInvalid` for an id that `is_valid_id` refuses."""
+    if not is_valid_id(instance_id):
+        wanted = f"wanted up to {MAX_ID_CHARACTERS} visible ASCII characters, with single spaces between them"
+        raise RegistrationInvalid([Finding("instance-id", wanted)])
+
+
+def is_valid_id(instance_id: str) -> bool:
+    """Returns whether an id is short, and unchanged in the header that servers compare with their own id.
 
     The length is bounded because ids stay in memory for a while after their instances end.
     """
-    if not instance_id.isprintable() or len(instance_id) > MAX_ID_CHARACTERS:
-        wanted = f"wanted up to {MAX_ID_CHARACTERS} printable characters"
-        raise RegistrationInvalid([Finding("instance-id", wanted)])
+    return len(instance_id) <= MAX_ID_CHARACTERS and is_plain(instance_id)
 
 
 def instance_from(now: float, instance_id: str, fields: dict[str, Any]) -> Instance:
--- a/cloverrouter/router/active_request.py
+++ b/cloverrouter/router/active_request.py
@@ -184,7 +184,7 @@
     def _encode_message(self, server_state: ServerState) -> bytes:
         fields = b"%b: %b\r\n%b: %d\r\n" % (
             EXPECTED_INSTANCE,
-            server_state.server.id.encode("latin-1", "replace"),
+            server_state.server.id.encode(),
             DEADLINE,
             max(1, int(self._time_left_ms())),
         )
--- a/tests/system/test_control_api.py
+++ b/tests/system/test_control_api.py
@@ -327,6 +327,72 @@
     assert ask(call).status == 400
 
 
+NOT_CARRIED_BY_A_HEADER = [
+    "ललितपुर".encode(),
+    b"%E0%A4%B2",
+    b"i-%C3%A9",
+    b"i-\xe9",
+    b"%FF",
+    b"%FE",
+    b"%ED%A0%80",
+    b"%20i-1",
+    b"i-1%20",
+    b"i%20%20-1",
+    b"%20",
+    b"i-1%09",
+    b"i-1%0D%0Ax%3A%20y",
+    b"i-1%C2%A0",
+    b"i-1%C2%85",
+    b"%7F",
+]
+
+
+@pytest.mark.parametrize("method", [b"PUT", b"DELETE"])
+@pytest.mark.parametrize("instance_id", NOT_CARRIED_BY_A_HEADER)
+def test_an_id_that_a_server_could_not_recognize_is_refused_with_a_sentence(
+    method: bytes, instance_id: bytes
+) -> None:
+    """Servers compare `Cypresswinch-Expected-Instance` with their id: question marks, or an id without the
+    blanks at its ends, are another's. Two ids that were not UTF-8 became one."""
+    backend = Backend()
+    call = Call(method, b"/-/instances/" + instance_id, json.dumps(ANNOUNCEMENT).encode())
+    answer = ask(call, backend=backend)
+    assert answer.status == 400
+    wanted = "wanted up to 200 visible ASCII characters, with single spaces between them"
+    assert body_of(answer)["findings"] == [f"instance-id: {wanted}"]
+    assert backend.registered == {}
+
+
+@pytest.mark.parametrize(
+    "path, instance_id",
+    [
+        (b"i-7f3a91c2", "i-7f3a91c2"),
+        (b"a%20b", "a b"),
+        (b"a%25b", "a%b"),
+        (b"%41!~", "A!~"),
+        (b"x" * 200, "x" * 200),
+    ],
+)
+def test_other_ids_are_taken_as_they_are(path: bytes, instance_id: str) -> None:
+    backend = Backend()
+    call = Call(b"PUT", b"/-/instances/" + path, json.dumps(ANNOUNCEMENT).encode())
+    assert ask(call, backend=backend).status == 200
+    assert list(backend.registered) == [instance_id]
+
+
+def test_the_id_of_a_trace_keeps_its_bytes() -> None:
+    asked: list[str] = []
+
+    class Traced(Backend):
+        def trace(self, request_id: str) -> dict[str, Any] | None:
+            asked.append(request_id)
+            return {}
+
+    for path in (b"%E0%A4%B2", "ल".encode(), b"%FF", b"%FE", b"a%2Fb"):
+        assert ask(Call(b"GET", b"/-/trace/" + path), backend=Traced()).status == 200
+    assert asked == ["ल", "ल", "\udcff", "\udcfe", "a/b"]
+
+
 @pytest.mark.parametrize("field", ["capacity", "warmup-remaining-ms"])
 def test_a_number_that_no_message_holds_is_refused(field: str) -> None:
     body = json.dumps({**ANNOUNCEMENT, field: 1e19}).encode()
--- a/tests/system/test_list_snapshot.py
+++ b/tests/system/test_list_snapshot.py
@@ -194,3 +194,13 @@
         after.close()
 
     asyncio.run(scene())
+
+
+def test_servers_whose_ids_an_earlier_build_accepted_are_not_restored() -> None:
+    """Their ids can't be sent to them, so they can't register any more, and " i-1" would be taken for i-1."""
+    before = registry(server(1), server(2, id=" i-1"), server(3, id="सर्वर"))
+    after = registry()
+    copy = ListSnapshot(after)
+    copy.loaded(NOW, tuple(before.records(NOW)))
+    copy.tick(NOW + RESTORE_DELAY_S)
+    assert [record.id for record in after.records(NOW + RESTORE_DELAY_S)] == ["i-1"]
