API keys that arrive as others are refused

What callers saw: the keys " k" of one tenant and "k" of another were both acknowledged; a client that sends the first is served, and told to servers, as the other tenant, since HTTP strips a value's ends. Keys with control characters were acknowledged and can never be sent.

Cause: the schema asked for nothing but a text that isn't empty.

Change: 400 with a sentence, which doesn't repeat the key.

--- a/cloverrouter/control/checks.py
+++ b/cloverrouter/control/checks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeGuard
 
@@ -18,6 +19,7 @@
 MAX_NUMBER_CHARACTERS = 18
 MAX_DEPTH = 32
 MAX_TENANT_NAME_BYTES = 2048  # servers commonly accept 8 KiB of header fields
+_KEY_IN_HEADER = re.compile(r"[^\x00-\x20\x7f](?:[^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?")
 MAX_CONTAINERS = 200_000  # objects and lists of one document, each of which takes many times its characters
 
 Findings = list[Finding]
@@ -288,6 +290,25 @@
     return False
 
 
+def check_tenant_keys(keys: Any, place: str, findings: Findings) -> bool:
+    """Returns whether clients can send all keys of a tenant in a header; adds a finding for each other one.
+
+    A header loses blanks at the ends of its value, so " k" would come as "k", perhaps the key of another
+    tenant. Findings don't contain the key, which is a secret. Values that are not strings are left to the
+    schema.
+    """
+    if not isinstance(keys, list):
+        return True
+    refused = [
+        index
+        for index, key in enumerate(keys)
+        if isinstance(key, str) and key and not _KEY_IN_HEADER.fullmatch(key)
+    ]
+    wanted = "wanted a key without control characters and without blanks at its ends"
+    findings += [Finding(f"{place}.api-keys[{index}]", wanted) for index in refused]
+    return not refused
+
+
 def check_tenants(tenants: Iterable[Tenant], place: Callable[[str, str], str]) -> Findings:
     """Checks that no API key belongs to two tenants. Findings don't contain the key, which is a secret."""
     findings: Findings = []
--- a/cloverrouter/control/review.py
+++ b/cloverrouter/control/review.py
@@ -17,6 +17,7 @@
     KnownValues,
     check_fields,
     check_routes,
+    check_tenant_keys,
     check_tenant_name,
     check_tenants,
     is_number,
@@ -117,8 +118,9 @@
         )
         conforms = unchanged or check_fields(section, item, place, self.findings, self._known[section])
         if section == TENANTS:
-            # Also unchanged items: earlier builds accepted names of any length.
+            # Also unchanged items: earlier builds accepted names of any length, and keys that can't be sent.
             conforms &= check_tenant_name(name, place, self.findings)
+            conforms &= check_tenant_keys(item.get("api-keys"), place, self.findings)
         if section == SERVICES and not conforms:
             self._invalid_services.add(name)
         return conforms and first == place
--- a/tests/system/test_tenant_names.py
+++ b/tests/system/test_tenant_names.py
@@ -246,3 +246,29 @@
     from cloverrouter.control.orders import Order, order_digest
 
     return order_digest(Order(method, if_match, body))
+
+
+# Keys, which clients send in a header
+
+
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+@pytest.mark.parametrize("key", [" k", "k ", "k\n", "\tk", "k\r\nx", "a\x00b", "\x7f", " "])
+def test_a_key_that_arrives_as_another_is_refused_without_telling_it(method: str, key: str) -> None:
+    """A client with the key " k" was taken for the tenant of the key "k"."""
+    machine = ordered("PUT", ("t",))
+    items = [tenant("t", "k"), tenant("u", "key-u", key)]
+    change = document(7, tenants=items) if method == "PUT" else {"version": 7, "upsert": {"tenants": items}}
+    reply = send(machine, method, "5", change)
+    assert reply.status == 400
+    place = "tenants[1].api-keys[1]" if method == "PUT" else "upsert.tenants[1].api-keys[1]"
+    wanted = "wanted a key without control characters and without blanks at its ends"
+    assert findings(reply) == [f"{place}: {wanted}"]
+
+
+@pytest.mark.parametrize("key", ["k", "a b", "ü", "ल", "!#$%&'*+.^_`|~", "a  b"])
+def test_other_keys_are_taken_and_match_their_bytes(key: str) -> None:
+    machine = ConfigurationMachine()
+    items = [tenant("t", key), tenant("u", "other")]
+    assert send(machine, "PUT", "0", document(5, tenants=items)).status == 200
+    values = values_at_servers(machine.state.configuration())
+    assert values == {"t": b"t", "u": b"u"}
