Routes outside of ASCII are found as clients send their paths

What callers saw: a route with the prefix `/ललित/` is acknowledged, and its requests, whose paths are percent-encoded, get 404. A host of bytes that are no UTF-8 was taken for a route's U+FFFD. A key or prefix with half of a surrogate pair, which builds before stored, made the routing table fail with an exception, for all routes.

Cause: prefixes were compared as UTF-8 only; hosts decoded with `replace`; `encode()` can't write what older builds let in.

Change: each prefix is also found percent-encoded, unless a route has that very prefix; hosts keep their bytes; the encoding is total.

--- a/cloverrouter/control/routing.py
+++ b/cloverrouter/control/routing.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 from cloverrouter.control.configuration import Configuration, Route, Tenant, normalize_host
 
 MAX_CACHED_HOSTS = 4096
+_UNESCAPED_IN_PATH = "!$%&'()*+,-./:;=@_~"
+
+
+def _encode(text: str) -> bytes:
+    """Returns text of the configuration as UTF-8. Versions of the configuration that earlier builds accepted
+    may have halves of surrogate pairs."""
+    return text.encode("utf-8", "surrogatepass")
 
 
 class _Host:
@@ -17,10 +26,16 @@
         self.longest = 0  # length of the longest prefix
 
     def add(self, route: Route) -> None:
-        prefix = route.prefix.encode()
+        prefix = _encode(route.prefix)
         self.routes[prefix] = route
         self.longest = max(self.longest, len(prefix))
 
+    def add_percent_encoded(self, route: Route) -> None:
+        """Adds the prefix percent-encoded, as clients send it, unless another route has that prefix."""
+        prefix = quote(_encode(route.prefix), safe=_UNESCAPED_IN_PATH).encode("ascii")
+        self.routes.setdefault(prefix, route)
+        self.longest = max(self.longest, len(prefix))
+
 
 class RoutingTable:
     """The routes and API keys of one version of the configuration. Immutable but for its cache of hosts."""
@@ -30,7 +45,9 @@
         self._hosts: dict[str, _Host] = {}
         for route in configuration.routes:
             self._hosts.setdefault(route.host, _Host()).add(route)
-        self._tenants = {key.encode(): tenant for tenant in configuration.tenants for key in tenant.keys}
+        for route in configuration.routes:
+            self._hosts[route.host].add_percent_encoded(route)
+        self._tenants = {_encode(key): tenant for tenant in configuration.tenants for key in tenant.keys}
         self._needs_key = bool(configuration.tenants)
         self._host_cache: dict[bytes, _Host | None] = {}
 
@@ -58,7 +75,7 @@
             return self._host_cache[host]
         except KeyError:
             pass
-        found = self._hosts.get(normalize_host(host.decode("utf-8", "replace")))
+        found = self._hosts.get(normalize_host(host.decode("utf-8", "surrogateescape")))
         if len(self._host_cache) < MAX_CACHED_HOSTS:
             self._host_cache[host] = found
         return found
--- a/tests/system/test_configuration_routing.py
+++ b/tests/system/test_configuration_routing.py
@@ -93,3 +93,45 @@
     found = RoutingTable(Configuration(version=1, routes=routes)).match(b"one.example", path.encode())
     longest = max((prefix for prefix in prefixes if path.startswith(prefix)), key=len, default=None)
     assert (found.prefix if found else None) == longest
+
+
+def table(*prefixes: str) -> RoutingTable:
+    routes = tuple(route_from(route(prefix, prefix, hostname="one.example")) for prefix in prefixes)
+    return RoutingTable(Configuration(version=1, routes=routes))
+
+
+@pytest.mark.parametrize(
+    "prefix, path",
+    [
+        ("/ललित/", "/ललित/x".encode()),
+        ("/ललित/", b"/%E0%A4%B2%E0%A4%B2%E0%A4%BF%E0%A4%A4/x"),
+        ("/a b/", b"/a%20b/"),
+        ("/a?b/", b"/a%3Fb/"),
+        ("/50%/", b"/50%/x"),
+        ("/a%20b/", b"/a%20b/x"),
+        ("/a;b=c,(d)/", b"/a;b=c,(d)/x"),
+        ("/\ud800/", b"/%ED%A0%80/x"),  # as an earlier build stored it
+    ],
+)
+def test_a_prefix_is_found_as_clients_send_it(prefix: str, path: bytes) -> None:
+    """A route with a prefix outside of ASCII was acknowledged, and its requests were answered 404."""
+    found = table("/", prefix).match(b"one.example", path)
+    assert found is not None and found.name == prefix
+
+
+def test_a_route_with_the_encoded_prefix_goes_before_another_one_s_encoding() -> None:
+    found = table("/ल/", "/%E0%A4%B2/").match(b"one.example", b"/%E0%A4%B2/x")
+    assert found is not None and found.name == "/%E0%A4%B2/"
+
+
+def test_hosts_that_are_not_utf_8_match_no_replacement_character() -> None:
+    item = route("r", "/", hostname="\ufffd.example")
+    found = RoutingTable(Configuration(version=1, routes=(route_from(item),)))
+    assert found.match("\ufffd.example".encode(), b"/") is not None
+    assert found.match(b"\xff.example", b"/") is None
+
+
+def test_keys_with_half_of_a_surrogate_pair_that_an_earlier_build_stored_do_no_harm() -> None:
+    found = RoutingTable(Configuration(version=1, tenants=(tenant_from(tenant("t", "\ud800", "k")),)))
+    owner = found.tenant_of(b"k")
+    assert owner is not None and owner.name == "t"
