Traces, logs and the command line keep names and ids outside of ASCII

What callers saw: `cypresswinch trace ल` found nothing, or the trace of the id `?`; logs showed UTF-8 ids as Latin-1; in a locale without a name's characters `config` ended with an error, and lines of the log were lost; `logs` split records at U+2028 or U+0085 inside of a name and passed over both halves; names with control characters moved the terminal's cursor.

Cause: ids looked up as Latin-1 with `replace`; files, output and logs in the locale's encoding; `splitlines`, which knows more line ends than the log.

Change: ids are compared by their bytes; files and logs are UTF-8; what an output can't hold is escaped; lines end at line feeds only.

The log's bytes have no test of their own.

--- a/cloverrouter/cli/check.py
+++ b/cloverrouter/cli/check.py
@@ -64,7 +64,7 @@
         bool(line.strip())
         for name in deployment.policy
         for file in ([root / name] if (root / name).is_file() else sorted((root / name).rglob("*.py")))
-        for line in file.read_text().splitlines()
+        for line in file.read_text(encoding="utf-8").splitlines()
     )
     if line_count > MAX_POLICY_LINES:
         raise InvalidFile(f"policy: found {line_count} lines that are not blank, allowed {MAX_POLICY_LINES}")
@@ -242,7 +242,7 @@
     Raises InvalidFile if it can't be read, is of no known kind, or is invalid.
     """
     try:
-        text = path.read_text()
+        text = path.read_text(encoding="utf-8")
         table = tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
     except OSError as error:
         raise InvalidFile(error.strerror or str(error)) from error
--- a/cloverrouter/cli/config.py
+++ b/cloverrouter/cli/config.py
@@ -12,7 +12,7 @@
 
 from cloverrouter.cli import node_calls, usage
 from cloverrouter.cli.node_calls import Json, Node, Reply
-from cloverrouter.cli.tables import text_of
+from cloverrouter.cli.tables import printable, text_of
 
 PATH = "/-/configuration"
 MAX_ATTEMPTS = 4
@@ -27,7 +27,7 @@
 
 def _read_file(path: Path) -> dict[str, Any]:
     try:
-        document = json.loads(path.read_text())
+        document = json.loads(path.read_bytes())
     except OSError as error:
         raise usage.UsageError(f"{path}: {error.strerror}") from error
     except ValueError as error:
@@ -92,14 +92,14 @@
             continue
         old_by_name = {item["name"]: item for item in old_items or ()}
         new_by_name = {item["name"]: item for item in new_items or ()}
-        yield from (f"- {section} {name}" for name in old_by_name if name not in new_by_name)
+        yield from (f"- {section} {printable(name)}" for name in old_by_name if name not in new_by_name)
         yield from (
-            f"+ {section} {name}: {json.dumps(new_by_name[name])}"
+            f"+ {section} {printable(name)}: {json.dumps(new_by_name[name])}"
             for name in new_by_name
             if name not in old_by_name
         )
         yield from (
-            f"~ {section} {name}: {_changed_fields(old_by_name[name], new_by_name[name])}"
+            f"~ {section} {printable(name)}: {_changed_fields(old_by_name[name], new_by_name[name])}"
             for name in new_by_name
             if name in old_by_name and old_by_name[name] != new_by_name[name]
         )
--- a/cloverrouter/cli/fleet.py
+++ b/cloverrouter/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from datetime import UTC, datetime
 from typing import Any
 from urllib.parse import quote
@@ -111,4 +112,4 @@
     as_json
         Print the node's JSON unchanged.
     """
-    _print_answer(node_calls.read(node, f"/-/trace/{quote(request_id, safe='')}"), as_json)
+    _print_answer(node_calls.read(node, f"/-/trace/{quote(os.fsencode(request_id), safe='')}"), as_json)
--- a/cloverrouter/cli/logs.py
+++ b/cloverrouter/cli/logs.py
@@ -23,9 +23,11 @@
     ignored_lines = 0
     for path in files:
         try:
-            file_records, ignored_in_file = logtree.read(path.read_text(errors="replace").splitlines())
+            text = path.read_text(encoding="utf-8", errors="replace")
         except OSError as error:
             raise usage.UsageError(f"{path}: {error.strerror}") from error
+        # Not splitlines(): names in a record may hold other line separators, such as U+2028.
+        file_records, ignored_in_file = logtree.read(text.split("\n"))
         records += file_records
         ignored_lines += ignored_in_file
     if ignored_lines:
--- a/cloverrouter/cli/logtree.py
+++ b/cloverrouter/cli/logtree.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from cloverrouter.cli.tables import printable
+
 FIELDS_SHOWN_SEPARATELY = frozenset(
     {"task_uuid", "task_level", "timestamp", "action_type", "action_status", "message_type", "node"}
 )
@@ -56,7 +58,7 @@
 
 
 def _format_value(value: Any) -> str:
-    return value if isinstance(value, str) else json.dumps(value)
+    return printable(value) if isinstance(value, str) else json.dumps(value)
 
 
 def _leaves(value: Any) -> Iterator[Any]:
--- a/cloverrouter/cli/main.py
+++ b/cloverrouter/cli/main.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import importlib
+import io
 import sys
 from collections.abc import Sequence
 from typing import Any, NoReturn
@@ -91,9 +92,17 @@
     return app
 
 
+def _escape_what_output_cannot_encode() -> None:
+    """Makes names that the encoding of the terminal lacks print as escapes instead of raising an error."""
+    for stream in (sys.stdout, sys.stderr):
+        if isinstance(stream, io.TextIOWrapper):
+            stream.reconfigure(errors="backslashreplace")
+
+
 def main(tokens: Sequence[str] | None = None) -> NoReturn:
     """Runs one command line, given without the program's name; default `sys.argv`. Always exits."""
     arguments = list(sys.argv[1:] if tokens is None else tokens)
+    _escape_what_output_cannot_encode()
     try:
         _build_app(arguments[0] if arguments and arguments[0] in COMMANDS else None)(arguments)
     except (CycloptsError, usage.UsageError) as error:
--- a/cloverrouter/cli/tables.py
+++ b/cloverrouter/cli/tables.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
+_CONTROL_CHARACTERS = re.compile("[\x00-\x1f\x7f-\x9f\u2028\u2029]")
+
+
+def printable(text: str) -> str:
+    """Returns a text, as JSON if it has characters that would move the cursor or end the line."""
+    return json.dumps(text) if _CONTROL_CHARACTERS.search(text) else text
+
 
 def text_of(value: Any) -> str:
     """Returns objects as NAME  VALUE lines, lists of objects as tables, an empty list as (none), and other
@@ -47,7 +55,7 @@
 
 def _cell(value: Any) -> str:
     if isinstance(value, str):
-        return value
+        return printable(value)
     if isinstance(value, list) and not _is_nested(value):
         return ", ".join(_cell(item) for item in value) or "-"
     return json.dumps(value)
--- a/cloverrouter/daemon/logs.py
+++ b/cloverrouter/daemon/logs.py
@@ -54,6 +54,7 @@
     if not _loaded:
         import eliot
 
-        eliot.to_file(sys.stdout)
+        # Bytes, which are UTF-8 whatever the locale's encoding is.
+        eliot.to_file(getattr(sys.stdout, "buffer", sys.stdout))
         _loaded.append(eliot)
     return _loaded[0]
--- a/cloverrouter/daemon/request_traces.py
+++ b/cloverrouter/daemon/request_traces.py
@@ -14,6 +14,11 @@
 Clock = Callable[[], float]
 
 
+def _id_text(request_id: bytes) -> str:
+    """Returns a client's attempt id as text for the log."""
+    return request_id.decode("utf-8", "backslashreplace")
+
+
 class RequestTrace:
     """One request: each step with its time, in seconds on the process's monotonic clock."""
 
@@ -101,7 +106,7 @@
 
     def begin(self, request_id: bytes, route: str, service: str, tenant: str | None) -> RequestRecord:
         if self._log.logs_requests:
-            name = request_id.decode("latin-1")
+            name = _id_text(request_id)
             trace: RequestTrace = LoggedRequest(self._log, self._clock, name, route, service, tenant)
         else:
             trace = RequestTrace(self._clock, route, service, tenant)
@@ -113,9 +118,10 @@
 
     def turned_away(self, request_id: bytes, status: int) -> None:
         if self._log.logs_requests:
-            self._log.request("turned-away", attempt_id=request_id.decode("latin-1"), status=status)
+            self._log.request("turned-away", attempt_id=_id_text(request_id), status=status)
 
     def find(self, request_id: str) -> dict[str, Any] | None:
-        """Returns the trace of a request as JSON, or None if it is unknown."""
-        trace = self._traces.get(request_id.encode("latin-1", "replace"))
+        """Returns the trace of a request as JSON, or None if it is unknown. Lone surrogates stand for bytes
+        of the id that are not UTF-8."""
+        trace = self._traces.get(request_id.encode("utf-8", "surrogateescape"))
         return trace.as_json() if trace is not None else None
--- a/tests/system/test_request_traces.py
+++ b/tests/system/test_request_traces.py
@@ -112,3 +112,24 @@
     assert "how=unreached" in first and "how=answered" in second
     (task,) = logtree.tasks(records, id_of(other))
     assert "turned-away" in logtree.tree(task)[1] and "status=404" in logtree.tree(task)[1]
+
+
+IDS = ["ल".encode(), "स".encode(), b"\xe9", "é".encode(), b"\xff", b"\xfe", b"?"]
+
+
+def test_ids_in_any_bytes_are_told_apart() -> None:
+    """Ids outside Latin-1 were looked up as question marks, and others under another spelling."""
+    world, traces = traced_world()
+    for request_id in IDS:
+        world.ask("/once/x", attempt_id=request_id)
+        world.clock.pass_ms(1000)
+    found = [traces.find(request_id.decode("utf-8", "surrogateescape")) for request_id in IDS]
+    assert [trace and trace["age-s"] for trace in found] == list(range(len(IDS), 0, -1))
+    assert traces.find("ह") is None
+
+
+def test_the_log_has_ids_as_clients_wrote_them(written: list[dict[str, Any]]) -> None:
+    _, traces = traced_world("requests")
+    for request_id in IDS:
+        traces.turned_away(request_id, 404)
+    assert [each["attempt_id"] for each in written] == ["ल", "स", "\\xe9", "é", "\\xff", "\\xfe", "?"]
--- a/tests/test_control_commands.py
+++ b/tests/test_control_commands.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 import threading
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -211,3 +214,49 @@
     (tmp_path / "bad.json").write_text("{")
     code, text = run("config", "apply", str(tmp_path / "bad.json"), "--node", node.address)
     assert code == 2 and "not valid JSON" in text
+
+
+def test_a_trace_is_asked_for_by_the_bytes_of_its_id(node: ScriptedNode) -> None:
+    node.documents["/-/trace/%E0%A4%B2%FF"] = {"tenant": "ललितपुर"}
+    code, text = run("trace", "ल\udcff", "--node", node.address)
+    assert (code, text) == (0, "tenant  ललितपुर\n")
+
+
+def test_control_characters_of_names_are_printed_as_escapes(node: ScriptedNode) -> None:
+    node.documents["/-/instances"] = {"instances": [{"id": "i-1", "zone": "a\n\x1b[2J\u2028ल"}]}
+    code, text = run("servers", "--node", node.address)
+    assert code == 0 and len(text.splitlines()) == 3
+    assert '"a\\n\\u001b[2J\\u2028\\u0932"' in text
+
+
+def test_files_and_output_do_not_depend_on_the_locale(node: ScriptedNode, tmp_path: Path) -> None:
+    """With an ASCII locale, a file with other names could not be read, and `show` ended with an error."""
+    file = tmp_path / "new.json"
+    document = {"version": 6, "tenants": [{"name": "ललितपुर"}]}
+    file.write_text(json.dumps(document, ensure_ascii=False), encoding="utf-8")
+    node.documents["/-/configuration"] = document
+    environment = {"PATH": os.environ["PATH"], "LC_ALL": "C", "PYTHONUTF8": "0", "PYTHONCOERCECLOCALE": "0"}
+    outputs = []
+    for words in (("apply", str(file)), ("show",)):
+        command = [sys.executable, "-m", "cloverrouter", "config", *words, "--node", node.address]
+        done = subprocess.run(command, env=environment, capture_output=True, text=True, timeout=60)
+        assert (done.returncode, done.stderr) == (0, "")
+        outputs.append(done.stdout)
+    assert node.calls[1][3] == document
+    assert "\\u0932" in outputs[1]
+
+
+def test_records_of_logs_may_hold_other_line_separators(tmp_path: Path) -> None:
+    """Such a record was split, and passed over as two lines that are no records."""
+    record = {
+        "task_uuid": "1",
+        "task_level": [1],
+        "timestamp": 1.0,
+        "message_type": "m",
+        "tenant": "a\u2028b\x85c",
+    }
+    file = tmp_path / "edge-1.log"
+    file.write_text(json.dumps(record, ensure_ascii=False) + "\n", encoding="utf-8")
+    code, text = run("logs", str(file), "--request", "a\u2028b\x85c")
+    assert code == 0 and "no log records" not in text
+    assert len(text.splitlines()) == 2 and 'tenant="a\\u2028b\\u0085c"' in text
