Client proxy: tenants, classes and settings outside of ASCII are read as UTF-8

What callers saw: a request of the tenant `ल`, or of the class `ल` unescaped in the path, had neither of the settings; with a locale of ASCII the configuration could not be read, and the adapter gave hosts back under other names; a name with half of a surrogate pair from discovery ended the watch's call with an unforeseen error.

Change: UTF-8, and Latin-1 where the bytes are none; JSON files read as bytes; such an entry counts as malformed.

--- a/cloverrouter/benchlink.py
+++ b/cloverrouter/benchlink.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import sys
 import traceback
@@ -309,6 +310,9 @@
 
 
 def main() -> int:
+    for stream in (sys.stdin, sys.stdout):
+        if isinstance(stream, io.TextIOWrapper):
+            stream.reconfigure(encoding="utf-8")  # the wire's encoding, whatever the locale's is
     return serve(sys.stdin, sys.stdout, sys.stderr)
 
 
--- a/cloverrouter/proxy/admin.py
+++ b/cloverrouter/proxy/admin.py
@@ -159,7 +159,7 @@
         if self._transport is None or self._answered:
             return
         self._answered = True
-        body = text.encode()
+        body = text.encode("utf-8", "backslashreplace")  # names may hold halves of surrogate pairs
         head = (
             f"HTTP/1.1 {status} {phrase(status)}\r\nContent-Type: text/plain; version=0.0.4\r\n{headers}"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -214,6 +214,7 @@
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise ValueError(f"not a text: {value!r}")
+    value.encode()  # raises UnicodeEncodeError, a ValueError, for half of a surrogate pair
     return value
 
 
@@ -295,7 +296,7 @@
     The environment's copy of the address is ignored: it dates from the start of the process and would undo
     the change. Raises ValueError, which names the key, or OSError if the file can't be used.
     """
-    document = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    document = json.loads(Path(environ["PROXY_CONFIG"]).read_bytes())
     if not isinstance(document, dict):
         raise ConfigError("the file", document, "an object")
     return _parse_address("discovery", document.get("discovery", MISSING))
@@ -305,7 +306,7 @@
     """Reads the configuration. Raises ValueError, which names the key, or OSError if it can't be used."""
     if "PROXY_CONFIG" not in environ:
         raise ConfigError("the environment's PROXY_CONFIG", MISSING, "the path of a configuration file")
-    document: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    document: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_bytes())
     check(document)
     raw, clock = document["settings"], UnixClock()
     limits = document.get("limits") or {}
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -15,11 +15,11 @@
 from collections import deque
 from collections.abc import Mapping
 from typing import Protocol, cast
-from urllib.parse import unquote
 
 import httptools
 
 from cloverrouter.http.acceptor import Acceptor
+from cloverrouter.http.field_text import read_percent_encoded, read_text
 from cloverrouter.http.fields import encode_response
 from cloverrouter.http.memory import FIELD_BYTES, REQUEST_BYTES, UNCHARGED_BYTES, MemoryBudget
 from cloverrouter.http.sockets import READ_BYTES, hung_up, reset_at_close, unread
@@ -92,8 +92,8 @@
 def class_of(path: bytes, classes: Mapping[str, Idempotency]) -> str:
     """Returns the class that a path names: its first segment, unless a class name that contains a slash
     is a prefix of the path; the longest such name wins."""
-    first = unquote(path.split(b"/", 2)[1].decode("latin-1"))
-    whole = unquote(path[1:].decode("latin-1"))
+    first = read_percent_encoded(path.split(b"/", 2)[1])
+    whole = read_percent_encoded(path[1:])
     named = [name for name in classes if "/" in name and (whole + "/").startswith(name + "/")]
     return max(named, key=len, default=first)
 
@@ -126,8 +126,8 @@
         path, _, query = target.partition(b"?")
         self.class_name = client.class_of(path)
         keys = [part[4:] for part in query.split(b"&") if part.startswith(b"obj=")]
-        self.key = unquote(keys[0].decode("latin-1")) if keys else None
-        self.tenant = headers.get(b"x-tenant-id", b"").decode("latin-1") or None
+        self.key = read_percent_encoded(keys[0]) if keys else None
+        self.tenant = read_text(headers.get(b"x-tenant-id", b"")) or None
         timeout = headers.get(b"x-timeout-ms")
         self.timeout_ms = parse_whole_number(timeout) if timeout is not None else None
         cost_us = parse_whole_number(headers.get(b"x-cost", b""))  # an estimate: ignored if malformed
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -153,3 +153,21 @@
     apart = [play([line for line in day() if who in line], "77")[who] for who in together]
     assert list(together.values()) == apart
     assert all(len(cmds) > 30 for cmds in apart)
+
+
+def test_the_wire_is_utf_8_in_any_locale() -> None:
+    """With an ASCII locale, names outside of ASCII were read as surrogates, and given back as others."""
+    members = [{"host": "ल", "lifecycle": "ready"}]
+    register = {"register": {"list": 0, "members": members}}
+    lines = batch(1, 1, "p0", begin(), register, SYNC, request(5)).replace(json.dumps("ल"), '"ल"')
+    environment = {"PATH": os.environ["PATH"], "LC_ALL": "C", "PYTHONUTF8": "0", "PYTHONCOERCECLOCALE": "0"}
+    done = subprocess.run(
+        [sys.executable, "-m", "cloverrouter.benchlink"],
+        input=(lines + "\n").encode(),
+        env=environment,
+        capture_output=True,
+        timeout=60,
+    )
+    assert (done.returncode, done.stderr) == (0, b"")
+    commands = json.loads(done.stdout)["groups"][0]["cmds"]
+    assert [command["try"]["host"] for command in commands if "try" in command] == ["ल"]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -751,8 +751,12 @@
         (b"/gate.open:x@y+z", "gate.open:x@y+z"),
         (b"/call%20up", "call up"),
         (b"/nobody/b", "nobody"),
+        ("/ल/b".encode(), "ल"),
+        (b"/%E0%A4%B2/b", "ल"),
+        (b"/\xe9", "é"),
+        (b"/%E9", "é"),
     ],
 )
 def test_class_of_a_path(path: bytes, name: str) -> None:
-    classes = dict.fromkeys(("plain", "a", "a/b", "gate.open:x@y+z", "call up"), Idempotency.SAFE)
+    classes = dict.fromkeys(("plain", "a", "a/b", "gate.open:x@y+z", "call up", "ल", "é"), Idempotency.SAFE)
     assert frontend_module.class_of(path.partition(b"?")[0], classes) == name
